Let daemons know each other and finish each other's answers

Cause: an entry host may die in mid-answer, and a fleet of 360 cannot poll the store. Change: typed msgpack messages over datagrams and streams, membership by probes with rebuttal, facts that only grow, location records at two homes found by rendezvous hashing, configuration handed from peer to peer. Ruled out on the way: attempts refused by a dead engine counted as losses, so that an answer was given up after eight quick refusals instead of at its deadline; and a queueing engine was taken for a silent one, because the first-token limit ignored how full the server was.

--- a/bronzesill/config/__init__.py
+++ b/bronzesill/config/__init__.py
@@ -10,6 +10,7 @@
     Preferences,
     Route,
 )
+from .messages import ConfigAnswer, FetchConfig
 from .overlay import build_document, merge_overlay, parse_yaml
 from .repository import (
     CONFIG_KEY,
@@ -25,10 +26,12 @@
     'CONFIG_KEY',
     'BackendServer',
     'ClientAccount',
+    'ConfigAnswer',
     'ConfigChange',
     'ConfigRepository',
     'DaemonSettings',
     'Document',
+    'FetchConfig',
     'HeldConfig',
     'Limits',
     'Model',
--- a/bronzesill/config/overlay.py
+++ b/bronzesill/config/overlay.py
@@ -14,6 +14,9 @@
 
 _SHA256_HEX_CHARS = 64
 
+# The loader written in C reads a large document ten times as fast.
+_LOADER = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
+
 
 def parse_yaml(text: str, label: str) -> dict[str, Any]:
     """
@@ -24,7 +27,7 @@
     :raises DocumentInvalid: the text is not a YAML map.
     """
     try:
-        document = yaml.safe_load(text)
+        document = yaml.load(text, Loader=_LOADER)
     except yaml.YAMLError as error:
         raise DocumentInvalid((f'{label}: not YAML: {error}',)) from error
     if document is None:
--- a/bronzesill/config/revision.py
+++ b/bronzesill/config/revision.py
@@ -1,7 +1,5 @@
 """Revisions of the configuration: which one to adopt."""
 
-from __future__ import annotations
-
 import dataclasses
 
 from ..utils import stable_hash
--- a/bronzesill/config/settings.py
+++ b/bronzesill/config/settings.py
@@ -27,6 +27,7 @@
     :param store: address of the platform's key-value service.
     :param host_list: address of the platform's list of hosts.
     :param site: site whose overlay applies.
+    :param seeds: peers to ask first, besides those on the host list.
     :param statsd: address of the metrics collector, none to send nothing.
     :param log_level: ``debug``, ``info``, ``warning`` or ``error``.
     """
@@ -39,6 +40,7 @@
     store: Address
     host_list: Address
     site: str
+    seeds: list[Address] = dataclasses.field(default_factory=list)
     statsd: Address | None = None
     log_level: str = 'info'
 
--- /dev/null
+++ b/bronzesill/daemon/capacity.py
@@ -0,0 +1,42 @@
+"""A daemon's share of what the site can carry."""
+
+from __future__ import annotations
+
+import math
+
+from ..config import Document
+from ..limits import AdmissionLimits
+
+__all__ = ['admission_limits']
+
+_OVERCOMMIT = 2.0
+_IMBALANCE = 2.0
+
+
+def admission_limits(document: Document, daemon_count: int) -> AdmissionLimits:
+    """
+    Return one daemon's limits.
+
+    Callers are spread over the daemons by hashing, so that one daemon may
+    get twice its even share; slots and quotas allow for that.
+
+    :param document: the configuration in force.
+    :param daemon_count: live daemons, this one among them.
+    """
+    capacity = sum(
+        server.capacity for server in document.servers.values() if server.model
+    )
+    daemons = max(daemon_count, 1)
+    imbalance = 1 if daemons == 1 else _IMBALANCE
+    slots = math.ceil(capacity * _OVERCOMMIT * imbalance / daemons)
+    return AdmissionLimits(
+        slots=max(slots, 1),
+        max_waiting=document.limits.max_waiting,
+        quota_by_account={
+            name: max(math.ceil(account.max_running * imbalance / daemons), 1)
+            for name, account in document.accounts.items()
+        },
+        weight_by_account={
+            name: account.weight for name, account in document.accounts.items()
+        },
+    )
--- a/bronzesill/daemon/core.py
+++ b/bronzesill/daemon/core.py
@@ -3,18 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import math
+import time
+from collections.abc import Coroutine
 from random import Random
+from typing import Any
 
 import aiohttp
 
 from ..calls import DirectRunner
-from ..config import DaemonSettings, Document, Revision
+from ..config import CONFIG_KEY, DaemonSettings, Document, Revision
 from ..gateway import (
     AdminResource,
     CompletionsResource,
     DaemonStatus,
-    EntryAddress,
     GatewayState,
     InformationResource,
     PlainCallsResource,
@@ -23,23 +24,35 @@
 from ..generations import (
     EngineClient,
     GenerationsController,
-    LocalDirectory,
     LocationTable,
+    PeerDirectory,
     Site,
     StallPolicy,
 )
 from ..limits import AdmissionController, AdmissionLimits
-from ..platform import EtcdStore
+from ..membership import (
+    Fact,
+    FactKind,
+    GossipPolicy,
+    Member,
+    MembershipController,
+    MembershipMailbox,
+    News,
+)
+from ..platform import EtcdStore, HttpHostList
 from ..routing import ServerBook
-from ..utils import HttpServer, PartLogger, connect_metrics
-from .config_keeper import ConfigKeeper
+from ..utils import Address, HttpServer, PartLogger, connect_metrics
+from ..wire import DatagramSocket, PeerClient, PeerServer, WireCounters
+from .capacity import admission_limits
+from .config_keeper import ConfigKeeper, RevisionHeard
+from .fleet import FleetController
+from .protocol import Dispatcher, make_registry
 from .servers import ServersController
 
 __all__ = ['Daemon']
 
-_MIN_SLOTS = 8
-_OVERCOMMIT = 1.5
-_DRAIN_POLL_S = 0.1
+_MS_PER_S = 1000
+_HOUSEKEEPING_S = 10.0
 
 _log = PartLogger('daemon')
 
@@ -49,67 +62,70 @@
     One host's process.
 
     :param settings: the host's own settings.
-    :param session: HTTP session to engines, store and peers.
+    :param session: HTTP session to engines and platform.
+    :param calls_session: HTTP session to plain services, which keeps no
+        connection alive.
     """
 
     def __init__(
-        self, settings: DaemonSettings, session: aiohttp.ClientSession
+        self,
+        settings: DaemonSettings,
+        session: aiohttp.ClientSession,
+        calls_session: aiohttp.ClientSession,
     ) -> None:
         self.settings = settings
+        self.counters = WireCounters()
         self._session = session
-        self._random = Random(settings.name)
+        self._calls_session = calls_session
+        self._random = Random(f'{settings.name} {time.time_ns()}')
         self._stop_asked = asyncio.Event()
+        self._stop_now = asyncio.Event()
         self._state = GatewayState()
         self._book = ServerBook()
-        self._admission = AdmissionController(AdmissionLimits(_MIN_SLOTS, 0))
-        self._keeper = ConfigKeeper(
-            EtcdStore(session, settings.store),
-            settings.site,
-            self._adopt,
-            self._random,
-        )
-        self._generations = GenerationsController(
-            settings.name,
-            settings.failure_domain,
-            self._book,
-            EngineClient(session),
-            LocalDirectory(LocationTable()),
-            connect_metrics(settings.statsd, settings.name),
-            self._random,
-        )
-        self._server = HttpServer(self._make_app(), settings.callers)
+        self._admission = AdmissionController(AdmissionLimits(0, 0))
+        self._locations = LocationTable()
+        self._server = HttpServer(self._make_app, settings.callers)
+        self._make_peer_parts()
+        self._make_request_parts()
 
     @classmethod
     def from_settings(cls, settings: DaemonSettings) -> Daemon:
         """Build a daemon; an event loop has to be running."""
-        connector = aiohttp.TCPConnector(limit=0, force_close=True)
-        return cls(settings, aiohttp.ClientSession(connector=connector))
+        return cls(
+            settings,
+            aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)),
+            aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, force_close=True)
+            ),
+        )
+
+    @property
+    def address(self) -> Address:
+        """Where callers are served."""
+        return self._server.address
 
     async def run(self) -> None:
         """Serve until a stop is asked for and all requests have ended."""
+        peers = await self._peer_server.start()
+        await self._socket.open(peers)
         await self._server.start()
-        _log.info('%s serves on %s', self.settings.name, self._server.address)
-        tasks = [
-            asyncio.create_task(part)
-            for part in (
-                self._keeper.run(lambda: True),
-                self._admission.run(),
-                ServersController(
-                    self._session, self._book, self._random
-                ).run(),
-            )
-        ]
-        await self._stop_asked.wait()
-        await self._drain()
+        _log.info('%s serves on %s', self.settings.name, self.address)
+        tasks = [asyncio.create_task(part) for part in self._parts()]
         for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        await self._session.close()
+            task.add_done_callback(self._notice_end)
+        try:
+            await self._stop_asked.wait()
+            await self._drain()
+        finally:
+            await self._close(tasks)
         _log.info('%s stopped', self.settings.name)
 
     def begin_stop(self) -> None:
-        """Begin a planned stop."""
+        """Begin a planned stop; asked again, do not wait for callers."""
+        if self._stop_asked.is_set():
+            self._stop_now.set()
         self._state.is_stopping = True
+        self._fleet.state_stop()
         self._stop_asked.set()
 
     def status(self) -> DaemonStatus:
@@ -123,54 +139,178 @@
             is_stopping=self._state.is_stopping,
         )
 
+    def members(self) -> tuple[Member, ...]:
+        """Return the fleet as this daemon believes it to be."""
+        return tuple(self.membership.view.members_by_name.values())
+
+    def set_server_leaving(self, name: str, *, is_leaving: bool) -> None:
+        """State for an operator that a backend server leaves or is back."""
+        self._fleet.state_server(name, is_leaving=is_leaving)
+
+    def _notice_end(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled():
+            return
+        # A part never ends by itself: without it the host is of no use.
+        _log.error('a part failed: %r', task.exception())
+        self._stop_now.set()
+        self.begin_stop()
+
+    def _make_peer_parts(self) -> None:
+        settings = self.settings
+        registry = make_registry()
+        self._peer_client = PeerClient(registry, self.counters)
+        mailbox: MembershipMailbox = asyncio.Queue()
+        self._socket = DatagramSocket(registry, self.counters, mailbox)
+        self._keeper = ConfigKeeper(
+            EtcdStore(self._session, settings.store),
+            self._peer_client,
+            settings.site,
+            self._adopt,
+            self._random,
+        )
+        self.membership = MembershipController(
+            _describe(settings, self.address),
+            self._socket,
+            mailbox,
+            self._peer_client,
+            self._random,
+            GossipPolicy(),
+        )
+        self.membership.listeners.append(self._hear)
+        self._fleet = FleetController(
+            settings,
+            HttpHostList(self._session, settings.host_list),
+            self.membership,
+            self._keeper,
+            self._random,
+        )
+        self._peer_server = PeerServer(
+            settings.peers,
+            registry,
+            Dispatcher(self.membership, self._keeper, self._locations),
+            self.counters,
+        )
+
+    def _make_request_parts(self) -> None:
+        settings = self.settings
+        self._servers = ServersController(
+            settings.name,
+            self._session,
+            self._book,
+            self._fleet.daemon_names,
+            self._fleet.state_server_leaving,
+            self._random,
+        )
+        self._generations = GenerationsController(
+            settings.name,
+            settings.failure_domain,
+            self._book,
+            EngineClient(self._session),
+            PeerDirectory(
+                settings.name,
+                self._locations,
+                self._fleet.homes,
+                self._peer_client,
+            ),
+            connect_metrics(settings.statsd, settings.name),
+            self._random,
+        )
+
+    def _parts(self) -> list[Coroutine[Any, Any, None]]:
+        return [
+            self.membership.run(),
+            self._keeper.run(),
+            self._keeper.follow_store(self._fleet.should_watch),
+            self._fleet.follow_hosts(),
+            self._fleet.catch_up(),
+            self._admission.run(),
+            self._servers.run(),
+            self._keep_house(),
+        ]
+
+    async def _keep_house(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(_HOUSEKEEPING_S)
+            self._locations.expire(loop.time())
+            self._peer_client.close_idle(loop.time())
+
     async def _drain(self) -> None:
-        _log.info('%s drains', self.settings.name)
+        document = self._state.document
+        ttl_s = document.limits.address_ttl_s if document else 0
+        _log.info('%s drains, callers keep it %s s', self.settings.name, ttl_s)
+        try:
+            async with asyncio.timeout(ttl_s):
+                await self._stop_now.wait()
+        except TimeoutError:
+            _log.info('%s is no longer used', self.settings.name)
         await self._server.stop()
+
+    async def _close(self, tasks: list[asyncio.Task[None]]) -> None:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._server.kill()
         await self._generations.stop()
+        await self._peer_server.stop()
+        await self._peer_client.stop()
+        self._socket.close()
+        await self._session.close()
+        await self._calls_session.close()
 
     def _adopt(self, document: Document, revision: Revision) -> None:
         self._state.document = document
         self._book.replace_servers(document.servers)
-        self._admission.limits = _admission_limits(document)
+        self._servers.refresh_subset()
+        self._refresh_limits()
         self._generations.site = Site(
             StallPolicy.from_weight(document.preferences.resume_latency_weight),
             document.limits.reconnect_window_s,
         )
-
-    def _list_addresses(self, caller: str) -> tuple[EntryAddress, ...]:
-        own = EntryAddress(
-            self.settings.name,
-            self._server.address,
-            self.settings.failure_domain,
+        self.membership.state_fact(
+            Fact(FactKind.CONFIG_REVISION, CONFIG_KEY, revision.number)
         )
-        return (own,)
+
+    def _refresh_limits(self) -> None:
+        document = self._state.document
+        if document is not None:
+            daemons = len(self._fleet.daemon_names())
+            self._admission.limits = admission_limits(document, daemons)
+
+    def _hear(self, news: News) -> None:
+        for fact in news.rumours.facts:
+            self._hear_fact(fact, news.source)
+        if news.rumours.members:
+            self._refresh_limits()
+
+    def _hear_fact(self, fact: Fact, source: Address | None) -> None:
+        if fact.kind == FactKind.SERVER_LEAVING:
+            self._book.set_leaving(fact.key, is_leaving=fact.text == 'leaving')
+        is_config = fact.kind == FactKind.CONFIG_REVISION
+        if is_config and source is not None:
+            heard = RevisionHeard(fact.rank, source)
+            self._keeper.mailbox.put_nowait(heard)
 
     def _make_app(self) -> object:
         return make_app(
             CompletionsResource(
                 self._state, self._generations, self._admission
             ),
-            InformationResource(self._state, self._list_addresses),
+            InformationResource(self._state, self._fleet.entries),
             PlainCallsResource(
                 self._state,
-                DirectRunner(self._session, self._book, self._random),
+                DirectRunner(self._calls_session, self._book, self._random),
             ),
             AdminResource(self),
         )
 
 
-def _admission_limits(document: Document) -> AdmissionLimits:
-    capacity = sum(
-        server.capacity for server in document.servers.values() if server.model
-    )
-    return AdmissionLimits(
-        slots=max(math.ceil(capacity * _OVERCOMMIT), _MIN_SLOTS),
-        max_waiting=document.limits.max_waiting,
-        quota_by_account={
-            name: account.max_running
-            for name, account in document.accounts.items()
-        },
-        weight_by_account={
-            name: account.weight for name, account in document.accounts.items()
-        },
+def _describe(settings: DaemonSettings, callers: Address) -> Member:
+    return Member(
+        name=settings.name,
+        region=settings.region,
+        failure_domain=settings.failure_domain,
+        peers=settings.peers,
+        callers=callers,
+        incarnation=int(time.time() * _MS_PER_S),
     )
--- a/bronzesill/daemon/servers.py
+++ b/bronzesill/daemon/servers.py
@@ -1,22 +1,26 @@
-"""Controller of backend servers: reads their load."""
+"""Controller of backend servers: which ones are known, and their load."""
 
 from __future__ import annotations
 
 import asyncio
 import dataclasses
+import itertools
+from collections.abc import Callable
 from random import Random
 
 import aiohttp
 import orjson
 
 from ..config import BackendServer
-from ..routing import LoadReport, ServerBook
+from ..routing import LoadReport, ServerBook, pick_subset
 from ..utils import PartLogger, structure
 
 __all__ = ['ServersController']
 
 _POLL_INTERVAL_S = 1.0
 _POLL_TIMEOUT_S = 0.8
+_SUBSET_SIZE = 8
+_POLLS_AT_ONCE = 8
 
 _log = PartLogger('routing')
 
@@ -26,46 +30,77 @@
     running: int
     capacity: int
     version: str
+    is_leaving: bool = False
 
 
 class ServersController:
     """
     Owner of the record of backend servers.
 
+    :param name: name of this daemon.
     :param session: HTTP session, owned by the caller.
     :param book: the record that is kept up to date.
+    :param list_daemons: names of the live daemons.
+    :param on_leaving: told when a server itself says that it leaves.
     :param random: generator for jitter.
     """
 
     def __init__(
-        self, session: aiohttp.ClientSession, book: ServerBook, random: Random
+        self,
+        name: str,
+        session: aiohttp.ClientSession,
+        book: ServerBook,
+        list_daemons: Callable[[], tuple[str, ...]],
+        on_leaving: Callable[[str], None],
+        random: Random,
     ) -> None:
+        self._name = name
         self._session = session
         self._book = book
+        self._list_daemons = list_daemons
+        self._on_leaving = on_leaving
         self._random = random
 
     async def run(self) -> None:
-        """Read the load of all known engines, for ever."""
+        """Read the load of the known engines, for ever."""
         while True:
-            engines = {
-                name: server
-                for name, server in self._book.servers_by_name.items()
-                if server.model
-            }
-            async with asyncio.TaskGroup() as group:
-                for name, server in engines.items():
-                    group.create_task(self._poll(name, server))
+            self.refresh_subset()
+            await self._poll_all()
             jitter = 0.8 + 0.4 * self._random.random()
             await asyncio.sleep(_POLL_INTERVAL_S * jitter)
 
-    async def _poll(self, name: str, server: BackendServer) -> None:
+    def refresh_subset(self) -> None:
+        """Pick anew which engines this daemon knows well."""
+        servers = self._book.servers_by_name
+        daemons = self._list_daemons()
+        names_by_kind: dict[str, list[str]] = {}
+        for name, server in servers.items():
+            kind = f'{server.model}/{server.service}/{server.version}'
+            names_by_kind.setdefault(kind, []).append(name)
+        subsets = (
+            pick_subset(self._name, daemons, tuple(names), _SUBSET_SIZE)
+            for names in names_by_kind.values()
+        )
+        self._book.know_only(frozenset(itertools.chain(*subsets)))
+
+    async def _poll_all(self) -> None:
+        gate = asyncio.Semaphore(_POLLS_AT_ONCE)
+        known = self._book.known
+        async with asyncio.TaskGroup() as group:
+            for name, server in self._book.servers_by_name.items():
+                if name in known and server.model:
+                    group.create_task(self._poll(name, server, gate))
+
+    async def _poll(
+        self, name: str, server: BackendServer, gate: asyncio.Semaphore
+    ) -> None:
         loop = asyncio.get_running_loop()
         timeout = aiohttp.ClientTimeout(total=_POLL_TIMEOUT_S)
         url = f'{server.address.url}/load'
         try:
-            async with self._session.get(url, timeout=timeout) as response:
+            async with gate, self._session.get(url, timeout=timeout) as reply:
                 reported = structure(
-                    orjson.loads(await response.read()), _ReportedLoad
+                    orjson.loads(await reply.read()), _ReportedLoad
                 )
         except (aiohttp.ClientError, OSError, ValueError):
             _log.info('no load from %s', name)
@@ -74,3 +109,5 @@
             name,
             LoadReport(reported.running, reported.version, loop.time()),
         )
+        if reported.is_leaving:
+            self._on_leaving(name)
--- a/bronzesill/gateway/__init__.py
+++ b/bronzesill/gateway/__init__.py
@@ -5,7 +5,7 @@
 from .completions import CompletionsResource
 from .exchange import Exchange, RequestFilter, run_filters
 from .filters import Authenticate, NameRequest, ParseJson, ReadBody
-from .information import EntryAddress, InformationResource
+from .information import InformationResource
 from .plain_calls import PlainCallsResource
 from .rendering import AnswerRenderer, EventPosition, render_error
 from .state import GatewayState
@@ -16,7 +16,6 @@
     'Authenticate',
     'CompletionsResource',
     'DaemonStatus',
-    'EntryAddress',
     'EventPosition',
     'Exchange',
     'GatewayState',
--- a/bronzesill/gateway/admin.py
+++ b/bronzesill/gateway/admin.py
@@ -7,6 +7,7 @@
 
 from falcon import asgi
 
+from ..membership import Member
 from ..utils import unstructure
 
 __all__ = ['AdminResource', 'DaemonStatus', 'StatusSource']
@@ -39,6 +40,12 @@
     def status(self) -> DaemonStatus:
         """Return the state of this daemon."""
 
+    def members(self) -> tuple[Member, ...]:
+        """Return the fleet as this daemon believes it to be."""
+
+    def set_server_leaving(self, name: str, *, is_leaving: bool) -> None:
+        """State that a backend server leaves or is back."""
+
     def begin_stop(self) -> None:
         """Begin a planned stop."""
 
@@ -57,6 +64,10 @@
         """Add the paths to an application."""
         app.add_route('/admin/status', self, suffix='status')
         app.add_route('/admin/drain', self, suffix='drain')
+        app.add_route('/admin/members', self, suffix='members')
+        app.add_route(
+            '/admin/servers/{name}/leaving', self, suffix='server_leaving'
+        )
 
     async def on_get_status(
         self, request: asgi.Request, response: asgi.Response
@@ -70,3 +81,27 @@
         """Begin a planned stop."""
         self._source.begin_stop()
         response.media = unstructure(self._source.status())
+
+    async def on_get_members(
+        self, request: asgi.Request, response: asgi.Response
+    ) -> None:
+        """List the fleet as this daemon believes it to be."""
+        response.media = {
+            'members': [
+                unstructure(member) for member in self._source.members()
+            ]
+        }
+
+    async def on_post_server_leaving(
+        self, request: asgi.Request, response: asgi.Response, name: str
+    ) -> None:
+        """Give a backend server no new work from now on."""
+        self._source.set_server_leaving(name, is_leaving=True)
+        response.media = {'server': name, 'leaving': True}
+
+    async def on_delete_server_leaving(
+        self, request: asgi.Request, response: asgi.Response, name: str
+    ) -> None:
+        """Give a backend server work again."""
+        self._source.set_server_leaving(name, is_leaving=False)
+        response.media = {'server': name, 'leaving': False}
--- a/bronzesill/gateway/information.py
+++ b/bronzesill/gateway/information.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Callable
 from typing import Any, TypeAlias
 
@@ -12,27 +11,12 @@
 from ..utils import Address
 from .state import GatewayState
 
-__all__ = ['EntryAddress', 'InformationResource', 'ListAddresses']
+__all__ = ['InformationResource', 'ListAddresses']
 
 _UNAVAILABLE = '503 Service Unavailable'
 
 
-@dataclasses.dataclass(frozen=True)
-class EntryAddress:
-    """
-    An address that callers may use.
-
-    :param host: name of the host.
-    :param address: where it listens for callers.
-    :param failure_domain: failure domain it stands in.
-    """
-
-    host: str
-    address: Address
-    failure_domain: str
-
-
-ListAddresses: TypeAlias = Callable[[str], tuple[EntryAddress, ...]]
+ListAddresses: TypeAlias = Callable[[str], tuple[Address, ...]]
 
 
 class InformationResource:
@@ -54,15 +38,11 @@
     ) -> None:
         """Say which addresses to use and how long to keep the answer."""
         exchange = self._state.exchange(request)
-        caller = request.remote_addr or ''
+        caller = request.get_header('Authorization') or request.remote_addr
         response.media = {
             'addresses': [
-                {
-                    'address': str(entry.address),
-                    'host': entry.host,
-                    'failure_domain': entry.failure_domain,
-                }
-                for entry in self._list_addresses(caller)
+                {'address': str(address)}
+                for address in self._list_addresses(str(caller))
             ],
             'ttl_s': exchange.document.limits.address_ttl_s,
         }
--- a/bronzesill/generations/__init__.py
+++ b/bronzesill/generations/__init__.py
@@ -3,6 +3,12 @@
 from .controller import GenerationsController, Site
 from .decisions import Decision, GenerationState, Phase, decide
 from .engine_client import EngineClient
+from .location_messages import (
+    ClaimLocation,
+    FindLocation,
+    LocationAnswer,
+    TakeOverLocation,
+)
 from .locations import (
     LocalDirectory,
     LocationDirectory,
@@ -10,26 +16,34 @@
     LocationTable,
 )
 from .pace import Pace, StallPolicy
+from .peer_directory import Home, PeerDirectory, answer_location
 from .request import GenerationRequest
 from .subscription import Ended, Failed, Piece, Subscription
 
 __all__ = [
+    'ClaimLocation',
     'Decision',
     'Ended',
     'EngineClient',
     'Failed',
+    'FindLocation',
     'GenerationRequest',
     'GenerationState',
     'GenerationsController',
+    'Home',
     'LocalDirectory',
+    'LocationAnswer',
     'LocationDirectory',
     'LocationRecord',
     'LocationTable',
     'Pace',
+    'PeerDirectory',
     'Phase',
     'Piece',
     'Site',
     'StallPolicy',
     'Subscription',
+    'TakeOverLocation',
+    'answer_location',
     'decide',
 ]
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -6,7 +6,7 @@
 import dataclasses
 from random import Random
 
-from ..routing import Requirements, ServerBook, choose_server
+from ..routing import Requirements, ServerBook, ServerView, choose_server
 from ..utils import Address, BronzesillError, Metrics, PartLogger, ResultCode
 from .decisions import GenerationState
 from .engine_client import EngineClient
@@ -191,15 +191,16 @@
         self, generation: GenerationTask, action: ChooseServer
     ) -> Placement:
         request = generation.request
-        server = self._choose(request, action)
-        if server is None:
+        view = self._choose(request, action)
+        if view is None:
             return Placement(NoServer(), request)
+        chosen = Placement(ServerChosen(view.name, view.fill), request)
         if not request.can_reconnect:
-            return Placement(ServerChosen(server), request)
-        offered = self._record(generation, server)
+            return chosen
+        offered = self._record(generation, view.name)
         holds = await self._directory.claim(offered)
         if holds == offered:
-            return Placement(ServerChosen(server), request)
+            return chosen
         return await self._join(request, offered, holds)
 
     def _record(
@@ -246,7 +247,7 @@
 
     def _choose(
         self, request: GenerationRequest, action: ChooseServer
-    ) -> str | None:
+    ) -> ServerView | None:
         needs = Requirements(
             model=request.model,
             version=request.version,
--- a/bronzesill/generations/decisions.py
+++ b/bronzesill/generations/decisions.py
@@ -32,7 +32,7 @@
 
 __all__ = ['Decision', 'GenerationState', 'Phase', 'decide']
 
-_RETRY_NO_SERVER_S = 0.25
+_RETRY_NO_SERVER_S = 0.5
 _MAX_LOSSES = 8
 
 
@@ -57,11 +57,12 @@
     :param phase: what it is waiting for.
     :param attempt: number of the current attempt, 0 before the first.
     :param server: backend server of the current attempt.
+    :param fill: how full that server was when it was chosen.
     :param accepted: tokens accepted, which is the next offset.
     :param digest: digest chained over the accepted tokens.
     :param pace: pace of the current attempt.
     :param progress_at_s: time of the last sign of life of the attempt.
-    :param losses: attempts lost so far.
+    :param losses: attempts lost so far, refused ones left out.
     :param excluded: backend servers that lost an attempt.
     """
 
@@ -70,6 +71,7 @@
     phase: Phase = Phase.IDLE
     attempt: int = 0
     server: str = ''
+    fill: float = 0
     accepted: int = 0
     digest: int = 0
     pace: Pace = dataclasses.field(default_factory=Pace)
@@ -85,7 +87,8 @@
     @property
     def stall_at_s(self) -> float:
         """Time at which the current attempt counts as silent."""
-        return self.progress_at_s + self.pace.stall_limit_s(self.policy)
+        allowed_s = self.pace.stall_limit_s(self.policy, self.fill)
+        return self.progress_at_s + allowed_s
 
 
 @dataclasses.dataclass(frozen=True)
@@ -133,7 +136,7 @@
         case Attached():
             return _attach(state, event, now_s)
         case ServerChosen():
-            return _open(state, event.server, now_s)
+            return _open(state, event, now_s)
         case NoServer():
             return _wait(state, now_s)
         case PlacementRefused():
@@ -169,14 +172,21 @@
     )
 
 
-def _open(state: GenerationState, server: str, now_s: float) -> Decision:
+def _open(
+    state: GenerationState, event: ServerChosen, now_s: float
+) -> Decision:
     if state.phase is not Phase.CHOOSING:
         return Decision(state)
-    opened = _with_attempt(state, server, state.attempt + 1, now_s)
+    if now_s >= state.deadline_at_s:
+        return _fail(state, ResultCode.INCOMPLETE_DEADLINE)
+    attempt = state.attempt + 1
+    opened = dataclasses.replace(
+        _with_attempt(state, event.server, attempt, now_s), fill=event.fill
+    )
     return Decision(
         opened,
         (
-            OpenAttempt(opened.attempt, server, state.accepted),
+            OpenAttempt(attempt, event.server, state.accepted),
             SetTimer(min(opened.stall_at_s, state.deadline_at_s)),
         ),
     )
@@ -248,13 +258,14 @@
     if not _is_current(state, event.attempt):
         return Decision(state)
     cancel = CancelAttempt(event.attempt, state.server, event.cause)
+    is_refused = event.cause is LossCause.REFUSED
     lost = dataclasses.replace(
         state,
-        losses=state.losses + 1,
+        losses=state.losses + int(not is_refused),
         excluded=state.excluded | {state.server},
     )
     if now_s >= state.deadline_at_s:
-        after = _fail(lost, ResultCode.INCOMPLETE_DEADLINE)
+        after = _fail(lost, _late_code(event.cause))
     elif lost.losses > _MAX_LOSSES:
         after = _fail(lost, ResultCode.INCOMPLETE_RETRIES)
     else:
@@ -262,8 +273,16 @@
     return Decision(after.state, (cancel, *after.actions))
 
 
+def _late_code(cause: LossCause) -> ResultCode:
+    if cause is LossCause.REFUSED:
+        return ResultCode.INCOMPLETE_NO_SERVER
+    return ResultCode.INCOMPLETE_DEADLINE
+
+
 def _check_time(state: GenerationState, now_s: float) -> Decision:
     if state.phase is Phase.WAITING:
+        if now_s >= state.deadline_at_s:
+            return _fail(state, ResultCode.INCOMPLETE_NO_SERVER)
         return _choose(state)
     if state.phase is not Phase.STREAMING:
         return Decision(state)
--- a/bronzesill/generations/locations.py
+++ b/bronzesill/generations/locations.py
@@ -1,7 +1,5 @@
 """Where a named generation runs, kept by a few daemons in memory."""
 
-from __future__ import annotations
-
 import dataclasses
 from typing import Protocol
 
--- a/bronzesill/generations/messages.py
+++ b/bronzesill/generations/messages.py
@@ -66,9 +66,11 @@
     A backend server was found for the next attempt.
 
     :param server: name of the backend server.
+    :param fill: its estimated streams per unit of capacity.
     """
 
     server: str
+    fill: float = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/generations/pace.py
+++ b/bronzesill/generations/pace.py
@@ -7,6 +7,7 @@
 __all__ = ['Pace', 'StallPolicy']
 
 _SMOOTHING = 0.1
+_EASY_FILL = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -71,10 +72,16 @@
             self.deviation_s + _SMOOTHING * spread_s,
         )
 
-    def stall_limit_s(self, policy: StallPolicy) -> float:
-        """Return the silence in seconds after which the stream is lost."""
+    def stall_limit_s(self, policy: StallPolicy, fill: float) -> float:
+        """
+        Return the silence in seconds after which the stream is lost.
+
+        :param policy: how long a stream may be silent.
+        :param fill: streams per unit of the server's capacity; on a full
+            server a stream waits for its first token.
+        """
         if not self.gap_s:
-            return policy.first_token_s
+            return policy.first_token_s * (1 + 2 * max(fill - _EASY_FILL, 0))
         allowed_s = (
             policy.pace_factor * self.gap_s
             + policy.deviation_factor * self.deviation_s
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -116,6 +116,7 @@
                 self._take(mail)
         except TimeoutError:
             _log.info('%s has no reader left', self.request.request_id)
+            await self._cancel_unread()
         finally:
             await self._close()
 
@@ -213,7 +214,7 @@
                 self.mailbox.put_nowait(message)
                 if isinstance(message, EndArrived):
                     return None
-        except AttemptRefused:
+        except (AttemptRefused, aiohttp.ClientConnectorError):
             return LossCause.REFUSED
         except (aiohttp.ClientError, OSError, ValueError):
             return LossCause.BROKEN
@@ -251,10 +252,12 @@
         helper.add_done_callback(self._helpers.discard)
         return helper
 
+    async def _cancel_unread(self) -> None:
+        is_running = self._end is None and bool(self.state.server)
+        if is_running and await self._observer.may_cancel(self.request):
+            await self._cancel_stream(self.state.server, self.state.attempt)
+
     async def _close(self) -> None:
         for helper in tuple(self._helpers):
             helper.cancel()
         await asyncio.gather(*self._helpers, return_exceptions=True)
-        is_running = self._end is None and bool(self.state.server)
-        if is_running and await self._observer.may_cancel(self.request):
-            await self._cancel_stream(self.state.server, self.state.attempt)
--- a/bronzesill/generations/tests/test_decisions.py
+++ b/bronzesill/generations/tests/test_decisions.py
@@ -192,8 +192,9 @@
         state = decide(GenerationState(deadline_at_s=1), Begin(), 0).state
         state = decide(state, NoServer(), 0.5).state
         self.assertIs(state.phase, Phase.WAITING)
-        state = decide(state, TimerFired(), 1).state
-        failed = decide(state, NoServer(), 1)
+        early = decide(state, TimerFired(), 0.9)
+        self.assertIs(early.state.phase, Phase.CHOOSING)
+        failed = decide(state, TimerFired(), 1)
         self.assertEqual(
             failed.actions, (FailAnswer(ResultCode.INCOMPLETE_NO_SERVER),)
         )
--- a/bronzesill/routing/book.py
+++ b/bronzesill/routing/book.py
@@ -37,14 +37,12 @@
     :param since_report: streams opened there since the last report.
     :param report: last report, none before the first.
     :param suspected_until_s: time until which it is avoided.
-    :param is_leaving: whether it takes no new work.
     """
 
     running: int = 0
     since_report: int = 0
     report: LoadReport | None = None
     suspected_until_s: float = 0
-    is_leaving: bool = False
 
 
 class ServerBook:
@@ -57,6 +55,8 @@
     def __init__(self) -> None:
         self._servers_by_name: Mapping[str, BackendServer] = {}
         self._records_by_name: dict[str, ServerRecord] = {}
+        self._known: frozenset[str] = frozenset()
+        self._leaving: frozenset[str] = frozenset()
 
     def replace_servers(self, by_name: Mapping[str, BackendServer]) -> None:
         """Take over the servers of a new configuration."""
@@ -65,6 +65,16 @@
             name: self._records_by_name.get(name, ServerRecord())
             for name in by_name
         }
+        self._known = frozenset(by_name)
+
+    def know_only(self, names: frozenset[str]) -> None:
+        """Restrict choices to the subset that this daemon knows well."""
+        self._known = names
+
+    @property
+    def known(self) -> frozenset[str]:
+        """Names of the servers that choices are made among."""
+        return self._known
 
     @property
     def servers_by_name(self) -> Mapping[str, BackendServer]:
@@ -97,10 +107,11 @@
         """Avoid a server for a moment after it failed."""
         self._update(name, suspected_until_s=now_s + _SUSPECT_S)
 
-    def set_leaving(self, names: frozenset[str]) -> None:
-        """Take over which servers take no new work."""
-        for name in self._records_by_name:
-            self._update(name, is_leaving=name in names)
+    def set_leaving(self, name: str, *, is_leaving: bool) -> None:
+        """Take over whether a server takes no new work."""
+        self._leaving = self._leaving - {name}
+        if is_leaving:
+            self._leaving = self._leaving | {name}
 
     def running(self, name: str) -> int:
         """Return the streams this daemon has open on a server."""
@@ -111,6 +122,7 @@
         return tuple(
             self._view(name, server, now_s)
             for name, server in self._servers_by_name.items()
+            if name in self._known
         )
 
     def _record(self, name: str) -> ServerRecord:
@@ -139,6 +151,6 @@
             own_since_report=record.since_report,
             reported_running=report.running,
             report_age_s=now_s - report.at_s,
-            is_leaving=record.is_leaving,
+            is_leaving=name in self._leaving,
             is_suspected=record.suspected_until_s > now_s,
         )
--- a/bronzesill/routing/choose.py
+++ b/bronzesill/routing/choose.py
@@ -78,7 +78,7 @@
 
 def choose_server(
     views: tuple[ServerView, ...], needs: Requirements, random: Random
-) -> str | None:
+) -> ServerView | None:
     """
     Choose a backend server for a stream.
 
@@ -89,7 +89,7 @@
     :param views: the servers this daemon knows.
     :param needs: what the stream needs.
     :param random: generator to draw from.
-    :returns: name of the server, none if no server fits.
+    :returns: the server, none if no server fits.
     """
     fitting = _fitting(views, needs)
     if not fitting:
@@ -101,7 +101,7 @@
     return min(
         drawn,
         key=lambda view: (_cost(view, needs), view.name),
-    ).name
+    )
 
 
 def _fitting(
@@ -134,7 +134,7 @@
 
 def _holder_of_prefix(
     fitting: tuple[ServerView, ...], needs: Requirements
-) -> str | None:
+) -> ServerView | None:
     if not needs.prefix_key:
         return None
     views_by_name = {view.name: view for view in fitting}
@@ -143,4 +143,4 @@
     mean = sum(view.fill for view in fitting) / len(fitting)
     bound = max(mean * _AFFINITY_SLACK, _AFFINITY_FLOOR)
     after = favourite.fill + 1 / favourite.capacity
-    return favourite.name if after <= bound else None
+    return favourite if after <= bound else None
--- a/bronzesill/standins/engine.py
+++ b/bronzesill/standins/engine.py
@@ -56,7 +56,7 @@
         self._die = die
         self._load_report: dict[str, Any] = {}
         self._random = random.Random(model)
-        self._server = HttpServer(self._make_app(), address)
+        self._server = HttpServer(self._make_app, address)
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
--- a/bronzesill/standins/hosts.py
+++ b/bronzesill/standins/hosts.py
@@ -33,7 +33,7 @@
         self.lag_s = lag_s
         self._shown: list[dict[str, Any]] = []
         self._pending: collections.deque[_Change] = collections.deque()
-        self._server = HttpServer(self._make_app(), address)
+        self._server = HttpServer(self._make_app, address)
 
     @property
     def address(self) -> Address:
--- a/bronzesill/standins/service.py
+++ b/bronzesill/standins/service.py
@@ -29,7 +29,7 @@
         self.delay_s: float = 0
         self.fail_after_run = False
         self.abort_after_run = False
-        self._server = HttpServer(self._make_app(), address)
+        self._server = HttpServer(self._make_app, address)
 
     @property
     def address(self) -> Address:
--- a/bronzesill/standins/store.py
+++ b/bronzesill/standins/store.py
@@ -29,7 +29,7 @@
 
     def __init__(self, address: Address) -> None:
         self.state = StoreState()
-        self._server = HttpServer(self._make_app(), address)
+        self._server = HttpServer(self._make_app, address)
 
     @property
     def address(self) -> Address:
--- a/bronzesill/utils/__init__.py
+++ b/bronzesill/utils/__init__.py
@@ -2,7 +2,13 @@
 
 from .addresses import Address
 from .codes import ResultCode
-from .converter import DocumentInvalid, structure, unstructure
+from .converter import (
+    DocumentInvalid,
+    structure,
+    structure_fields,
+    unstructure,
+    unstructure_fields,
+)
 from .errors import BronzesillError
 from .hashing import (
     chain_digest,
@@ -30,5 +36,7 @@
     'rank_by_rendezvous',
     'stable_hash',
     'structure',
+    'structure_fields',
     'unstructure',
+    'unstructure_fields',
 ]
--- a/bronzesill/utils/converter.py
+++ b/bronzesill/utils/converter.py
@@ -10,7 +10,13 @@
 
 from .addresses import Address
 
-__all__ = ['DocumentInvalid', 'structure', 'unstructure']
+__all__ = [
+    'DocumentInvalid',
+    'structure',
+    'structure_fields',
+    'unstructure',
+    'unstructure_fields',
+]
 
 Shape = TypeVar('Shape')
 
@@ -27,8 +33,19 @@
         self.faults = faults
 
 
-def _make_converter() -> cattrs.Converter:
-    converter = make_converter(forbid_extra_keys=True, omit_if_default=False)
+def _make_map_converter() -> cattrs.Converter:
+    return _with_hooks(
+        make_converter(forbid_extra_keys=True, omit_if_default=False)
+    )
+
+
+def _make_tuple_converter() -> cattrs.Converter:
+    return _with_hooks(
+        cattrs.Converter(unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE)
+    )
+
+
+def _with_hooks(converter: cattrs.Converter) -> cattrs.Converter:
     converter.register_structure_hook(
         Address, lambda text, _: Address.from_text(_require_text(text))
     )
@@ -53,7 +70,8 @@
     return plain(raw)
 
 
-_CONVERTER = _make_converter()
+_MAP_CONVERTER = _make_map_converter()
+_TUPLE_CONVERTER = _make_tuple_converter()
 
 
 def _describe(fault: BaseException, shape: type | None) -> str:
@@ -74,7 +92,7 @@
     :raises DocumentInvalid: with every fault found, not the first only.
     """
     try:
-        return _CONVERTER.structure(document, shape)
+        return _MAP_CONVERTER.structure(document, shape)
     except (cattrs.BaseValidationError, TypeError, ValueError) as error:
         faults = cattrs.transform_error(error, format_exception=_describe)
         raise DocumentInvalid(tuple(sorted(faults))) from error
@@ -82,4 +100,26 @@
 
 def unstructure(instance: object) -> Any:
     """Turn a data class into plain maps, lists, texts and numbers."""
-    return _CONVERTER.unstructure(instance)
+    return _MAP_CONVERTER.unstructure(instance)
+
+
+def structure_fields(fields: object, shape: type[Shape]) -> Shape:
+    """
+    Build a frozen data class from its fields in order.
+
+    Fields that are left out take their defaults; fields beyond the last one
+    are passed over, so that a newer sender is understood.
+
+    :param fields: a sequence as :func:`unstructure_fields` gives it.
+    :param shape: the data class to build.
+    :raises DocumentInvalid: the fields do not fit.
+    """
+    try:
+        return _TUPLE_CONVERTER.structure(fields, shape)
+    except (cattrs.BaseValidationError, TypeError, ValueError) as error:
+        raise DocumentInvalid((f'{shape.__name__}: {error}',)) from error
+
+
+def unstructure_fields(instance: object) -> Any:
+    """Turn a data class into its fields in order, nested ones too."""
+    return _TUPLE_CONVERTER.unstructure(instance)
--- a/bronzesill/utils/serving.py
+++ b/bronzesill/utils/serving.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import uvicorn
@@ -39,52 +39,58 @@
     """
     Owner of one listening HTTP socket.
 
-    :param app: the ASGI application to serve.
+    :param make_app: builds the ASGI application when serving begins.
     :param address: where to listen; port 0 takes any free port.
     """
 
-    def __init__(self, app: Any, address: Address) -> None:
+    def __init__(self, make_app: Callable[[], Any], address: Address) -> None:
         self._socket = socket.socket()
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.bind((address.ip, address.port))
         self.address = Address(address.ip, self._socket.getsockname()[1])
-        self._server = _Server(
-            uvicorn.Config(
-                app,
-                log_config=None,
-                access_log=False,
-                lifespan='off',
-                backlog=_BACKLOG,
-                http='httptools',
-                ws='none',
-            )
-        )
+        self._make_app = make_app
+        self._server: _Server | None = None
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Begin to accept connections."""
-        self._task = asyncio.create_task(
-            self._server.serve(sockets=[self._socket])
-        )
-        await self._server.listening.wait()
+        server = _Server(_uvicorn_config(self._make_app()))
+        self._server = server
+        self._task = asyncio.create_task(server.serve(sockets=[self._socket]))
+        await server.listening.wait()
 
     async def stop(self) -> None:
         """Stop accepting, let running requests end, and return."""
-        self._server.should_exit = True
-        if self._task is not None:
+        if self._server is not None and self._task is not None:
+            self._server.should_exit = True
             await self._task
         self._socket.close()
 
     async def kill(self) -> None:
         """Abort all connections at once, as a dying process would."""
-        self._server.force_exit = True
-        self._server.should_exit = True
-        for listener in self._server.servers:
+        server = self._server
+        if server is None or self._task is None or self._task.done():
+            self._socket.close()
+            return
+        server.force_exit = True
+        server.should_exit = True
+        for listener in server.servers:
             listener.close()
-        for connection in tuple(self._server.server_state.connections):
+        for connection in tuple(server.server_state.connections):
             connection.transport.abort()
-        for request in tuple(self._server.server_state.tasks):
+        for request in tuple(server.server_state.tasks):
             request.cancel()
-        if self._task is not None:
-            await asyncio.gather(self._task, return_exceptions=True)
+        await asyncio.gather(self._task, return_exceptions=True)
         self._socket.close()
+
+
+def _uvicorn_config(app: Any) -> uvicorn.Config:
+    return uvicorn.Config(
+        app,
+        log_config=None,
+        access_log=False,
+        lifespan='off',
+        backlog=_BACKLOG,
+        http='httptools',
+        ws='none',
+    )
--- /dev/null
+++ b/bronzesill/wire/counters.py
@@ -0,0 +1,28 @@
+"""Counts of what one daemon exchanges with its peers."""
+
+from __future__ import annotations
+
+import dataclasses
+
+__all__ = ['WireCounters']
+
+
+@dataclasses.dataclass
+class WireCounters:
+    """
+    Running counts.
+
+    :param bytes_in: bytes received from peers.
+    :param bytes_out: bytes sent to peers.
+    :param datagrams_in: datagrams received.
+    :param datagrams_out: datagrams sent.
+    :param dropped: frames that could not be understood.
+    :param broken: connections that broke.
+    """
+
+    bytes_in: int = 0
+    bytes_out: int = 0
+    datagrams_in: int = 0
+    datagrams_out: int = 0
+    dropped: int = 0
+    broken: int = 0
--- a/examples/write_settings.py
+++ b/examples/write_settings.py
@@ -95,7 +95,7 @@
     (folder / 'base.yaml').write_text(
         yaml.safe_dump(base_file(engines, service))
     )
-    overlay = {'limits': {'max_waiting': 32}}
+    overlay = {'limits': {'max_waiting': 32, 'address_ttl_s': 2}}
     (folder / 'kartuli.yaml').write_text(yaml.safe_dump(overlay))
     listed = [
         {
