--- a/bronzesill/audit/trail.py
+++ b/bronzesill/audit/trail.py
@@ -7,14 +7,24 @@
 import orjson
 
 from ..platform import KeyValueStore, Mutation
-from ..utils import structure, unstructure
+from ..utils import stable_hash, structure, unstructure
 
-__all__ = ['AUDIT_PREFIX', 'AuditEntry', 'audit_mutation', 'read_trail']
+__all__ = [
+    'AUDIT_PREFIX',
+    'KEPT_ENTRIES',
+    'AuditEntry',
+    'audit_mutation',
+    'read_trail',
+    'trim_trail',
+]
 
 AUDIT_PREFIX = '/bronzesill/audit/'
 
-#: Entries of one kind that are kept; older ones are overwritten.
-_RING_SIZE = 1000
+#: Entries that are kept; the oldest go first.
+KEPT_ENTRIES = 2000
+
+_TRIM_AT_ONCE = 100
+_MS_PER_S = 1000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,7 +50,7 @@
     after: str
 
 
-def audit_mutation(entry: AuditEntry, sequence: int) -> Mutation:
+def audit_mutation(entry: AuditEntry) -> Mutation:
     """
     Return the write that records a change.
 
@@ -48,12 +58,28 @@
     is there without the other.
 
     :param entry: the change.
-    :param sequence: number of the change among those of its kind.
     """
-    kind = entry.action.split()[0]
-    slot = sequence % _RING_SIZE
+    tail = stable_hash(entry.action, entry.subject, entry.after)
+    at_ms = int(entry.at_s * _MS_PER_S)
     payload = orjson.dumps(unstructure(entry))
-    return Mutation(f'{AUDIT_PREFIX}{kind}/{slot:04d}', payload)
+    return Mutation(f'{AUDIT_PREFIX}{at_ms:015d}-{tail:016x}', payload)
+
+
+async def trim_trail(store: KeyValueStore) -> int:
+    """
+    Delete the oldest entries beyond what is kept.
+
+    :returns: how many were deleted.
+    """
+    stored = await store.list(AUDIT_PREFIX)
+    count = min(max(len(stored) - KEPT_ENTRIES, 0), _TRIM_AT_ONCE)
+    surplus = stored[:count]
+    if surplus:
+        deletions = tuple(Mutation(entry.key, None) for entry in surplus)
+        await store.compare_and_swap(
+            surplus[0].key, surplus[0].mod_revision, deletions
+        )
+    return len(surplus)
 
 
 async def read_trail(store: KeyValueStore) -> tuple[AuditEntry, ...]:
--- a/bronzesill/calls/idempotent.py
+++ b/bronzesill/calls/idempotent.py
@@ -98,8 +98,11 @@
             is_failed = True
             return error
         finally:
-            self._servers.closed(name, is_failed=is_failed)
-        self._note(routed, loop.time() - started_s)
+            latency_s = loop.time() - started_s
+            self._servers.closed(
+                name, routed, is_failed=is_failed, latency_s=latency_s
+            )
+        self._note(routed, latency_s)
         if answer.status in _RETRIED_STATUSES:
             return BronzesillError(
                 ResultCode.CALL_FAILED, f'the service says {answer.status}'
--- a/bronzesill/calls/runner.py
+++ b/bronzesill/calls/runner.py
@@ -25,6 +25,7 @@
 _RUNNING_POLL_S = 0.2
 _RECORD_WAIT_S = 1.0
 _MAX_CLOCK_SKEW_S = 120.0
+_SERVER_ERROR = 500
 
 _CODES_BY_VERDICT = (
     (Verdict.RUNNING, ResultCode.CALL_IN_PROGRESS, 'the call still runs'),
@@ -162,6 +163,7 @@
 
     async def _send_to(self, name: str, routed: RoutedCall) -> CallAnswer:
         self._servers.opened(name)
+        started_s = time.monotonic()
         is_failed = True
         try:
             answer = await send_call(
@@ -170,9 +172,14 @@
                 routed.call,
                 routed.route.deadline_s,
             )
-            is_failed = False
+            is_failed = answer.status >= _SERVER_ERROR
         finally:
-            self._servers.closed(name, is_failed=is_failed)
+            self._servers.closed(
+                name,
+                routed,
+                is_failed=is_failed,
+                latency_s=time.monotonic() - started_s,
+            )
         return answer
 
     def _help(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
--- a/bronzesill/cli/context.py
+++ b/bronzesill/cli/context.py
@@ -84,7 +84,14 @@
         method = 'GET' if body is None else 'POST'
         try:
             async with self.session.request(
-                method, f'{daemon.url}{path}', json=body, timeout=timeout
+                method,
+                f'{daemon.url}{path}',
+                json=body,
+                timeout=timeout,
+                headers={
+                    'X-Operator': self.settings.operator,
+                    'X-Operator-Key': self.settings.key,
+                },
             ) as response:
                 reply: dict[str, Any] = await response.json()
                 return reply
--- a/bronzesill/cli/host_commands.py
+++ b/bronzesill/cli/host_commands.py
@@ -9,7 +9,7 @@
 from .context import Context
 from .output import show, show_table
 
-__all__ = ['drain', 'list_hosts', 'make_key']
+__all__ = ['drain', 'drain_server', 'list_hosts', 'make_key']
 
 
 async def list_hosts(context: Context) -> ResultCode:
@@ -37,6 +37,19 @@
     return ResultCode.DONE
 
 
+async def drain_server(context: Context) -> ResultCode:
+    """Give a backend server no new work, or work again."""
+    options = context.options
+    action = 'leaving' if options.verb == 'drain' else 'back'
+    path = f'/admin/servers/{options.server}/{action}'
+    for daemon in context.settings.daemons:
+        reply = await context.ask(daemon, path, {})
+        if reply is not None:
+            show(reply, options.output)
+            return ResultCode.DONE
+    return ResultCode.PEER_UNAVAILABLE
+
+
 async def make_key(context: Context) -> ResultCode:
     """Make a key; only its hash goes into the configuration."""
     key = f'bz-{secrets.token_urlsafe(24)}'
--- a/bronzesill/cli/main.py
+++ b/bronzesill/cli/main.py
@@ -9,7 +9,12 @@
 
 from .. import __version__
 from ..utils import BronzesillError, DocumentInvalid, ResultCode
-from . import audit_commands, config_commands, host_commands
+from . import (
+    audit_commands,
+    config_commands,
+    host_commands,
+    move_commands,
+)
 from .context import open_context
 from .output import OUTPUT_FORMATS
 
@@ -76,10 +81,45 @@
     verb = verbs.add_parser('drain', help=host_commands.drain.__doc__)
     verb.set_defaults(run=host_commands.drain)
     verb.add_argument('address', help='ip:port of the daemon for callers')
+    parser = nouns.add_parser('server', help='the backend servers')
+    verbs = parser.add_subparsers(dest='verb', required=True)
+    for name in ('drain', 'undrain'):
+        verb = verbs.add_parser(name, help=f'{name} a backend server')
+        verb.set_defaults(run=host_commands.drain_server)
+        verb.add_argument('server', help='name of the server')
     parser = nouns.add_parser('key', help=host_commands.make_key.__doc__)
     parser.set_defaults(run=host_commands.make_key)
 
 
+def _add_move_commands(nouns: argparse._SubParsersAction) -> None:  # type: ignore[type-arg]
+    parser = nouns.add_parser('move', help='moves of traffic')
+    verbs = parser.add_subparsers(dest='verb', required=True)
+    verb = verbs.add_parser('create', help=move_commands.create.__doc__)
+    verb.set_defaults(run=move_commands.create)
+    verb.add_argument('move', help='name of the move')
+    verb.add_argument('--subject', required=True, help='model or service')
+    verb.add_argument('--from', dest='old_version', required=True)
+    verb.add_argument('--to', dest='new_version', required=True)
+    verb.add_argument('--deadline-in-s', type=float, required=True)
+    verb.add_argument('--reason', required=True, help='why, for the audit')
+    verb = verbs.add_parser('list', help=move_commands.list_moves.__doc__)
+    verb.set_defaults(run=move_commands.list_moves)
+    for name, run in (
+        ('show', move_commands.show_move),
+        ('wait', move_commands.wait),
+    ):
+        verb = verbs.add_parser(name, help=run.__doc__)
+        verb.set_defaults(run=run)
+        verb.add_argument('move', help='name of the move')
+    for name in ('pause', 'go-on', 'finish', 'take-back'):
+        verb = verbs.add_parser(name, help=f'{name} a move')
+        verb.set_defaults(run=move_commands.change)
+        verb.add_argument('move', help='name of the move')
+        verb.add_argument('--reason', required=True, help='why')
+    parser = nouns.add_parser('handover', help=move_commands.handover.__doc__)
+    parser.set_defaults(run=move_commands.handover)
+
+
 def _make_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog='bronzesill', description='Operate bronzesill.', epilog=_EPILOG
@@ -97,6 +137,7 @@
     nouns = parser.add_subparsers(dest='noun', required=True)
     _add_config_commands(nouns)
     _add_other_commands(nouns)
+    _add_move_commands(nouns)
     return parser
 
 
--- /dev/null
+++ b/bronzesill/cli/move_commands.py
@@ -0,0 +1,173 @@
+"""Commands ``bronzesill move ...`` and ``bronzesill handover``."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+
+from ..utils import BronzesillError, ResultCode
+from .config_commands import list_daemons
+from .context import Context
+from .output import show, show_table
+
+__all__ = ['change', 'create', 'handover', 'list_moves', 'show_move', 'wait']
+
+_POLL_S = 0.5
+_OPEN_STATES = frozenset(('running', 'paused'))
+
+
+async def create(context: Context) -> ResultCode:
+    """Create a move of traffic to another version."""
+    options = context.options
+    body = {
+        'move_id': options.move,
+        'subject': options.subject,
+        'old_version': options.old_version,
+        'new_version': options.new_version,
+        'deadline_in_s': options.deadline_in_s,
+        'reason': options.reason,
+    }
+    show(await _ask_any(context, '/admin/moves', body), options.output)
+    return ResultCode.DONE
+
+
+async def list_moves(context: Context) -> ResultCode:
+    """List all moves."""
+    moves = await _moves(context)
+    show_table([_row(move) for move in moves], context.options.output)
+    return ResultCode.DONE
+
+
+async def show_move(context: Context) -> ResultCode:
+    """Show one move."""
+    move = await _find(context)
+    show(move, context.options.output)
+    return ResultCode.DONE
+
+
+async def change(context: Context) -> ResultCode:
+    """Change a move."""
+    options = context.options
+    path = f'/admin/moves/{options.move}/{options.verb}'
+    reply = await _ask_any(context, path, {'reason': options.reason})
+    show(reply, options.output)
+    return ResultCode.DONE
+
+
+async def wait(context: Context) -> ResultCode:
+    """Wait for the end of a move."""
+    while True:
+        move = await _find(context)
+        if move['state'] not in _OPEN_STATES:
+            show_table([_row(move)], context.options.output)
+            is_done = move['state'] == 'done'
+            return ResultCode.DONE if is_done else ResultCode.MOVE_ENDED
+        await asyncio.sleep(_POLL_S)
+
+
+async def handover(context: Context) -> ResultCode:
+    """Show unfinished work: whose, why, until when, and what happens."""
+    rows = [
+        _handover_row(move)
+        for move in await _moves(context)
+        if move['state'] in _OPEN_STATES
+    ]
+    rows.extend(await _host_rows(context))
+    show_table(rows, context.options.output)
+    return ResultCode.DONE
+
+
+async def _moves(context: Context) -> list[dict[str, Any]]:
+    reply = await _ask_any(context, '/admin/moves', None)
+    moves: list[dict[str, Any]] = reply['moves']
+    return sorted(moves, key=lambda move: float(move['created_at_s']))
+
+
+async def _find(context: Context) -> dict[str, Any]:
+    for move in await _moves(context):
+        if move['move_id'] == context.options.move:
+            return move
+    raise BronzesillError(
+        ResultCode.MOVE_UNKNOWN, f'no move {context.options.move!r}'
+    )
+
+
+async def _ask_any(context: Context, path: str, body: Any) -> dict[str, Any]:
+    for daemon in context.settings.daemons:
+        reply = await context.ask(daemon, path, body)
+        if reply is None:
+            continue
+        error = reply.get('error')
+        if error is None:
+            return reply
+        raise BronzesillError(ResultCode(int(error['code'])), error['message'])
+    raise BronzesillError(
+        ResultCode.PEER_UNAVAILABLE, 'no daemon of the settings answers'
+    )
+
+
+def _row(move: dict[str, Any]) -> dict[str, Any]:
+    return {
+        'move': move['move_id'],
+        'subject': move['subject'],
+        'from': move['old_version'],
+        'to': move['new_version'],
+        'state': move['state'],
+        'share': f'{move["share"]:.0%}',
+        'deadline': _time(move['deadline_at_s']),
+        'by': move['operator'],
+        'last change': f'{move["changed_by"]}: {move["note"]}',
+    }
+
+
+def _handover_row(move: dict[str, Any]) -> dict[str, Any]:
+    left_s = move['deadline_at_s'] - time.time()
+    fate = 'goes on by itself; taken back at the deadline unless done'
+    if move['state'] == 'paused':
+        fate = 'paused: taken back at the deadline unless someone goes on'
+    return {
+        'work': f'move {move["move_id"]} at {move["share"]:.0%}',
+        'by': move['operator'],
+        'why': move['reason'],
+        'until': f'{_time(move["deadline_at_s"])} ({left_s:.0f} s left)',
+        'if nobody acts': fate,
+    }
+
+
+async def _host_rows(context: Context) -> list[dict[str, Any]]:
+    rows: list[dict[str, Any]] = []
+    for daemon in await list_daemons(context):
+        status = await context.ask(daemon, '/admin/status')
+        if status is not None:
+            rows.extend(_status_rows(status))
+    return rows
+
+
+def _status_rows(status: dict[str, Any]) -> list[dict[str, Any]]:
+    rows = []
+    if status['is_stopping']:
+        rows.append(
+            {
+                'work': f'host {status["host"]} stops',
+                'by': '-',
+                'why': 'planned stop',
+                'until': f'{status["generations"]} generations left',
+                'if nobody acts': 'exits when the last one has ended',
+            }
+        )
+    if status['rejected_revision'] > status['revision']:
+        rows.append(
+            {
+                'work': f'revision {status["rejected_revision"]} refused',
+                'by': '-',
+                'why': f'invalid on {status["host"]}',
+                'until': '-',
+                'if nobody acts': f'stays at {status["revision"]}',
+            }
+        )
+    return rows
+
+
+def _time(at_s: float) -> str:
+    return time.strftime('%Y-%m-%d %H:%M:%S', time.localtime(at_s))
--- a/bronzesill/config/__init__.py
+++ b/bronzesill/config/__init__.py
@@ -9,6 +9,7 @@
     Operator,
     Preferences,
     Route,
+    Service,
 )
 from .messages import ConfigAnswer, FetchConfig
 from .overlay import build_document, merge_overlay, parse_yaml
@@ -39,6 +40,7 @@
     'Preferences',
     'Revision',
     'Route',
+    'Service',
     'StoredConfig',
     'build_document',
     'merge_overlay',
--- a/bronzesill/config/document.py
+++ b/bronzesill/config/document.py
@@ -15,6 +15,7 @@
     'Operator',
     'Preferences',
     'Route',
+    'Service',
 ]
 
 
@@ -55,6 +56,17 @@
     version: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """
+    A plain service that routes lead to.
+
+    :param version: backend server version that serves it, empty for any.
+    """
+
+    version: str = ''
+
+
 @dataclasses.dataclass(frozen=True)
 class BackendServer:
     """
@@ -140,6 +152,7 @@
     accounts: dict[str, ClientAccount]
     models: dict[str, Model]
     servers: dict[str, BackendServer]
+    services: dict[str, Service] = dataclasses.field(default_factory=dict)
     routes: dict[str, Route] = dataclasses.field(default_factory=dict)
     operators: dict[str, Operator] = dataclasses.field(default_factory=dict)
     limits: Limits = dataclasses.field(default_factory=Limits)
--- a/bronzesill/config/repository.py
+++ b/bronzesill/config/repository.py
@@ -117,7 +117,7 @@
         mutations = (
             Mutation(CONFIG_KEY, payload),
             Mutation(f'{_HISTORY_PREFIX}{slot:04d}', payload),
-            audit_mutation(_entry(held, config), config.number),
+            audit_mutation(_entry(held, config)),
         )
         expected = held.mod_revision if held else 0
         try:
--- a/bronzesill/daemon/core.py
+++ b/bronzesill/daemon/core.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 
+from ..audit import AuditTrimmer
 from ..calls import Ledger, RouteRunner, ServiceServers
 from ..config import CONFIG_KEY, DaemonSettings, Document, Revision
 from ..gateway import (
@@ -18,6 +19,7 @@
     DaemonStatus,
     GatewayState,
     InformationResource,
+    MoveAdminResource,
     PlainCallsResource,
     make_app,
 )
@@ -39,15 +41,22 @@
     MembershipMailbox,
     News,
 )
+from ..moves import MovesController
 from ..platform import EtcdStore, HttpHostList
 from ..routing import ServerBook
-from ..utils import Address, HttpServer, PartLogger, connect_metrics
+from ..utils import (
+    Address,
+    HttpServer,
+    PartLogger,
+    connect_metrics,
+)
 from ..wire import DatagramSocket, PeerClient, PeerServer, WireCounters
 from .capacity import admission_limits
 from .config_keeper import ConfigKeeper, RevisionHeard
 from .fleet import FleetController
 from .protocol import Dispatcher, make_registry
 from .servers import ServersController
+from .traffic import TrafficController
 
 __all__ = ['Daemon']
 
@@ -168,6 +177,7 @@
         mailbox: MembershipMailbox = asyncio.Queue()
         self._socket = DatagramSocket(registry, self.counters, mailbox)
         store = EtcdStore(self._session, settings.store)
+        self._trimmer = AuditTrimmer(store)
         self._keeper = ConfigKeeper(
             store,
             self._peer_client,
@@ -194,11 +204,23 @@
         self._ledger = Ledger(
             settings.name, store, self._peer_client, self._fleet.owners
         )
+        self.moves = MovesController(
+            settings.name,
+            store,
+            self._peer_client,
+            self._fleet.drivers,
+            self.membership.state_fact,
+        )
+        self._traffic = TrafficController(self.moves, self._book)
         self._peer_server = PeerServer(
             settings.peers,
             registry,
             Dispatcher(
-                self.membership, self._keeper, self._locations, self._ledger
+                self.membership,
+                self._keeper,
+                self._locations,
+                self._ledger,
+                self.moves,
             ),
             self.counters,
         )
@@ -210,6 +232,7 @@
             self._session,
             self._book,
             self._fleet.daemon_names,
+            self._traffic.split_of_server,
             self._fleet.state_server_leaving,
             self._random,
         )
@@ -227,6 +250,8 @@
             connect_metrics(settings.statsd, settings.name),
             self._random,
         )
+        self._generations.on_seen = self._traffic.note_attempt
+        self._generations.pick_version = self._traffic.pick_version
 
     def _parts(self) -> list[Coroutine[Any, Any, None]]:
         return [
@@ -237,6 +262,7 @@
             self._fleet.catch_up(),
             self._admission.run(),
             self._servers.run(),
+            self.moves.run(self._fleet.should_watch),
             self._keep_house(),
         ]
 
@@ -245,6 +271,9 @@
         while True:
             await asyncio.sleep(_HOUSEKEEPING_S)
             self._locations.expire(loop.time())
+            first = min(self._fleet.daemon_names(), default='')
+            if first == self.settings.name:
+                await self._trimmer.trim_when_due(loop.time())
             self._peer_client.close_idle(loop.time())
 
     async def _drain(self) -> None:
@@ -273,6 +302,7 @@
 
     def _adopt(self, document: Document, revision: Revision) -> None:
         self._state.document = document
+        self._traffic.document = document
         self._book.replace_servers(document.servers)
         self._servers.refresh_subset()
         self._refresh_limits()
@@ -292,8 +322,10 @@
             self._admission.limits = admission_limits(document, daemons)
 
     def _hear(self, news: News) -> None:
+        self.moves.book.hear(news.rumours)
         for fact in news.rumours.facts:
             self._hear_fact(fact, news.source)
+        self._servers.refresh_subset()
         if news.rumours.members:
             self._refresh_limits()
 
@@ -317,13 +349,19 @@
                     self._calls_session,
                     ServiceServers(
                         self._book,
-                        self._state.splits_by_service,
+                        self._traffic.service_split,
+                        self._traffic.note_call,
                         self._random,
                     ),
                     self._ledger,
                 ),
             ),
-            AdminResource(self),
+            (
+                AdminResource(self, self._state),
+                MoveAdminResource(
+                    self._state, self.moves, self._traffic.serving_version
+                ),
+            ),
         )
 
 
--- a/bronzesill/daemon/fleet.py
+++ b/bronzesill/daemon/fleet.py
@@ -17,6 +17,7 @@
     choose_homes,
     is_watcher,
 )
+from ..moves import Driver
 from ..platform import HostList, ListedHost
 from ..utils import Address, BronzesillError, PartLogger
 from .config_keeper import ConfigKeeper, RevisionHeard
@@ -115,6 +116,11 @@
         chosen = choose_homes(self._membership.view, partition)
         return tuple(Owner(member.name, member.peers) for member in chosen)
 
+    def drivers(self, move_id: str) -> tuple[Driver, ...]:
+        """Return the daemons that drive a move, first choice first."""
+        chosen = choose_homes(self._membership.view, f'move/{move_id}')
+        return tuple(Driver(member.name, member.peers) for member in chosen)
+
     def daemon_names(self) -> tuple[str, ...]:
         """Return the names of all live daemons."""
         return tuple(
--- a/bronzesill/daemon/protocol.py
+++ b/bronzesill/daemon/protocol.py
@@ -32,6 +32,7 @@
     Rumours,
     View,
 )
+from ..moves import MoveReport, MovesController, ReportTaken
 from ..utils import ResultCode
 from ..wire import MessageRegistry
 from .config_keeper import ConfigKeeper
@@ -73,6 +74,8 @@
             42: RecordCall,
             43: ReleaseCall,
             44: Recorded,
+            50: MoveReport,
+            51: ReportTaken,
             99: Refusal,
         }
     )
@@ -86,6 +89,7 @@
     :param keeper: answers for the configuration.
     :param locations: records of generations kept here.
     :param ledger: answers for calls that must not be repeated.
+    :param moves: takes reports about moves.
     """
 
     def __init__(
@@ -94,11 +98,13 @@
         keeper: ConfigKeeper,
         locations: LocationTable,
         ledger: Ledger,
+        moves: MovesController,
     ) -> None:
         self._membership = membership
         self._keeper = keeper
         self._locations = locations
         self._ledger = ledger
+        self._moves = moves
 
     async def answer(self, question: Any) -> Any:
         """Answer one question."""
@@ -110,6 +116,8 @@
             case ClaimLocation() | TakeOverLocation() | FindLocation():
                 now_s = asyncio.get_running_loop().time()
                 return answer_location(self._locations, question, now_s)
+            case MoveReport():
+                return self._moves.answer_report(question)
             case ClaimCall() | RecordCall() | ReleaseCall():
                 return await self._ledger.answer(question)
             case _:
--- a/bronzesill/daemon/servers.py
+++ b/bronzesill/daemon/servers.py
@@ -12,7 +12,12 @@
 import orjson
 
 from ..config import BackendServer
-from ..routing import LoadReport, ServerBook, pick_subset
+from ..routing import (
+    LoadReport,
+    ServerBook,
+    TrafficSplit,
+    pick_subset,
+)
 from ..utils import PartLogger, structure
 
 __all__ = ['ServersController']
@@ -33,6 +38,13 @@
     is_leaving: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class _Kind:
+    model: str
+    service: str
+    version: str
+
+
 class ServersController:
     """
     Owner of the record of backend servers.
@@ -41,6 +53,7 @@
     :param session: HTTP session, owned by the caller.
     :param book: the record that is kept up to date.
     :param list_daemons: names of the live daemons.
+    :param find_split: how the traffic of a server's subject is split.
     :param on_leaving: told when a server itself says that it leaves.
     :param random: generator for jitter.
     """
@@ -51,6 +64,7 @@
         session: aiohttp.ClientSession,
         book: ServerBook,
         list_daemons: Callable[[], tuple[str, ...]],
+        find_split: Callable[[str, str], TrafficSplit],
         on_leaving: Callable[[str], None],
         random: Random,
     ) -> None:
@@ -58,6 +72,7 @@
         self._session = session
         self._book = book
         self._list_daemons = list_daemons
+        self._find_split = find_split
         self._on_leaving = on_leaving
         self._random = random
 
@@ -73,16 +88,24 @@
         """Pick anew which engines this daemon knows well."""
         servers = self._book.servers_by_name
         daemons = self._list_daemons()
-        names_by_kind: dict[str, list[str]] = {}
+        names_by_kind: dict[_Kind, list[str]] = {}
         for name, server in servers.items():
-            kind = f'{server.model}/{server.service}/{server.version}'
+            kind = _Kind(server.model, server.service, server.version)
             names_by_kind.setdefault(kind, []).append(name)
         subsets = (
-            pick_subset(self._name, daemons, tuple(names), _SUBSET_SIZE)
-            for names in names_by_kind.values()
+            pick_subset(
+                self._name, daemons, self._usable(kind, names), _SUBSET_SIZE
+            )
+            for kind, names in names_by_kind.items()
         )
         self._book.know_only(frozenset(itertools.chain(*subsets)))
 
+    def _usable(self, kind: _Kind, names: list[str]) -> tuple[str, ...]:
+        split = self._find_split(kind.model, kind.service)
+        if kind.version == split.new_version:
+            return split.trial_servers(tuple(names))
+        return tuple(names)
+
     async def _poll_all(self) -> None:
         gate = asyncio.Semaphore(_POLLS_AT_ONCE)
         known = self._book.known
--- /dev/null
+++ b/bronzesill/daemon/tests/test_moves.py
@@ -0,0 +1,150 @@
+"""Moves on a small fleet: spread, taken back, ended once."""
+
+import asyncio
+import time
+import unittest
+from typing import Any
+
+from ...standins.fleet import Fleet, FleetPlan
+from .caller import ask, stream
+
+
+def _move(move_id: str = 'm1', deadline_s: float = 60) -> dict[str, Any]:
+    return {
+        'move_id': move_id,
+        'subject': 'guide',
+        'old_version': 'v1',
+        'new_version': 'v2',
+        'deadline_in_s': deadline_s,
+        'reason': 'newer weights',
+    }
+
+
+class MoveTest(unittest.IsolatedAsyncioTestCase):
+    """Operators, drivers and outages."""
+
+    async def asyncSetUp(self) -> None:
+        plan = FleetPlan(
+            daemons=3, engines=2, new_engines=2, pace_s=0.002, capacity=32
+        )
+        self.fleet = await Fleet(plan).__aenter__()
+        self.store = self.fleet.store.state
+
+    async def asyncTearDown(self) -> None:
+        await self.fleet.__aexit__()
+
+    async def create(self, **options: Any) -> Any:
+        address = self.fleet.daemons[0].address
+        return await ask(address, '/admin/moves', 'POST', json=_move(**options))
+
+    async def act(self, daemon: int, action: str, move: str = 'm1') -> Any:
+        address = self.fleet.daemons[daemon].address
+        path = f'/admin/moves/{move}/{action}'
+        return await ask(address, path, 'POST', json={'reason': 'test'})
+
+    async def state(self, daemon: int = 0) -> str:
+        address = self.fleet.daemons[daemon].address
+        _, reply, _ = await ask(address, '/admin/moves')
+        state: str = reply['moves'][0]['state']
+        return state
+
+    async def until_share(self, share: float, timeout_s: float = 8) -> float:
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        async with asyncio.timeout(timeout_s):
+            while {self.share(number) for number in range(3)} != {share}:
+                await asyncio.sleep(0.02)
+        return loop.time() - started_s
+
+    def share(self, daemon: int) -> float:
+        moves = self.fleet.daemons[daemon].moves
+        split = moves.book.split('guide', 'v1', time.time())
+        return 1.0 if split.old_version == 'v2' else split.share
+
+    async def send(self, count: int) -> list[Any]:
+        body = {'model': 'guide', 'prompt': 'a b', 'max_tokens': 3}
+        return await asyncio.gather(
+            *(
+                stream(self.fleet.daemons[number % 3].address, body)
+                for number in range(count)
+            )
+        )
+
+    async def test_begins_everywhere_and_is_finished_by_an_operator(
+        self,
+    ) -> None:
+        status, _, _ = await self.create()
+        self.assertEqual(status, 200)
+        await self.until_share(0.02)
+        status, _, _ = await self.act(1, 'finish')
+        self.assertEqual(status, 200)
+        await self.until_share(1)
+        answers = await self.send(6)
+        self.assertTrue(all(each.total == 3 for each in answers))
+        computed = sum(
+            self.fleet.engines_by_name[name].batch.tokens_computed
+            for name in ('new-0', 'new-1')
+        )
+        self.assertEqual(computed, 18)
+
+    async def test_bad_version_is_taken_back_with_the_store_down(self) -> None:
+        await self.create()
+        await self.until_share(0.02)
+        for name in ('new-0', 'new-1'):
+            self.fleet.engines_by_name[name].profile.refuses = True
+        self.store.faults.down = True
+        sending = asyncio.create_task(self.keep_sending())
+        await self.until_share(0, timeout_s=40)
+        sending.cancel()
+        await asyncio.gather(sending, return_exceptions=True)
+        self.store.faults.down = False
+        async with asyncio.timeout(5):
+            while await self.state() != 'taken_back':
+                await asyncio.sleep(0.1)
+
+    async def keep_sending(self) -> None:
+        while True:
+            answers = await self.send(60)
+            self.assertTrue(all(each.error is None for each in answers))
+
+    async def test_taken_back_by_an_operator_within_seconds(self) -> None:
+        await self.create()
+        await self.until_share(0.02)
+        self.store.faults.down = True
+        status, reply, _ = await self.act(2, 'take-back')
+        self.assertEqual((status, reply['state']), (200, 'taken_back'))
+        self.assertLess(await self.until_share(0), 3)
+
+    async def test_operators_race_and_one_end_holds(self) -> None:
+        await self.create()
+        await self.until_share(0.02)
+        answers = await asyncio.gather(
+            self.act(0, 'finish'), self.act(1, 'take-back')
+        )
+        statuses = sorted(answer[0] for answer in answers)
+        self.assertEqual(statuses[0], 200)
+        end = await self.state(0)
+        self.assertEqual(await self.state(2), end)
+        await self.until_share(1 if end == 'done' else 0)
+
+    async def test_deadline_with_the_store_down_falls_back(self) -> None:
+        status, _, _ = await self.create(deadline_s=30)
+        self.assertEqual(status, 200)
+        await self.until_share(0.02)
+        known = self.fleet.daemons[1].moves.book
+        split = known.split('guide', 'v1', time.time() + 31)
+        self.assertEqual((split.old_version, split.share), ('v1', 0))
+
+    async def test_second_move_of_a_subject_is_refused(self) -> None:
+        await self.create()
+        status, reply, _ = await self.create(move_id='m2')
+        self.assertEqual(status, 409)
+        self.assertEqual(reply['error']['code'], '5001')
+        _, reply, _ = await self.act(0, 'pause', 'unknown')
+        self.assertEqual(reply['error']['code'], '5003')
+
+    async def test_wrong_version_is_refused(self) -> None:
+        address = self.fleet.daemons[0].address
+        body = {**_move(), 'old_version': 'v9'}
+        _, reply, _ = await ask(address, '/admin/moves', 'POST', json=body)
+        self.assertEqual(reply['error']['code'], '1007')
--- a/bronzesill/gateway/__init__.py
+++ b/bronzesill/gateway/__init__.py
@@ -6,6 +6,7 @@
 from .exchange import Exchange, RequestFilter, run_filters
 from .filters import Authenticate, NameRequest, ParseJson, ReadBody
 from .information import InformationResource
+from .move_admin import MoveAdminResource
 from .plain_calls import PlainCallsResource
 from .rendering import AnswerRenderer, EventPosition, render_error
 from .state import GatewayState
@@ -20,6 +21,7 @@
     'Exchange',
     'GatewayState',
     'InformationResource',
+    'MoveAdminResource',
     'NameRequest',
     'ParseJson',
     'PlainCallsResource',
--- a/bronzesill/gateway/admin.py
+++ b/bronzesill/gateway/admin.py
@@ -9,6 +9,8 @@
 
 from ..membership import Member
 from ..utils import unstructure
+from .operators import authenticate_operator
+from .state import GatewayState
 
 __all__ = ['AdminResource', 'DaemonStatus', 'StatusSource']
 
@@ -64,10 +66,12 @@
     ``/admin`` paths of one daemon.
 
     :param source: the daemon.
+    :param state: configuration in force.
     """
 
-    def __init__(self, source: StatusSource) -> None:
+    def __init__(self, source: StatusSource, state: GatewayState) -> None:
         self._source = source
+        self._state = state
 
     def add_routes(self, app: asgi.App[Any, Any]) -> None:
         """Add the paths to an application."""
@@ -77,6 +81,7 @@
         app.add_route(
             '/admin/servers/{name}/leaving', self, suffix='server_leaving'
         )
+        app.add_route('/admin/servers/{name}/back', self, suffix='server_back')
 
     async def on_get_status(
         self, request: asgi.Request, response: asgi.Response
@@ -88,6 +93,7 @@
         self, request: asgi.Request, response: asgi.Response
     ) -> None:
         """Begin a planned stop."""
+        authenticate_operator(request, self._state.document)
         self._source.begin_stop()
         response.media = unstructure(self._source.status())
 
@@ -105,12 +111,14 @@
         self, request: asgi.Request, response: asgi.Response, name: str
     ) -> None:
         """Give a backend server no new work from now on."""
+        authenticate_operator(request, self._state.document)
         self._source.set_server_leaving(name, is_leaving=True)
         response.media = {'server': name, 'leaving': True}
 
-    async def on_delete_server_leaving(
+    async def on_post_server_back(
         self, request: asgi.Request, response: asgi.Response, name: str
     ) -> None:
         """Give a backend server work again."""
+        authenticate_operator(request, self._state.document)
         self._source.set_server_leaving(name, is_leaving=False)
         response.media = {'server': name, 'leaving': False}
--- a/bronzesill/gateway/app.py
+++ b/bronzesill/gateway/app.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import Any
+from typing import Any, Protocol
 
 from falcon import asgi
 
@@ -11,6 +11,7 @@
 from .completions import CompletionsResource
 from .disconnect import ReceiveKeeper
 from .information import InformationResource
+from .plain_calls import PlainCallsResource
 from .rendering import render_error
 
 __all__ = ['make_app']
@@ -18,6 +19,13 @@
 _log = PartLogger('gateway')
 
 
+class AdminRoutes(Protocol):
+    """Paths for operators."""
+
+    def add_routes(self, app: asgi.App[Any, Any]) -> None:
+        """Add the paths to an application."""
+
+
 async def _send_error(
     request: asgi.Request,
     response: asgi.Response,
@@ -39,8 +47,8 @@
 def make_app(
     completions: CompletionsResource,
     information: InformationResource,
-    calls: Any,
-    admin: Any,
+    calls: PlainCallsResource,
+    admin: tuple[AdminRoutes, ...],
 ) -> ReceiveKeeper:
     """
     Put the resources of a daemon together.
@@ -58,6 +66,7 @@
     app.add_route('/v1/models', information, suffix='models')
     app.add_route('/healthz', information, suffix='health')
     app.add_route('/readyz', information, suffix='ready')
-    admin.add_routes(app)
+    for resource in admin:
+        resource.add_routes(app)
     app.add_sink(calls.on_call, '/')
     return ReceiveKeeper(app)
--- a/bronzesill/gateway/completions.py
+++ b/bronzesill/gateway/completions.py
@@ -98,7 +98,7 @@
         is_chat: bool,
     ) -> None:
         exchange = await run_filters(_FILTERS, self._state.exchange(http))
-        request = parse_generation(exchange, self._state.splits_by_model)
+        request = parse_generation(exchange, 'chat' if is_chat else 'text')
         position = _position(http)
         renderer = AnswerRenderer(request, is_chat=is_chat, position=position)
         reader = _Reader(self, exchange, request, position)
--- /dev/null
+++ b/bronzesill/gateway/operators.py
@@ -0,0 +1,37 @@
+"""Who may change what: operators and their keys."""
+
+from __future__ import annotations
+
+from falcon import asgi
+
+from ..config import Document
+from ..utils import BronzesillError, ResultCode, hash_secret
+
+__all__ = ['authenticate_operator']
+
+_NAME_HEADER = 'X-Operator'
+_KEY_HEADER = 'X-Operator-Key'
+
+
+def authenticate_operator(http: asgi.Request, document: Document | None) -> str:
+    """
+    Return the name of the operator who sent a request.
+
+    Until a configuration names operators, any name is taken.
+
+    :param http: the request.
+    :param document: configuration in force.
+    :raises BronzesillError: the name or the key is not known.
+    """
+    name = http.get_header(_NAME_HEADER) or ''
+    operators = document.operators if document else {}
+    if not operators:
+        return name or 'unnamed'
+    operator = operators.get(name)
+    digest = hash_secret(http.get_header(_KEY_HEADER) or '')
+    if operator is None or operator.key_sha256 != digest:
+        raise BronzesillError(
+            ResultCode.OPERATOR_REJECTED,
+            f'operator {name!r} is not known, or the key is wrong',
+        )
+    return name
--- a/bronzesill/gateway/parsing.py
+++ b/bronzesill/gateway/parsing.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 from ..generations import GenerationRequest
-from ..routing import TrafficSplit, pick_version
 from ..utils import BronzesillError, ResultCode, stable_hash
 from .exchange import Exchange
 
@@ -16,14 +15,12 @@
 _DEFAULT_MAX_TOKENS = 256
 
 
-def parse_generation(
-    exchange: Exchange, splits_by_model: dict[str, TrafficSplit]
-) -> GenerationRequest:
+def parse_generation(exchange: Exchange, route: str) -> GenerationRequest:
     """
     Check the fields of a call.
 
     :param exchange: the call, past its filters.
-    :param splits_by_model: how each model's traffic is split.
+    :param route: way in which it was asked for.
     :raises BronzesillError: a field is missing or wrong.
     """
     fields = exchange.fields
@@ -44,20 +41,18 @@
     if not 0 < max_tokens <= limits.max_tokens:
         raise _invalid('max_tokens', f'1 to {limits.max_tokens}')
     default_seed = stable_hash(generation_id) & _SEED_MASK
-    split = splits_by_model.get(
-        model, TrafficSplit(exchange.document.models[model].version)
-    )
     return GenerationRequest(
         request_id=exchange.request_id,
         generation_id=generation_id,
         account=exchange.account,
         model=model,
-        version=pick_version(split, exchange.request_id),
+        version=exchange.document.models[model].version,
         prompt=prompt,
         seed=_field(exchange, 'seed', int, default_seed),
         max_tokens=max_tokens,
         deadline_s=limits.deadline_s,
         can_reconnect=exchange.is_named_by_caller,
+        route=route,
     )
 
 
--- a/bronzesill/gateway/plain_calls.py
+++ b/bronzesill/gateway/plain_calls.py
@@ -31,16 +31,18 @@
         self._runner = runner
 
     async def on_call(
-        self, request: asgi.Request, response: asgi.Response, **_: Any
+        self, req: asgi.Request, resp: asgi.Response | None, **_: Any
     ) -> None:
         """Pass a call through."""
-        exchange = self._state.exchange(request)
-        name = _find_route(exchange.document.routes, request.path)
+        if resp is None:
+            return
+        exchange = self._state.exchange(req)
+        name = _find_route(exchange.document.routes, req.path)
         exchange = await run_filters(_FILTERS, exchange)
         call = CallRequest.from_headers(
-            request.method,
-            request.relative_uri,
-            request.headers,
+            req.method,
+            req.relative_uri,
+            req.headers,
             exchange.body,
         )
         answer = await self._runner.run_call(
@@ -50,15 +52,15 @@
                 route=exchange.document.routes[name],
                 account=exchange.account,
                 request_id=exchange.request_id,
-                key=request.get_header('Idempotency-Key') or '',
+                key=req.get_header('Idempotency-Key') or '',
             )
         )
-        response.status = answer.status
-        response.content_type = answer.content_type
-        response.data = answer.body
-        response.set_header('X-Request-Id', exchange.request_id)
+        resp.status = answer.status
+        resp.content_type = answer.content_type
+        resp.data = answer.body
+        resp.set_header('X-Request-Id', exchange.request_id)
         if answer.is_replay:
-            response.set_header('Idempotent-Replayed', 'true')
+            resp.set_header('Idempotent-Replayed', 'true')
 
 
 def _find_route(routes: dict[str, Route], path: str) -> str:
--- a/bronzesill/gateway/state.py
+++ b/bronzesill/gateway/state.py
@@ -5,7 +5,6 @@
 from falcon import asgi
 
 from ..config import Document
-from ..routing import TrafficSplit
 from ..utils import BronzesillError, ResultCode
 from .exchange import Exchange
 
@@ -21,8 +20,6 @@
 
     def __init__(self) -> None:
         self.document: Document | None = None
-        self.splits_by_model: dict[str, TrafficSplit] = {}
-        self.splits_by_service: dict[str, TrafficSplit] = {}
         self.is_stopping = False
 
     def exchange(self, http: asgi.Request) -> Exchange:
--- a/bronzesill/generations/__init__.py
+++ b/bronzesill/generations/__init__.py
@@ -15,12 +15,14 @@
     LocationRecord,
     LocationTable,
 )
+from .observer import AttemptSeen
 from .pace import Pace, StallPolicy
 from .peer_directory import Home, PeerDirectory, answer_location
 from .request import GenerationRequest
 from .subscription import Ended, Failed, Piece, Subscription
 
 __all__ = [
+    'AttemptSeen',
     'ClaimLocation',
     'Decision',
     'Ended',
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 from random import Random
+from typing import TypeAlias
 
 from ..routing import Requirements, ServerBook, ServerView, choose_server
 from ..utils import Address, BronzesillError, Metrics, PartLogger, ResultCode
@@ -20,6 +22,7 @@
     PlacementRefused,
     ServerChosen,
 )
+from .observer import AttemptSeen
 from .pace import StallPolicy
 from .request import GenerationRequest
 from .subscription import Subscribe, Subscription, Unsubscribe
@@ -29,6 +32,8 @@
 
 _PREFIX_CHARS = 1024
 
+PickVersion: TypeAlias = Callable[[GenerationRequest, bool], str]
+
 _log = PartLogger('generations')
 
 
@@ -69,6 +74,10 @@
         random: Random,
     ) -> None:
         self.site = Site(StallPolicy(), 8)
+        #: Told how attempts do; set by the daemon.
+        self.on_seen: Callable[[AttemptSeen], None] = _ignore
+        #: Gives the version that answers a request not yet begun.
+        self.pick_version: PickVersion = _keep_version
         self.tasks_by_key: dict[str, GenerationTask] = {}
         self._daemon = daemon
         self._failure_domain = failure_domain
@@ -134,6 +143,10 @@
         """Note a stream closed on a backend server."""
         self._book.closed(server)
 
+    def saw(self, seen: AttemptSeen) -> None:
+        """Pass on how an attempt does."""
+        self.on_seen(seen)
+
     def lost(self, server: str, cause: LossCause) -> None:
         """Avoid a server for a moment after it lost a stream."""
         self._book.suspect(server, asyncio.get_running_loop().time())
@@ -191,6 +204,13 @@
         self, generation: GenerationTask, action: ChooseServer
     ) -> Placement:
         request = generation.request
+        if not action.is_resume:
+            # Nothing is written yet: a version taken back gets none of it,
+            # and one under trial that lost the request does not get it again.
+            is_retry = generation.state.attempt > 0
+            version = self.pick_version(request, is_retry)
+            request = dataclasses.replace(request, version=version)
+            generation.request = request
         view = self._choose(request, action)
         if view is None:
             return Placement(NoServer(), request)
@@ -264,6 +284,14 @@
     return f'{request.account}/{request.request_id}'
 
 
+def _ignore(seen: AttemptSeen) -> None:
+    """Do nothing with what was seen."""
+
+
+def _keep_version(request: GenerationRequest, is_retry: bool) -> str:
+    return request.version
+
+
 def _conflict() -> BronzesillError:
     return BronzesillError(
         ResultCode.REQUEST_ID_CONFLICT,
--- a/bronzesill/generations/observer.py
+++ b/bronzesill/generations/observer.py
@@ -2,12 +2,34 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import Protocol
 
 from .messages import LossCause
 from .request import GenerationRequest
 
-__all__ = ['GenerationObserver']
+__all__ = ['AttemptSeen', 'GenerationObserver']
+
+
+@dataclasses.dataclass(frozen=True)
+class AttemptSeen:
+    """
+    What was seen of an attempt; parts not seen are left out.
+
+    :param request: the request it belongs to.
+    :param server: backend server that computed it.
+    :param is_end: whether it ended.
+    :param is_failed: whether it ended badly.
+    :param first_token_s: seconds to its first token.
+    :param token_gap_s: mean seconds between its tokens.
+    """
+
+    request: GenerationRequest
+    server: str
+    is_end: bool = False
+    is_failed: bool = False
+    first_token_s: float | None = None
+    token_gap_s: float | None = None
 
 
 class GenerationObserver(Protocol):
@@ -19,6 +41,9 @@
     def closed(self, server: str) -> None:
         """Note a stream closed on a backend server."""
 
+    def saw(self, seen: AttemptSeen) -> None:
+        """Note how an attempt does."""
+
     def lost(self, server: str, cause: LossCause) -> None:
         """Note an attempt that broke off."""
 
--- a/bronzesill/generations/request.py
+++ b/bronzesill/generations/request.py
@@ -22,6 +22,7 @@
     :param max_tokens: length of the answer in tokens.
     :param deadline_s: seconds after which it is given up.
     :param can_reconnect: whether the caller named the request itself.
+    :param route: way in which it was asked for, ``chat`` or ``text``.
     """
 
     request_id: str
@@ -34,6 +35,7 @@
     max_tokens: int
     deadline_s: float
     can_reconnect: bool = False
+    route: str = 'text'
 
     def stream_id(self, attempt: int) -> str:
         """Return the name of an attempt's stream at the engine."""
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -7,24 +7,20 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-import aiohttp
-
 from ..utils import Address, PartLogger
+from .attempt import AttemptRunner
 from .decisions import GenerationState, decide
-from .engine_client import AttemptRefused, EngineClient, StreamOpening
+from .engine_client import EngineClient
 from .messages import (
     Action,
-    AttemptLost,
     Begin,
     CancelAttempt,
     ChooseServer,
     CompleteAnswer,
     CountDropped,
     DeliverTokens,
-    EndArrived,
     Event,
     FailAnswer,
-    LossCause,
     OpenAttempt,
     SetTimer,
     TimerFired,
@@ -95,30 +91,33 @@
         self.state = state
         self.journal: list[str] = []
         self.mailbox: asyncio.Queue[Mail] = asyncio.Queue()
-        self._client = client
         self._choose = choose
-        self._find_address = find_address
         self._observer = observer
         self._linger_s = linger_s
         self._readers: set[Subscription] = set()
+        self._unread_since_s = asyncio.get_running_loop().time()
         self._end: Ended | Failed | None = None
-        self._helpers: set[asyncio.Task[None]] = set()
-        self._stream: asyncio.Task[None] | None = None
+        self._attempts = AttemptRunner(
+            client, find_address, observer, self.mailbox
+        )
 
     async def run(self) -> None:
         """Work until the answer ended and nobody may come back for it."""
         self._apply(Begin())
         try:
             while True:
-                timeout_s = None if self._readers else self._linger_s
-                async with asyncio.timeout(timeout_s):
-                    mail = await self.mailbox.get()
-                self._take(mail)
+                self._take(await self._next_mail())
         except TimeoutError:
             _log.info('%s has no reader left', self.request.request_id)
             await self._cancel_unread()
         finally:
-            await self._close()
+            await self._attempts.close()
+
+    async def _next_mail(self) -> Mail:
+        if self._readers:
+            return await self.mailbox.get()
+        async with asyncio.timeout_at(self._unread_since_s + self._linger_s):
+            return await self.mailbox.get()
 
     def _take(self, mail: Mail) -> None:
         match mail:
@@ -126,6 +125,7 @@
                 self._add_reader(mail.queue)
             case Unsubscribe():
                 self._readers.discard(mail.queue)
+                self._unread_since_s = asyncio.get_running_loop().time()
             case _:
                 self._apply(mail)
 
@@ -148,6 +148,7 @@
             case DeliverTokens():
                 self._deliver(action)
             case CompleteAnswer():
+                self._attempts.note_end(self.request, is_failed=False)
                 self._finish(Ended(action.total, action.reason))
             case FailAnswer():
                 self._finish(Failed(action.code))
@@ -159,15 +160,17 @@
     def _perform_attempt(self, action: Action) -> None:
         match action:
             case ChooseServer():
-                self._help(self._find_server(action))
+                self._attempts.help(self._find_server(action))
             case OpenAttempt():
-                self._open(action)
+                accepted = tuple(self.journal)
+                self._attempts.open(self.request, action, accepted)
             case CancelAttempt():
-                self._cancel(action)
+                self._lose(action)
             case SetTimer():
                 self._set_timer(action.at_s)
 
     def _deliver(self, action: DeliverTokens) -> None:
+        self._attempts.note_arrival(self.request, len(action.tokens))
         self._observer.accepted(len(action.tokens), is_first=not self.journal)
         self.journal.extend(action.tokens)
         piece = Piece(action.offset, action.tokens)
@@ -184,44 +187,7 @@
         self.request = placement.request
         self.mailbox.put_nowait(placement.event)
 
-    def _open(self, action: OpenAttempt) -> None:
-        address = self._find_address(action.server)
-        if address is None:
-            lost = AttemptLost(action.attempt, LossCause.REFUSED)
-            self.mailbox.put_nowait(lost)
-            return
-        opening = StreamOpening(
-            request=self.request,
-            attempt=action.attempt,
-            address=address,
-            accepted=tuple(self.journal),
-            is_attach=action.is_attach,
-        )
-        self._stream = self._help(self._read(opening, action.server))
-
-    async def _read(self, opening: StreamOpening, server: str) -> None:
-        self._observer.opened(server)
-        try:
-            cause = await self._read_to_end(opening)
-        finally:
-            self._observer.closed(server)
-        if cause is not None:
-            self.mailbox.put_nowait(AttemptLost(opening.attempt, cause))
-
-    async def _read_to_end(self, opening: StreamOpening) -> LossCause | None:
-        try:
-            async for message in self._client.read(opening):
-                self.mailbox.put_nowait(message)
-                if isinstance(message, EndArrived):
-                    return None
-        except (AttemptRefused, aiohttp.ClientConnectorError):
-            return LossCause.REFUSED
-        except (aiohttp.ClientError, OSError, ValueError):
-            return LossCause.BROKEN
-        return LossCause.BROKEN
-
-    def _cancel(self, action: CancelAttempt) -> None:
-        self._observer.lost(action.server, action.cause)
+    def _lose(self, action: CancelAttempt) -> None:
         _log.warning(
             '%s lost attempt %s on %s at token %s: %s',
             self.request.request_id,
@@ -230,34 +196,15 @@
             self.state.accepted,
             action.cause.value,
         )
-        if self._stream is not None:
-            self._stream.cancel()
-        if action.cause is not LossCause.REFUSED:
-            self._help(self._cancel_stream(action.server, action.attempt))
-
-    async def _cancel_stream(self, server: str, attempt: int) -> None:
-        address = self._find_address(server)
-        if address is not None:
-            await self._client.cancel(
-                StreamOpening(self.request, attempt, address, ())
-            )
+        self._attempts.cancel(self.request, action)
 
     def _set_timer(self, at_s: float) -> None:
         loop = asyncio.get_running_loop()
         loop.call_at(at_s, self.mailbox.put_nowait, TimerFired())
 
-    def _help(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        helper = asyncio.create_task(work)
-        self._helpers.add(helper)
-        helper.add_done_callback(self._helpers.discard)
-        return helper
-
     async def _cancel_unread(self) -> None:
         is_running = self._end is None and bool(self.state.server)
         if is_running and await self._observer.may_cancel(self.request):
-            await self._cancel_stream(self.state.server, self.state.attempt)
-
-    async def _close(self) -> None:
-        for helper in tuple(self._helpers):
-            helper.cancel()
-        await asyncio.gather(*self._helpers, return_exceptions=True)
+            await self._attempts.cancel_stream(
+                self.request, self.state.server, self.state.attempt
+            )
--- a/bronzesill/membership/spreading.py
+++ b/bronzesill/membership/spreading.py
@@ -142,6 +142,9 @@
 def _note_sends(state: GossipState, news: Rumours) -> dict[str, int]:
     left = dict(state.sends_left_by_key)
     count = state.policy.piggyback_count
+    if len(news.members) + len(news.facts) > state.policy.max_rumours:
+        # A whole view or a bucket: the others have it already.
+        return left
     for member in news.members:
         left[f'{_MEMBER_KEY}{member.name}'] = count
     for fact in news.facts:
--- a/bronzesill/routing/versions.py
+++ b/bronzesill/routing/versions.py
@@ -4,11 +4,12 @@
 
 import dataclasses
 
-from ..utils import stable_hash
+from ..utils import rank_by_rendezvous, stable_hash
 
 __all__ = ['TrafficSplit', 'pick_version']
 
 _HASH_SPACE = 2**64
+_MIN_TRIAL_SERVERS = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -25,6 +26,18 @@
     new_version: str = ''
     share: float = 0
 
+    def trial_servers(self, names: tuple[str, ...]) -> tuple[str, ...]:
+        """
+        Return the servers that the version under trial uses.
+
+        As many as its share asks for, two at the least, so that each has
+        about the load that it will have later.
+
+        :param names: all servers of the version.
+        """
+        count = max(_MIN_TRIAL_SERVERS, round(self.share * len(names)))
+        return rank_by_rendezvous(self.new_version, names)[:count]
+
 
 def pick_version(split: TrafficSplit, request_id: str) -> str:
     """
--- a/bronzesill/standins/fleet.py
+++ b/bronzesill/standins/fleet.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
+import itertools
 import logging
+import os
 import socket
 from typing import Any, Protocol
 
@@ -29,13 +32,27 @@
 _LOOPBACK = '127.0.0.1'
 _READY_TIMEOUT_S = 10.0
 _READY_POLL_S = 0.02
+_FIRST_PORT = 12_000
+_LAST_PORT = 32_000
+
+_ports = itertools.chain(
+    range(_FIRST_PORT + os.getpid() % 15_000, _LAST_PORT),
+    range(_FIRST_PORT, _LAST_PORT),
+)
 
 
 def free_address() -> Address:
-    """Return an address on loopback that nothing listens on now."""
-    with socket.socket() as opened:
-        opened.bind((_LOOPBACK, 0))
-        return Address(_LOOPBACK, opened.getsockname()[1])
+    """
+    Return an address on loopback that nothing listens on now.
+
+    Ports are taken one after the other from below the range that the system
+    hands out by itself, so that no two calls give the same one.
+    """
+    for port in _ports:
+        with contextlib.suppress(OSError), socket.socket() as opened:
+            opened.bind((_LOOPBACK, port))
+            return Address(_LOOPBACK, port)
+    raise OSError('no free port')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,6 +62,7 @@
 
     :param daemons: number of daemons.
     :param engines: number of engines.
+    :param new_engines: number of engines of the version under trial, ``v2``.
     :param services: number of servers of the plain service.
     :param pace_s: seconds a token takes in an empty engine.
     :param capacity: streams an engine computes at once.
@@ -54,6 +72,7 @@
 
     daemons: int = 1
     engines: int = 2
+    new_engines: int = 0
     services: int = 0
     pace_s: float = 0.005
     capacity: int = 16
@@ -85,16 +104,21 @@
         anywhere = Address(_LOOPBACK, 0)
         self.store = StoreStandIn(anywhere)
         self.hosts = HostListStandIn(anywhere, lag_s=0)
+        versions_by_name = {
+            f'engine-{number}': 'v1' for number in range(plan.engines)
+        } | {f'new-{number}': 'v2' for number in range(plan.new_engines)}
         self.engines_by_name = {
-            f'engine-{number}': EngineStandIn(
+            name: EngineStandIn(
                 'guide',
                 EngineProfile(
-                    version='v1', pace_s=plan.pace_s, capacity=plan.capacity
+                    version=version,
+                    pace_s=plan.pace_s,
+                    capacity=plan.capacity,
                 ),
                 anywhere,
                 die=lambda: None,
             )
-            for number in range(plan.engines)
+            for name, version in versions_by_name.items()
         }
         self.services = [
             ServiceStandIn(anywhere, f'shop-{number}')
