--- /dev/null
+++ b/bronzesill/daemon/tests/test_configuration.py
@@ -0,0 +1,113 @@
+"""Configuration on a small fleet: in force in seconds, never taken back."""
+
+import asyncio
+import unittest
+from typing import Any
+
+from ...standins.fleet import Fleet, FleetPlan
+from .caller import Received, ask, stream
+
+
+async def _until_revision(fleet: Fleet, number: int) -> float:
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+    async with asyncio.timeout(8):
+        while any(
+            daemon.status().revision != number for daemon in fleet.daemons
+        ):
+            await asyncio.sleep(0.02)
+    return loop.time() - started_s
+
+
+class ConfigurationTest(unittest.IsolatedAsyncioTestCase):
+    """Changes, outages, restores and restarts."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = await Fleet(FleetPlan(daemons=5, engines=1)).__aenter__()
+        self.store = self.fleet.store.state
+
+    async def asyncTearDown(self) -> None:
+        await self.fleet.__aexit__()
+
+    def document(self, waiting: int) -> dict[str, Any]:
+        document = self.fleet.document()
+        document['limits']['max_waiting'] = waiting
+        return document
+
+    async def test_change_is_in_force_everywhere_within_seconds(self) -> None:
+        number = await self.fleet.apply(self.document(7))
+        self.assertLess(await _until_revision(self.fleet, number), 3)
+
+    async def test_restored_store_takes_nobody_back(self) -> None:
+        before = dict(self.store.entries_by_key)
+        number = await self.fleet.apply(self.document(8))
+        await _until_revision(self.fleet, number)
+        self.store.entries_by_key = before
+        newcomer = await self.fleet.add_daemon(20)
+        await self.fleet.wait_until_ready()
+        await _until_revision(self.fleet, number)
+        self.assertEqual(newcomer.status().revision, number)
+
+    async def test_daemon_started_with_the_store_down(self) -> None:
+        number = await self.fleet.apply(self.document(9))
+        await _until_revision(self.fleet, number)
+        self.store.faults.down = True
+        await self.fleet.add_daemon(21)
+        await _until_revision(self.fleet, number)
+
+    async def test_invalid_document_keeps_the_last_good_one(self) -> None:
+        good = self.fleet.daemons[0].status().revision
+        number = await self.fleet.apply({'models': 3})
+        async with asyncio.timeout(8):
+            while any(
+                daemon.status().rejected_revision != number
+                for daemon in self.fleet.daemons
+            ):
+                await asyncio.sleep(0.02)
+        revisions = {daemon.status().revision for daemon in self.fleet.daemons}
+        self.assertEqual(revisions, {good})
+        number = await self.fleet.apply(self.document(10))
+        await _until_revision(self.fleet, number)
+
+
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    """Planned stops cut no request."""
+
+    async def test_stop_of_a_daemon_cuts_nothing(self) -> None:
+        plan = FleetPlan(daemons=3, engines=2, pace_s=0.01)
+        async with Fleet(plan) as fleet:
+            leaving = fleet.daemons[0]
+            body = {'model': 'guide', 'prompt': 'x', 'max_tokens': 200}
+            received = Received()
+            answer = asyncio.create_task(
+                stream(leaving.address, body, received=received)
+            )
+            await asyncio.sleep(0.3)
+            leaving.begin_stop()
+            await asyncio.sleep(0.2)
+            late = await stream(leaving.address, {**body, 'max_tokens': 5})
+            self.assertEqual(late.total, 5)
+            for daemon in fleet.daemons[1:]:
+                _, reply, _ = await ask(daemon.address, '/v1/addresses')
+                addresses = [each['address'] for each in reply['addresses']]
+                self.assertNotIn(str(leaving.address), addresses)
+            self.assertEqual((await answer).total, 200)
+
+    async def test_leaving_engine_gets_no_new_work(self) -> None:
+        async with Fleet(FleetPlan(daemons=2, engines=2)) as fleet:
+            address = fleet.daemons[0].address
+            path = '/admin/servers/engine-0/leaving'
+            status, _, _ = await ask(address, path, 'POST', json={})
+            self.assertEqual(status, 200)
+            await asyncio.sleep(1)
+            engine = fleet.engines_by_name['engine-0']
+            before = engine.batch.tokens_computed
+            body = {'model': 'guide', 'prompt': 'x', 'max_tokens': 5}
+            answers = await asyncio.gather(
+                *(
+                    stream(fleet.daemons[number % 2].address, body)
+                    for number in range(12)
+                )
+            )
+            self.assertTrue(all(each.total == 5 for each in answers))
+            self.assertEqual(engine.batch.tokens_computed, before)
--- a/bronzesill/generations/pace.py
+++ b/bronzesill/generations/pace.py
@@ -24,8 +24,8 @@
 
     floor_s: float = 1.4
     ceiling_s: float = 20
-    pace_factor: float = 10
-    deviation_factor: float = 8
+    pace_factor: float = 16
+    deviation_factor: float = 14
     first_token_s: float = 2.5
 
     @classmethod
@@ -38,7 +38,7 @@
         slack = 1 - resume_latency_weight
         return cls(
             floor_s=0.8 + 1.2 * slack,
-            pace_factor=8 + 4 * slack,
+            pace_factor=14 + 4 * slack,
             first_token_s=1.5 + 2 * slack,
         )
 
