Send orders to backend servers with fencing numbers

Cause: some servers refuse an old fencing number, others ignore it, and the weight store is rate-limited. Change: one order per server, its fencing number the store's revision, one writer found by rendezvous hashing, a quiet time and read-back for servers that check nothing, a budget of loads shared through the store; 'bronzesill order'. Tested: carried out once, a stale number refused, a new writer quiet.

--- a/bronzesill/cli/main.py
+++ b/bronzesill/cli/main.py
@@ -8,12 +8,14 @@
 from pathlib import Path
 
 from .. import __version__
+from ..orders import OrderKind
 from ..utils import BronzesillError, DocumentInvalid, ResultCode
 from . import (
     audit_commands,
     config_commands,
     host_commands,
     move_commands,
+    order_commands,
 )
 from .context import open_context
 from .output import OUTPUT_FORMATS
@@ -120,6 +122,19 @@
     parser.set_defaults(run=move_commands.handover)
 
 
+def _add_order_commands(nouns: argparse._SubParsersAction) -> None:  # type: ignore[type-arg]
+    parser = nouns.add_parser('order', help='orders to backend servers')
+    verbs = parser.add_subparsers(dest='verb', required=True)
+    verb = verbs.add_parser('send', help=order_commands.send.__doc__)
+    verb.set_defaults(run=order_commands.send)
+    verb.add_argument('server', help='name of the backend server')
+    verb.add_argument('kind', choices=[kind.value for kind in OrderKind])
+    verb.add_argument('argument', help='model, adapter, version or role')
+    verb.add_argument('--reason', required=True, help='why')
+    verb = verbs.add_parser('list', help=order_commands.list_orders.__doc__)
+    verb.set_defaults(run=order_commands.list_orders)
+
+
 def _make_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog='bronzesill', description='Operate bronzesill.', epilog=_EPILOG
@@ -138,6 +153,7 @@
     _add_config_commands(nouns)
     _add_other_commands(nouns)
     _add_move_commands(nouns)
+    _add_order_commands(nouns)
     return parser
 
 
--- a/bronzesill/cli/move_commands.py
+++ b/bronzesill/cli/move_commands.py
@@ -11,7 +11,15 @@
 from .context import Context
 from .output import show, show_table
 
-__all__ = ['change', 'create', 'handover', 'list_moves', 'show_move', 'wait']
+__all__ = [
+    'ask_any',
+    'change',
+    'create',
+    'handover',
+    'list_moves',
+    'show_move',
+    'wait',
+]
 
 _POLL_S = 0.5
 _OPEN_STATES = frozenset(('running', 'paused'))
@@ -28,7 +36,7 @@
         'deadline_in_s': options.deadline_in_s,
         'reason': options.reason,
     }
-    show(await _ask_any(context, '/admin/moves', body), options.output)
+    show(await ask_any(context, '/admin/moves', body), options.output)
     return ResultCode.DONE
 
 
@@ -50,7 +58,7 @@
     """Change a move."""
     options = context.options
     path = f'/admin/moves/{options.move}/{options.verb}'
-    reply = await _ask_any(context, path, {'reason': options.reason})
+    reply = await ask_any(context, path, {'reason': options.reason})
     show(reply, options.output)
     return ResultCode.DONE
 
@@ -79,7 +87,7 @@
 
 
 async def _moves(context: Context) -> list[dict[str, Any]]:
-    reply = await _ask_any(context, '/admin/moves', None)
+    reply = await ask_any(context, '/admin/moves', None)
     moves: list[dict[str, Any]] = reply['moves']
     return sorted(moves, key=lambda move: float(move['created_at_s']))
 
@@ -93,7 +101,15 @@
     )
 
 
-async def _ask_any(context: Context, path: str, body: Any) -> dict[str, Any]:
+async def ask_any(context: Context, path: str, body: Any) -> dict[str, Any]:
+    """
+    Ask the daemons of the settings one after the other.
+
+    :param context: connections of the command.
+    :param path: path below a daemon's address.
+    :param body: body of a ``POST``, none for a ``GET``.
+    :raises BronzesillError: the answer is a refusal, or nobody answers.
+    """
     for daemon in context.settings.daemons:
         reply = await context.ask(daemon, path, body)
         if reply is None:
--- a/bronzesill/daemon/core.py
+++ b/bronzesill/daemon/core.py
@@ -20,6 +20,7 @@
     GatewayState,
     InformationResource,
     MoveAdminResource,
+    OrderAdminResource,
     PlainCallsResource,
     make_app,
 )
@@ -42,6 +43,7 @@
     News,
 )
 from ..moves import MovesController
+from ..orders import OrderClient, OrderRepository, OrdersController
 from ..platform import EtcdStore, HttpHostList
 from ..routing import ServerBook
 from ..utils import (
@@ -212,6 +214,13 @@
             self.membership.state_fact,
         )
         self._traffic = TrafficController(self.moves, self._book)
+        self._orders = OrdersController(
+            OrderRepository(store),
+            OrderClient(self._session),
+            lambda: self._book.servers_by_name,
+            self._fleet.is_order_writer,
+            self._fleet.state_order,
+        )
         self._peer_server = PeerServer(
             settings.peers,
             registry,
@@ -263,6 +272,7 @@
             self._admission.run(),
             self._servers.run(),
             self.moves.run(self._fleet.should_watch),
+            self._orders.run(),
             self._keep_house(),
         ]
 
@@ -332,6 +342,8 @@
     def _hear_fact(self, fact: Fact, source: Address | None) -> None:
         if fact.kind == FactKind.SERVER_LEAVING:
             self._book.set_leaving(fact.key, is_leaving=fact.text == 'leaving')
+        if fact.kind == FactKind.SERVER_ORDER:
+            self._orders.look()
         is_config = fact.kind == FactKind.CONFIG_REVISION
         if is_config and source is not None:
             heard = RevisionHeard(fact.rank, source)
@@ -361,6 +373,7 @@
                 MoveAdminResource(
                     self._state, self.moves, self._traffic.serving_version
                 ),
+                OrderAdminResource(self._state, self._orders),
             ),
         )
 
--- a/bronzesill/daemon/fleet.py
+++ b/bronzesill/daemon/fleet.py
@@ -121,6 +121,16 @@
         chosen = choose_homes(self._membership.view, f'move/{move_id}')
         return tuple(Driver(member.name, member.peers) for member in chosen)
 
+    def is_order_writer(self, server: str) -> bool:
+        """Say whether this daemon sends the orders to a backend server."""
+        chosen = choose_homes(self._membership.view, f'order/{server}')
+        return bool(chosen) and chosen[0].name == self._settings.name
+
+    def state_order(self, server: str, fencing: int) -> None:
+        """State that a backend server has a new order."""
+        fact = Fact(FactKind.SERVER_ORDER, server, fencing)
+        self._membership.state_fact(fact)
+
     def daemon_names(self) -> tuple[str, ...]:
         """Return the names of all live daemons."""
         return tuple(
--- a/bronzesill/gateway/__init__.py
+++ b/bronzesill/gateway/__init__.py
@@ -7,6 +7,7 @@
 from .filters import Authenticate, NameRequest, ParseJson, ReadBody
 from .information import InformationResource
 from .move_admin import MoveAdminResource
+from .order_admin import OrderAdminResource
 from .plain_calls import PlainCallsResource
 from .rendering import AnswerRenderer, EventPosition, render_error
 from .state import GatewayState
@@ -23,6 +24,7 @@
     'InformationResource',
     'MoveAdminResource',
     'NameRequest',
+    'OrderAdminResource',
     'ParseJson',
     'PlainCallsResource',
     'ReadBody',
--- a/bronzesill/membership/facts.py
+++ b/bronzesill/membership/facts.py
@@ -16,6 +16,7 @@
     SERVER_LEAVING = 3
     HOST_LEAVING = 4
     MOVE_RECORD = 5
+    SERVER_ORDER = 6
 
 
 @dataclasses.dataclass(frozen=True)
