Share quotas over daemons by grants that run out

Cause: callers are told the same entry each time, so that one daemon sees all of an account; an even part of its quota would have let it run one generation at 360 daemons. Change: a home per account grants parts that run out after 5 s, asked for when needed and renewed; without the home an even share. Slow heads are cut off after 10 s. Found on the way: requests that came together asked for one place each; expected ones count now.

--- a/bronzesill/daemon/capacity.py
+++ b/bronzesill/daemon/capacity.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 
 from ..config import Document
 from ..limits import AdmissionLimits
@@ -13,15 +14,20 @@
 _IMBALANCE = 2.0
 
 
-def admission_limits(document: Document, daemon_count: int) -> AdmissionLimits:
+def admission_limits(
+    document: Document,
+    daemon_count: int,
+    quota_by_account: Mapping[str, int],
+) -> AdmissionLimits:
     """
     Return one daemon's limits.
 
     Callers are spread over the daemons by hashing, so that one daemon may
-    get twice its even share; slots and quotas allow for that.
+    get twice its even share; slots allow for that.
 
     :param document: the configuration in force.
     :param daemon_count: live daemons, this one among them.
+    :param quota_by_account: parts of the accounts' quotas granted here.
     """
     capacity = sum(
         server.capacity for server in document.servers.values() if server.model
@@ -32,10 +38,7 @@
     return AdmissionLimits(
         slots=max(slots, 1),
         max_waiting=document.limits.max_waiting,
-        quota_by_account={
-            name: max(math.ceil(account.max_running * imbalance / daemons), 1)
-            for name, account in document.accounts.items()
-        },
+        quota_by_account=quota_by_account,
         weight_by_account={
             name: account.weight for name, account in document.accounts.items()
         },
--- a/bronzesill/daemon/core.py
+++ b/bronzesill/daemon/core.py
@@ -32,7 +32,12 @@
     Site,
     StallPolicy,
 )
-from ..limits import AdmissionController, AdmissionLimits
+from ..limits import (
+    AdmissionController,
+    AdmissionLimits,
+    QuotaController,
+    QuotaTable,
+)
 from ..membership import (
     Fact,
     FactKind,
@@ -57,6 +62,7 @@
 from .config_keeper import ConfigKeeper, RevisionHeard
 from .fleet import FleetController
 from .protocol import Dispatcher, make_registry
+from .roles import RoleFinder
 from .servers import ServersController
 from .traffic import TrafficController
 
@@ -196,21 +202,23 @@
             GossipPolicy(),
         )
         self.membership.listeners.append(self._hear)
+        self._roles = RoleFinder(self.membership)
         self._fleet = FleetController(
             settings,
             HttpHostList(self._session, settings.host_list),
             self.membership,
             self._keeper,
+            self._roles,
             self._random,
         )
         self._ledger = Ledger(
-            settings.name, store, self._peer_client, self._fleet.owners
+            settings.name, store, self._peer_client, self._roles.owners
         )
         self.moves = MovesController(
             settings.name,
             store,
             self._peer_client,
-            self._fleet.drivers,
+            self._roles.drivers,
             self.membership.state_fact,
         )
         self._traffic = TrafficController(self.moves, self._book)
@@ -218,9 +226,16 @@
             OrderRepository(store),
             OrderClient(self._session),
             lambda: self._book.servers_by_name,
-            self._fleet.is_order_writer,
+            self._roles.is_order_writer,
             self._fleet.state_order,
         )
+        self._quotas = QuotaController(
+            settings.name,
+            QuotaTable(),
+            self._peer_client,
+            self._roles.quota_home,
+            lambda: len(self._roles.daemon_names()),
+        )
         self._peer_server = PeerServer(
             settings.peers,
             registry,
@@ -230,6 +245,7 @@
                 self._locations,
                 self._ledger,
                 self.moves,
+                self._quotas,
             ),
             self.counters,
         )
@@ -240,7 +256,7 @@
             settings.name,
             self._session,
             self._book,
-            self._fleet.daemon_names,
+            self._roles.daemon_names,
             self._traffic.split_of_server,
             self._fleet.state_server_leaving,
             self._random,
@@ -253,7 +269,7 @@
             PeerDirectory(
                 settings.name,
                 self._locations,
-                self._fleet.homes,
+                self._roles.homes,
                 self._peer_client,
             ),
             connect_metrics(settings.statsd, settings.name),
@@ -266,13 +282,14 @@
         return [
             self.membership.run(),
             self._keeper.run(),
-            self._keeper.follow_store(self._fleet.should_watch),
+            self._keeper.follow_store(self._roles.should_watch),
             self._fleet.follow_hosts(),
             self._fleet.catch_up(),
             self._admission.run(),
             self._servers.run(),
-            self.moves.run(self._fleet.should_watch),
+            self.moves.run(self._roles.should_watch),
             self._orders.run(),
+            self._quotas.run(lambda: self._admission.state.running_by_account),
             self._keep_house(),
         ]
 
@@ -281,7 +298,7 @@
         while True:
             await asyncio.sleep(_HOUSEKEEPING_S)
             self._locations.expire(loop.time())
-            first = min(self._fleet.daemon_names(), default='')
+            first = min(self._roles.daemon_names(), default='')
             if first == self.settings.name:
                 await self._trimmer.trim_when_due(loop.time())
             self._peer_client.close_idle(loop.time())
@@ -328,8 +345,14 @@
     def _refresh_limits(self) -> None:
         document = self._state.document
         if document is not None:
-            daemons = len(self._fleet.daemon_names())
-            self._admission.limits = admission_limits(document, daemons)
+            daemons = len(self._roles.daemon_names())
+            self._quotas.limits_by_account = {
+                name: account.max_running
+                for name, account in document.accounts.items()
+            }
+            self._admission.limits = admission_limits(
+                document, daemons, self._quotas.granted_by_account
+            )
 
     def _hear(self, news: News) -> None:
         self.moves.book.hear(news.rumours)
@@ -352,9 +375,9 @@
     def _make_app(self) -> object:
         return make_app(
             CompletionsResource(
-                self._state, self._generations, self._admission
+                self._state, self._generations, self._admission, self._quotas
             ),
-            InformationResource(self._state, self._fleet.entries),
+            InformationResource(self._state, self._roles.entries),
             PlainCallsResource(
                 self._state,
                 RouteRunner(
--- a/bronzesill/daemon/fleet.py
+++ b/bronzesill/daemon/fleet.py
@@ -6,21 +6,16 @@
 import time
 from random import Random
 
-from ..calls import Owner
 from ..config import CONFIG_KEY, DaemonSettings
-from ..generations import Home
 from ..membership import (
     Fact,
     FactKind,
     MembershipController,
-    choose_entries,
-    choose_homes,
-    is_watcher,
 )
-from ..moves import Driver
 from ..platform import HostList, ListedHost
 from ..utils import Address, BronzesillError, PartLogger
 from .config_keeper import ConfigKeeper, RevisionHeard
+from .roles import RoleFinder
 
 __all__ = ['FleetController']
 
@@ -29,7 +24,6 @@
 _ALONE_INTERVAL_S = 0.3
 _CATCH_UP_INTERVAL_S = 0.5
 _SEEDS = 4
-_ENTRIES = 3
 _MS_PER_S = 1000
 
 _log = PartLogger('fleet')
@@ -43,6 +37,7 @@
     :param hosts: the platform's list of hosts.
     :param membership: what is believed of the fleet.
     :param keeper: the configuration in force.
+    :param roles: which daemons take which part.
     :param random: generator for choices of peers and jitter.
     """
 
@@ -52,12 +47,14 @@
         hosts: HostList,
         membership: MembershipController,
         keeper: ConfigKeeper,
+        roles: RoleFinder,
         random: Random,
     ) -> None:
         self._settings = settings
         self._hosts = hosts
         self._membership = membership
         self._keeper = keeper
+        self._roles = roles
         self._random = random
 
     async def follow_hosts(self) -> None:
@@ -95,50 +92,11 @@
         """Whether no other daemon is known to live."""
         return not self._live_peers()
 
-    def should_watch(self) -> bool:
-        """Say whether this daemon holds a watch at the store."""
-        return is_watcher(self._membership.view, self._membership.own)
-
-    def entries(self, caller: str) -> tuple[Address, ...]:
-        """Return the addresses that a caller is told to use."""
-        chosen = choose_entries(
-            self._membership.view, self._membership.own, caller, _ENTRIES
-        )
-        return tuple(member.callers for member in chosen)
-
-    def homes(self, request_key: str) -> tuple[Home, ...]:
-        """Return the daemons that keep the record of a request."""
-        chosen = choose_homes(self._membership.view, request_key)
-        return tuple(Home(member.name, member.peers) for member in chosen)
-
-    def owners(self, partition: str) -> tuple[Owner, ...]:
-        """Return the daemons to ask for a partition of the ledger."""
-        chosen = choose_homes(self._membership.view, partition)
-        return tuple(Owner(member.name, member.peers) for member in chosen)
-
-    def drivers(self, move_id: str) -> tuple[Driver, ...]:
-        """Return the daemons that drive a move, first choice first."""
-        chosen = choose_homes(self._membership.view, f'move/{move_id}')
-        return tuple(Driver(member.name, member.peers) for member in chosen)
-
-    def is_order_writer(self, server: str) -> bool:
-        """Say whether this daemon sends the orders to a backend server."""
-        chosen = choose_homes(self._membership.view, f'order/{server}')
-        return bool(chosen) and chosen[0].name == self._settings.name
-
     def state_order(self, server: str, fencing: int) -> None:
         """State that a backend server has a new order."""
         fact = Fact(FactKind.SERVER_ORDER, server, fencing)
         self._membership.state_fact(fact)
 
-    def daemon_names(self) -> tuple[str, ...]:
-        """Return the names of all live daemons."""
-        return tuple(
-            member.name
-            for member in self._membership.view.members_by_name.values()
-            if member.is_alive
-        )
-
     def state_server(self, name: str, *, is_leaving: bool) -> None:
         """State that a backend server leaves or is back, if that is news."""
         known = self._membership.view.facts_by_name.get(
@@ -166,7 +124,9 @@
         if self.is_alone and listed_count != 1:
             return _ALONE_INTERVAL_S
         return (
-            _LIST_INTERVAL_S if self.should_watch() else _SLOW_LIST_INTERVAL_S
+            _LIST_INTERVAL_S
+            if self._roles.should_watch()
+            else _SLOW_LIST_INTERVAL_S
         )
 
     async def _join(self, listed: tuple[ListedHost, ...]) -> None:
--- a/bronzesill/daemon/protocol.py
+++ b/bronzesill/daemon/protocol.py
@@ -21,6 +21,7 @@
     TakeOverLocation,
     answer_location,
 )
+from ..limits import QuotaAnswer, QuotaController, QuotaQuestion
 from ..membership import (
     Ack,
     BucketHashes,
@@ -74,6 +75,8 @@
             42: RecordCall,
             43: ReleaseCall,
             44: Recorded,
+            45: QuotaQuestion,
+            46: QuotaAnswer,
             50: MoveReport,
             51: ReportTaken,
             99: Refusal,
@@ -90,6 +93,7 @@
     :param locations: records of generations kept here.
     :param ledger: answers for calls that must not be repeated.
     :param moves: takes reports about moves.
+    :param quotas: shares out quotas.
     """
 
     def __init__(
@@ -99,12 +103,14 @@
         locations: LocationTable,
         ledger: Ledger,
         moves: MovesController,
+        quotas: QuotaController,
     ) -> None:
         self._membership = membership
         self._keeper = keeper
         self._locations = locations
         self._ledger = ledger
         self._moves = moves
+        self._quotas = quotas
 
     async def answer(self, question: Any) -> Any:
         """Answer one question."""
@@ -116,9 +122,16 @@
             case ClaimLocation() | TakeOverLocation() | FindLocation():
                 now_s = asyncio.get_running_loop().time()
                 return answer_location(self._locations, question, now_s)
-            case MoveReport():
-                return self._moves.answer_report(question)
             case ClaimCall() | RecordCall() | ReleaseCall():
                 return await self._ledger.answer(question)
+            case _:
+                return self._answer_shares(question)
+
+    def _answer_shares(self, question: Any) -> Any:
+        match question:
+            case MoveReport():
+                return self._moves.answer_report(question)
+            case QuotaQuestion():
+                return self._quotas.answer(question)
             case _:
                 return Refusal(int(ResultCode.MESSAGE_INVALID))
--- a/bronzesill/daemon/tests/test_refusals.py
+++ b/bronzesill/daemon/tests/test_refusals.py
@@ -3,8 +3,10 @@
 import asyncio
 import unittest
 from typing import Any
+from unittest import mock
 
 from ...standins.fleet import Fleet, FleetPlan
+from ...utils import serving
 from .caller import Received, ask, stream
 
 _PATH = '/v1/completions'
@@ -67,6 +69,16 @@
         self.assertIn(b'408', line)
         writer.close()
 
+    async def test_slow_head_is_cut_off(self) -> None:
+        with mock.patch.object(serving, '_HEAD_TIMEOUT_S', 0.3):
+            reader, writer = await asyncio.open_connection(
+                self.address.ip, self.address.port
+            )
+            writer.write(b'POST /v1/completions HTTP/1.1\r\nHost')
+            async with asyncio.timeout(3):
+                self.assertEqual(await reader.read(), b'')
+        writer.close()
+
     async def test_full_queue_refuses_and_leaves_nothing_behind(self) -> None:
         body = _body(max_tokens=150)
         answers = await asyncio.gather(
--- a/bronzesill/gateway/completions.py
+++ b/bronzesill/gateway/completions.py
@@ -15,7 +15,7 @@
     Piece,
     Subscription,
 )
-from ..limits import AdmissionController, Ticket
+from ..limits import AdmissionController, QuotaController, Ticket
 from ..utils import (
     BronzesillError,
     PartLogger,
@@ -44,6 +44,7 @@
     :param state: configuration and traffic splits in force.
     :param generations: controller of generations.
     :param admission: controller of admission.
+    :param quotas: controller of quotas.
     """
 
     def __init__(
@@ -51,10 +52,12 @@
         state: GatewayState,
         generations: GenerationsController,
         admission: AdmissionController,
+        quotas: QuotaController,
     ) -> None:
         self._state = state
         self._generations = generations
         self._admission = admission
+        self._quotas = quotas
 
     async def on_post(
         self, request: asgi.Request, response: asgi.Response
@@ -72,14 +75,16 @@
         """Wait for a slot for a request."""
         loop = asyncio.get_running_loop()
         limits = exchange.document.limits
-        await self._admission.acquire(
-            Ticket(
-                request_id=exchange.request_id,
-                account=exchange.account,
-                expires_at_s=loop.time() + limits.queue_timeout_s,
-                is_resume=is_resume,
-            )
+        account = exchange.account
+        running = self._admission.state.running_by_account.get(account, 0)
+        ticket = Ticket(
+            request_id=exchange.request_id,
+            account=account,
+            expires_at_s=loop.time() + limits.queue_timeout_s,
+            is_resume=is_resume,
         )
+        async with self._quotas.expecting(account, running):
+            await self._admission.acquire(ticket)
 
     def release(self, account: str) -> None:
         """Give back the slot of a request."""
--- a/bronzesill/gateway/information.py
+++ b/bronzesill/gateway/information.py
@@ -38,11 +38,12 @@
     ) -> None:
         """Say which addresses to use and how long to keep the answer."""
         exchange = self._state.exchange(request)
-        caller = request.get_header('Authorization') or request.remote_addr
+        key = request.get_header('Authorization') or ''
+        caller = f'{key} {request.remote_addr}'
         response.media = {
             'addresses': [
                 {'address': str(address)}
-                for address in self._list_addresses(str(caller))
+                for address in self._list_addresses(caller)
             ],
             'ttl_s': exchange.document.limits.address_ttl_s,
         }
--- a/bronzesill/utils/serving.py
+++ b/bronzesill/utils/serving.py
@@ -9,12 +9,14 @@
 from typing import Any
 
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from .addresses import Address
 
 __all__ = ['HttpServer']
 
 _BACKLOG = 2048
+_HEAD_TIMEOUT_S = 10.0
 
 
 class _Server(uvicorn.Server):
@@ -35,6 +37,47 @@
         yield
 
 
+class _TimedProtocol(HttpToolsProtocol):
+    """Connection that is closed if a request's head does not come."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self._timer: asyncio.TimerHandle | None = None
+
+    def connection_made(
+        self,
+        transport: asyncio.Transport,  # type: ignore[override]
+    ) -> None:
+        """Begin to wait for the first head."""
+        super().connection_made(transport)
+        self._wait_for_head()
+
+    def on_message_begin(self) -> None:
+        """Begin to wait for the rest of a head."""
+        super().on_message_begin()
+        self._wait_for_head()
+
+    def on_headers_complete(self) -> None:
+        """Stop waiting."""
+        self._stop_waiting()
+        super().on_headers_complete()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop waiting."""
+        self._stop_waiting()
+        super().connection_lost(exc)
+
+    def _wait_for_head(self) -> None:
+        self._stop_waiting()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(_HEAD_TIMEOUT_S, self.transport.close)
+
+    def _stop_waiting(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
 class HttpServer:
     """
     Owner of one listening HTTP socket.
@@ -91,6 +134,6 @@
         access_log=False,
         lifespan='off',
         backlog=_BACKLOG,
-        http='httptools',
+        http=_TimedProtocol,
         ws='none',
     )
