Split the demonstration into short functions

Cause: two functions of over forty lines each. Change: the demonstration and its settings read as short steps and are linted like the package.

--- a/examples/long_answer.py
+++ b/examples/long_answer.py
@@ -8,11 +8,14 @@
 
 import argparse
 import collections
+import dataclasses
 import itertools
 import json
 import sys
 import time
-import urllib.request
+from dataclasses import field
+from typing import Any
+from urllib import request as urlrequest
 
 import openai
 
@@ -20,95 +23,111 @@
 
 from .catalogue import write_catalogue
 
+__all__ = ['main']
+
 _SEED = 20261204
+_TIMEOUT_S = 5
 
 
-def _post(address: str, path: str, body: dict[str, object]) -> dict[str, int]:
-    request = urllib.request.Request(
-        f'http://{address}{path}', json.dumps(body).encode()
-    )
-    with urllib.request.urlopen(request, timeout=5) as response:
-        return json.load(response)
+@dataclasses.dataclass
+class Received:
+    """What the caller received."""
 
+    tokens: list[str] = field(default_factory=list)
+    arrivals_s: list[float] = field(default_factory=list)
+    engines_lost: int = 0
+    has_end: bool = False
 
-def _busy_engine(engines: list[str]) -> str:
-    """Return the engine that computes the answer."""
-    return max(
-        engines,
-        key=lambda engine: _post(engine, '/standin/faults', {})['running'],
-    )
+    def add(self, token: str) -> None:
+        """Take in and show a token."""
+        self.tokens.append(token)
+        self.arrivals_s.append(time.monotonic())
+        sys.stdout.write(token)
+        sys.stdout.flush()
 
+    @property
+    def gap_s(self) -> float:
+        """Longest time between two tokens."""
+        pairs = itertools.pairwise(self.arrivals_s)
+        return max(later - earlier for earlier, later in pairs)
 
-def _count_missing(expected: tuple[str, ...], received: list[str]) -> int:
-    missing = collections.Counter(expected) - collections.Counter(received)
-    return missing.total()
 
+def _fetch(url: str, body: dict[str, object] | None = None) -> Any:
+    raw = None if body is None else json.dumps(body).encode()
+    asked = urlrequest.Request(url, raw)
+    with urlrequest.urlopen(asked, timeout=_TIMEOUT_S) as response:
+        return json.load(response)
 
-def _count_repeated(expected: tuple[str, ...], received: list[str]) -> int:
-    repeated = collections.Counter(received) - collections.Counter(expected)
-    return repeated.total()
 
+def _running(engine: str) -> int:
+    faults = _fetch(f'http://{engine}/standin/faults', {})
+    running: int = faults['running']
+    return running
 
-def _entry_address(entry: str) -> str:
-    """Ask the system which address to use."""
-    url = f'http://{entry}/v1/addresses'
-    with urllib.request.urlopen(url, timeout=5) as response:
-        return json.load(response)['addresses'][0]['address']
 
+def _let_busy_engine_die(engines: list[str]) -> None:
+    victim = max(engines, key=_running)
+    _fetch(f'http://{victim}/standin/faults', {'die': True})
+    print(f'\n--- engine {victim} dies ---', flush=True)
 
-def main() -> int:
-    """Run the demonstration."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--entry', required=True)
-    parser.add_argument('--key', required=True)
-    parser.add_argument('--engines', nargs='+', required=True)
-    parser.add_argument('--tokens', type=int, default=500)
-    options = parser.parse_args()
+
+def _ask(options: argparse.Namespace, prompt: str) -> Received:
+    addresses = _fetch(f'http://{options.entry}/v1/addresses')['addresses']
     client = openai.OpenAI(
-        base_url=f'http://{_entry_address(options.entry)}/v1',
+        base_url=f'http://{addresses[0]["address"]}/v1',
         api_key=options.key,
         max_retries=0,
     )
-    prompt = write_catalogue(_SEED)
-    print(f'prompt: {len(prompt.split())} words', flush=True)
-    received: list[str] = []
-    arrivals: list[float] = []
-    engines_lost = 0
-    finish_reason = None
     stream = client.completions.create(
         model='guide',
         prompt=prompt,
         max_tokens=options.tokens,
         seed=_SEED,
         stream=True,
-        extra_headers={'X-Request-Id': 'demo-guide-1'},
+        extra_headers={'X-Request-Id': f'demo-{time.time_ns()}'},
     )
+    received = Received()
     for chunk in stream:
         choice = chunk.choices[0]
         if choice.text:
-            received.append(choice.text)
-            arrivals.append(time.monotonic())
-            sys.stdout.write(choice.text)
-            sys.stdout.flush()
-        finish_reason = choice.finish_reason or finish_reason
-        if len(received) == options.tokens // 3 and not engines_lost:
-            victim = _busy_engine(options.engines)
-            _post(victim, '/standin/faults', {'die': True})
-            engines_lost += 1
-            print(f'\n--- engine {victim} dies ---', flush=True)
-    expected = expected_tokens('v1', _SEED, prompt, options.tokens)
-    gap_s = max(
-        later - earlier for earlier, later in itertools.pairwise(arrivals)
-    )
-    is_whole = tuple(received) == expected and finish_reason is not None
+            received.add(choice.text)
+        received.has_end = received.has_end or bool(choice.finish_reason)
+        is_middle = len(received.tokens) >= options.tokens // 3
+        if is_middle and not received.engines_lost:
+            received.engines_lost += 1
+            _let_busy_engine_die(options.engines)
+    return received
+
+
+def _report(received: Received, expected: tuple[str, ...]) -> bool:
+    wanted = collections.Counter(expected)
+    found = collections.Counter(received.tokens)
+    is_whole = received.has_end and tuple(received.tokens) == expected
     label = 'whole answer' if is_whole else 'ANSWER NOT WHOLE'
     print(
-        f'\n{label}: {len(received)} tokens, engines lost: {engines_lost}, '
-        f'gap: {gap_s:.3f} s, '
-        f'missing: {_count_missing(expected, received)}, '
-        f'repeated: {_count_repeated(expected, received)}'
+        f'\n{label}: {len(received.tokens)} tokens, '
+        f'engines lost: {received.engines_lost}, '
+        f'gap: {received.gap_s:.3f} s, '
+        f'missing: {(wanted - found).total()}, '
+        f'repeated: {(found - wanted).total()}'
     )
-    return 0 if is_whole and engines_lost else 1
+    return is_whole
+
+
+def main() -> int:
+    """Run the demonstration."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--entry', required=True)
+    parser.add_argument('--key', required=True)
+    parser.add_argument('--engines', nargs='+', required=True)
+    parser.add_argument('--tokens', type=int, default=500)
+    options = parser.parse_args()
+    prompt = write_catalogue(_SEED)
+    print(f'prompt: {len(prompt.split())} words', flush=True)
+    received = _ask(options, prompt)
+    expected = expected_tokens('v1', _SEED, prompt, options.tokens)
+    is_whole = _report(received, expected)
+    return 0 if is_whole and received.engines_lost else 1
 
 
 if __name__ == '__main__':
--- a/examples/write_settings.py
+++ b/examples/write_settings.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import argparse
+import contextlib
+import dataclasses
 import json
 import socket
 from pathlib import Path
@@ -12,111 +14,138 @@
 
 from bronzesill.utils import hash_secret
 
-ENGINES = 4
-DAEMONS = 2
-CALLER_KEY = 'bz-demo-caller'
-OPERATOR_KEY = 'bz-demo-operator'
+__all__ = ['main']
 
+_ENGINES = 4
+_DAEMONS = 2
+_CALLER_KEY = 'bz-demo-caller'
+_OPERATOR_KEY = 'bz-demo-operator'
+_DOMAINS = 'abc'
 
-def free_addresses(count: int) -> list[str]:
-    """Return addresses on loopback that nothing listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    for opened in sockets:
-        opened.bind(('127.0.0.1', 0))
-    addresses = [f'127.0.0.1:{opened.getsockname()[1]}' for opened in sockets]
-    for opened in sockets:
-        opened.close()
-    return addresses
 
+@dataclasses.dataclass(frozen=True)
+class Addresses:
+    """Where everything listens."""
 
-def base_file(engines: list[str], service: str) -> dict[str, Any]:
-    """Return the base file: a model with four engines, a shop service."""
+    store: str
+    hosts: str
+    service: str
+    engines: tuple[str, ...]
+    callers: tuple[str, ...]
+    peers: tuple[str, ...]
+
+    @classmethod
+    def from_free_ports(cls) -> Addresses:
+        """Take ports on loopback that nothing listens on."""
+        with contextlib.ExitStack() as stack:
+            found = [_bind(stack) for _ in range(3 + _ENGINES + 2 * _DAEMONS)]
+        rest = found[3:]
+        return cls(
+            store=found[0],
+            hosts=found[1],
+            service=found[2],
+            engines=tuple(rest[:_ENGINES]),
+            callers=tuple(rest[_ENGINES : _ENGINES + _DAEMONS]),
+            peers=tuple(rest[_ENGINES + _DAEMONS :]),
+        )
+
+
+def _bind(stack: contextlib.ExitStack) -> str:
+    opened = stack.enter_context(socket.socket())
+    opened.bind(('127.0.0.1', 0))
+    return f'127.0.0.1:{opened.getsockname()[1]}'
+
+
+def _base_file(addresses: Addresses) -> dict[str, Any]:
     servers: dict[str, Any] = {
         f'engine-{number}': {
             'address': address,
-            'failure_domain': 'abc'[number % 3],
+            'failure_domain': _DOMAINS[number % 3],
             'version': 'v1',
             'model': 'guide',
         }
-        for number, address in enumerate(engines)
+        for number, address in enumerate(addresses.engines)
     }
     servers['shop-0'] = {
-        'address': service,
+        'address': addresses.service,
         'failure_domain': 'a',
         'version': 's1',
         'service': 'shop',
     }
+    stock = {'path': '/shop/stock', 'service': 'shop', 'idempotent': True}
     return {
-        'accounts': {'tbilisi-1': {'key_sha256': hash_secret(CALLER_KEY)}},
-        'operators': {'nino': {'key_sha256': hash_secret(OPERATOR_KEY)}},
+        'accounts': {'tbilisi-1': {'key_sha256': hash_secret(_CALLER_KEY)}},
+        'operators': {'nino': {'key_sha256': hash_secret(_OPERATOR_KEY)}},
         'models': {'guide': {'version': 'v1'}},
+        'services': {'shop': {'version': 's1'}},
         'servers': servers,
         'routes': {
-            'stock': {
-                'path': '/shop/stock',
-                'service': 'shop',
-                'idempotent': True,
-            },
+            'stock': stock,
             'orders': {'path': '/shop/orders', 'service': 'shop'},
         },
     }
 
 
+def _daemon_settings(addresses: Addresses, number: int) -> dict[str, Any]:
+    return {
+        'name': f'entry-{number}',
+        'region': 'tbilisi',
+        'failure_domain': _DOMAINS[number % 3],
+        'callers': addresses.callers[number],
+        'peers': addresses.peers[number],
+        'store': addresses.store,
+        'host_list': addresses.hosts,
+        'site': 'kartuli',
+    }
+
+
+def _host_list(addresses: Addresses) -> list[dict[str, Any]]:
+    names = ('name', 'peers', 'region', 'failure_domain')
+    settings = [
+        _daemon_settings(addresses, number) for number in range(_DAEMONS)
+    ]
+    return [{name: each[name] for name in names} for each in settings]
+
+
+def _variables(addresses: Addresses) -> str:
+    texts = {
+        'STORE': addresses.store,
+        'HOSTS': addresses.hosts,
+        'SERVICE': addresses.service,
+        'ENGINES': ' '.join(addresses.engines),
+        'ENTRIES': ' '.join(addresses.callers),
+        'CALLER_KEY': _CALLER_KEY,
+    }
+    return ''.join(f"{name}='{text}'\n" for name, text in texts.items())
+
+
+def _write_yaml(path: Path, document: dict[str, Any]) -> None:
+    path.write_text(yaml.safe_dump(document))
+
+
 def main() -> None:
     """Write all files."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('folder', type=Path)
     folder = parser.parse_args().folder
     folder.mkdir(parents=True, exist_ok=True)
-    ports = free_addresses(3 + ENGINES + 2 * DAEMONS)
-    store, hosts, service, *others = ports
-    engines, daemons = others[:ENGINES], others[ENGINES:]
-    pairs = [daemons[at : at + 2] for at in range(0, len(daemons), 2)]
-    for number, (callers, peers) in enumerate(pairs):
-        settings = {
-            'name': f'entry-{number}',
-            'region': 'tbilisi',
-            'failure_domain': 'ab'[number % 2],
-            'callers': callers,
-            'peers': peers,
-            'store': store,
-            'host_list': hosts,
-            'site': 'kartuli',
-        }
+    addresses = Addresses.from_free_ports()
+    for number in range(_DAEMONS):
         path = folder / f'daemon-{number}.yaml'
-        path.write_text(yaml.safe_dump(settings))
+        _write_yaml(path, _daemon_settings(addresses, number))
     tool = {
-        'store': store,
-        'daemons': [callers for callers, _ in pairs],
+        'store': addresses.store,
+        'daemons': list(addresses.callers),
         'operator': 'nino',
-        'key': OPERATOR_KEY,
+        'key': _OPERATOR_KEY,
     }
-    (folder / 'tool.yaml').write_text(yaml.safe_dump(tool))
-    (folder / 'base.yaml').write_text(
-        yaml.safe_dump(base_file(engines, service))
-    )
+    _write_yaml(folder / 'tool.yaml', tool)
+    _write_yaml(folder / 'base.yaml', _base_file(addresses))
     overlay = {'limits': {'max_waiting': 32, 'address_ttl_s': 2}}
-    (folder / 'kartuli.yaml').write_text(yaml.safe_dump(overlay))
-    listed = [
-        {
-            'name': f'entry-{number}',
-            'peers': peers,
-            'region': 'tbilisi',
-            'failure_domain': 'ab'[number % 2],
-        }
-        for number, (_, peers) in enumerate(pairs)
-    ]
-    (folder / 'hosts.json').write_text(json.dumps(listed))
-    variables = {
-        'STORE': store,
-        'HOSTS': hosts,
-        'SERVICE': service,
-        'ENGINES': ' '.join(engines),
-        'ENTRIES': ' '.join(callers for callers, _ in pairs),
-        'CALLER_KEY': CALLER_KEY,
-    }
-    lines = [f"{name}='{text}'" for name, text in variables.items()]
-    (folder / 'fleet.env').write_text('\n'.join(lines) + '\n')
+    _write_yaml(folder / 'kartuli.yaml', overlay)
+    hosts = folder / 'hosts.json'
+    hosts.write_text(json.dumps(_host_list(addresses)))
+    (folder / 'fleet.env').write_text(_variables(addresses))
 
 
 if __name__ == '__main__':
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -22,7 +22,7 @@
 
 check 'format' "$bin/ruff" format --check bronzesill benchmarks examples scripts
 check 'ruff' "$bin/ruff" check bronzesill benchmarks examples scripts
-check 'wemake style' "$bin/flake8" bronzesill benchmarks
+check 'wemake style' "$bin/flake8" bronzesill benchmarks examples
 check 'types' "$bin/mypy"
 check 'import contracts' "$bin/lint-imports"
 check 'model of calls' bash scripts/model_check.sh calls NO_FENCING \
