--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -21,8 +21,8 @@
 
 _PACE_S = 0.02
 _TOKENS = 60
-_AT_ONCE = 10
-_PAUSE_S = 6.0
+_AT_ONCE = 30
+_PAUSE_S = 4.0
 _PLAN = FleetPlan(
     daemons=3,
     engines=6,
--- a/bronzesill/audit/trail.py
+++ b/bronzesill/audit/trail.py
@@ -7,7 +7,7 @@
 import orjson
 
 from ..platform import KeyValueStore, Mutation
-from ..utils import stable_hash, structure, unstructure
+from ..utils import stable_hash, structure_json, unstructure
 
 __all__ = [
     'AUDIT_PREFIX',
@@ -85,7 +85,5 @@
 async def read_trail(store: KeyValueStore) -> tuple[AuditEntry, ...]:
     """Read all entries kept, oldest first."""
     stored = await store.list(AUDIT_PREFIX)
-    entries = [
-        structure(orjson.loads(found.payload), AuditEntry) for found in stored
-    ]
+    entries = [structure_json(found.payload, AuditEntry) for found in stored]
     return tuple(sorted(entries, key=lambda entry: entry.at_s))
--- a/bronzesill/calls/segments.py
+++ b/bronzesill/calls/segments.py
@@ -8,7 +8,12 @@
 import msgpack
 
 from ..platform import Mutation, StoredEntry
-from ..utils import structure_fields, unstructure_fields
+from ..utils import (
+    BronzesillError,
+    ResultCode,
+    structure_fields,
+    unstructure_fields,
+)
 from .ledger import LedgerRecord
 
 __all__ = ['LEDGER_PREFIX', 'Layout', 'Segment', 'plan_write']
@@ -43,11 +48,18 @@
     @classmethod
     def from_entry(cls, entry: StoredEntry) -> Segment:
         """Parse a segment as the store keeps it."""
-        fields: Any = msgpack.unpackb(entry.payload)
-        return cls.from_records(
-            entry.key,
-            tuple(structure_fields(each, LedgerRecord) for each in fields),
-        )
+        try:
+            fields: Any = msgpack.unpackb(entry.payload)
+            records = tuple(
+                structure_fields(each, LedgerRecord) for each in fields
+            )
+        except (ValueError, TypeError, msgpack.UnpackException) as error:
+            # Without it nobody can tell what ran: grant nothing.
+            raise BronzesillError(
+                ResultCode.STORE_UNAVAILABLE,
+                f'unreadable segment {entry.key}: {error}',
+            ) from error
+        return cls.from_records(entry.key, records)
 
     @property
     def payload(self) -> bytes:
--- a/bronzesill/config/repository.py
+++ b/bronzesill/config/repository.py
@@ -8,7 +8,7 @@
 
 from ..audit import AuditEntry, audit_mutation
 from ..platform import KeyValueStore, Mutation
-from ..utils import BronzesillError, ResultCode, structure, unstructure
+from ..utils import BronzesillError, ResultCode, structure_json, unstructure
 from .revision import StoredConfig
 
 __all__ = [
@@ -139,7 +139,7 @@
 
 def parse_stored(payload: bytes) -> StoredConfig:
     """Parse a configuration as the store keeps it."""
-    return structure(orjson.loads(payload), StoredConfig)
+    return structure_json(payload, StoredConfig)
 
 
 def _entry(held: HeldConfig | None, config: StoredConfig) -> AuditEntry:
--- a/bronzesill/daemon/tests/test_configuration.py
+++ b/bronzesill/daemon/tests/test_configuration.py
@@ -1,10 +1,12 @@
 """Configuration on a small fleet: in force in seconds, never taken back."""
 
 import asyncio
+import base64
 import unittest
 from typing import Any
 
 from ...standins.fleet import Fleet, FleetPlan
+from ...standins.store_state import Entry
 from .caller import Received, ask, stream
 
 
@@ -69,6 +71,23 @@
         number = await self.fleet.apply(self.document(10))
         await _until_revision(self.fleet, number)
 
+    async def test_unreadable_store_harms_nobody(self) -> None:
+        revision = self.fleet.daemons[0].status().revision
+        nonsense = base64.b64encode(b'{"number": ').decode()
+        for key in (b'/bronzesill/config/current', b'/bronzesill/moves/x'):
+            self.store.revision += 1
+            entry = Entry(
+                base64.b64encode(key).decode(), nonsense, self.store.revision
+            )
+            self.store.put(key, entry)
+        await asyncio.sleep(2)
+        for daemon in self.fleet.daemons:
+            self.assertEqual(daemon.status().revision, revision)
+            self.assertFalse(daemon.status().is_stopping)
+        body = {'model': 'guide', 'prompt': 'x', 'max_tokens': 5}
+        answer = await stream(self.fleet.daemons[0].address, body)
+        self.assertEqual(answer.total, 5)
+
 
 class StopTest(unittest.IsolatedAsyncioTestCase):
     """Planned stops cut no request."""
--- a/bronzesill/moves/repository.py
+++ b/bronzesill/moves/repository.py
@@ -8,7 +8,7 @@
 
 from ..audit import AuditEntry, audit_mutation
 from ..platform import KeyValueStore, Mutation, StoredEntry
-from ..utils import BronzesillError, ResultCode, structure, unstructure
+from ..utils import BronzesillError, ResultCode, structure_json, unstructure
 from .record import MoveRecord, MoveState, has_ended
 
 __all__ = ['HeldMove', 'MoveRepository']
@@ -31,7 +31,7 @@
     @classmethod
     def from_entry(cls, entry: StoredEntry) -> HeldMove:
         """Parse a record as the store keeps it."""
-        record = structure(orjson.loads(entry.payload), MoveRecord)
+        record = structure_json(entry.payload, MoveRecord)
         return cls(record, entry.mod_revision)
 
 
--- a/bronzesill/orders/repository.py
+++ b/bronzesill/orders/repository.py
@@ -8,7 +8,7 @@
 
 from ..audit import AuditEntry, audit_mutation
 from ..platform import KeyValueStore, Mutation, StoredEntry
-from ..utils import BronzesillError, ResultCode, structure, unstructure
+from ..utils import BronzesillError, ResultCode, structure_json, unstructure
 from .budget import LoadSlot, LoadSlots
 from .record import OrderRecord, has_ended
 
@@ -33,7 +33,7 @@
     @classmethod
     def from_entry(cls, entry: StoredEntry) -> HeldOrder:
         """Parse an order as the store keeps it."""
-        record = structure(orjson.loads(entry.payload), OrderRecord)
+        record = structure_json(entry.payload, OrderRecord)
         if not record.fencing:
             record = dataclasses.replace(record, fencing=entry.mod_revision)
         return cls(record, entry.mod_revision)
@@ -116,7 +116,7 @@
 def _parse_slots(entry: StoredEntry | None) -> LoadSlots:
     if entry is None:
         return LoadSlots()
-    return structure(orjson.loads(entry.payload), LoadSlots)
+    return structure_json(entry.payload, LoadSlots)
 
 
 def _entry(record: OrderRecord) -> AuditEntry:
--- a/bronzesill/utils/__init__.py
+++ b/bronzesill/utils/__init__.py
@@ -6,6 +6,7 @@
     DocumentInvalid,
     structure,
     structure_fields,
+    structure_json,
     unstructure,
     unstructure_fields,
 )
@@ -37,6 +38,7 @@
     'stable_hash',
     'structure',
     'structure_fields',
+    'structure_json',
     'unstructure',
     'unstructure_fields',
 ]
--- a/bronzesill/utils/converter.py
+++ b/bronzesill/utils/converter.py
@@ -6,14 +6,18 @@
 from typing import Any, TypeVar
 
 import cattrs
+import orjson
 from cattrs.preconf.json import make_converter
 
 from .addresses import Address
+from .codes import ResultCode
+from .errors import BronzesillError
 
 __all__ = [
     'DocumentInvalid',
     'structure',
     'structure_fields',
+    'structure_json',
     'unstructure',
     'unstructure_fields',
 ]
@@ -98,6 +102,23 @@
         raise DocumentInvalid(tuple(sorted(faults))) from error
 
 
+def structure_json(raw: bytes, shape: type[Shape]) -> Shape:
+    """
+    Build a frozen data class from JSON that the store keeps.
+
+    :param raw: the JSON text.
+    :param shape: the data class to build.
+    :raises BronzesillError: ``DOCUMENT_INVALID``, it cannot be read.
+    """
+    try:
+        return structure(orjson.loads(raw), shape)
+    except ValueError as error:
+        raise BronzesillError(
+            ResultCode.DOCUMENT_INVALID,
+            f'unreadable {shape.__name__}: {error}',
+        ) from error
+
+
 def unstructure(instance: object) -> Any:
     """Turn a data class into plain maps, lists, texts and numbers."""
     return _MAP_CONVERTER.unstructure(instance)
--- a/bronzesill/wire/counters.py
+++ b/bronzesill/wire/counters.py
@@ -26,3 +26,13 @@
     datagrams_out: int = 0
     dropped: int = 0
     broken: int = 0
+
+    @property
+    def bytes_moved(self) -> int:
+        """Bytes received and sent."""
+        return self.bytes_in + self.bytes_out
+
+    @property
+    def datagrams_moved(self) -> int:
+        """Datagrams received and sent."""
+        return self.datagrams_in + self.datagrams_out
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -25,6 +25,7 @@
 check 'wemake style' "$bin/flake8" bronzesill benchmarks examples
 check 'types' "$bin/mypy"
 check 'import contracts' "$bin/lint-imports"
+check 'docs' "$bin/sphinx-build" -q -W -b html docs docs/_build
 check 'model of calls' bash scripts/model_check.sh calls NO_FENCING \
   CLAIM_AFTER_SEND RETRY_ON_LOST NOT_RUN_ON_TAKEOVER RELEASE_ANY
 check 'model of configuration' bash scripts/model_check.sh configuration \
