Take only ports that are free for streams and datagrams

Cause: two measurements side by side failed with 'address in use': the search for a free port looked at TCP only. Change: both are tried.

--- a/bronzesill/standins/fleet.py
+++ b/bronzesill/standins/fleet.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
 import itertools
 import logging
@@ -34,9 +33,10 @@
 _READY_POLL_S = 0.02
 _FIRST_PORT = 12_000
 _LAST_PORT = 32_000
+_SOCKET_KINDS = (socket.SOCK_STREAM, socket.SOCK_DGRAM)
 
 _ports = itertools.chain(
-    range(_FIRST_PORT + os.getpid() % 15_000, _LAST_PORT),
+    range(_FIRST_PORT + os.getpid() * 37 % 15_000, _LAST_PORT),
     range(_FIRST_PORT, _LAST_PORT),
 )
 
@@ -49,12 +49,20 @@
     hands out by itself, so that no two calls give the same one.
     """
     for port in _ports:
-        with contextlib.suppress(OSError), socket.socket() as opened:
-            opened.bind((_LOOPBACK, port))
+        if all(_is_free(port, kind) for kind in _SOCKET_KINDS):
             return Address(_LOOPBACK, port)
     raise OSError('no free port')
 
 
+def _is_free(port: int, kind: socket.SocketKind) -> bool:
+    try:
+        with socket.socket(type=kind) as opened:
+            opened.bind((_LOOPBACK, port))
+    except OSError:
+        return False
+    return True
+
+
 @dataclasses.dataclass(frozen=True)
 class FleetPlan:
     """
