--- a/bronzesill/cli/main.py
+++ b/bronzesill/cli/main.py
@@ -20,7 +20,7 @@
 from .context import open_context
 from .output import OUTPUT_FORMATS
 
-__all__ = ['main']
+__all__ = ['main', 'make_parser', 'run_command']
 
 _EXIT_USAGE = 2
 _EXIT_BY_THOUSAND = 10
@@ -135,7 +135,8 @@
     verb.set_defaults(run=order_commands.list_orders)
 
 
-def _make_parser() -> argparse.ArgumentParser:
+def make_parser() -> argparse.ArgumentParser:
+    """Return the parser of the whole command line."""
     parser = argparse.ArgumentParser(
         prog='bronzesill', description='Operate bronzesill.', epilog=_EPILOG
     )
@@ -157,7 +158,8 @@
     return parser
 
 
-async def _run(options: argparse.Namespace) -> ResultCode:
+async def run_command(options: argparse.Namespace) -> ResultCode:
+    """Run the command that a parsed command line names."""
     async with open_context(options) as context:
         code: ResultCode = await options.run(context)
         return code
@@ -165,9 +167,9 @@
 
 def main() -> int:
     """Run one command and return its exit status."""
-    options = _make_parser().parse_args()
+    options = make_parser().parse_args()
     try:
-        code = asyncio.run(_run(options))
+        code = asyncio.run(run_command(options))
     except DocumentInvalid as error:
         for fault in error.faults:
             sys.stderr.write(f'{options.settings}: {fault}\n')
