--- a/bronzesill/calls/ledger_client.py
+++ b/bronzesill/calls/ledger_client.py
@@ -19,7 +19,7 @@
 #: Partitions of the ledger; store writes grow with them, not with calls.
 PARTITIONS = 8
 
-_OWNER_TIMEOUT_S = 0.7
+_OWNER_TIMEOUT_S = 1.2
 
 
 @dataclasses.dataclass(frozen=True)
