--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -22,6 +22,17 @@
 _PACE_S = 0.02
 _TOKENS = 60
 _AT_ONCE = 30
+_HEAD = (
+    'loss',
+    'streams lost',
+    'answers',
+    'not whole',
+    'p50 s',
+    'p95 s',
+    'p99 s',
+    'max s',
+    'extra tokens %',
+)
 _PAUSE_S = 4.0
 _PLAN = FleetPlan(
     daemons=3,
@@ -215,26 +226,14 @@
 
 
 async def _measure(losses: int) -> None:
-    rows = [
-        _row('broken connection', await lose_engines(losses, 'broken')),
-        _row('silence', await lose_engines(losses, 'silence')),
-        _row('daemon death', await lose_daemons(losses)),
-        _row('start again', await start_again(max(losses // 8, 3))),
-    ]
-    print_table(
-        (
-            'loss',
-            'streams lost',
-            'answers',
-            'not whole',
-            'p50 s',
-            'p95 s',
-            'p99 s',
-            'max s',
-            'extra tokens %',
-        ),
-        rows,
+    kinds = (
+        ('broken connection', lose_engines(losses, 'broken')),
+        ('silence', lose_engines(losses, 'silence')),
+        ('daemon death', lose_daemons(losses)),
+        ('start again', start_again(max(losses // 8, 3))),
     )
+    for name, measuring in kinds:
+        print_table(_HEAD, [_row(name, await measuring)])
 
 
 def main() -> None:
