--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -76,13 +76,6 @@
         await asyncio.sleep(0.005)
 
 
-def _computed(fleet: Fleet) -> int:
-    return sum(
-        engine.batch.tokens_computed
-        for engine in fleet.engines_by_name.values()
-    )
-
-
 async def lose_engines(losses: int, kind: str) -> Tally:
     """Lose engines until enough streams were lost."""
     tally = Tally()
@@ -90,7 +83,6 @@
     async with Fleet(_PLAN) as fleet:
         while len(tally.gaps_s) < losses:
             received = [Received() for _ in range(_AT_ONCE)]
-            before = _computed(fleet)
             numbers = range(number, number + _AT_ONCE)
             number += _AT_ONCE
             answers = [
@@ -106,7 +98,6 @@
             await _until(received, 20)
             victim = fleet.busy_engine()
             engine = fleet.engines_by_name[victim]
-            tally.computed += engine.batch.tokens_computed
             lost_at_s = time.monotonic()
             if kind == 'broken':
                 await fleet.kill_engine(victim)
@@ -118,16 +109,13 @@
                 _check(tally, each, found.tokens)
                 if found.longest_gap_s > 5 * _PACE_S:
                     tally.gaps_s.append(found.longest_gap_s)
-            tally.computed += _computed(fleet) - before
-            tally.computed -= engine.batch.tokens_computed
             if kind == 'broken':
-                tally.computed += engine.batch.tokens_computed
-                await fleet.revive_engine(victim)
+                    await fleet.revive_engine(victim)
                 await asyncio.sleep(0.3)
             else:
-                tally.computed += engine.batch.tokens_computed
-                left_s = _PAUSE_S - (time.monotonic() - lost_at_s)
+                    left_s = _PAUSE_S - (time.monotonic() - lost_at_s)
                 await asyncio.sleep(max(left_s, 0) + 0.5)
+        tally.computed = fleet.tokens_computed
     return tally
 
 
@@ -141,7 +129,6 @@
             numbers = list(range(number, number + _AT_ONCE))
             number += _AT_ONCE
             received = [Received() for _ in numbers]
-            before = _computed(fleet)
             answers = [
                 asyncio.create_task(
                     stream(
@@ -167,9 +154,9 @@
                 numbers, received, rest, strict=True
             ):
                 _check(tally, each, found.tokens + after)
-            tally.computed += _computed(fleet) - before
             await fleet.add_daemon(number + 100)
             await fleet.wait_until_ready()
+        tally.computed = fleet.tokens_computed
     return tally
 
 
@@ -192,7 +179,6 @@
     async with Fleet(_PLAN) as fleet:
         for number in range(losses):
             address = fleet.daemons[number % 3].address
-            before = _computed(fleet)
             first = Received()
             task = asyncio.create_task(
                 stream(address, _body(number), received=first)
@@ -205,7 +191,7 @@
             again = await stream(address, _body(number))
             tally.gaps_s.append(again.arrivals_s[had] - started_s)
             _check(tally, number, again.tokens)
-            tally.computed += _computed(fleet) - before
+        tally.computed = fleet.tokens_computed
     return tally
 
 
--- a/bronzesill/standins/fleet.py
+++ b/bronzesill/standins/fleet.py
@@ -133,6 +133,7 @@
             for number in range(plan.services)
         ]
         self.daemons: list[Daemon] = []
+        self._retired_tokens = 0
         self._runs_by_daemon: dict[Daemon, asyncio.Task[None]] = {}
 
     async def __aenter__(self) -> Fleet:
@@ -242,6 +243,7 @@
     async def revive_engine(self, name: str) -> None:
         """Start a new engine where one has died."""
         dead = self.engines_by_name[name]
+        self._retired_tokens += dead.batch.tokens_computed
         engine = EngineStandIn(
             dead.model, dead.profile, dead.address, die=lambda: None
         )
@@ -249,6 +251,15 @@
         await engine.start()
         self.engines_by_name[name] = engine
 
+    @property
+    def tokens_computed(self) -> int:
+        """Tokens that all engines computed, dead ones too."""
+        living = sum(
+            engine.batch.tokens_computed
+            for engine in self.engines_by_name.values()
+        )
+        return living + self._retired_tokens
+
     def busy_engine(self) -> str:
         """Return the name of the engine that computes most streams."""
         return max(
