--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -110,10 +110,10 @@
                 if found.longest_gap_s > 5 * _PACE_S:
                     tally.gaps_s.append(found.longest_gap_s)
             if kind == 'broken':
-                    await fleet.revive_engine(victim)
+                await fleet.revive_engine(victim)
                 await asyncio.sleep(0.3)
             else:
-                    left_s = _PAUSE_S - (time.monotonic() - lost_at_s)
+                left_s = _PAUSE_S - (time.monotonic() - lost_at_s)
                 await asyncio.sleep(max(left_s, 0) + 0.5)
         tally.computed = fleet.tokens_computed
     return tally
