Let the engine stand-in publish cache events, late and with gaps

Cause: the platform's engines do, and the stand-in did not. Change: the last three events are held back and one in ten is left out; tests of the stand-ins. Tested: of 15 prompts ten events show, two of the first twelve missing.

--- a/bronzesill/standins/batch.py
+++ b/bronzesill/standins/batch.py
@@ -8,7 +8,13 @@
 from ..utils import chain_digest
 from .tokens import next_token, start_digest
 
-__all__ = ['Batch', 'EngineProfile', 'EngineStream', 'StreamRequest']
+__all__ = [
+    'Batch',
+    'CacheEvent',
+    'EngineProfile',
+    'EngineStream',
+    'StreamRequest',
+]
 
 _IDLE_POLL_S = 0.002
 
@@ -63,6 +69,19 @@
     priority: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class CacheEvent:
+    """
+    Word that a prompt is in the engine's cache.
+
+    :param number: number of the event.
+    :param prompt_key: hash of the prompt.
+    """
+
+    number: int
+    prompt_key: int
+
+
 class EngineStream:
     """
     One stream being computed.
@@ -117,6 +136,7 @@
         self.streams_by_id: dict[str, EngineStream] = {}
         self.tokens_computed = 0
         self.prompts_read = 0
+        self.cache_events: list[CacheEvent] = []
         self._cached_prompts: dict[int, None] = {}
 
     def add(self, request: StreamRequest) -> EngineStream:
@@ -127,6 +147,7 @@
             word_count += request.prompt.count(' ')
             self.prompts_read += 1
         self._remember(prompt_key)
+        self.cache_events.append(CacheEvent(len(self.cache_events), prompt_key))
         prefill_s = word_count * self.profile.prefill_s_per_word
         now_s = asyncio.get_running_loop().time()
         stream = EngineStream(request, self.profile.version, now_s + prefill_s)
--- a/bronzesill/standins/engine.py
+++ b/bronzesill/standins/engine.py
@@ -25,6 +25,8 @@
 _DIED_STATUS = 9
 _CONFLICT_STATUS = 409
 _REPORT_INTERVAL_S = 0.5
+_CACHE_EVENTS_LATE = 3
+_CACHE_EVENT_GAP = 10
 
 
 def _exit_process() -> None:
@@ -101,6 +103,20 @@
             ],
         }
 
+    async def on_get_cache_events(
+        self, request: asgi.Request, response: asgi.Response
+    ) -> None:
+        """List cached prompts, some events late and one in ten missing."""
+        since = request.get_param_as_int('since', default=0)
+        shown = self.batch.cache_events[since:-_CACHE_EVENTS_LATE]
+        response.media = {
+            'events': [
+                {'number': event.number, 'prompt_key': event.prompt_key}
+                for event in shown
+                if event.number % _CACHE_EVENT_GAP
+            ]
+        }
+
     async def on_post_completions(
         self, request: asgi.Request, response: asgi.Response
     ) -> None:
@@ -198,6 +214,7 @@
         app: asgi.App[Any, Any] = asgi.App()
         app.add_route('/load', self, suffix='load')
         app.add_route('/v1/models', self, suffix='models')
+        app.add_route('/cache_events', self, suffix='cache_events')
         app.add_route('/v1/completions', self, suffix='completions')
         app.add_route('/v1/streams/{stream_id}', self, suffix='stream')
         app.add_route('/v1/orders', self, suffix='orders')
--- /dev/null
+++ b/bronzesill/standins/tests/test_standins.py
@@ -0,0 +1,118 @@
+"""The stand-ins show what the tests of the system rely on."""
+
+import asyncio
+import unittest
+
+import aiohttp
+
+from ...platform import EtcdStore, Mutation
+from ...utils import Address, BronzesillError, ResultCode
+from ..batch import EngineProfile
+from ..engine import EngineStandIn
+from ..store import StoreStandIn
+from ..tokens import expected_tokens
+
+_ANYWHERE = Address('127.0.0.1', 0)
+
+
+class TokensTest(unittest.TestCase):
+    """A splice of two generations shows in the text."""
+
+    def test_tokens_depend_on_version_seed_and_all_before(self) -> None:
+        answer = expected_tokens('v1', 1, 'prompt', 20)
+        self.assertEqual(answer, expected_tokens('v1', 1, 'prompt', 20))
+        for other in (
+            expected_tokens('v2', 1, 'prompt', 20),
+            expected_tokens('v1', 2, 'prompt', 20),
+            expected_tokens('v1', 1, 'prompts', 20),
+        ):
+            pairs = zip(answer, other, strict=True)
+            self.assertLess(sum(one == two for one, two in pairs), 3)
+
+
+class EngineTest(unittest.IsolatedAsyncioTestCase):
+    """The engine's cache events are late and have gaps."""
+
+    async def test_cache_events(self) -> None:
+        engine = EngineStandIn('guide', EngineProfile('v1'), _ANYWHERE)
+        await engine.start()
+        url = f'{engine.address.url}'
+        async with aiohttp.ClientSession() as session:
+            for number in range(15):
+                body = {
+                    'stream_id': f's{number}',
+                    'prompt': f'p{number}',
+                    'seed': 1,
+                    'max_tokens': 1,
+                }
+                async with session.post(
+                    f'{url}/v1/completions', json=body
+                ) as response:
+                    await response.read()
+            async with session.get(f'{url}/cache_events') as response:
+                events = (await response.json())['events']
+        await engine.stop()
+        numbers = [event['number'] for event in events]
+        self.assertEqual(numbers, [1, 2, 3, 4, 5, 6, 7, 8, 9, 11])
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    """Compare-and-swap, leases, watches and faults."""
+
+    async def asyncSetUp(self) -> None:
+        self.standin = StoreStandIn(_ANYWHERE)
+        await self.standin.start()
+        self.session = aiohttp.ClientSession()
+        self.store = EtcdStore(self.session, self.standin.address)
+
+    async def asyncTearDown(self) -> None:
+        await self.session.close()
+        await self.standin.stop()
+
+    async def test_only_one_of_two_writers_wins(self) -> None:
+        first = await self.store.compare_and_swap(
+            '/k', 0, (Mutation('/k', b'1'),)
+        )
+        second = await self.store.compare_and_swap(
+            '/k', 0, (Mutation('/k', b'2'),)
+        )
+        entry = await self.store.get('/k')
+        assert entry is not None
+        self.assertEqual((entry.payload, second), (b'1', None))
+        self.assertEqual(entry.mod_revision, first)
+
+    async def test_lapsed_lease_takes_its_keys_along(self) -> None:
+        lease = await self.store.grant_lease(1)
+        mutation = Mutation('/l', b'x', lease)
+        await self.store.compare_and_swap('/l', 0, (mutation,))
+        self.assertTrue(await self.store.keep_lease(lease))
+        await asyncio.sleep(1.2)
+        self.assertIsNone(await self.store.get('/l'))
+        self.assertFalse(await self.store.keep_lease(lease))
+
+    async def test_watch_shows_writes(self) -> None:
+        watch = self.store.watch('/w/')
+        waiting = asyncio.ensure_future(anext(watch))
+        await asyncio.sleep(0.2)
+        await self.store.compare_and_swap(
+            '/w/a', 0, (Mutation('/w/a', b'new'),)
+        )
+        async with asyncio.timeout(3):
+            entry = await waiting
+        self.assertEqual((entry.key, entry.payload), ('/w/a', b'new'))
+
+    async def test_outage_and_rate_limit_refuse(self) -> None:
+        faults = self.standin.state.faults
+        faults.down = True
+        with self.assertRaises(BronzesillError) as caught:
+            await self.store.get('/k')
+        self.assertIs(caught.exception.code, ResultCode.STORE_UNAVAILABLE)
+        faults.down = False
+        faults.max_calls_per_s = 5
+        refused = 0
+        for _ in range(20):
+            try:
+                await self.store.get('/k')
+            except BronzesillError:
+                refused += 1
+        self.assertGreater(refused, 5)
