Never let a begun answer join another daemon's continuation

Cause: found by tracing extra tokens after a daemon's death. (1) Of two homes, one that knows a request and one that does not, the larger owner's name decided, so that the answer could begin anew. (2) After an engine's loss, a daemon that lost the claim for the next attempt went on with the winner's stream, though the winner may have continued from fewer tokens: with engines that do not repeat themselves two texts could have met in one answer. Change: a record that is known outweighs one that is offered; a begun answer goes on from its own tokens, as a generation of its own, whoever else does. Ruled out: homes that do not answer (they did within 70 ms).

--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -34,6 +34,7 @@
     'extra tokens %',
 )
 _PAUSE_S = 4.0
+_NOTICE_S = 4.0
 _PLAN = FleetPlan(
     daemons=3,
     engines=6,
@@ -160,6 +161,8 @@
                 _check(tally, each, found.tokens + after)
             await fleet.add_daemon(number + 100)
             await fleet.wait_until_ready()
+            # The next death comes once this one has been noticed.
+            await asyncio.sleep(_NOTICE_S)
         tally.computed = fleet.tokens_computed
     return tally
 
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import uuid
 from collections.abc import Callable
 from random import Random
 from typing import TypeAlias
@@ -221,6 +222,10 @@
         holds = await self._directory.claim(offered)
         if holds == offered:
             return chosen
+        if action.is_resume:
+            # Another daemon goes on with this answer from its own tokens,
+            # which may differ from ours from here on: never join it.
+            return Placement(chosen.event, _fork(request))
         return await self._join(request, offered, holds)
 
     def _record(
@@ -284,6 +289,11 @@
     return f'{request.account}/{request.request_id}'
 
 
+def _fork(request: GenerationRequest) -> GenerationRequest:
+    generation_id = f'gen-{uuid.uuid4().hex}'
+    return dataclasses.replace(request, generation_id=generation_id)
+
+
 def _ignore(seen: AttemptSeen) -> None:
     """Do nothing with what was seen."""
 
--- a/bronzesill/generations/peer_directory.py
+++ b/bronzesill/generations/peer_directory.py
@@ -90,7 +90,8 @@
         """Offer a record and return the one that holds."""
         question = ClaimLocation(offered)
         records = await self._ask_homes(offered.request_key, question)
-        return _latest(records) or offered
+        known = [record for record in records if record != offered]
+        return _latest(known) or offered
 
     async def take_over(self, offered: LocationRecord) -> None:
         """Make this daemon look after an attempt it reads."""
