--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -19,7 +19,7 @@
 import yaml
 
 from bronzesill.config import ConfigChange, ConfigRepository
-from bronzesill.platform import EtcdStore
+from bronzesill.platform import PlatformStore
 from bronzesill.standins import (
     EngineProfile,
     EngineStandIn,
@@ -110,7 +110,9 @@
 
     async def apply(self, session: aiohttp.ClientSession, change: int) -> int:
         """Put a configuration into the store and return its revision."""
-        repository = ConfigRepository(EtcdStore(session, self.store.address))
+        repository = ConfigRepository(
+            PlatformStore(session, self.store.address)
+        )
         wanted = ConfigChange(
             self.document(change), {}, 'bench', 'measure', time.time()
         )
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -18,7 +18,7 @@
 import yaml
 
 from bronzesill.config import ConfigChange, ConfigRepository
-from bronzesill.platform import EtcdStore
+from bronzesill.platform import PlatformStore
 from bronzesill.standins import HostListStandIn, StoreStandIn
 from bronzesill.standins.fleet import free_address
 from bronzesill.utils import Address, hash_secret
@@ -134,7 +134,7 @@
     fleet = ProcessFleet(1, store.address, hosts.address)
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as session:
-        repository = ConfigRepository(EtcdStore(session, store.address))
+        repository = ConfigRepository(PlatformStore(session, store.address))
         change = ConfigChange(_document(engines), {}, 'bench', 'relay', 0)
         await repository.apply(None, change, 0)
         await fleet.start()
--- a/bronzesill/audit/trail.py
+++ b/bronzesill/audit/trail.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from ..platform import KeyValueStore, Mutation
+from ..store import KeyValueStore, Mutation
 from ..utils import stable_hash, structure_json, unstructure
 
 __all__ = [
--- a/bronzesill/audit/trimmer.py
+++ b/bronzesill/audit/trimmer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..platform import KeyValueStore
+from ..store import KeyValueStore
 from ..utils import BronzesillError, PartLogger
 from .trail import trim_trail
 
--- a/bronzesill/calls/__init__.py
+++ b/bronzesill/calls/__init__.py
@@ -1,6 +1,7 @@
 """Calls to plain services: repeated where allowed, else at most once."""
 
-from .interfaces import CallRunner, RoutedCall
+from .idempotent import IdempotentCalls
+from .interfaces import CallRunner, CallSender, RoutedCall
 from .ledger import (
     CallClaim,
     CallOutcome,
@@ -12,8 +13,10 @@
 )
 from .ledger_client import Ledger, Owner
 from .ledger_messages import ClaimCall, RecordCall, Recorded, ReleaseCall
+from .once import OnceCalls
 from .pass_through import CallAnswer, CallRequest, send_call
 from .runner import RouteRunner
+from .senders import ForwardSender, SessionSender
 from .servers import ServiceServers
 
 __all__ = [
@@ -22,11 +25,15 @@
     'CallOutcome',
     'CallRequest',
     'CallRunner',
+    'CallSender',
     'ClaimAnswer',
     'ClaimCall',
+    'ForwardSender',
+    'IdempotentCalls',
     'Ledger',
     'LedgerIndex',
     'LedgerRecord',
+    'OnceCalls',
     'Owner',
     'RecordCall',
     'RecordKind',
@@ -35,6 +42,7 @@
     'RouteRunner',
     'RoutedCall',
     'ServiceServers',
+    'SessionSender',
     'Verdict',
     'send_call',
 ]
--- a/bronzesill/calls/idempotent.py
+++ b/bronzesill/calls/idempotent.py
@@ -5,48 +5,51 @@
 import asyncio
 from typing import TypeAlias
 
-import aiohttp
-
 from ..limits import RetryBudget
 from ..utils import BronzesillError, ResultCode
 from .hedging import LatencyEstimate
-from .interfaces import RoutedCall
-from .pass_through import CallAnswer, send_call
+from .interfaces import CallSender, RoutedCall
+from .pass_through import CallAnswer
 from .servers import ServiceServers
 
 __all__ = ['IdempotentCalls']
 
 SendOutcome: TypeAlias = CallAnswer | BronzesillError
 
-_RETRIED_STATUSES = frozenset((502, 503, 504))
+_SERVER_ERROR = 500
 
 
 class IdempotentCalls:
     """
     Sends calls that may be repeated.
 
-    :param session: HTTP session that keeps no connections alive.
+    :param sender: sends a call to one server.
     :param servers: order of servers for a call.
+    :param budget: bounds the calls that are sent again.
     """
 
     def __init__(
-        self, session: aiohttp.ClientSession, servers: ServiceServers
+        self,
+        sender: CallSender,
+        servers: ServiceServers,
+        budget: RetryBudget | None = None,
     ) -> None:
         self.repeats = 0
-        self._session = session
+        self._sender = sender
         self._servers = servers
-        self._budget = RetryBudget()
+        self._budget = budget or RetryBudget()
         self._latency_by_route: dict[str, LatencyEstimate] = {}
 
     async def run(self, routed: RoutedCall) -> CallAnswer:
         """
-        Send a call until one server answers or the deadline passes.
+        Send a call until one server answers well or the deadline passes.
 
+        :returns: the answer, a failure only if every server failed.
         :raises BronzesillError: no server answered in time.
         """
         self._budget = self._budget.after_try()
         try:
-            async with asyncio.timeout(routed.route.deadline_s):
+            async with asyncio.timeout_at(routed.deadline_at_s):
                 return await self._race(routed, self._servers.order(routed))
         except TimeoutError:
             raise BronzesillError(
@@ -56,26 +59,31 @@
     async def _race(
         self, routed: RoutedCall, names: tuple[str, ...]
     ) -> CallAnswer:
-        remaining = list(names)
+        remaining = list(names[: routed.route.max_attempts])
         running = {self._start(routed, remaining.pop(0))}
-        failure = _no_answer()
+        outcome: SendOutcome = _no_answer()
         try:
-            while running:
+            while running and not _is_good(outcome):
                 done, running = await asyncio.wait(
                     running,
                     timeout=self._patience_s(routed, remaining),
                     return_when=asyncio.FIRST_COMPLETED,
                 )
-                outcome = _best_outcome(done, failure)
-                if isinstance(outcome, CallAnswer):
-                    return outcome
-                failure = outcome
-                if remaining and self._may_repeat():
-                    running.add(self._start(routed, remaining.pop(0)))
+                outcome = _best_outcome(done, outcome)
+                if not _is_good(outcome):
+                    running |= self._repeat(routed, remaining)
         finally:
-            for task in running:
-                task.cancel()
-        raise failure
+            _cancel(running)
+        if isinstance(outcome, CallAnswer):
+            return outcome
+        raise outcome
+
+    def _repeat(
+        self, routed: RoutedCall, remaining: list[str]
+    ) -> set[asyncio.Task[SendOutcome]]:
+        if remaining and self._may_repeat():
+            return {self._start(routed, remaining.pop(0))}
+        return set()
 
     def _start(
         self, routed: RoutedCall, name: str
@@ -86,28 +94,22 @@
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         self._servers.opened(name)
-        is_failed = False
+        outcome: SendOutcome = _no_answer()
         try:
-            answer = await send_call(
-                self._session,
-                self._servers.address(name),
-                routed.call,
-                routed.route.deadline_s,
-            )
+            outcome = await self._sender.send(name, routed)
         except BronzesillError as error:
-            is_failed = True
-            return error
+            outcome = error
         finally:
             latency_s = loop.time() - started_s
             self._servers.closed(
-                name, routed, is_failed=is_failed, latency_s=latency_s
+                name,
+                routed,
+                is_failed=not _is_good(outcome),
+                latency_s=latency_s,
             )
-        self._note(routed, latency_s)
-        if answer.status in _RETRIED_STATUSES:
-            return BronzesillError(
-                ResultCode.CALL_FAILED, f'the service says {answer.status}'
-            )
-        return answer
+        if _is_good(outcome):
+            self._note(routed, latency_s)
+        return outcome
 
     def _note(self, routed: RoutedCall, latency_s: float) -> None:
         estimate = self._latency_by_route.get(
@@ -134,15 +136,23 @@
 
 
 def _best_outcome(
-    done: set[asyncio.Task[SendOutcome]], before: BronzesillError
+    done: set[asyncio.Task[SendOutcome]], before: SendOutcome
 ) -> SendOutcome:
-    last = before
-    for task in done:
-        outcome = task.result()
-        if isinstance(outcome, CallAnswer):
-            return outcome
-        last = outcome
-    return last
+    outcomes = [before, *(task.result() for task in done)]
+    return max(outcomes, key=_worth)
+
+
+def _cancel(running: set[asyncio.Task[SendOutcome]]) -> None:
+    for task in running:
+        task.cancel()
+
+
+def _worth(outcome: SendOutcome) -> int:
+    return int(isinstance(outcome, CallAnswer)) + int(_is_good(outcome))
+
+
+def _is_good(outcome: SendOutcome) -> bool:
+    return isinstance(outcome, CallAnswer) and outcome.status < _SERVER_ERROR
 
 
 def _no_answer() -> BronzesillError:
--- a/bronzesill/calls/interfaces.py
+++ b/bronzesill/calls/interfaces.py
@@ -6,9 +6,10 @@
 from typing import Protocol
 
 from ..config import Route
+from ..upstream import ForwardRequest
 from .pass_through import CallAnswer, CallRequest
 
-__all__ = ['CallRunner', 'RoutedCall']
+__all__ = ['CallRunner', 'CallSender', 'RoutedCall']
 
 
 @dataclasses.dataclass(frozen=True)
@@ -22,6 +23,8 @@
     :param account: client account that calls.
     :param request_id: name of the request.
     :param key: the caller's idempotency key, empty for none.
+    :param deadline_at_s: loop time at which nobody waits any more.
+    :param forward: the request as it came if it is passed on as such.
     """
 
     call: CallRequest
@@ -30,6 +33,23 @@
     account: str
     request_id: str
     key: str
+    deadline_at_s: float
+    forward: ForwardRequest | None = None
+
+
+class CallSender(Protocol):
+    """Sends a call to one server, once."""
+
+    async def send(self, server: str, routed: RoutedCall) -> CallAnswer:
+        """
+        Send a call.
+
+        :param server: name of the server.
+        :param routed: the call with its route.
+        :raises BronzesillError: ``CALL_NOT_RUN`` if the server did not run
+            it and never will, ``CALL_OUTCOME_UNKNOWN`` for any later
+            failure.
+        """
 
 
 class CallRunner(Protocol):
--- a/bronzesill/calls/ledger_client.py
+++ b/bronzesill/calls/ledger_client.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any, TypeAlias
 
-from ..platform import KeyValueStore
+from ..store import KeyValueStore
 from ..utils import Address, BronzesillError, stable_hash
 from ..wire import PeerClient
 from .ledger import CallClaim, CallOutcome, ClaimAnswer, Verdict
--- a/bronzesill/calls/partition.py
+++ b/bronzesill/calls/partition.py
@@ -7,7 +7,7 @@
 import time
 from typing import TypeAlias
 
-from ..platform import KeyValueStore
+from ..store import KeyValueStore
 from ..utils import BronzesillError, PartLogger, ResultCode
 from .ledger import (
     CallClaim,
--- a/bronzesill/calls/pass_through.py
+++ b/bronzesill/calls/pass_through.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from ..upstream import Header
 from ..utils import Address, BronzesillError, ResultCode
 
 __all__ = ['CallAnswer', 'CallRequest', 'send_call']
@@ -53,12 +54,14 @@
     :param content_type: type of the body.
     :param body: bytes of the body.
     :param is_replay: whether the call ran before and this is its record.
+    :param headers: all headers of an answer that is passed on as it came.
     """
 
     status: int
     content_type: str
     body: bytes
     is_replay: bool = False
+    headers: tuple[Header, ...] = ()
 
 
 async def send_call(
--- a/bronzesill/calls/runner.py
+++ b/bronzesill/calls/runner.py
@@ -8,15 +8,14 @@
 from collections.abc import Coroutine
 from typing import Any
 
-import aiohttp
-
 from ..utils import BronzesillError, PartLogger, ResultCode, stable_hash
 from .idempotent import IdempotentCalls
-from .interfaces import RoutedCall
+from .interfaces import CallSender, RoutedCall
 from .keys import issued_at_s
 from .ledger import CallClaim, CallOutcome, ClaimAnswer, Verdict
 from .ledger_client import Ledger
-from .pass_through import CallAnswer, send_call
+from .once import OnceCalls
+from .pass_through import CallAnswer
 from .servers import ServiceServers
 
 __all__ = ['RouteRunner']
@@ -25,7 +24,6 @@
 _RUNNING_POLL_S = 0.2
 _RECORD_WAIT_S = 1.0
 _MAX_CLOCK_SKEW_S = 120.0
-_SERVER_ERROR = 500
 
 _CODES_BY_VERDICT = (
     (Verdict.RUNNING, ResultCode.CALL_IN_PROGRESS, 'the call still runs'),
@@ -58,21 +56,20 @@
     """
     Runs calls to plain services.
 
-    :param session: HTTP session that keeps no connections alive.
+    :param sender: sends a call to one server.
     :param servers: order of servers for a call.
     :param ledger: record of calls that must not be repeated.
     """
 
     def __init__(
         self,
-        session: aiohttp.ClientSession,
+        sender: CallSender,
         servers: ServiceServers,
         ledger: Ledger,
     ) -> None:
-        self._session = session
-        self._servers = servers
         self._ledger = ledger
-        self._idempotent = IdempotentCalls(session, servers)
+        self._once = OnceCalls(sender, servers)
+        self._idempotent = IdempotentCalls(sender, servers)
         self._helpers: set[asyncio.Task[object]] = set()
 
     async def run_call(self, routed: RoutedCall) -> CallAnswer:
@@ -85,7 +82,7 @@
         if routed.route.idempotent:
             return await self._idempotent.run(routed)
         if not routed.key:
-            return await self._send_once(routed)
+            return await self._once.run(routed)
         claim = _make_claim(routed)
         # In a task of its own: a caller that leaves does not end it between
         # the claim and the record.
@@ -114,7 +111,7 @@
         self, routed: RoutedCall, claim: CallClaim
     ) -> CallAnswer:
         try:
-            answer = await self._send_once(routed)
+            answer = await self._once.run(routed)
         except BronzesillError as error:
             if error.code is ResultCode.CALL_NOT_RUN:
                 await self._ledger.release(claim)
@@ -142,46 +139,6 @@
             await asyncio.sleep(pause_s)
             pause_s *= 2
 
-    async def _send_once(self, routed: RoutedCall) -> CallAnswer:
-        """
-        Send a call; try another server only while no byte was sent.
-
-        :raises BronzesillError: ``CALL_NOT_RUN`` if no connection came about
-            at all, ``CALL_OUTCOME_UNKNOWN`` for any later failure.
-        """
-        refusal = BronzesillError(
-            ResultCode.CALL_NOT_RUN, 'not run: no server of the service'
-        )
-        for name in self._servers.order(routed):
-            try:
-                return await self._send_to(name, routed)
-            except BronzesillError as error:
-                if error.code is not ResultCode.CALL_NOT_RUN:
-                    raise
-                refusal = error
-        raise refusal
-
-    async def _send_to(self, name: str, routed: RoutedCall) -> CallAnswer:
-        self._servers.opened(name)
-        started_s = time.monotonic()
-        is_failed = True
-        try:
-            answer = await send_call(
-                self._session,
-                self._servers.address(name),
-                routed.call,
-                routed.route.deadline_s,
-            )
-            is_failed = answer.status >= _SERVER_ERROR
-        finally:
-            self._servers.closed(
-                name,
-                routed,
-                is_failed=is_failed,
-                latency_s=time.monotonic() - started_s,
-            )
-        return answer
-
     def _help(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         helper = asyncio.create_task(work)
         self._helpers.add(helper)
--- a/bronzesill/calls/segments.py
+++ b/bronzesill/calls/segments.py
@@ -7,7 +7,7 @@
 
 import msgpack
 
-from ..platform import Mutation, StoredEntry
+from ..store import Mutation, StoredEntry
 from ..utils import (
     BronzesillError,
     ResultCode,
--- a/bronzesill/cli/context.py
+++ b/bronzesill/cli/context.py
@@ -13,7 +13,7 @@
 import yaml
 
 from ..config import ConfigRepository
-from ..platform import EtcdStore
+from ..platform import PlatformStore
 from ..utils import Address, DocumentInvalid, structure
 
 __all__ = ['Context', 'ToolSettings', 'open_context']
@@ -63,7 +63,7 @@
     options: argparse.Namespace
     settings: ToolSettings
     session: aiohttp.ClientSession
-    store: EtcdStore
+    store: PlatformStore
 
     @property
     def repository(self) -> ConfigRepository:
@@ -107,5 +107,5 @@
     settings = ToolSettings.from_file(options.settings)
     async with aiohttp.ClientSession() as session:
         yield Context(
-            options, settings, session, EtcdStore(session, settings.store)
+            options, settings, session, PlatformStore(session, settings.store)
         )
--- a/bronzesill/config/__init__.py
+++ b/bronzesill/config/__init__.py
@@ -4,13 +4,16 @@
     BackendServer,
     ClientAccount,
     Document,
+    EngineTraits,
     Limits,
+    ListedServer,
     Model,
     Operator,
     Preferences,
     Route,
     Service,
 )
+from .hosted import FleetBounds, HostedSettings
 from .messages import ConfigAnswer, FetchConfig
 from .overlay import build_document, merge_overlay, parse_yaml
 from .repository import (
@@ -32,9 +35,13 @@
     'ConfigRepository',
     'DaemonSettings',
     'Document',
+    'EngineTraits',
     'FetchConfig',
+    'FleetBounds',
     'HeldConfig',
+    'HostedSettings',
     'Limits',
+    'ListedServer',
     'Model',
     'Operator',
     'Preferences',
--- a/bronzesill/config/repository.py
+++ b/bronzesill/config/repository.py
@@ -7,7 +7,7 @@
 import orjson
 
 from ..audit import AuditEntry, audit_mutation
-from ..platform import KeyValueStore, Mutation
+from ..store import KeyValueStore, Mutation
 from ..utils import BronzesillError, ResultCode, structure_json, unstructure
 from .revision import StoredConfig
 
--- a/bronzesill/daemon/config_keeper.py
+++ b/bronzesill/daemon/config_keeper.py
@@ -21,7 +21,7 @@
     parse_stored,
     should_adopt,
 )
-from ..platform import KeyValueStore
+from ..store import KeyValueStore
 from ..utils import Address, BronzesillError, DocumentInvalid, PartLogger
 from ..wire import PeerClient
 
--- a/bronzesill/daemon/core.py
+++ b/bronzesill/daemon/core.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 
-from ..calls import RouteRunner, ServiceServers
+from ..calls import RouteRunner, ServiceServers, SessionSender
 from ..config import CONFIG_KEY, DaemonSettings, Document, Revision
 from ..gateway import (
     AdminResource,
@@ -71,7 +71,9 @@
         self._stop_asked = asyncio.Event()
         self._stop_now = asyncio.Event()
         self._state = GatewayState()
-        self._server = HttpServer(self._make_app, settings.callers)
+        self._server = HttpServer(
+            self._make_app, settings.callers, self._state.serving_limits
+        )
         self._shared = SharedParts.from_settings(
             settings, self.address, session, self._adopt
         )
@@ -254,6 +256,12 @@
             self._shared.keeper.mailbox.put_nowait(heard)
 
     def _make_app(self) -> object:
+        servers = ServiceServers(
+            self._shared.book,
+            self._shared.traffic.service_split,
+            self._shared.traffic.note_call,
+            self._shared.random,
+        )
         return make_app(
             CompletionsResource(
                 self._state,
@@ -265,13 +273,8 @@
             PlainCallsResource(
                 self._state,
                 RouteRunner(
-                    self._calls_session,
-                    ServiceServers(
-                        self._shared.book,
-                        self._shared.traffic.service_split,
-                        self._shared.traffic.note_call,
-                        self._shared.random,
-                    ),
+                    SessionSender(self._calls_session, servers),
+                    servers,
                     self._shared.ledger,
                 ),
             ),
--- a/bronzesill/daemon/fleet.py
+++ b/bronzesill/daemon/fleet.py
@@ -12,7 +12,7 @@
     FactKind,
     MembershipController,
 )
-from ..platform import HostList, ListedHost
+from ..store import HostList, ListedHost
 from ..utils import Address, BronzesillError, PartLogger
 from .config_keeper import ConfigKeeper, RevisionHeard
 from .roles import RoleFinder
--- /dev/null
+++ b/bronzesill/daemon/hosted.py
@@ -0,0 +1,302 @@
+"""The daemon on a hosting platform: its parts, how they start and stop."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Coroutine
+from random import Random
+from typing import Any
+
+import aiohttp
+
+from ..calls import ForwardSender, IdempotentCalls, OnceCalls, ServiceServers
+from ..config import HostedSettings
+from ..gateway import (
+    ForwardParts,
+    ForwardResource,
+    GatewayState,
+    make_forward_app,
+)
+from ..generations import (
+    ForwardStreamClient,
+    GenerationsController,
+    LocalDirectory,
+    LocationTable,
+)
+from ..limits import RetryBudget
+from ..membership import (
+    FetchView,
+    GossipPolicy,
+    Member,
+    MembershipController,
+    MembershipMailbox,
+)
+from ..platform import (
+    OPERATOR_PREFIX,
+    SERVER_PREFIX,
+    PlatformDialect,
+    PlatformStore,
+    make_directory_app,
+    make_readiness_app,
+)
+from ..replica import FollowPolicy, StoreFollower
+from ..routing import LoadReport, ServerBook, TrafficSplit
+from ..store import StoredEntry
+from ..upstream import AnswerHead, ConnectionPool
+from ..utils import (
+    HttpServer,
+    NullMetrics,
+    PartLogger,
+    ResultCode,
+)
+from ..wire import DatagramSocket, PeerClient, PeerServer, WireCounters
+from .hosted_fleet import HostedFleet
+from .hosted_knowledge import HostedKnowledge
+from .protocol import Refusal, make_registry
+
+__all__ = ['HostedDaemon']
+
+_MS_PER_S = 1000
+_ADDRESS_TTL_S = 2.0
+_SERVER_PAUSE_S = 0.4
+_OPERATOR_PAUSE_S = 0.1
+_STOP_MARGIN_S = 0.5
+_STOP_POLL_S = 0.05
+_STOP_LINGER_S = 4.0
+
+_log = PartLogger('daemon')
+
+
+class HostedDaemon:
+    """
+    One host's process on the platform.
+
+    :param settings: the host's own settings.
+    :param session: HTTP session to the platform's store.
+    """
+
+    def __init__(
+        self, settings: HostedSettings, session: aiohttp.ClientSession
+    ) -> None:
+        self._settings = settings
+        self._session = session
+        self._random = Random(f'{settings.name} {time.time_ns()}')
+        self._state = GatewayState()
+        self._book = ServerBook()
+        self._pool = ConnectionPool()
+        self._store = PlatformStore(session, settings.store)
+        self._dialect = PlatformDialect()
+        self._peers = _Peers(settings, self._random)
+        self._fleet = HostedFleet(
+            self._store, self._peers.membership, self._random
+        )
+        self._knowledge = HostedKnowledge(self._state, self._book, self._hear)
+        self._callers = HttpServer(
+            self._make_app, settings.callers, self._state.serving_limits
+        )
+        self._directory = HttpServer(
+            lambda: make_directory_app(self._fleet.addresses, _ADDRESS_TTL_S),
+            settings.directory,
+        )
+        self._readiness = HttpServer(
+            lambda: make_readiness_app(self._is_ready), settings.readiness
+        )
+        self._stop_asked = asyncio.Event()
+
+    @classmethod
+    def from_settings(cls, settings: HostedSettings) -> HostedDaemon:
+        """Build a daemon; an event loop has to be running."""
+        return cls(
+            settings,
+            aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=10)
+            ),
+        )
+
+    async def run(self) -> None:
+        """Serve until a stop is asked for and all requests have ended."""
+        await self._peers.open()
+        for server in (self._callers, self._directory, self._readiness):
+            await server.start()
+        _log.info('%s serves on %s', self._settings.name, self._callers.address)
+        tasks = [asyncio.create_task(part) for part in self._parts()]
+        try:
+            await self._stop_asked.wait()
+            await self._drain()
+        finally:
+            await self._close(tasks)
+        _log.info('%s stopped', self._settings.name)
+
+    def begin_stop(self) -> None:
+        """Begin a planned stop."""
+        if self._stop_asked.is_set():
+            return
+        _log.info('%s is asked to stop', self._settings.name)
+        loop = asyncio.get_running_loop()
+        grace_s = self._settings.bounds.grace_s - _STOP_MARGIN_S
+        self._state.is_stopping = True
+        self._state.ends_at_s = loop.time() + grace_s
+        self._fleet.state_stop()
+        self._stop_asked.set()
+
+    def _parts(self) -> list[Coroutine[Any, Any, None]]:
+        return [
+            self._follow(OPERATOR_PREFIX, FollowPolicy(20, _OPERATOR_PAUSE_S)),
+            self._follow(SERVER_PREFIX, FollowPolicy(20, _SERVER_PAUSE_S)),
+            self._knowledge.settle(),
+            self._peers.membership.run(),
+            self._fleet.keep_listed(),
+            self._fleet.find_peers(),
+        ]
+
+    def _follow(
+        self, prefix: str, policy: FollowPolicy
+    ) -> Coroutine[Any, Any, None]:
+        follower = StoreFollower(
+            self._store,
+            prefix,
+            policy,
+            self._knowledge.take_snapshot,
+            self._knowledge.take_entries,
+            self._knowledge.note_reached,
+            self._random,
+        )
+        return follower.run()
+
+    async def _drain(self) -> None:
+        loop = asyncio.get_running_loop()
+        ends_at_s = self._state.ends_at_s or loop.time()
+        linger_until_s = min(loop.time() + _STOP_LINGER_S, ends_at_s)
+        await self._fleet.withdraw()
+        while loop.time() < ends_at_s:
+            is_quiet = not self._callers.running
+            if is_quiet and loop.time() >= linger_until_s:
+                break
+            await asyncio.sleep(_STOP_POLL_S)
+
+    async def _close(self, tasks: list[asyncio.Task[None]]) -> None:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for server in (self._callers, self._directory, self._readiness):
+            await server.kill()
+        await self._peers.close()
+        self._pool.close()
+        await self._session.close()
+
+    def _is_ready(self) -> bool:
+        return self._knowledge.is_complete and not self._state.is_stopping
+
+    def _hear(self, news: tuple[StoredEntry, ...]) -> None:
+        """Take in entries that were news."""
+
+    def _make_app(self) -> object:
+        servers = ServiceServers(
+            self._book, _no_split, _ignore_call, self._random
+        )
+        sender = ForwardSender(self._pool, self._dialect, servers)
+        generations = GenerationsController(
+            self._settings.name,
+            self._settings.failure_domain,
+            self._book,
+            ForwardStreamClient(self._pool, self._dialect, self._note_head),
+            LocalDirectory(LocationTable()),
+            NullMetrics(),
+            self._random,
+        )
+        generations.keeps_copies = self._keeps_copies
+        bounds = self._settings.bounds
+        budget = RetryBudget(earn_per_try=bounds.retry_ratio / 2)
+        parts = ForwardParts(
+            self._dialect,
+            generations,
+            IdempotentCalls(sender, servers, budget),
+            OnceCalls(sender, servers),
+            self._random,
+        )
+        return make_forward_app(ForwardResource(self._state, parts))
+
+    def _keeps_copies(self, model: str) -> bool:
+        document = self._state.document
+        service = document.services.get(model) if document else None
+        engine = service.engine if service else None
+        return engine is not None and engine.keeps_copies
+
+    def _note_head(self, server: str, head: AnswerHead) -> None:
+        load = self._dialect.load(head)
+        if load is not None:
+            now_s = asyncio.get_running_loop().time()
+            running = load.running + load.waiting
+            self._book.reported(server, LoadReport(running, '', now_s))
+
+
+class _Peers:
+    """
+    Membership with its socket, and streams to and from peers.
+
+    :param settings: the host's own settings.
+    :param random: generator for choices of targets.
+    """
+
+    def __init__(self, settings: HostedSettings, random: Random) -> None:
+        registry = make_registry()
+        counters = WireCounters()
+        mailbox: MembershipMailbox = asyncio.Queue()
+        self._address = settings.peers
+        self.client = PeerClient(registry, counters)
+        self._socket = DatagramSocket(registry, counters, mailbox)
+        self.membership = MembershipController(
+            _describe(settings),
+            self._socket,
+            mailbox,
+            self.client,
+            random,
+            GossipPolicy(),
+        )
+        self._server = PeerServer(settings.peers, registry, self, counters)
+
+    async def open(self) -> None:
+        """Listen to peers."""
+        await self._server.start()
+        await self._socket.open(self._address)
+
+    async def close(self) -> None:
+        """End all connections with peers."""
+        await self._server.stop()
+        await self.client.stop()
+        self._socket.close()
+
+    async def answer(self, question: Any) -> Any:
+        """Answer one question of a peer."""
+        match question:
+            case FetchView():
+                return self.membership.answer_view(question)
+            case _:
+                return Refusal(int(ResultCode.MESSAGE_INVALID))
+
+
+def _describe(settings: HostedSettings) -> Member:
+    return Member(
+        name=settings.name,
+        region=settings.region,
+        failure_domain=settings.failure_domain,
+        peers=settings.peers,
+        callers=settings.callers,
+        incarnation=int(time.time() * _MS_PER_S),
+    )
+
+
+def _no_split(service: str) -> TrafficSplit:
+    return TrafficSplit('')
+
+
+def _ignore_call(
+    service: str,
+    route: str,
+    server: str,
+    *,
+    is_failed: bool,
+    latency_s: float,
+) -> None:
+    """Do nothing with how a call ended."""
--- /dev/null
+++ b/bronzesill/daemon/hosted_fleet.py
@@ -0,0 +1,147 @@
+"""A hosted daemon's place in the fleet, found through the store."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+import orjson
+
+from ..membership import Fact, FactKind, Member, MembershipController
+from ..store import KeyValueStore, Mutation, StoredEntry
+from ..utils import (
+    Address,
+    BronzesillError,
+    DocumentInvalid,
+    PartLogger,
+    structure,
+    unstructure,
+)
+
+__all__ = ['HostedFleet']
+
+_PREFIX = 'bronzesill/hosts/'
+_LEASE_S = 10.0
+_RENEW_S = 3.0
+_RETRY_S = 0.5
+_SEEDS = 4
+_SEARCH_S = 0.4
+_SEARCH_FULL_S = 8.0
+
+_log = PartLogger('fleet')
+
+
+class HostedFleet:
+    """
+    Lists this daemon in the store and joins the daemons listed there.
+
+    :param store: the key-value service.
+    :param membership: what is believed of the fleet.
+    :param random: generator for choices of peers and jitter.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        membership: MembershipController,
+        random: Random,
+    ) -> None:
+        self._store = store
+        self._membership = membership
+        self._random = random
+        self._lease_id = 0
+
+    async def keep_listed(self) -> None:
+        """Keep this daemon's entry alive, for ever."""
+        while True:
+            try:
+                await self._renew()
+                pause_s = _RENEW_S
+            except BronzesillError as error:
+                _log.warning('not listed: %s', error)
+                pause_s = _RETRY_S
+            await asyncio.sleep(pause_s * (0.5 + self._random.random()))
+
+    async def find_peers(self) -> None:
+        """Join daemons that are listed, for ever; rarely once joined."""
+        while True:
+            try:
+                await self._join()
+            except BronzesillError as error:
+                _log.warning('hosts not listed: %s', error)
+            pause_s = _SEARCH_FULL_S if self.live_peers() else _SEARCH_S
+            await asyncio.sleep(pause_s * (0.5 + self._random.random()))
+
+    async def withdraw(self) -> None:
+        """Take this daemon's entry away."""
+        if self._lease_id:
+            try:
+                await self._store.end_lease(self._lease_id)
+            except BronzesillError as error:
+                _log.info('entry left to lapse: %s', error)
+
+    def state_stop(self) -> None:
+        """State that this daemon begins its planned stop."""
+        own = self._membership.own
+        self._membership.state_fact(
+            Fact(FactKind.HOST_LEAVING, own.name, own.incarnation)
+        )
+
+    def live_peers(self) -> tuple[Member, ...]:
+        """Return the other daemons that live."""
+        own = self._membership.own
+        return tuple(
+            member
+            for member in self._membership.view.members_by_name.values()
+            if member.is_alive and member.name != own.name
+        )
+
+    def addresses(self, failure_domain: str) -> tuple[Address, ...]:
+        """Return the addresses of daemons that take new work."""
+        view = self._membership.view
+        welcome = [
+            member.callers
+            for member in view.members_by_name.values()
+            if member.is_alive and not view.is_leaving(member)
+        ]
+        return tuple(welcome) or (self._membership.own.callers,)
+
+    async def _renew(self) -> None:
+        if self._lease_id and await self._store.keep_lease(self._lease_id):
+            return
+        self._lease_id = await self._store.grant_lease(_LEASE_S)
+        own = self._membership.own
+        key = f'{_PREFIX}{own.name}'
+        payload = orjson.dumps(unstructure(own))
+        known = await self._store.get(key)
+        await self._store.compare_and_swap(
+            key,
+            known.mod_revision if known else 0,
+            (Mutation(key, payload, self._lease_id),),
+        )
+
+    async def _join(self) -> None:
+        listed = await self._store.snapshot(_PREFIX, is_stale_fine=True)
+        own = self._membership.own
+        known = {member.peers for member in self.live_peers()}
+        members = [_member(entry) for entry in listed.entries]
+        seeds = sorted(
+            member.peers
+            for member in members
+            if member is not None
+            and member.name != own.name
+            and member.peers not in known
+        )
+        count = min(_SEEDS, len(seeds))
+        if count:
+            drawn = tuple(self._random.sample(seeds, count))
+            joined = await self._membership.join(drawn)
+            _log.info('joined by %s of %s seeds', joined, count)
+
+
+def _member(entry: StoredEntry) -> Member | None:
+    try:
+        return structure(orjson.loads(entry.payload), Member)
+    except (DocumentInvalid, ValueError):
+        _log.warning('entry %s is not a host', entry.key)
+        return None
--- /dev/null
+++ b/bronzesill/daemon/hosted_knowledge.py
@@ -0,0 +1,151 @@
+"""What a hosted daemon knows from the store: configuration and servers."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from ..config import BackendServer, Document, ListedServer
+from ..gateway import GatewayState
+from ..platform import (
+    CONFIGURATION_KEY,
+    SERVER_PREFIX,
+    decode_document,
+    decode_server,
+    server_name,
+)
+from ..replica import Merge, Replica, merge, replace_prefix
+from ..routing import Listing, ServerBook
+from ..store import Snapshot, StoredEntry
+from ..utils import DocumentInvalid, PartLogger
+
+__all__ = ['HostedKnowledge']
+
+_SETTLE_S = 0.25
+
+_log = PartLogger('knowledge')
+
+
+class HostedKnowledge:
+    """
+    Owner of the replica and of what follows from it.
+
+    :param state: configuration as the gateway sees it.
+    :param book: what is known of the backend servers.
+    :param on_news: told of entries that were news.
+    """
+
+    def __init__(
+        self,
+        state: GatewayState,
+        book: ServerBook,
+        on_news: Callable[[tuple[StoredEntry, ...]], None],
+    ) -> None:
+        self.replica = Replica()
+        self.listing = Listing()
+        self._state = state
+        self._book = book
+        self._on_news = on_news
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether a configuration and some servers are known."""
+        has_servers = bool(self.listing.listed_by_name)
+        return self._state.document is not None and has_servers
+
+    def take_snapshot(self, prefix: str, snapshot: Snapshot) -> None:
+        """Take in all keys below a prefix."""
+        self._take(replace_prefix(self.replica, prefix, snapshot))
+
+    def take_entries(self, entries: tuple[StoredEntry, ...]) -> None:
+        """Take in changes."""
+        self._take(merge(self.replica, entries))
+
+    def note_reached(self, is_reached: bool) -> None:
+        """Take in whether the store answers."""
+        self.listing = self.listing.reached(
+            is_reached=is_reached, now_s=_now_s()
+        )
+
+    async def settle(self) -> None:
+        """Drop servers that stayed missing, for ever."""
+        while True:
+            await asyncio.sleep(_SETTLE_S)
+            settled = self.listing.settled(_now_s())
+            if settled is not self.listing:
+                self.listing = settled
+                self._refresh_servers()
+
+    def _take(self, merged: Merge) -> None:
+        self.replica = merged.replica
+        if not merged.news:
+            return
+        before = self.listing
+        for entry in merged.news:
+            self._apply(entry)
+        if self.listing is not before:
+            self._refresh_servers()
+        self._on_news(merged.news)
+
+    def _apply(self, entry: StoredEntry) -> None:
+        if entry.key == CONFIGURATION_KEY:
+            self._adopt(entry)
+        elif entry.key.startswith(SERVER_PREFIX):
+            self._note_server(server_name(entry.key), entry)
+
+    def _adopt(self, entry: StoredEntry) -> None:
+        if entry.is_removed:
+            _log.warning('the configuration is removed; the last one holds')
+            return
+        try:
+            document = decode_document(entry.payload)
+        except DocumentInvalid as error:
+            _log.error('revision %s refused: %s', entry.mod_revision, error)
+            return
+        self._state.document = document
+        _log.info('configuration of revision %s in force', entry.mod_revision)
+        self._refresh_servers()
+
+    def _note_server(self, name: str, entry: StoredEntry) -> None:
+        if entry.is_removed:
+            self.listing = self.listing.removed(name, _now_s())
+            return
+        listed = decode_server(entry.payload)
+        known = self.listing.listed_by_name.get(name)
+        if listed == known and name not in self.listing.missing:
+            return
+        if _is_new_start(known, listed):
+            self._book.forget(name)
+        self.listing = self.listing.written(name, listed)
+
+    def _refresh_servers(self) -> None:
+        listed_by_name = self.listing.listed_by_name
+        self._book.replace_servers(
+            {
+                name: _as_used(listed.server, self._state.document)
+                for name, listed in listed_by_name.items()
+            }
+        )
+        for name, listed in listed_by_name.items():
+            self._book.set_leaving(name, is_leaving=listed.is_leaving)
+
+
+def _is_new_start(
+    known: ListedServer | None, listed: ListedServer | None
+) -> bool:
+    if known is None or listed is None:
+        return False
+    return known.started_at_ms != listed.started_at_ms
+
+
+def _as_used(server: BackendServer, document: Document | None) -> BackendServer:
+    service = document.services.get(server.service) if document else None
+    if service is None or service.engine is None:
+        return server
+    # An engine serves the model that is named like its service.
+    return dataclasses.replace(server, model=server.service, service='')
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/bronzesill/daemon/parts.py
+++ b/bronzesill/daemon/parts.py
@@ -33,7 +33,7 @@
 )
 from ..moves import MovesController
 from ..orders import OrderClient, OrderRepository, OrdersController
-from ..platform import EtcdStore, HttpHostList
+from ..platform import HttpHostList, PlatformStore
 from ..routing import ServerBook
 from ..utils import Address, connect_metrics
 from ..wire import DatagramSocket, PeerClient, PeerServer, WireCounters
@@ -117,7 +117,7 @@
         client = PeerClient(registry, counters)
         mailbox: MembershipMailbox = asyncio.Queue()
         socket = DatagramSocket(registry, counters, mailbox)
-        store = EtcdStore(session, settings.store)
+        store = PlatformStore(session, settings.store)
         book = ServerBook()
         locations = LocationTable()
         membership = MembershipController(
--- a/bronzesill/daemon/tests/test_configuration.py
+++ b/bronzesill/daemon/tests/test_configuration.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 from ...standins.fleet import Fleet, FleetPlan
-from ...standins.store_state import Entry
 from .caller import Received, ask, stream
 
 
@@ -41,10 +40,10 @@
         self.assertLess(await _until_revision(self.fleet, number), 3)
 
     async def test_restored_store_takes_nobody_back(self) -> None:
-        before = dict(self.store.entries_by_key)
+        before = dict(self.store.items_by_key)
         number = await self.fleet.apply(self.document(8))
         await _until_revision(self.fleet, number)
-        self.store.entries_by_key = before
+        self.store.items_by_key = before
         newcomer = await self.fleet.add_daemon(20)
         await self.fleet.wait_until_ready()
         await _until_revision(self.fleet, number)
@@ -74,12 +73,9 @@
     async def test_unreadable_store_harms_nobody(self) -> None:
         revision = self.fleet.daemons[0].status().revision
         nonsense = base64.b64encode(b'{"number": ').decode()
-        for key in (b'/bronzesill/config/current', b'/bronzesill/moves/x'):
+        for key in ('/bronzesill/config/current', '/bronzesill/moves/x'):
             self.store.revision += 1
-            entry = Entry(
-                base64.b64encode(key).decode(), nonsense, self.store.revision
-            )
-            self.store.put(key, entry)
+            self.store.write(key, nonsense, 0)
         await asyncio.sleep(2)
         for daemon in self.fleet.daemons:
             self.assertEqual(daemon.status().revision, revision)
--- a/bronzesill/daemon/tests/test_refusals.py
+++ b/bronzesill/daemon/tests/test_refusals.py
@@ -3,10 +3,8 @@
 import asyncio
 import unittest
 from typing import Any
-from unittest import mock
 
 from ...standins.fleet import Fleet, FleetPlan
-from ...utils import serving
 from .caller import Received, ask, stream
 
 _PATH = '/v1/completions'
@@ -70,13 +68,20 @@
         writer.close()
 
     async def test_slow_head_is_cut_off(self) -> None:
-        with mock.patch.object(serving, '_HEAD_TIMEOUT_S', 0.3):
-            reader, writer = await asyncio.open_connection(
-                self.address.ip, self.address.port
-            )
-            writer.write(b'POST /v1/completions HTTP/1.1\r\nHost')
-            async with asyncio.timeout(3):
-                self.assertEqual(await reader.read(), b'')
+        document = self.fleet.document()
+        document['limits']['head_timeout_s'] = 0.3
+        number = await self.fleet.apply(document)
+        async with asyncio.timeout(8):
+            while self.daemon.status().revision != number:
+                await asyncio.sleep(0.02)
+        reader, writer = await asyncio.open_connection(
+            self.address.ip, self.address.port
+        )
+        writer.write(b'POST /v1/completions HTTP/1.1\r\nHost')
+        async with asyncio.timeout(3):
+            answer = await reader.read()
+        self.assertTrue(answer.startswith(b'HTTP/1.1 408 '))
+        self.assertIn(b'Connection: close', answer)
         writer.close()
 
     async def test_full_queue_refuses_and_leaves_nothing_behind(self) -> None:
--- a/bronzesill/gateway/__init__.py
+++ b/bronzesill/gateway/__init__.py
@@ -5,6 +5,7 @@
 from .completions import CompletionsResource
 from .exchange import Exchange, RequestFilter, run_filters
 from .filters import Authenticate, NameRequest, ParseJson, ReadBody
+from .forwarding import ForwardParts, ForwardResource, make_forward_app
 from .information import InformationResource
 from .move_admin import MoveAdminResource
 from .order_admin import OrderAdminResource
@@ -20,6 +21,8 @@
     'DaemonStatus',
     'EventPosition',
     'Exchange',
+    'ForwardParts',
+    'ForwardResource',
     'GatewayState',
     'InformationResource',
     'MoveAdminResource',
@@ -31,6 +34,7 @@
     'RequestFilter',
     'StatusSource',
     'make_app',
+    'make_forward_app',
     'render_error',
     'run_filters',
 ]
--- a/bronzesill/gateway/completions.py
+++ b/bronzesill/gateway/completions.py
@@ -12,6 +12,7 @@
     Failed,
     GenerationRequest,
     GenerationsController,
+    Opened,
     Piece,
     Subscription,
 )
@@ -195,6 +196,8 @@
         if self._queue is None:
             raise _incomplete(ResultCode.CALLER_LEFT)
         arrived = await self._queue.get()
+        while isinstance(arrived, Opened):
+            arrived = await self._queue.get()
         if isinstance(arrived, Failed):
             raise _incomplete(arrived.code)
         return arrived
--- a/bronzesill/gateway/disconnect.py
+++ b/bronzesill/gateway/disconnect.py
@@ -10,13 +10,42 @@
 
 from ..utils import BronzesillError, ResultCode
 
-__all__ = ['ReceiveKeeper', 'run_until_disconnect', 'watch_disconnect']
+__all__ = [
+    'ReceiveKeeper',
+    'receive_event',
+    'run_until_disconnect',
+    'watch_disconnect',
+]
 
-_RECEIVE_KEY = 'bronzesill.receive'
+_EVENTS_KEY = 'bronzesill.events'
 
 _Receive = Callable[[], Awaitable[dict[str, Any]]]
 
 
+class _Events:
+    """
+    Events of a request's connection; falcon takes the first one for itself.
+
+    :param receive: gives the next event.
+    """
+
+    def __init__(self, receive: _Receive) -> None:
+        self._receive = receive
+        self._taken: list[dict[str, Any]] = []
+
+    async def receive_for_falcon(self) -> dict[str, Any]:
+        """Return the next event and keep it for who asks later."""
+        event = await self._receive()
+        self._taken.append(event)
+        return event
+
+    async def receive(self) -> dict[str, Any]:
+        """Return the next event that was not returned here."""
+        if self._taken:
+            return self._taken.pop(0)
+        return await self._receive()
+
+
 class ReceiveKeeper:
     """
     ASGI wrapper that lets an answer hear that its caller left.
@@ -31,8 +60,15 @@
         self, scope: dict[str, Any], receive: _Receive, send: Any
     ) -> None:
         """Handle one request."""
-        scope[_RECEIVE_KEY] = receive
-        await self._app(scope, receive, send)
+        events = _Events(receive)
+        scope[_EVENTS_KEY] = events
+        await self._app(scope, events.receive_for_falcon, send)
+
+
+async def receive_event(http: asgi.Request) -> dict[str, Any]:
+    """Return the next event of a request's connection."""
+    events: _Events = http.scope[_EVENTS_KEY]
+    return await events.receive()
 
 
 def watch_disconnect(
@@ -45,13 +81,13 @@
     :param on_left: what to call.
     :returns: the watching task, to be cancelled when the answer ended.
     """
-    return asyncio.create_task(_watch(http.scope[_RECEIVE_KEY], on_left))
+    return asyncio.create_task(_watch(http, on_left))
 
 
-async def _watch(receive: _Receive, on_left: Callable[[], object]) -> None:
-    message = await receive()
-    while message['type'] != 'http.disconnect':
-        message = await receive()
+async def _watch(http: asgi.Request, on_left: Callable[[], object]) -> None:
+    event = await receive_event(http)
+    while event['type'] != 'http.disconnect':
+        event = await receive_event(http)
     on_left()
 
 
--- a/bronzesill/gateway/exchange.py
+++ b/bronzesill/gateway/exchange.py
@@ -8,7 +8,8 @@
 
 from falcon import asgi
 
-from ..config import Document
+from ..config import Document, Route
+from ..upstream import CallerFields
 
 __all__ = ['Exchange', 'RequestFilter', 'run_filters']
 
@@ -25,6 +26,9 @@
     :param account: client account, empty before its key was checked.
     :param body: bytes of the body.
     :param fields: fields of a JSON body.
+    :param route_name: name of the route that the path leads to.
+    :param caller: what the caller says in headers of a request that is
+        passed on.
     """
 
     http: asgi.Request
@@ -34,6 +38,13 @@
     account: str = ''
     body: bytes = b''
     fields: Mapping[str, Any] = dataclasses.field(default_factory=dict)
+    route_name: str = ''
+    caller: CallerFields = dataclasses.field(default_factory=CallerFields)
+
+    @property
+    def route(self) -> Route | None:
+        """The route that the path leads to, none for our own paths."""
+        return self.document.routes.get(self.route_name)
 
 
 class RequestFilter(Protocol):
--- a/bronzesill/gateway/filters.py
+++ b/bronzesill/gateway/filters.py
@@ -8,11 +8,22 @@
 import uuid
 
 import orjson
+from falcon import asgi
 
+from ..upstream import Dialect, Header
 from ..utils import BronzesillError, ResultCode, hash_secret
+from .disconnect import receive_event
 from .exchange import Exchange
 
-__all__ = ['Authenticate', 'NameRequest', 'ParseJson', 'ReadBody']
+__all__ = [
+    'Authenticate',
+    'FindRoute',
+    'NameRequest',
+    'ParseJson',
+    'ReadBody',
+    'ReadCaller',
+    'raw_headers',
+]
 
 _REQUEST_ID_HEADER = 'X-Request-Id'
 _REQUEST_ID_PATTERN = re.compile(r'[\w.:\-]{1,128}')
@@ -38,19 +49,58 @@
         )
 
 
+class ReadCaller:
+    """
+    Read what the caller of a request that is passed on says of it.
+
+    :param dialect: names and formats of headers.
+    """
+
+    def __init__(self, dialect: Dialect) -> None:
+        self._dialect = dialect
+
+    async def apply(self, exchange: Exchange) -> Exchange:
+        """Add the request id and the caller's other fields."""
+        caller = self._dialect.read_caller(raw_headers(exchange.http))
+        return dataclasses.replace(
+            exchange, request_id=caller.request_id, caller=caller
+        )
+
+
+class FindRoute:
+    """Find the route by host name and path."""
+
+    async def apply(self, exchange: Exchange) -> Exchange:
+        """Add the name of the route."""
+        host = exchange.http.get_header('Host') or ''
+        name = exchange.document.find_route(
+            host.partition(':')[0], exchange.http.path
+        )
+        if name is None:
+            raise BronzesillError(
+                ResultCode.ROUTE_UNKNOWN,
+                f'not run: no route for {exchange.http.path}',
+            )
+        return dataclasses.replace(exchange, route_name=name)
+
+
 class Authenticate:
     """Find the client account by its key, which is kept only hashed."""
 
     async def apply(self, exchange: Exchange) -> Exchange:
         """Add the client account."""
+        route = exchange.route
+        is_public = route is not None and route.is_public
+        if is_public or not exchange.document.has_accounts:
+            return exchange
         header = exchange.http.get_header('Authorization') or ''
         digest = hash_secret(header.removeprefix(_BEARER))
-        for name, account in exchange.document.accounts.items():
-            if account.key_sha256 == digest:
-                return dataclasses.replace(exchange, account=name)
-        raise BronzesillError(
-            ResultCode.KEY_REJECTED, 'not run: the key is not known'
-        )
+        account = exchange.document.account_by_key.get(digest)
+        if account is None:
+            raise BronzesillError(
+                ResultCode.KEY_REJECTED, 'not run: the key is not known'
+            )
+        return dataclasses.replace(exchange, account=account)
 
 
 class ReadBody:
@@ -73,13 +123,20 @@
         return dataclasses.replace(exchange, body=body)
 
     async def _read(self, exchange: Exchange, max_bytes: int) -> bytes:
+        # Not by falcon's stream, for which a caller that leaves in the
+        # middle of a body has sent a shorter one.
         chunks: list[bytes] = []
         size = 0
-        async for chunk in exchange.http.stream:
-            size += len(chunk)
+        has_more = True
+        while has_more:
+            event = await receive_event(exchange.http)
+            if event['type'] == 'http.disconnect':
+                raise BronzesillError(ResultCode.CALLER_LEFT, 'the caller left')
+            chunks.append(event.get('body', b''))
+            size += len(chunks[-1])
             if size > max_bytes:
                 raise _too_large(max_bytes)
-            chunks.append(chunk)
+            has_more = event.get('more_body', False)
         return b''.join(chunks)
 
 
@@ -101,6 +158,11 @@
         return dataclasses.replace(exchange, fields=fields)
 
 
+def raw_headers(http: asgi.Request) -> tuple[Header, ...]:
+    """Return the headers of a request in their order."""
+    return tuple(Header(name, text) for name, text in http.scope['headers'])
+
+
 def _too_large(max_bytes: int) -> BronzesillError:
     return BronzesillError(
         ResultCode.BODY_TOO_LARGE,
--- a/bronzesill/gateway/plain_calls.py
+++ b/bronzesill/gateway/plain_calls.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 from falcon import asgi
 
 from ..calls import CallRequest, CallRunner, RoutedCall
-from ..config import Route
 from ..utils import BronzesillError, ResultCode
 from .exchange import run_filters
 from .filters import Authenticate, NameRequest, ReadBody
@@ -37,8 +37,14 @@
         if resp is None:
             return
         exchange = self._state.exchange(req)
-        name = _find_route(exchange.document.routes, req.path)
+        name = exchange.document.find_route('', req.path)
+        if name is None:
+            raise BronzesillError(
+                ResultCode.ROUTE_UNKNOWN, f'not run: no route for {req.path}'
+            )
+        route = exchange.document.routes[name]
         exchange = await run_filters(_FILTERS, exchange)
+        loop = asyncio.get_running_loop()
         call = CallRequest.from_headers(
             req.method,
             req.relative_uri,
@@ -49,10 +55,11 @@
             RoutedCall(
                 call=call,
                 route_name=name,
-                route=exchange.document.routes[name],
+                route=route,
                 account=exchange.account,
                 request_id=exchange.request_id,
                 key=req.get_header('Idempotency-Key') or '',
+                deadline_at_s=loop.time() + route.deadline_s,
             )
         )
         resp.status = answer.status
@@ -61,14 +68,3 @@
         resp.set_header('X-Request-Id', exchange.request_id)
         if answer.is_replay:
             resp.set_header('Idempotent-Replayed', 'true')
-
-
-def _find_route(routes: dict[str, Route], path: str) -> str:
-    matching = [
-        name for name, route in routes.items() if path.startswith(route.path)
-    ]
-    if not matching:
-        raise BronzesillError(
-            ResultCode.ROUTE_UNKNOWN, f'not run: no route for {path}'
-        )
-    return max(matching, key=lambda name: len(routes[name].path))
--- a/bronzesill/gateway/state.py
+++ b/bronzesill/gateway/state.py
@@ -5,7 +5,7 @@
 from falcon import asgi
 
 from ..config import Document
-from ..utils import BronzesillError, ResultCode
+from ..utils import BronzesillError, ResultCode, ServingLimits
 from .exchange import Exchange
 
 __all__ = ['GatewayState']
@@ -21,6 +21,19 @@
     def __init__(self) -> None:
         self.document: Document | None = None
         self.is_stopping = False
+        #: Loop time at which this daemon ends, none while it is not stopping.
+        self.ends_at_s: float | None = None
+
+    def serving_limits(self) -> ServingLimits:
+        """Return what a connection's other side may do now."""
+        if self.document is None:
+            return ServingLimits()
+        limits = self.document.limits
+        return ServingLimits(
+            limits.max_header_bytes,
+            limits.head_timeout_s,
+            limits.idle_timeout_s,
+        )
 
     def exchange(self, http: asgi.Request) -> Exchange:
         """
--- a/bronzesill/generations/__init__.py
+++ b/bronzesill/generations/__init__.py
@@ -2,7 +2,9 @@
 
 from .controller import GenerationsController, Site
 from .decisions import Decision, GenerationState, Phase, decide
-from .engine_client import EngineClient
+from .engine_client import EngineClient, StreamClient
+from .event_stream import EventSplitter, StreamEvent
+from .forward_client import ForwardStreamClient
 from .location_messages import (
     ClaimLocation,
     FindLocation,
@@ -19,7 +21,7 @@
 from .pace import Pace, StallPolicy
 from .peer_directory import Home, PeerDirectory, answer_location
 from .request import GenerationRequest
-from .subscription import Ended, Failed, Piece, Subscription
+from .subscription import Ended, Failed, Opened, Piece, Subscription
 
 __all__ = [
     'AttemptSeen',
@@ -27,8 +29,10 @@
     'Decision',
     'Ended',
     'EngineClient',
+    'EventSplitter',
     'Failed',
     'FindLocation',
+    'ForwardStreamClient',
     'GenerationRequest',
     'GenerationState',
     'GenerationsController',
@@ -38,12 +42,15 @@
     'LocationDirectory',
     'LocationRecord',
     'LocationTable',
+    'Opened',
     'Pace',
     'PeerDirectory',
     'Phase',
     'Piece',
     'Site',
     'StallPolicy',
+    'StreamClient',
+    'StreamEvent',
     'Subscription',
     'TakeOverLocation',
     'answer_location',
--- a/bronzesill/generations/attempt.py
+++ b/bronzesill/generations/attempt.py
@@ -9,7 +9,7 @@
 import aiohttp
 
 from ..utils import Address
-from .engine_client import AttemptRefused, EngineClient, StreamOpening
+from .engine_client import AttemptRefused, StreamClient, StreamOpening
 from .messages import (
     AttemptLost,
     CancelAttempt,
@@ -37,7 +37,7 @@
 
     def __init__(
         self,
-        client: EngineClient,
+        client: StreamClient,
         find_address: Callable[[str], Address | None],
         observer: GenerationObserver,
         mailbox: asyncio.Queue[Mail],
@@ -66,7 +66,14 @@
             self._mailbox.put_nowait(lost)
             return
         opening = StreamOpening(
-            request, action.attempt, address, accepted, action.is_attach
+            request,
+            action.attempt,
+            address,
+            accepted,
+            action.is_attach,
+            server=action.server,
+            copy_to=self._find_address(action.copy_to),
+            uses_copy=action.uses_copy,
         )
         self._stream = self.help(self._read(opening, action.server))
 
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -9,10 +9,16 @@
 from random import Random
 from typing import TypeAlias
 
-from ..routing import Requirements, ServerBook, ServerView, choose_server
+from ..routing import (
+    Requirements,
+    ServerBook,
+    ServerView,
+    choose_copy_holder,
+    choose_server,
+)
 from ..utils import Address, BronzesillError, Metrics, PartLogger, ResultCode
 from .decisions import GenerationState
-from .engine_client import EngineClient
+from .engine_client import StreamClient
 from .locations import LocationDirectory, LocationRecord
 from .messages import (
     Attached,
@@ -69,7 +75,7 @@
         daemon: str,
         failure_domain: str,
         book: ServerBook,
-        client: EngineClient,
+        client: StreamClient,
         directory: LocationDirectory,
         metrics: Metrics,
         random: Random,
@@ -79,6 +85,8 @@
         self.on_seen: Callable[[AttemptSeen], None] = _ignore
         #: Gives the version that answers a request not yet begun.
         self.pick_version: PickVersion = _keep_version
+        #: Says whether the engines of a model keep copies of runs.
+        self.keeps_copies: Callable[[str], bool] = _keeps_none
         self.tasks_by_key: dict[str, GenerationTask] = {}
         self._daemon = daemon
         self._failure_domain = failure_domain
@@ -90,19 +98,25 @@
         self._running: set[asyncio.Task[None]] = set()
 
     def subscribe(
-        self, request: GenerationRequest, fingerprint: int
+        self,
+        request: GenerationRequest,
+        fingerprint: int,
+        policy: StallPolicy | None = None,
     ) -> Subscription:
         """
         Begin a generation, or join the one that answers the request.
 
         :param request: what the caller asked for.
         :param fingerprint: hash of the request's body.
+        :param policy: how long its streams may be silent, none for the
+            site's policy.
         :raises BronzesillError: the request id is taken by another body.
         """
         key = _request_key(request)
         generation = self.tasks_by_key.get(key)
         if generation is None:
-            generation = self._begin(request, key, fingerprint)
+            policy = policy or self.site.policy
+            generation = self._begin(request, key, fingerprint, policy)
         elif generation.fingerprint != fingerprint:
             raise _conflict()
         queue: Subscription = asyncio.Queue()
@@ -171,12 +185,16 @@
         return record is None or record.owner == self._daemon
 
     def _begin(
-        self, request: GenerationRequest, key: str, fingerprint: int
+        self,
+        request: GenerationRequest,
+        key: str,
+        fingerprint: int,
+        policy: StallPolicy,
     ) -> GenerationTask:
         now_s = asyncio.get_running_loop().time()
         state = GenerationState(
             deadline_at_s=now_s + request.deadline_s,
-            policy=self.site.policy,
+            policy=policy,
         )
         linger_s = self.site.reconnect_window_s if request.can_reconnect else 0
         generation = GenerationTask(
@@ -212,13 +230,13 @@
             version = self.pick_version(request, is_retry)
             request = dataclasses.replace(request, version=version)
             generation.request = request
-        view = self._choose(request, action)
-        if view is None:
+        choice = self._choose(request, action)
+        if choice is None:
             return Placement(NoServer(), request)
-        chosen = Placement(ServerChosen(view.name, view.fill), request)
+        chosen = Placement(choice, request)
         if not request.can_reconnect:
             return chosen
-        offered = self._record(generation, view.name)
+        offered = self._record(generation, choice.server)
         holds = await self._directory.claim(offered)
         if holds == offered:
             return chosen
@@ -272,7 +290,7 @@
 
     def _choose(
         self, request: GenerationRequest, action: ChooseServer
-    ) -> ServerView | None:
+    ) -> ServerChosen | None:
         needs = Requirements(
             model=request.model,
             version=request.version,
@@ -280,9 +298,26 @@
             excluded=action.excluded,
             home_domain=self._failure_domain,
             is_resume=action.is_resume,
+            copy_at=action.copy_at,
         )
         now_s = asyncio.get_running_loop().time()
-        return choose_server(self._book.views(now_s), needs, self._random)
+        views = self._book.views(now_s)
+        runner = choose_server(views, needs, self._random)
+        if runner is None:
+            return None
+        copy_to = self._choose_copy(views, needs, runner)
+        return ServerChosen(runner.name, runner.fill, copy_to)
+
+    def _choose_copy(
+        self,
+        views: tuple[ServerView, ...],
+        needs: Requirements,
+        runner: ServerView,
+    ) -> str:
+        if not self.keeps_copies(needs.model):
+            return ''
+        holder = choose_copy_holder(views, needs, runner, self._random)
+        return holder.name if holder else ''
 
 
 def _request_key(request: GenerationRequest) -> str:
@@ -302,6 +337,10 @@
     return request.version
 
 
+def _keeps_none(model: str) -> bool:
+    return False
+
+
 def _conflict() -> BronzesillError:
     return BronzesillError(
         ResultCode.REQUEST_ID_CONFLICT,
--- a/bronzesill/generations/decisions.py
+++ b/bronzesill/generations/decisions.py
@@ -32,9 +32,6 @@
 
 __all__ = ['Decision', 'GenerationState', 'Phase', 'decide']
 
-_RETRY_NO_SERVER_S = 0.5
-_MAX_LOSSES = 8
-
 
 class Phase(enum.Enum):
     """What a generation is waiting for."""
@@ -64,6 +61,9 @@
     :param progress_at_s: time of the last sign of life of the attempt.
     :param losses: attempts lost so far, refused ones left out.
     :param excluded: backend servers that lost an attempt.
+    :param copy_to: server that keeps a copy of the current run's memory.
+    :param copy_at: server that keeps a copy of the run that was lost.
+    :param uses_copy: whether the current attempt goes on from a copy.
     """
 
     deadline_at_s: float
@@ -78,6 +78,9 @@
     progress_at_s: float = 0
     losses: int = 0
     excluded: frozenset[str] = frozenset()
+    copy_to: str = ''
+    copy_at: str = ''
+    uses_copy: bool = False
 
     @property
     def has_ended(self) -> bool:
@@ -87,7 +90,9 @@
     @property
     def stall_at_s(self) -> float:
         """Time at which the current attempt counts as silent."""
-        allowed_s = self.pace.stall_limit_s(self.policy, self.fill)
+        allowed_s = self.pace.stall_limit_s(
+            self.policy, self.fill, uses_copy=self.uses_copy
+        )
         return self.progress_at_s + allowed_s
 
 
@@ -148,7 +153,8 @@
 def _choose(state: GenerationState) -> Decision:
     choosing = dataclasses.replace(state, phase=Phase.CHOOSING, server='')
     is_resume = state.accepted > 0
-    return Decision(choosing, (ChooseServer(state.excluded, is_resume),))
+    search = ChooseServer(state.excluded, is_resume, state.copy_at)
+    return Decision(choosing, (search,))
 
 
 def _attach(state: GenerationState, event: Attached, now_s: float) -> Decision:
@@ -180,13 +186,25 @@
     if now_s >= state.deadline_at_s:
         return _fail(state, ResultCode.INCOMPLETE_DEADLINE)
     attempt = state.attempt + 1
+    uses_copy = bool(state.copy_at) and event.server == state.copy_at
     opened = dataclasses.replace(
-        _with_attempt(state, event.server, attempt, now_s), fill=event.fill
+        _with_attempt(state, event.server, attempt, now_s),
+        fill=event.fill,
+        copy_to=event.copy_to,
+        # A copy serves once; if that fails, the answer goes on without it.
+        copy_at='',
+        uses_copy=uses_copy,
     )
     return Decision(
         opened,
         (
-            OpenAttempt(attempt, event.server, state.accepted),
+            OpenAttempt(
+                attempt,
+                event.server,
+                state.accepted,
+                copy_to=event.copy_to,
+                uses_copy=uses_copy,
+            ),
             SetTimer(min(opened.stall_at_s, state.deadline_at_s)),
         ),
     )
@@ -200,7 +218,8 @@
     waiting = dataclasses.replace(
         state, phase=Phase.WAITING, excluded=frozenset()
     )
-    retry_at_s = min(now_s + _RETRY_NO_SERVER_S, state.deadline_at_s)
+    retry_s = state.policy.retry_no_server_s
+    retry_at_s = min(now_s + retry_s, state.deadline_at_s)
     return Decision(waiting, (SetTimer(retry_at_s),))
 
 
@@ -263,10 +282,11 @@
         state,
         losses=state.losses + int(not is_refused),
         excluded=state.excluded | {state.server},
+        copy_at=state.copy_to if state.accepted else '',
     )
     if now_s >= state.deadline_at_s:
         after = _fail(lost, _late_code(event.cause))
-    elif lost.losses > _MAX_LOSSES:
+    elif lost.losses >= state.policy.max_attempts:
         after = _fail(lost, ResultCode.INCOMPLETE_RETRIES)
     else:
         after = _choose(lost)
--- a/bronzesill/generations/engine_client.py
+++ b/bronzesill/generations/engine_client.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 from collections.abc import AsyncIterator, Iterator
-from typing import Any
+from typing import Any, Protocol, TypeAlias
 
 import aiohttp
 import orjson
@@ -12,8 +12,15 @@
 from ..utils import Address
 from .messages import EndArrived, TokensArrived
 from .request import GenerationRequest
+from .subscription import HeadArrived
 
-__all__ = ['AttemptRefused', 'EngineClient', 'StreamOpening']
+__all__ = [
+    'AttemptRefused',
+    'EngineClient',
+    'StreamClient',
+    'StreamMessage',
+    'StreamOpening',
+]
 
 _CONNECT_TIMEOUT_S = 0.5
 _CANCEL_TIMEOUT_S = 1.0
@@ -37,6 +44,10 @@
     :param address: where the engine listens.
     :param accepted: tokens accepted so far.
     :param is_attach: whether the stream exists and is only read.
+    :param server: name of the engine.
+    :param copy_to: engine that keeps a copy of the run's memory, none for
+        none.
+    :param uses_copy: whether the engine goes on from the copy it keeps.
     """
 
     request: GenerationRequest
@@ -44,6 +55,9 @@
     address: Address
     accepted: tuple[str, ...]
     is_attach: bool = False
+    server: str = ''
+    copy_to: Address | None = None
+    uses_copy: bool = False
 
     @property
     def stream_url(self) -> str:
@@ -52,6 +66,25 @@
         return f'{self.address.url}/v1/streams/{stream_id}'
 
 
+StreamMessage: TypeAlias = HeadArrived | TokensArrived | EndArrived
+
+
+class StreamClient(Protocol):
+    """Opens, reads and cancels streams of engines."""
+
+    def read(self, opening: StreamOpening) -> AsyncIterator[StreamMessage]:
+        """
+        Open a stream and yield what it brings, to its end marker.
+
+        :param opening: which stream.
+        :raises AttemptRefused: the engine did not take it.
+        :raises OSError: the connection broke, or the answer is not whole.
+        """
+
+    async def cancel(self, opening: StreamOpening) -> None:
+        """Cancel a stream; an engine that does not hear it is let be."""
+
+
 class EngineClient:
     """
     Streams of all generations of one daemon.
@@ -64,7 +97,7 @@
 
     async def read(
         self, opening: StreamOpening
-    ) -> AsyncIterator[TokensArrived | EndArrived]:
+    ) -> AsyncIterator[StreamMessage]:
         """
         Open a stream and yield what it brings, to its end marker.
 
--- a/bronzesill/generations/messages.py
+++ b/bronzesill/generations/messages.py
@@ -67,10 +67,13 @@
 
     :param server: name of the backend server.
     :param fill: its estimated streams per unit of capacity.
+    :param copy_to: server that keeps a copy of the run's memory, empty for
+        none.
     """
 
     server: str
     fill: float = 0
+    copy_to: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
@@ -157,10 +160,13 @@
 
     :param excluded: servers that lost an attempt of this generation.
     :param is_resume: whether tokens were accepted before.
+    :param copy_at: server that keeps a copy of the lost run's memory, empty
+        for none.
     """
 
     excluded: frozenset[str]
     is_resume: bool
+    copy_at: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
@@ -172,12 +178,16 @@
     :param server: name of the backend server.
     :param offset: accepted tokens to go on from.
     :param is_attach: whether the stream exists and is only read.
+    :param copy_to: server that keeps a copy of the run's memory.
+    :param uses_copy: whether the server goes on from the copy it keeps.
     """
 
     attempt: int
     server: str
     offset: int
     is_attach: bool = False
+    copy_to: str = ''
+    uses_copy: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/generations/pace.py
+++ b/bronzesill/generations/pace.py
@@ -9,6 +9,14 @@
 _SMOOTHING = 0.1
 _EASY_FILL = 0.5
 
+#: Part of the longest punctual pause after which a stream is lost.
+_PAUSE_PART = 0.55
+#: Part of the time to a punctual first event after which it is lost.
+_TARGET_PART = 0.5
+#: Tokens of a prompt that a busy engine reads in a second.
+_READ_TOKENS_PER_S = 5000
+_RETRY_NO_SERVER_S = 0.1
+
 
 @dataclasses.dataclass(frozen=True)
 class StallPolicy:
@@ -20,6 +28,10 @@
     :param pace_factor: silence allowed in units of the usual gap.
     :param deviation_factor: units of the gap's mean deviation added to it.
     :param first_token_s: silence allowed before the first token.
+    :param resumed_first_token_s: the same for an attempt that goes on from a
+        copy of the run's memory; none to allow as much as otherwise.
+    :param retry_no_server_s: pause before another search for a server.
+    :param max_attempts: servers that one answer may be asked of.
     """
 
     floor_s: float = 1.4
@@ -27,6 +39,9 @@
     pace_factor: float = 16
     deviation_factor: float = 14
     first_token_s: float = 2.5
+    resumed_first_token_s: float | None = None
+    retry_no_server_s: float = 0.5
+    max_attempts: int = 9
 
     @classmethod
     def from_weight(cls, resume_latency_weight: float) -> StallPolicy:
@@ -42,6 +57,34 @@
             first_token_s=1.5 + 2 * slack,
         )
 
+    @classmethod
+    def from_route(
+        cls,
+        max_pause_s: float,
+        target_latency_s: float,
+        prompt_tokens: int,
+        max_attempts: int,
+    ) -> StallPolicy:
+        """
+        Build the policy for requests that take a route.
+
+        :param max_pause_s: longest pause of a punctual stream.
+        :param target_latency_s: time to its first event if punctual.
+        :param prompt_tokens: tokens of the prompt.
+        :param max_attempts: servers that one request may be sent to.
+        """
+        silence_s = _PAUSE_PART * max_pause_s or cls.floor_s
+        reading_s = prompt_tokens / _READ_TOKENS_PER_S
+        first_s = max(target_latency_s * _TARGET_PART, reading_s * 2)
+        return cls(
+            floor_s=silence_s,
+            ceiling_s=max(silence_s, 2 * max_pause_s),
+            first_token_s=first_s or cls.first_token_s,
+            resumed_first_token_s=2 * silence_s,
+            retry_no_server_s=_RETRY_NO_SERVER_S,
+            max_attempts=max_attempts,
+        )
+
 
 @dataclasses.dataclass(frozen=True)
 class Pace:
@@ -72,15 +115,20 @@
             self.deviation_s + _SMOOTHING * spread_s,
         )
 
-    def stall_limit_s(self, policy: StallPolicy, fill: float) -> float:
+    def stall_limit_s(
+        self, policy: StallPolicy, fill: float, *, uses_copy: bool = False
+    ) -> float:
         """
         Return the silence in seconds after which the stream is lost.
 
         :param policy: how long a stream may be silent.
         :param fill: streams per unit of the server's capacity; on a full
             server a stream waits for its first token.
+        :param uses_copy: whether it goes on from a copy of its memory.
         """
         if not self.gap_s:
+            if uses_copy and policy.resumed_first_token_s is not None:
+                return policy.resumed_first_token_s
             return policy.first_token_s * (1 + 2 * max(fill - _EASY_FILL, 0))
         allowed_s = (
             policy.pace_factor * self.gap_s
--- a/bronzesill/generations/request.py
+++ b/bronzesill/generations/request.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from ..upstream import ForwardRequest
+
 __all__ = ['GenerationRequest']
 
 
@@ -22,7 +24,9 @@
     :param max_tokens: length of the answer in tokens.
     :param deadline_s: seconds after which it is given up.
     :param can_reconnect: whether the caller named the request itself.
-    :param route: way in which it was asked for, ``chat`` or ``text``.
+    :param route: way in which it was asked for: ``chat``, ``text`` or the
+        name of the route.
+    :param forward: the request as it came if it is passed on as such.
     """
 
     request_id: str
@@ -36,6 +40,7 @@
     deadline_s: float
     can_reconnect: bool = False
     route: str = 'text'
+    forward: ForwardRequest | None = None
 
     def stream_id(self, attempt: int) -> str:
         """Return the name of an attempt's stream at the engine."""
--- a/bronzesill/generations/subscription.py
+++ b/bronzesill/generations/subscription.py
@@ -6,13 +6,16 @@
 import dataclasses
 from typing import TypeAlias
 
+from ..upstream import AnswerHead
 from ..utils import ResultCode
 from .messages import Event
 
 __all__ = [
     'Ended',
     'Failed',
+    'HeadArrived',
     'Mail',
+    'Opened',
     'Piece',
     'Subscribe',
     'Subscription',
@@ -20,6 +23,30 @@
 ]
 
 
+@dataclasses.dataclass(frozen=True)
+class HeadArrived:
+    """
+    The head of a backend server's answer.
+
+    :param attempt: attempt that it belongs to.
+    :param head: the head.
+    """
+
+    attempt: int
+    head: AnswerHead
+
+
+@dataclasses.dataclass(frozen=True)
+class Opened:
+    """
+    The answer begins with this head, whoever computes the rest of it.
+
+    :param head: head of the answer that brought the first token.
+    """
+
+    head: AnswerHead
+
+
 @dataclasses.dataclass(frozen=True)
 class Piece:
     """
@@ -57,7 +84,7 @@
     code: ResultCode
 
 
-Subscription: TypeAlias = 'asyncio.Queue[Piece | Ended | Failed]'
+Subscription: TypeAlias = 'asyncio.Queue[Opened | Piece | Ended | Failed]'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,4 +101,4 @@
     queue: Subscription
 
 
-Mail: TypeAlias = Event | Subscribe | Unsubscribe
+Mail: TypeAlias = Event | HeadArrived | Subscribe | Unsubscribe
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -10,7 +10,7 @@
 from ..utils import Address, PartLogger
 from .attempt import AttemptRunner
 from .decisions import GenerationState, decide
-from .engine_client import EngineClient
+from .engine_client import StreamClient
 from .messages import (
     Action,
     Begin,
@@ -30,7 +30,9 @@
 from .subscription import (
     Ended,
     Failed,
+    HeadArrived,
     Mail,
+    Opened,
     Piece,
     Subscribe,
     Subscription,
@@ -80,7 +82,7 @@
         request: GenerationRequest,
         fingerprint: int,
         state: GenerationState,
-        client: EngineClient,
+        client: StreamClient,
         choose: Chooser,
         find_address: Callable[[str], Address | None],
         observer: GenerationObserver,
@@ -97,6 +99,7 @@
         self._readers: set[Subscription] = set()
         self._unread_since_s = asyncio.get_running_loop().time()
         self._end: Ended | Failed | None = None
+        self._opened: Opened | None = None
         self._attempts = AttemptRunner(
             client, find_address, observer, self.mailbox
         )
@@ -126,12 +129,19 @@
             case Unsubscribe():
                 self._readers.discard(mail.queue)
                 self._unread_since_s = asyncio.get_running_loop().time()
+            case HeadArrived():
+                self._note_head(mail)
             case _:
                 self._apply(mail)
 
+    def _note_head(self, mail: HeadArrived) -> None:
+        if mail.attempt == self.state.attempt and not self.journal:
+            self._opened = Opened(mail.head)
+
     def _add_reader(self, queue: Subscription) -> None:
         self._readers.add(queue)
         if self.journal:
+            self._tell_opening(queue)
             queue.put_nowait(Piece(0, tuple(self.journal)))
         if self._end is not None:
             queue.put_nowait(self._end)
@@ -175,11 +185,19 @@
         self.journal.extend(action.tokens)
         piece = Piece(action.offset, action.tokens)
         for queue in self._readers:
+            if not action.offset:
+                self._tell_opening(queue)
             queue.put_nowait(piece)
 
+    def _tell_opening(self, queue: Subscription) -> None:
+        if self._opened is not None:
+            queue.put_nowait(self._opened)
+
     def _finish(self, end: Ended | Failed) -> None:
         self._end = end
         for queue in self._readers:
+            if isinstance(end, Ended) and not end.total:
+                self._tell_opening(queue)
             queue.put_nowait(end)
 
     async def _find_server(self, action: ChooseServer) -> None:
--- a/bronzesill/moves/controller.py
+++ b/bronzesill/moves/controller.py
@@ -9,7 +9,7 @@
 from typing import TypeAlias
 
 from ..membership import Fact
-from ..platform import KeyValueStore
+from ..store import KeyValueStore
 from ..utils import Address, BronzesillError, PartLogger, ResultCode
 from ..wire import PeerClient
 from .book import MoveBook
--- a/bronzesill/orders/repository.py
+++ b/bronzesill/orders/repository.py
@@ -7,7 +7,7 @@
 import orjson
 
 from ..audit import AuditEntry, audit_mutation
-from ..platform import KeyValueStore, Mutation, StoredEntry
+from ..store import KeyValueStore, Mutation, StoredEntry
 from ..utils import BronzesillError, ResultCode, structure_json, unstructure
 from .budget import LoadSlot, LoadSlots
 from .record import OrderRecord, has_ended
--- a/bronzesill/platform/__init__.py
+++ b/bronzesill/platform/__init__.py
@@ -1,21 +1,26 @@
-"""Clients for the platform's key-value service and list of hosts."""
+"""The platform's names, formats and calls; nothing here decides."""
 
-from .etcd import EtcdStore
+from .documents import CONFIGURATION_KEY, OPERATOR_PREFIX, decode_document
+from .entry import make_directory_app, make_readiness_app
+from .headers import PlatformDialect
 from .hosts import HttpHostList
-from .interfaces import (
-    HostList,
-    KeyValueStore,
-    ListedHost,
-    Mutation,
-    StoredEntry,
-)
+from .servers import SERVER_PREFIX, decode_server, server_name
+from .settings import SETTINGS_VARIABLE, decode_settings, read_settings
+from .store import PlatformStore
 
 __all__ = [
-    'EtcdStore',
-    'HostList',
+    'CONFIGURATION_KEY',
+    'OPERATOR_PREFIX',
+    'SERVER_PREFIX',
+    'SETTINGS_VARIABLE',
     'HttpHostList',
-    'KeyValueStore',
-    'ListedHost',
-    'Mutation',
-    'StoredEntry',
+    'PlatformDialect',
+    'PlatformStore',
+    'decode_document',
+    'decode_server',
+    'decode_settings',
+    'make_directory_app',
+    'make_readiness_app',
+    'read_settings',
+    'server_name',
 ]
--- a/bronzesill/platform/hosts.py
+++ b/bronzesill/platform/hosts.py
@@ -5,6 +5,7 @@
 import aiohttp
 import orjson
 
+from ..store import ListedHost
 from ..utils import (
     Address,
     BronzesillError,
@@ -12,7 +13,6 @@
     ResultCode,
     structure,
 )
-from .interfaces import ListedHost
 
 __all__ = ['HttpHostList']
 
--- /dev/null
+++ b/bronzesill/platform/servers.py
@@ -0,0 +1,61 @@
+"""Entries by which backend servers list themselves in the store."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+
+from ..config import BackendServer, ListedServer
+from ..utils import Address
+
+__all__ = ['SERVER_PREFIX', 'decode_server', 'server_name']
+
+#: Prefix of the entries of backend servers.
+SERVER_PREFIX = 'servers/'
+
+_READY = 'ready'
+_DRAINING = 'draining'
+
+
+def server_name(key: str) -> str:
+    """Return the name of the server that an entry's key stands for."""
+    return key.removeprefix(SERVER_PREFIX)
+
+
+def decode_server(payload: bytes) -> ListedServer | None:
+    """
+    Decode an entry.
+
+    :param payload: JSON text as the server wrote it.
+    :returns: the server, none if the entry is of another writer or cannot
+        be read.
+    """
+    try:
+        raw = orjson.loads(payload)
+        return _decode(raw)
+    except (ValueError, TypeError, KeyError):
+        return None
+
+
+def _decode(raw: Any) -> ListedServer | None:
+    state = raw['state']
+    texts = (raw['service'], raw['address'], raw['zone'], raw['version'])
+    if state not in {_READY, _DRAINING}:
+        return None
+    if not all(isinstance(text, str) and text for text in texts):
+        return None
+    slots = raw['slots']
+    if isinstance(slots, bool) or not isinstance(slots, int) or slots < 1:
+        return None
+    return ListedServer(
+        BackendServer(
+            address=Address.from_text(raw['address']),
+            failure_domain=raw['zone'],
+            version=raw['version'],
+            service=raw['service'],
+            capacity=slots,
+        ),
+        is_leaving=state == _DRAINING,
+        started_at_ms=int(raw.get('born') or 0),
+    )
--- a/bronzesill/routing/book.py
+++ b/bronzesill/routing/book.py
@@ -67,6 +67,11 @@
         }
         self._known = frozenset(by_name)
 
+    def forget(self, name: str) -> None:
+        """Drop what is known of a server that started anew."""
+        self._records_by_name.pop(name, None)
+        self.set_leaving(name, is_leaving=False)
+
     def know_only(self, names: frozenset[str]) -> None:
         """Restrict choices to the subset that this daemon knows well."""
         self._known = names
@@ -137,8 +142,8 @@
         return self._records_by_name.get(name, ServerRecord())
 
     def _update(self, name: str, **changes: object) -> None:
-        record = self._records_by_name.get(name)
-        if record is not None:
+        record = self._records_by_name.get(name, ServerRecord())
+        if name in self._servers_by_name:
             self._records_by_name[name] = dataclasses.replace(
                 record,
                 **changes,  # type: ignore[arg-type]
@@ -147,7 +152,7 @@
     def _view(
         self, name: str, server: BackendServer, now_s: float
     ) -> ServerView:
-        record = self._records_by_name[name]
+        record = self._record(name)
         report = record.report or LoadReport(0, server.version, now_s)
         return ServerView(
             name=name,
--- a/bronzesill/routing/choose.py
+++ b/bronzesill/routing/choose.py
@@ -8,7 +8,12 @@
 
 from ..utils import rank_by_rendezvous
 
-__all__ = ['Requirements', 'ServerView', 'choose_server']
+__all__ = [
+    'Requirements',
+    'ServerView',
+    'choose_copy_holder',
+    'choose_server',
+]
 
 _REPORT_HALF_LIFE_S = 4.0
 _AFFINITY_SLACK = 1.25
@@ -61,11 +66,13 @@
     What a stream needs of its server.
 
     :param model: model asked for.
-    :param version: version that has to compute it.
+    :param version: version that has to compute it, empty for any.
     :param prefix_key: key of the prompt's prefix.
     :param excluded: servers not to use.
     :param home_domain: failure domain to prefer, empty for none.
     :param is_resume: whether a begun answer goes on; it may overfill.
+    :param copy_at: server that keeps a copy of the lost run's memory, empty
+        for none.
     """
 
     model: str
@@ -74,6 +81,35 @@
     excluded: frozenset[str] = frozenset()
     home_domain: str = ''
     is_resume: bool = False
+    copy_at: str = ''
+
+
+def choose_copy_holder(
+    views: tuple[ServerView, ...],
+    needs: Requirements,
+    runner: ServerView,
+    random: Random,
+) -> ServerView | None:
+    """
+    Choose the server that keeps a copy of a run's memory.
+
+    It stands in another failure domain than the server that runs it.
+
+    :param views: the servers this daemon knows.
+    :param needs: what the stream needs.
+    :param runner: server that runs the stream.
+    :param random: generator to draw from.
+    :returns: the server, none if no server fits.
+    """
+    fitting = [
+        view
+        for view in _fitting(views, needs)
+        if view.failure_domain != runner.failure_domain
+    ]
+    if not fitting:
+        return None
+    drawn = random.sample(fitting, min(2, len(fitting)))
+    return min(drawn, key=lambda view: (view.fill, view.name))
 
 
 def choose_server(
@@ -94,7 +130,9 @@
     fitting = _fitting(views, needs)
     if not fitting:
         return None
-    favourite = _holder_of_prefix(fitting, needs)
+    favourite = _holder_of_copy(fitting, needs)
+    if favourite is None:
+        favourite = _holder_of_prefix(fitting, needs)
     if favourite is not None:
         return favourite
     drawn = random.sample(fitting, min(2, len(fitting)))
@@ -111,7 +149,7 @@
         view
         for view in views
         if view.model == needs.model
-        and view.version == needs.version
+        and needs.version in {'', view.version}
         and not view.is_leaving
         and view.name not in needs.excluded
     )
@@ -132,6 +170,13 @@
     return view.fill + detour
 
 
+def _holder_of_copy(
+    fitting: tuple[ServerView, ...], needs: Requirements
+) -> ServerView | None:
+    holders = [view for view in fitting if view.name == needs.copy_at]
+    return holders[0] if holders else None
+
+
 def _holder_of_prefix(
     fitting: tuple[ServerView, ...], needs: Requirements
 ) -> ServerView | None:
--- a/bronzesill/standins/fleet.py
+++ b/bronzesill/standins/fleet.py
@@ -15,7 +15,7 @@
 
 from ..config import ConfigChange, ConfigRepository, DaemonSettings
 from ..daemon import Daemon
-from ..platform import EtcdStore
+from ..platform import PlatformStore
 from ..utils import Address, hash_secret
 from .batch import EngineProfile
 from .engine import EngineStandIn
@@ -195,7 +195,7 @@
     async def apply(self, document: dict[str, Any]) -> int:
         """Put a base file into the store and return its revision."""
         async with aiohttp.ClientSession() as session:
-            store = EtcdStore(session, self.store.address)
+            store = PlatformStore(session, self.store.address)
             repository = ConfigRepository(store)
             change = ConfigChange(
                 yaml.safe_dump(document), {}, 'nino', 'test', 0
--- a/bronzesill/standins/store.py
+++ b/bronzesill/standins/store.py
@@ -1,11 +1,10 @@
-"""Stand-in for the key-value service: the etcd v3 JSON gateway."""
+"""Stand-in for the platform's key-value service."""
 
 from __future__ import annotations
 
 import asyncio
-import base64
+import contextlib
 import dataclasses
-from collections.abc import AsyncIterator
 from typing import Any
 
 import falcon
@@ -13,11 +12,18 @@
 from falcon import asgi
 
 from ..utils import Address, HttpServer
-from .store_state import Entry, EntryQueue, Lease, StoreFaults, StoreState
+from .store_state import Item, Lease, StoreFaults, StoreState
 
 __all__ = ['StoreStandIn']
 
 _LOST_ANSWER_S = 30.0
+_MS_PER_S = 1000
+_PAGE_ITEMS = 500
+_EXPIRY_S = 0.2
+
+_NOT_FOUND = 404
+_HISTORY_GONE = 410
+_CONDITION_FAILED = 412
 
 
 class StoreStandIn:
@@ -30,6 +36,7 @@
     def __init__(self, address: Address) -> None:
         self.state = StoreState()
         self._server = HttpServer(self._make_app, address)
+        self._expiry: asyncio.Task[None] | None = None
 
     @property
     def address(self) -> Address:
@@ -39,164 +46,213 @@
     async def start(self) -> None:
         """Begin to serve."""
         await self._server.start()
+        self._expiry = asyncio.create_task(self._expire())
 
     async def stop(self) -> None:
         """End at once."""
+        if self._expiry is not None:
+            self._expiry.cancel()
         await self._server.kill()
 
-    async def on_post_range(
+    async def on_get_key(
+        self, request: asgi.Request, response: asgi.Response
+    ) -> None:
+        """Read one key."""
+        await self._admit()
+        self.state.reads += 1
+        item = self.state.items_by_key.get(request.get_param('key') or '')
+        at_revision = {'atRevision': self.state.revision}
+        if item is None:
+            response.status = _NOT_FOUND
+            response.media = at_revision
+            return
+        response.media = {**_raw(item), **at_revision}
+
+    async def on_get_range(
+        self, request: asgi.Request, response: asgi.Response
+    ) -> None:
+        """Read the keys below a prefix, a page at a time."""
+        await self._admit()
+        self.state.reads += 1
+        after = request.get_param('after') or ''
+        found = [
+            item
+            for item in self.state.select(request.get_param('prefix') or '')
+            if item.key > after
+        ]
+        response.media = {
+            'entries': [_raw(item) for item in found[:_PAGE_ITEMS]],
+            'hasMore': len(found) > _PAGE_ITEMS,
+            'atRevision': self.state.revision,
+        }
+
+    async def on_get_watch(
         self, request: asgi.Request, response: asgi.Response
     ) -> None:
-        """Read one key or a range."""
-        body = await self._admit(request)
+        """Wait for changes below a prefix."""
+        await self._admit()
         self.state.reads += 1
-        found = self.state.select(
-            _decode(body['key']), _decode(body.get('range_end', ''))
-        )
+        prefix = request.get_param('prefix') or ''
+        after = request.get_param_as_int('after') or 0
+        wait_s = (request.get_param_as_int('waitMs') or 0) / _MS_PER_S
+        if after < self.state.compacted_revision:
+            response.status = _HISTORY_GONE
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await self._wait_for_change(prefix, after)
+        self._refuse_if_down()
+        found = self.state.changes(prefix, after)
         response.media = {
-            'header': self._header(),
-            'kvs': [_raw_entry(entry) for entry in found],
-            'count': str(len(found)),
+            'events': [_raw(item) for item in found],
+            'atRevision': self.state.revision,
         }
 
     async def on_post_txn(
         self, request: asgi.Request, response: asgi.Response
     ) -> None:
-        """Compare revisions and apply one of two lists of operations."""
-        body = await self._admit(request)
+        """Write and remove keys if all expected revisions hold."""
+        body = await _body(request)
+        await self._admit()
         self.state.writes += 1
-        succeeded = all(
-            self.state.mod_revision(_decode(compare['key']))
-            == int(compare['mod_revision'])
-            for compare in body.get('compare', ())
-        )
-        branch = 'success' if succeeded else 'failure'
-        operations = body.get(branch, ())
-        if operations:
-            self.state.revision += 1
-        for operation in operations:
-            self._apply(operation)
+        expected = body.get('expectedRevision', ())
+        if any(
+            self.state.revision_of(row['key']) != row['revision']
+            for row in expected
+        ):
+            response.status = _CONDITION_FAILED
+            response.media = {'entries': self._present(expected)}
+            return
+        writes = body.get('write', ())
+        leases = {write.get('leaseId', 0) for write in writes} - {0}
+        if not leases <= self.state.leases_by_id.keys():
+            response.status = _NOT_FOUND
+            return
+        self.state.revision += 1
+        for write in writes:
+            lease_id = write.get('leaseId', 0)
+            self.state.write(write['key'], write['value'], lease_id)
+        for key in body.get('remove', ()):
+            self.state.remove(key)
+        response.media = {'revision': self.state.revision}
+        await self._tell()
         await self._lose_answer()
-        response.media = {'header': self._header(), 'succeeded': succeeded}
 
-    async def on_post_grant(
+    async def on_post_lease(
         self, request: asgi.Request, response: asgi.Response
     ) -> None:
         """Open a lease."""
-        body = await self._admit(request)
+        body = await _body(request)
+        await self._admit()
         self.state.writes += 1
-        ttl_s = float(body['TTL'])
+        ttl_s = float(body['ttlMs']) / _MS_PER_S
         self.state.revision += 1
         lease_id = self.state.revision
-        self.state.lease_ends_by_id[lease_id] = Lease(ttl_s, _now_s() + ttl_s)
-        response.media = {'ID': str(lease_id), 'TTL': str(int(ttl_s))}
+        self.state.leases_by_id[lease_id] = Lease(ttl_s, _now_s() + ttl_s)
+        response.media = {'leaseId': lease_id, 'ttlMs': body['ttlMs']}
 
-    async def on_post_keepalive(
-        self, request: asgi.Request, response: asgi.Response
+    async def on_post_keep(
+        self, request: asgi.Request, response: asgi.Response, lease_id: int
     ) -> None:
         """Renew a lease."""
-        body = await self._admit(request)
-        self.state.writes += 1
-        ttl_s = self.state.renew(int(body['ID']), _now_s())
-        response.media = {'result': {'ID': body['ID'], 'TTL': str(int(ttl_s))}}
+        await self._admit()
+        self.state.reads += 1
+        ttl_s = self.state.renew(lease_id, _now_s())
+        response.media = {'ttlMs': int(ttl_s * _MS_PER_S)}
+        if not ttl_s:
+            response.status = _NOT_FOUND
 
-    async def on_post_watch(
-        self, request: asgi.Request, response: asgi.Response
+    async def on_delete_end(
+        self, request: asgi.Request, response: asgi.Response, lease_id: int
     ) -> None:
-        """Stream the writes below a prefix."""
-        body = await self._admit(request)
-        self.state.reads += 1
-        wanted = body['create_request']
-        response.content_type = 'application/json'
-        response.stream = self._watch(
-            _decode(wanted['key']), _decode(wanted.get('range_end', ''))
-        )
+        """End a lease."""
+        await self._admit()
+        self.state.writes += 1
+        self.state.end_leases({lease_id})
+        await self._tell()
+        response.media = {}
 
     async def on_post_faults(
         self, request: asgi.Request, response: asgi.Response
     ) -> None:
         """Set faults and tell the counts of calls so far."""
-        faults = orjson.loads(await request.stream.read())
+        faults = await _body(request)
         current = dataclasses.asdict(self.state.faults)
         self.state.faults = StoreFaults(**{**current, **faults})
+        await self._tell()
         response.media = {
             'reads': self.state.reads,
             'writes': self.state.writes,
-            'watchers': len(self.state.watchers),
         }
 
-    async def _admit(self, request: asgi.Request) -> Any:
-        body = orjson.loads(await request.stream.read())
+    async def _admit(self) -> None:
         await asyncio.sleep(self.state.faults.delay_s)
-        if self.state.faults.down or self.state.exceeds_rate(_now_s()):
-            raise falcon.HTTPServiceUnavailable
+        self._refuse_if_down()
+        if self.state.exceeds_rate(_now_s()):
+            raise falcon.HTTPTooManyRequests
         self.state.expire(_now_s())
-        return body
+
+    def _refuse_if_down(self) -> None:
+        if self.state.faults.down:
+            raise falcon.HTTPServiceUnavailable
 
     async def _lose_answer(self) -> None:
         if self.state.faults.lose_answers:
             self.state.faults.lose_answers -= 1
             await asyncio.sleep(_LOST_ANSWER_S)
 
-    def _apply(self, operation: dict[str, Any]) -> None:
-        put = operation.get('requestPut')
-        if put is None:
-            key = _decode(operation['requestDeleteRange']['key'])
-            self.state.entries_by_key.pop(key, None)
-            return
-        entry = Entry(
-            key=put['key'],
-            payload=put['value'],
-            mod_revision=self.state.revision,
-            lease_id=int(put.get('lease', 0)),
-        )
-        self.state.put(_decode(put['key']), entry)
-
-    async def _watch(
-        self, first: bytes, after_last: bytes
-    ) -> AsyncIterator[bytes]:
-        queue: EntryQueue = asyncio.Queue()
-        self.state.watchers.add(queue)
-        try:
-            yield b'{"result":{"created":true}}\n'
-            while not self.state.faults.down:
-                key, entry = await queue.get()
-                if first <= key < after_last:
-                    event = {'type': 'PUT', 'kv': _raw_entry(entry)}
-                    yield _watch_line(event)
-        finally:
-            self.state.watchers.discard(queue)
-
-    def _header(self) -> dict[str, str]:
-        return {'revision': str(self.state.revision)}
+    async def _wait_for_change(self, prefix: str, after: int) -> None:
+        async with self.state.changed:
+            await self.state.changed.wait_for(
+                lambda: (
+                    self.state.faults.down or self.state.changes(prefix, after)
+                )
+            )
+
+    async def _tell(self) -> None:
+        async with self.state.changed:
+            self.state.changed.notify_all()
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(_EXPIRY_S)
+            before = self.state.revision
+            self.state.expire(_now_s())
+            if self.state.revision > before:
+                await self._tell()
+
+    def _present(self, expected: Any) -> list[dict[str, Any]]:
+        items = (self.state.items_by_key.get(row['key']) for row in expected)
+        return [_raw(item) for item in items if item is not None]
 
     def _make_app(self) -> asgi.App[Any, Any]:
         app: asgi.App[Any, Any] = asgi.App()
-        app.add_route('/v3/kv/range', self, suffix='range')
-        app.add_route('/v3/kv/txn', self, suffix='txn')
-        app.add_route('/v3/lease/grant', self, suffix='grant')
-        app.add_route('/v3/lease/keepalive', self, suffix='keepalive')
-        app.add_route('/v3/watch', self, suffix='watch')
+        app.add_route('/v1/kv-key', self, suffix='key')
+        app.add_route('/v1/kv-range', self, suffix='range')
+        app.add_route('/v1/kv-watch', self, suffix='watch')
+        app.add_route('/v1/kv-txn', self, suffix='txn')
+        app.add_route('/v1/kv-lease', self, suffix='lease')
+        app.add_route('/v1/kv-keep/{lease_id:int}', self, suffix='keep')
+        app.add_route('/v1/kv-lease-end/{lease_id:int}', self, suffix='end')
         app.add_route('/standin/faults', self, suffix='faults')
         return app
 
 
-def _watch_line(event: dict[str, Any]) -> bytes:
-    return b'%b\n' % orjson.dumps({'result': {'events': [event]}})
+async def _body(request: asgi.Request) -> Any:
+    return orjson.loads(await request.stream.read())
 
 
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
 
 
-def _decode(text: str) -> bytes:
-    return base64.b64decode(text)
-
-
-def _raw_entry(entry: Entry) -> dict[str, str]:
+def _raw(item: Item) -> dict[str, Any]:
+    if item.value is None:
+        return {'key': item.key, 'revision': item.revision, 'compacted': True}
     return {
-        'key': entry.key,
-        'value': entry.payload,
-        'mod_revision': str(entry.mod_revision),
-        'lease': str(entry.lease_id),
+        'key': item.key,
+        'value': item.value,
+        'revision': item.revision,
+        'createdRevision': item.created_revision,
+        'leaseId': item.lease_id,
     }
--- a/bronzesill/standins/tests/test_standins.py
+++ b/bronzesill/standins/tests/test_standins.py
@@ -5,7 +5,8 @@
 
 import aiohttp
 
-from ...platform import EtcdStore, Mutation
+from ...platform import PlatformStore
+from ...store import Mutation
 from ...utils import Address, BronzesillError, ResultCode
 from ..batch import EngineProfile
 from ..engine import EngineStandIn
@@ -63,7 +64,7 @@
         self.standin = StoreStandIn(_ANYWHERE)
         await self.standin.start()
         self.session = aiohttp.ClientSession()
-        self.store = EtcdStore(self.session, self.standin.address)
+        self.store = PlatformStore(self.session, self.standin.address)
 
     async def asyncTearDown(self) -> None:
         await self.session.close()
--- a/bronzesill/platform/interfaces.py
+++ b/bronzesill/store/interfaces.py
@@ -9,10 +9,12 @@
 from ..utils import Address
 
 __all__ = [
+    'Changes',
     'HostList',
     'KeyValueStore',
     'ListedHost',
     'Mutation',
+    'Snapshot',
     'StoredEntry',
 ]
 
@@ -25,11 +27,42 @@
     :param key: the key.
     :param payload: the bytes kept under it.
     :param mod_revision: store revision of the last write, 0 if absent.
+    :param is_removed: whether that write removed the key.
     """
 
     key: str
     payload: bytes
     mod_revision: int
+    is_removed: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Snapshot:
+    """
+    Keys below a prefix as they were read.
+
+    :param entries: the keys that exist, in key order.
+    :param revision: store revision from which changes may be followed.
+    """
+
+    entries: tuple[StoredEntry, ...]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Changes:
+    """
+    Writes below a prefix since a revision.
+
+    :param entries: the writes, oldest first.
+    :param revision: store revision up to which they are complete.
+    :param is_gap: whether older writes are no longer known, so that the keys
+        have to be read anew.
+    """
+
+    entries: tuple[StoredEntry, ...]
+    revision: int
+    is_gap: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,12 +107,34 @@
         :returns: store revision of the write, none if it was not made.
         """
 
-    async def grant_lease(self, ttl_s: int) -> int:
+    async def grant_lease(self, ttl_s: float) -> int:
         """Open a lease and return its number."""
 
     async def keep_lease(self, lease_id: int) -> bool:
         """Renew a lease; false if it has lapsed."""
 
+    async def end_lease(self, lease_id: int) -> None:
+        """End a lease and remove the keys bound to it."""
+
+    async def snapshot(self, prefix: str, *, is_stale_fine: bool) -> Snapshot:
+        """
+        Read all keys below a prefix with the revision to follow from.
+
+        :param prefix: beginning of the keys.
+        :param is_stale_fine: whether the answer may be seconds old.
+        """
+
+    async def changes(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> Changes:
+        """
+        Wait for writes below a prefix.
+
+        :param prefix: beginning of the keys.
+        :param after_revision: revision up to which writes are known.
+        :param wait_s: seconds to wait if there are none.
+        """
+
     def watch(self, prefix: str) -> AsyncIterator[StoredEntry]:
         """Yield writes below a prefix until the connection ends."""
 
--- a/bronzesill/utils/__init__.py
+++ b/bronzesill/utils/__init__.py
@@ -19,9 +19,10 @@
 )
 from .logs import PartLogger, configure_logging
 from .metrics import Metrics, NullMetrics, connect_metrics
-from .serving import HttpServer
+from .serving import TARGET_KEY, HttpServer, ServingLimits
 
 __all__ = [
+    'TARGET_KEY',
     'Address',
     'BronzesillError',
     'DocumentInvalid',
@@ -30,6 +31,7 @@
     'NullMetrics',
     'PartLogger',
     'ResultCode',
+    'ServingLimits',
     'chain_digest',
     'configure_logging',
     'connect_metrics',
