--- a/bronzesill/config/document.py
+++ b/bronzesill/config/document.py
@@ -109,6 +109,8 @@
     :param service: name of a plain service, empty for an engine.
     :param capacity: requests the server handles well at once.
     :param checks_fencing: whether it refuses an old fencing number.
+    :param memory_tokens: tokens that its memory holds, 0 if not known.
+    :param started_at_s: seconds since the epoch of its start, 0 if not known.
     """
 
     address: Address
@@ -118,6 +120,8 @@
     service: str = ''
     capacity: int = 16
     checks_fencing: bool = False
+    memory_tokens: int = 0
+    started_at_s: float = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -127,12 +131,10 @@
 
     :param server: what it is.
     :param is_leaving: whether it is about to go and takes nothing new.
-    :param started_at_ms: Unix millisecond of its start, 0 if not told.
     """
 
     server: BackendServer
     is_leaving: bool = False
-    started_at_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -33,18 +33,18 @@
     MembershipMailbox,
 )
 from ..platform import (
-    OPERATOR_PREFIX,
-    SERVER_PREFIX,
+    ALL_KEYS,
     PlatformDialect,
     PlatformStore,
     make_directory_app,
     make_readiness_app,
 )
 from ..replica import FollowPolicy, StoreFollower
-from ..routing import LoadReport, ServerBook, TrafficSplit
+from ..routing import LoadReport, ServerBook, TrafficSplit, UseReport
 from ..store import StoredEntry
 from ..upstream import AnswerHead, ConnectionPool
 from ..utils import (
+    Address,
     HttpServer,
     NullMetrics,
     PartLogger,
@@ -54,13 +54,15 @@
 from .hosted_fleet import HostedFleet
 from .hosted_knowledge import HostedKnowledge
 from .protocol import Refusal, make_registry
+from .use_sharing import ArrivalSorter, UseSharing
 
 __all__ = ['HostedDaemon']
 
 _MS_PER_S = 1000
 _ADDRESS_TTL_S = 2.0
-_SERVER_PAUSE_S = 0.4
-_OPERATOR_PAUSE_S = 0.1
+#: A watch that waits may have gone deaf; another call tells.
+_WATCH_WAIT_S = 1.0
+_WATCH_PAUSE_S = 0.4
 _STOP_MARGIN_S = 0.5
 _STOP_POLL_S = 0.05
 _STOP_LINGER_S = 4.0
@@ -102,6 +104,10 @@
         self._readiness = HttpServer(
             lambda: make_readiness_app(self._is_ready), settings.readiness
         )
+        self._use = UseSharing(
+            settings.name, self._book, self._peers.socket, self._peer_addresses
+        )
+        self._peers.sorter.handlers_by_type[UseReport] = self._use.hear
         self._stop_asked = asyncio.Event()
 
     @classmethod
@@ -121,6 +127,8 @@
             await server.start()
         _log.info('%s serves on %s', self._settings.name, self._callers.address)
         tasks = [asyncio.create_task(part) for part in self._parts()]
+        for task in tasks:
+            task.add_done_callback(self._notice_end)
         try:
             await self._stop_asked.wait()
             await self._drain()
@@ -140,12 +148,19 @@
         self._fleet.state_stop()
         self._stop_asked.set()
 
+    def _notice_end(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled():
+            return
+        # A part never ends by itself: without it the host is of no use.
+        _log.error('a part failed: %r', task.exception())
+        self.begin_stop()
+
     def _parts(self) -> list[Coroutine[Any, Any, None]]:
         return [
-            self._follow(OPERATOR_PREFIX, FollowPolicy(20, _OPERATOR_PAUSE_S)),
-            self._follow(SERVER_PREFIX, FollowPolicy(20, _SERVER_PAUSE_S)),
+            self._follow(ALL_KEYS, FollowPolicy(_WATCH_WAIT_S, _WATCH_PAUSE_S)),
             self._knowledge.settle(),
             self._peers.membership.run(),
+            self._use.run(),
             self._fleet.keep_listed(),
             self._fleet.find_peers(),
         ]
@@ -179,12 +194,18 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        for server in (self._callers, self._directory, self._readiness):
-            await server.kill()
-        await self._peers.close()
+        await asyncio.gather(
+            self._callers.kill(),
+            self._directory.kill(),
+            self._readiness.kill(),
+            self._peers.close(),
+        )
         self._pool.close()
         await self._session.close()
 
+    def _peer_addresses(self) -> tuple[Address, ...]:
+        return tuple(member.peers for member in self._fleet.live_peers())
+
     def _is_ready(self) -> bool:
         return self._knowledge.is_complete and not self._state.is_stopping
 
@@ -206,6 +227,7 @@
             self._random,
         )
         generations.keeps_copies = self._keeps_copies
+        generations.is_use_told = True
         bounds = self._settings.bounds
         budget = RetryBudget(earn_per_try=bounds.retry_ratio / 2)
         parts = ForwardParts(
@@ -245,10 +267,11 @@
         mailbox: MembershipMailbox = asyncio.Queue()
         self._address = settings.peers
         self.client = PeerClient(registry, counters)
-        self._socket = DatagramSocket(registry, counters, mailbox)
+        self.sorter = ArrivalSorter(mailbox)
+        self.socket = DatagramSocket(registry, counters, self.sorter)
         self.membership = MembershipController(
             _describe(settings),
-            self._socket,
+            self.socket,
             mailbox,
             self.client,
             random,
@@ -259,13 +282,13 @@
     async def open(self) -> None:
         """Listen to peers."""
         await self._server.start()
-        await self._socket.open(self._address)
+        await self.socket.open(self._address)
 
     async def close(self) -> None:
         """End all connections with peers."""
         await self._server.stop()
         await self.client.stop()
-        self._socket.close()
+        self.socket.close()
 
     async def answer(self, question: Any) -> Any:
         """Answer one question of a peer."""
--- a/bronzesill/daemon/hosted_knowledge.py
+++ b/bronzesill/daemon/hosted_knowledge.py
@@ -136,7 +136,7 @@
 ) -> bool:
     if known is None or listed is None:
         return False
-    return known.started_at_ms != listed.started_at_ms
+    return known.server.started_at_s != listed.server.started_at_s
 
 
 def _as_used(server: BackendServer, document: Document | None) -> BackendServer:
@@ -144,7 +144,12 @@
     if service is None or service.engine is None:
         return server
     # An engine serves the model that is named like its service.
-    return dataclasses.replace(server, model=server.service, service='')
+    return dataclasses.replace(
+        server,
+        model=server.service,
+        service='',
+        memory_tokens=service.engine.memory_tokens,
+    )
 
 
 def _now_s() -> float:
--- a/bronzesill/daemon/parts.py
+++ b/bronzesill/daemon/parts.py
@@ -226,7 +226,7 @@
             connect_metrics(settings.statsd, settings.name),
             shared.random,
         )
-        generations.on_seen = shared.traffic.note_attempt
+        generations.observer.on_seen = shared.traffic.note_attempt
         generations.pick_version = shared.traffic.pick_version
         admission = AdmissionController(AdmissionLimits(0, 0))
         return cls(admission, servers, generations)
--- a/bronzesill/daemon/protocol.py
+++ b/bronzesill/daemon/protocol.py
@@ -34,6 +34,7 @@
     View,
 )
 from ..moves import MoveReport, MovesController, ReportTaken
+from ..routing import UseReport
 from ..utils import ResultCode
 from ..wire import MessageRegistry
 from .config_keeper import ConfigKeeper
@@ -79,6 +80,7 @@
             46: QuotaAnswer,
             50: MoveReport,
             51: ReportTaken,
+            60: UseReport,
             99: Refusal,
         }
     )
--- /dev/null
+++ b/bronzesill/daemon/use_sharing.py
@@ -0,0 +1,92 @@
+"""Tells the other daemons which engines this one uses, and hears theirs."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Callable
+
+from ..membership import MembershipMailbox
+from ..routing import ServerBook, UseReport
+from ..utils import Address
+from ..wire import Arrival, DatagramSocket
+
+__all__ = ['ArrivalSorter', 'UseSharing']
+
+_CHANGE_PAUSE_S = 0.03
+_REPEAT_S = 0.7
+_MS_PER_S = 1000
+
+
+class ArrivalSorter:
+    """
+    Hands arrivals to membership, or to who asked for their type.
+
+    :param membership: mailbox of membership.
+    """
+
+    def __init__(self, membership: MembershipMailbox) -> None:
+        self.handlers_by_type: dict[type, Callable[[object], None]] = {}
+        self._membership = membership
+
+    def put_nowait(self, arrival: Arrival) -> None:
+        """Take in a datagram."""
+        handler = self.handlers_by_type.get(type(arrival.message))
+        if handler is None:
+            self._membership.put_nowait(arrival)
+        else:
+            handler(arrival.message)
+
+
+class UseSharing:
+    """
+    Task that reports this daemon's use of engines.
+
+    :param daemon: name of this daemon.
+    :param book: what is known of the backend servers.
+    :param socket: datagrams to peers.
+    :param list_peers: addresses of the other live daemons.
+    """
+
+    def __init__(
+        self,
+        daemon: str,
+        book: ServerBook,
+        socket: DatagramSocket,
+        list_peers: Callable[[], tuple[Address, ...]],
+    ) -> None:
+        self._daemon = daemon
+        self._book = book
+        self._socket = socket
+        self._list_peers = list_peers
+        # Grows over restarts too.
+        self._sequence = int(time.time() * _MS_PER_S)
+        self._changed = asyncio.Event()
+        book.on_use_changed = self._changed.set
+
+    async def run(self) -> None:
+        """Report each change soon, and the same again now and then."""
+        while True:
+            await self._wait_for_change()
+            self._changed.clear()
+            self._report()
+            await asyncio.sleep(_CHANGE_PAUSE_S)
+
+    def hear(self, message: object) -> None:
+        """Take in another daemon's report."""
+        if isinstance(message, UseReport):
+            now_s = asyncio.get_running_loop().time()
+            self._book.heard_use(message, now_s)
+
+    async def _wait_for_change(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_REPEAT_S):
+                await self._changed.wait()
+
+    def _report(self) -> None:
+        self._sequence += 1
+        now_s = asyncio.get_running_loop().time()
+        report = self._book.report_use(self._daemon, self._sequence, now_s)
+        for address in self._list_peers():
+            self._socket.send(address, report)
--- a/bronzesill/gateway/forwarding.py
+++ b/bronzesill/gateway/forwarding.py
@@ -27,6 +27,7 @@
     Opened,
     Piece,
     StallPolicy,
+    Stopwatch,
     Subscription,
 )
 from ..upstream import Dialect, ForwardRequest, Header
@@ -268,6 +269,7 @@
         self._queue: Subscription | None = None
         self._watcher: asyncio.Task[None] | None = None
         self._first: Opened | None = None
+        self._watch = Stopwatch(now_s)
 
     @property
     def head(self) -> Any:
@@ -315,14 +317,30 @@
             while self._queue is not None:
                 arrived = await self._queue.get()
                 if isinstance(arrived, Ended):
+                    self._log_end('whole')
                     return
                 if isinstance(arrived, Failed):
+                    self._log_end(arrived.code.name.lower())
                     raise BronzesillError(arrived.code, 'answer incomplete')
                 if isinstance(arrived, Piece):
+                    self._note_arrival(len(arrived.tokens))
                     yield ''.join(arrived.tokens).encode('latin-1')
         finally:
             self.close()
 
+    def _note_arrival(self, token_count: int) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._watch = self._watch.after(token_count, now_s)
+
+    def _log_end(self, outcome: str) -> None:
+        _log.info(
+            '%s ended %s: first event after %.3f s, longest pause %.3f s',
+            self._request.request_id,
+            outcome,
+            self._watch.first_token_s,
+            self._watch.longest_gap_s,
+        )
+
     def _leave(self) -> None:
         if self._queue is not None:
             self._queue.put_nowait(Failed(ResultCode.CALLER_LEFT))
--- a/bronzesill/generations/__init__.py
+++ b/bronzesill/generations/__init__.py
@@ -21,6 +21,7 @@
 from .pace import Pace, StallPolicy
 from .peer_directory import Home, PeerDirectory, answer_location
 from .request import GenerationRequest
+from .stopwatch import Stopwatch
 from .subscription import Ended, Failed, Opened, Piece, Subscription
 
 __all__ = [
@@ -49,6 +50,7 @@
     'Piece',
     'Site',
     'StallPolicy',
+    'Stopwatch',
     'StreamClient',
     'StreamEvent',
     'Subscription',
--- a/bronzesill/generations/attempt.py
+++ b/bronzesill/generations/attempt.py
@@ -16,8 +16,11 @@
     EndArrived,
     LossCause,
     OpenAttempt,
+    ProbeServer,
+    ServerProbed,
+    TokensArrived,
 )
-from .observer import AttemptSeen, GenerationObserver
+from .observer import AttemptSeen, AttemptUse, GenerationObserver
 from .request import GenerationRequest
 from .stopwatch import Stopwatch
 from .subscription import Mail
@@ -25,6 +28,26 @@
 __all__ = ['AttemptRunner']
 
 
+class _Progress:
+    """
+    Whether the first token of an attempt has come.
+
+    :param server: backend server that computes it.
+    :param observer: told once when it comes.
+    """
+
+    def __init__(self, server: str, observer: GenerationObserver) -> None:
+        self.has_begun = False
+        self._server = server
+        self._observer = observer
+
+    def note(self) -> None:
+        """Note that tokens have come."""
+        if not self.has_begun:
+            self.has_begun = True
+            self._observer.begun(self._server)
+
+
 class AttemptRunner:
     """
     Owner of the upstream connection of one generation.
@@ -75,7 +98,8 @@
             copy_to=self._find_address(action.copy_to),
             uses_copy=action.uses_copy,
         )
-        self._stream = self.help(self._read(opening, action.server))
+        use = AttemptUse(action.server, action.copy_to, request.memory_tokens)
+        self._stream = self.help(self._read(opening, use))
 
     def note_arrival(
         self, request: GenerationRequest, token_count: int
@@ -113,6 +137,10 @@
                 self.cancel_stream(request, action.server, action.attempt)
             )
 
+    def probe(self, action: ProbeServer) -> None:
+        """Find out whether the server of an attempt takes connections."""
+        self.help(self._probe(action))
+
     async def cancel_stream(
         self, request: GenerationRequest, server: str, attempt: int
     ) -> None:
@@ -136,23 +164,35 @@
             helper.cancel()
         await asyncio.gather(*self._helpers, return_exceptions=True)
 
-    async def _read(self, opening: StreamOpening, server: str) -> None:
-        self._observer.opened(server)
+    async def _probe(self, action: ProbeServer) -> None:
+        address = self._find_address(action.server)
+        is_alive = address is not None and await self._client.is_alive(
+            action.server, address
+        )
+        self._mailbox.put_nowait(ServerProbed(action.attempt, is_alive))
+
+    async def _read(self, opening: StreamOpening, use: AttemptUse) -> None:
+        self._observer.opened(use)
+        progress = _Progress(use.server, self._observer)
         try:
-            cause = await self._read_to_end(opening)
+            lost = await self._read_to_end(opening, progress)
         finally:
-            self._observer.closed(server)
-        if cause is not None:
-            self._mailbox.put_nowait(AttemptLost(opening.attempt, cause))
+            self._observer.closed(use, has_begun=progress.has_begun)
+        if lost is not None:
+            self._mailbox.put_nowait(lost)
 
-    async def _read_to_end(self, opening: StreamOpening) -> LossCause | None:
+    async def _read_to_end(
+        self, opening: StreamOpening, progress: _Progress
+    ) -> AttemptLost | None:
         try:
             async for message in self._client.read(opening):
+                if isinstance(message, TokensArrived):
+                    progress.note()
                 self._mailbox.put_nowait(message)
                 if isinstance(message, EndArrived):
                     return None
-        except (AttemptRefused, aiohttp.ClientConnectorError):
-            return LossCause.REFUSED
-        except (aiohttp.ClientError, OSError, ValueError):
-            return LossCause.BROKEN
-        return LossCause.BROKEN
+        except (AttemptRefused, aiohttp.ClientConnectorError) as error:
+            return AttemptLost(opening.attempt, LossCause.REFUSED, str(error))
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            return AttemptLost(opening.attempt, LossCause.BROKEN, str(error))
+        return AttemptLost(opening.attempt, LossCause.BROKEN, 'no end marker')
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -17,6 +17,7 @@
     choose_server,
 )
 from ..utils import Address, BronzesillError, Metrics, PartLogger, ResultCode
+from .book_observer import BookObserver
 from .decisions import GenerationState
 from .engine_client import StreamClient
 from .locations import LocationDirectory, LocationRecord
@@ -24,12 +25,10 @@
     Attached,
     ChooseServer,
     Event,
-    LossCause,
     NoServer,
     PlacementRefused,
     ServerChosen,
 )
-from .observer import AttemptSeen
 from .pace import StallPolicy
 from .request import GenerationRequest
 from .subscription import Subscribe, Subscription, Unsubscribe
@@ -81,10 +80,12 @@
         random: Random,
     ) -> None:
         self.site = Site(StallPolicy(), 8)
-        #: Told how attempts do; set by the daemon.
-        self.on_seen: Callable[[AttemptSeen], None] = _ignore
+        #: Told of streams; it tells the daemon how attempts do.
+        self.observer = BookObserver(daemon, book, directory, metrics)
         #: Gives the version that answers a request not yet begun.
         self.pick_version: PickVersion = _keep_version
+        #: Whether the daemons tell each other at once which engines they use.
+        self.is_use_told = False
         #: Says whether the engines of a model keep copies of runs.
         self.keeps_copies: Callable[[str], bool] = _keeps_none
         self.tasks_by_key: dict[str, GenerationTask] = {}
@@ -93,7 +94,6 @@
         self._book = book
         self._client = client
         self._directory = directory
-        self._metrics = metrics
         self._random = random
         self._running: set[asyncio.Task[None]] = set()
 
@@ -112,7 +112,7 @@
             site's policy.
         :raises BronzesillError: the request id is taken by another body.
         """
-        key = _request_key(request)
+        key = request.key
         generation = self.tasks_by_key.get(key)
         if generation is None:
             policy = policy or self.site.policy
@@ -127,7 +127,7 @@
         self, request: GenerationRequest, queue: Subscription
     ) -> None:
         """Take a reader away from its generation."""
-        generation = self.tasks_by_key.get(_request_key(request))
+        generation = self.tasks_by_key.get(request.key)
         if generation is not None:
             generation.mailbox.put_nowait(Unsubscribe(queue))
 
@@ -150,40 +150,6 @@
             runner.cancel()
         await asyncio.gather(*self._running, return_exceptions=True)
 
-    def opened(self, server: str) -> None:
-        """Note a stream opened on a backend server."""
-        self._book.opened(server)
-
-    def closed(self, server: str) -> None:
-        """Note a stream closed on a backend server."""
-        self._book.closed(server)
-
-    def saw(self, seen: AttemptSeen) -> None:
-        """Pass on how an attempt does."""
-        self.on_seen(seen)
-
-    def lost(self, server: str, cause: LossCause) -> None:
-        """Avoid a server for a moment after it lost a stream."""
-        self._book.suspect(server, asyncio.get_running_loop().time())
-        self._metrics.incr(f'generations.lost.{cause.value}')
-
-    def accepted(self, token_count: int, *, is_first: bool) -> None:
-        """Count accepted tokens."""
-        if is_first:
-            self._metrics.incr('generations.started')
-
-    def dropped(self, late: int, repeated: int) -> None:
-        """Count tokens that were not accepted."""
-        self._metrics.incr('generations.tokens.late', late)
-        self._metrics.incr('generations.tokens.repeated', repeated)
-
-    async def may_cancel(self, request: GenerationRequest) -> bool:
-        """Say whether no other daemon reads the same stream."""
-        if not request.can_reconnect:
-            return True
-        record = await self._directory.find(_request_key(request))
-        return record is None or record.owner == self._daemon
-
     def _begin(
         self,
         request: GenerationRequest,
@@ -204,7 +170,7 @@
             client=self._client,
             choose=self._place,
             find_address=self.find_address,
-            observer=self,
+            observer=self.observer,
             linger_s=linger_s,
         )
         self.tasks_by_key[key] = generation
@@ -251,7 +217,7 @@
     ) -> LocationRecord:
         request = generation.request
         return LocationRecord(
-            request_key=_request_key(request),
+            request_key=request.key,
             fingerprint=generation.fingerprint,
             generation_id=request.generation_id,
             version=request.version,
@@ -299,6 +265,7 @@
             home_domain=self._failure_domain,
             is_resume=action.is_resume,
             copy_at=action.copy_at,
+            is_use_told=self.is_use_told,
         )
         now_s = asyncio.get_running_loop().time()
         views = self._book.views(now_s)
@@ -320,19 +287,11 @@
         return holder.name if holder else ''
 
 
-def _request_key(request: GenerationRequest) -> str:
-    return f'{request.account}/{request.request_id}'
-
-
 def _fork(request: GenerationRequest) -> GenerationRequest:
     generation_id = f'gen-{uuid.uuid4().hex}'
     return dataclasses.replace(request, generation_id=generation_id)
 
 
-def _ignore(seen: AttemptSeen) -> None:
-    """Do nothing with what was seen."""
-
-
 def _keep_version(request: GenerationRequest, is_retry: bool) -> str:
     return request.version
 
--- a/bronzesill/generations/decisions.py
+++ b/bronzesill/generations/decisions.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import math
 
 from ..utils import ResultCode, chain_digest
 from .messages import (
@@ -23,7 +24,9 @@
     NoServer,
     OpenAttempt,
     PlacementRefused,
+    ProbeServer,
     ServerChosen,
+    ServerProbed,
     SetTimer,
     TimerFired,
     TokensArrived,
@@ -64,6 +67,7 @@
     :param copy_to: server that keeps a copy of the current run's memory.
     :param copy_at: server that keeps a copy of the run that was lost.
     :param uses_copy: whether the current attempt goes on from a copy.
+    :param probed_at_s: when the server of the attempt was last probed.
     """
 
     deadline_at_s: float
@@ -81,6 +85,7 @@
     copy_to: str = ''
     copy_at: str = ''
     uses_copy: bool = False
+    probed_at_s: float = 0
 
     @property
     def has_ended(self) -> bool:
@@ -95,6 +100,19 @@
         )
         return self.progress_at_s + allowed_s
 
+    @property
+    def probe_at_s(self) -> float:
+        """Time at which the server is probed next, infinity for never."""
+        every_s = self.policy.probe_every_s
+        if every_s is None or self.pace.gap_s:
+            return math.inf
+        return max(self.progress_at_s, self.probed_at_s) + every_s
+
+    @property
+    def due_at_s(self) -> float:
+        """Time at which there is something to do if nothing arrives."""
+        return min(self.stall_at_s, self.deadline_at_s, self.probe_at_s)
+
 
 @dataclasses.dataclass(frozen=True)
 class Decision:
@@ -126,6 +144,8 @@
             return _end(state, event, now_s)
         case AttemptLost():
             return _lose(state, event, now_s)
+        case ServerProbed():
+            return _take_probe(state, event, now_s)
         case TimerFired():
             return _check_time(state, now_s)
         case _:
@@ -191,8 +211,8 @@
         _with_attempt(state, event.server, attempt, now_s),
         fill=event.fill,
         copy_to=event.copy_to,
-        # A copy serves once; if that fails, the answer goes on without it.
-        copy_at='',
+        # A copy serves once; another server leaves it as it is.
+        copy_at='' if uses_copy else state.copy_at,
         uses_copy=uses_copy,
     )
     return Decision(
@@ -205,7 +225,7 @@
                 copy_to=event.copy_to,
                 uses_copy=uses_copy,
             ),
-            SetTimer(min(opened.stall_at_s, state.deadline_at_s)),
+            SetTimer(opened.due_at_s),
         ),
     )
 
@@ -276,13 +296,15 @@
 def _lose(state: GenerationState, event: AttemptLost, now_s: float) -> Decision:
     if not _is_current(state, event.attempt):
         return Decision(state)
-    cancel = CancelAttempt(event.attempt, state.server, event.cause)
+    cancel = CancelAttempt(
+        event.attempt, state.server, event.cause, event.detail
+    )
     is_refused = event.cause is LossCause.REFUSED
     lost = dataclasses.replace(
         state,
         losses=state.losses + int(not is_refused),
         excluded=state.excluded | {state.server},
-        copy_at=state.copy_to if state.accepted else '',
+        copy_at=_copy_after(state),
     )
     if now_s >= state.deadline_at_s:
         after = _fail(lost, _late_code(event.cause))
@@ -293,6 +315,23 @@
     return Decision(after.state, (cancel, *after.actions))
 
 
+def _copy_after(state: GenerationState) -> str:
+    """Return who keeps a copy of the run, now that its attempt is lost."""
+    if state.pace.gap_s and state.accepted:
+        return state.copy_to
+    # The attempt brought nothing, so nothing of it was copied either.
+    return '' if state.uses_copy else state.copy_at
+
+
+def _take_probe(
+    state: GenerationState, event: ServerProbed, now_s: float
+) -> Decision:
+    if event.is_alive or state.pace.gap_s:
+        return Decision(state)
+    lost = AttemptLost(event.attempt, LossCause.SILENT, 'takes no connection')
+    return _lose(state, lost, now_s)
+
+
 def _late_code(cause: LossCause) -> ResultCode:
     if cause is LossCause.REFUSED:
         return ResultCode.INCOMPLETE_NO_SERVER
@@ -306,8 +345,11 @@
         return _choose(state)
     if state.phase is not Phase.STREAMING:
         return Decision(state)
-    due_at_s = min(state.stall_at_s, state.deadline_at_s)
-    if now_s < due_at_s:
-        return Decision(state, (SetTimer(due_at_s),))
+    if now_s < state.due_at_s:
+        return Decision(state, (SetTimer(state.due_at_s),))
+    if now_s < min(state.stall_at_s, state.deadline_at_s):
+        probed = dataclasses.replace(state, probed_at_s=now_s)
+        probe = ProbeServer(state.attempt, state.server)
+        return Decision(probed, (probe, SetTimer(probed.due_at_s)))
     lost = AttemptLost(state.attempt, LossCause.SILENT)
     return _lose(state, lost, now_s)
--- a/bronzesill/generations/engine_client.py
+++ b/bronzesill/generations/engine_client.py
@@ -84,6 +84,9 @@
     async def cancel(self, opening: StreamOpening) -> None:
         """Cancel a stream; an engine that does not hear it is let be."""
 
+    async def is_alive(self, server: str, address: Address) -> bool:
+        """Say whether an engine takes a connection."""
+
 
 class EngineClient:
     """
@@ -128,6 +131,10 @@
         except (aiohttp.ClientError, TimeoutError):
             return
 
+    async def is_alive(self, server: str, address: Address) -> bool:
+        """Say that an engine lives, for it is not probed here."""
+        return True
+
     def _send(self, opening: StreamOpening, timeout: Any) -> Any:
         if opening.is_attach:
             offset = len(opening.accepted)
--- a/bronzesill/generations/forward_client.py
+++ b/bronzesill/generations/forward_client.py
@@ -18,6 +18,7 @@
     SendPlan,
     Target,
 )
+from ..utils import Address
 from .engine_client import AttemptRefused, StreamMessage, StreamOpening
 from .event_stream import EventSplitter, StreamEvent
 from .messages import EndArrived, TokensArrived
@@ -70,6 +71,10 @@
     async def cancel(self, opening: StreamOpening) -> None:
         """Do nothing: the end of its connection cancels a stream."""
 
+    async def is_alive(self, server: str, address: Address) -> bool:
+        """Say whether an engine takes a connection."""
+        return await self._pool.probe(Target(server, address))
+
     async def _exchange(
         self, lease: Lease, opening: StreamOpening, forward: ForwardRequest
     ) -> AsyncIterator[StreamMessage]:
--- a/bronzesill/generations/messages.py
+++ b/bronzesill/generations/messages.py
@@ -25,7 +25,9 @@
     'NoServer',
     'OpenAttempt',
     'PlacementRefused',
+    'ProbeServer',
     'ServerChosen',
+    'ServerProbed',
     'SetTimer',
     'TimerFired',
     'TokensArrived',
@@ -129,10 +131,25 @@
 
     :param attempt: attempt that is lost.
     :param cause: why.
+    :param detail: what was seen, for the log.
     """
 
     attempt: int
     cause: LossCause
+    detail: str = ''
+
+
+@dataclasses.dataclass(frozen=True)
+class ServerProbed:
+    """
+    Answer to :class:`ProbeServer`.
+
+    :param attempt: attempt for which was asked.
+    :param is_alive: whether the server took a connection.
+    """
+
+    attempt: int
+    is_alive: bool
 
 
 @dataclasses.dataclass(frozen=True)
@@ -149,6 +166,7 @@
     | TokensArrived
     | EndArrived
     | AttemptLost
+    | ServerProbed
     | TimerFired
 )
 
@@ -190,6 +208,19 @@
     uses_copy: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class ProbeServer:
+    """
+    Find out whether a server takes connections.
+
+    :param attempt: number of the attempt that waits for it.
+    :param server: name of the backend server.
+    """
+
+    attempt: int
+    server: str
+
+
 @dataclasses.dataclass(frozen=True)
 class CancelAttempt:
     """
@@ -198,11 +229,13 @@
     :param attempt: number of the attempt.
     :param server: name of the backend server.
     :param cause: why it is cancelled.
+    :param detail: what was seen, for the log.
     """
 
     attempt: int
     server: str
     cause: LossCause
+    detail: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
@@ -269,6 +302,7 @@
 Action: TypeAlias = (
     ChooseServer
     | OpenAttempt
+    | ProbeServer
     | CancelAttempt
     | DeliverTokens
     | CompleteAnswer
--- a/bronzesill/generations/observer.py
+++ b/bronzesill/generations/observer.py
@@ -8,7 +8,7 @@
 from .messages import LossCause
 from .request import GenerationRequest
 
-__all__ = ['AttemptSeen', 'GenerationObserver']
+__all__ = ['AttemptSeen', 'AttemptUse', 'GenerationObserver']
 
 
 @dataclasses.dataclass(frozen=True)
@@ -32,14 +32,37 @@
     token_gap_s: float | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class AttemptUse:
+    """
+    What an attempt uses of backend servers.
+
+    :param server: server that runs it.
+    :param copy_to: server that keeps a copy of its memory, empty for none.
+    :param tokens: memory that it may need, 0 if not known.
+    """
+
+    server: str
+    copy_to: str = ''
+    tokens: int = 0
+
+
 class GenerationObserver(Protocol):
     """Receiver of what happens to the streams of generations."""
 
-    def opened(self, server: str) -> None:
+    def opened(self, use: AttemptUse) -> None:
         """Note a stream opened on a backend server."""
 
-    def closed(self, server: str) -> None:
-        """Note a stream closed on a backend server."""
+    def begun(self, server: str) -> None:
+        """Note that a backend server's first token has come."""
+
+    def closed(self, use: AttemptUse, *, has_begun: bool) -> None:
+        """
+        Note a stream closed on a backend server.
+
+        :param use: what the stream used.
+        :param has_begun: whether its first token had come.
+        """
 
     def saw(self, seen: AttemptSeen) -> None:
         """Note how an attempt does."""
--- a/bronzesill/generations/pace.py
+++ b/bronzesill/generations/pace.py
@@ -10,11 +10,15 @@
 _EASY_FILL = 0.5
 
 #: Part of the longest punctual pause after which a stream is lost.
-_PAUSE_PART = 0.55
+_PAUSE_PART = 0.52
+#: Silence before the first event of a run that goes on from a copy, in units
+#: of the silence between events.
+_RESUMED_PART = 1.5
+_PROBE_EVERY_S = 0.3
 #: Part of the time to a punctual first event after which it is lost.
-_TARGET_PART = 0.5
+_TARGET_PART = 0.8
 #: Tokens of a prompt that a busy engine reads in a second.
-_READ_TOKENS_PER_S = 5000
+_READ_TOKENS_PER_S = 3000
 _RETRY_NO_SERVER_S = 0.1
 
 
@@ -32,6 +36,8 @@
         copy of the run's memory; none to allow as much as otherwise.
     :param retry_no_server_s: pause before another search for a server.
     :param max_attempts: servers that one answer may be asked of.
+    :param probe_every_s: pause between two probes of the server while the
+        first token is waited for, none not to probe.
     """
 
     floor_s: float = 1.4
@@ -42,6 +48,7 @@
     resumed_first_token_s: float | None = None
     retry_no_server_s: float = 0.5
     max_attempts: int = 9
+    probe_every_s: float | None = None
 
     @classmethod
     def from_weight(cls, resume_latency_weight: float) -> StallPolicy:
@@ -75,12 +82,13 @@
         """
         silence_s = _PAUSE_PART * max_pause_s or cls.floor_s
         reading_s = prompt_tokens / _READ_TOKENS_PER_S
-        first_s = max(target_latency_s * _TARGET_PART, reading_s * 2)
+        first_s = max(target_latency_s * _TARGET_PART, reading_s)
         return cls(
             floor_s=silence_s,
-            ceiling_s=max(silence_s, 2 * max_pause_s),
+            ceiling_s=silence_s,
             first_token_s=first_s or cls.first_token_s,
-            resumed_first_token_s=2 * silence_s,
+            resumed_first_token_s=_RESUMED_PART * silence_s,
+            probe_every_s=_PROBE_EVERY_S,
             retry_no_server_s=_RETRY_NO_SERVER_S,
             max_attempts=max_attempts,
         )
--- a/bronzesill/generations/request.py
+++ b/bronzesill/generations/request.py
@@ -42,6 +42,19 @@
     route: str = 'text'
     forward: ForwardRequest | None = None
 
+    @property
+    def memory_tokens(self) -> int:
+        """Memory that a run may need in tokens, 0 if not known."""
+        if self.forward is None:
+            return 0
+        caller = self.forward.caller
+        return caller.prompt_tokens + caller.max_output_tokens
+
+    @property
+    def key(self) -> str:
+        """Name of the request, unique over all client accounts."""
+        return f'{self.account}/{self.request_id}'
+
     def stream_id(self, attempt: int) -> str:
         """Return the name of an attempt's stream at the engine."""
         return f'{self.generation_id}.{attempt}'
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -22,6 +22,7 @@
     Event,
     FailAnswer,
     OpenAttempt,
+    ProbeServer,
     SetTimer,
     TimerFired,
 )
@@ -172,13 +173,27 @@
             case ChooseServer():
                 self._attempts.help(self._find_server(action))
             case OpenAttempt():
-                accepted = tuple(self.journal)
-                self._attempts.open(self.request, action, accepted)
+                self._open(action)
+            case ProbeServer():
+                self._attempts.probe(action)
             case CancelAttempt():
                 self._lose(action)
             case SetTimer():
                 self._set_timer(action.at_s)
 
+    def _open(self, action: OpenAttempt) -> None:
+        _log.info(
+            '%s attempt %s goes to %s (fill %.2f) from token %s%s, copy to %s',
+            self.request.request_id,
+            action.attempt,
+            action.server,
+            self.state.fill,
+            action.offset,
+            ' by its copy' if action.uses_copy else '',
+            action.copy_to or 'nobody',
+        )
+        self._attempts.open(self.request, action, tuple(self.journal))
+
     def _deliver(self, action: DeliverTokens) -> None:
         self._attempts.note_arrival(self.request, len(action.tokens))
         self._observer.accepted(len(action.tokens), is_first=not self.journal)
@@ -207,12 +222,14 @@
 
     def _lose(self, action: CancelAttempt) -> None:
         _log.warning(
-            '%s lost attempt %s on %s at token %s: %s',
+            '%s lost attempt %s on %s at token %s: %s (%s)%s',
             self.request.request_id,
             action.attempt,
             action.server,
             self.state.accepted,
             action.cause.value,
+            action.detail,
+            ' with a copy' if self.state.uses_copy else '',
         )
         self._attempts.cancel(self.request, action)
 
--- a/bronzesill/platform/__init__.py
+++ b/bronzesill/platform/__init__.py
@@ -1,16 +1,16 @@
 """The platform's names, formats and calls; nothing here decides."""
 
-from .documents import CONFIGURATION_KEY, OPERATOR_PREFIX, decode_document
+from .documents import CONFIGURATION_KEY, decode_document
 from .entry import make_directory_app, make_readiness_app
 from .headers import PlatformDialect
 from .hosts import HttpHostList
 from .servers import SERVER_PREFIX, decode_server, server_name
 from .settings import SETTINGS_VARIABLE, decode_settings, read_settings
-from .store import PlatformStore
+from .store import ALL_KEYS, PlatformStore
 
 __all__ = [
+    'ALL_KEYS',
     'CONFIGURATION_KEY',
-    'OPERATOR_PREFIX',
     'SERVER_PREFIX',
     'SETTINGS_VARIABLE',
     'HttpHostList',
--- a/bronzesill/platform/documents.py
+++ b/bronzesill/platform/documents.py
@@ -18,10 +18,7 @@
 )
 from ..utils import DocumentInvalid, hash_secret
 
-__all__ = ['CONFIGURATION_KEY', 'OPERATOR_PREFIX', 'decode_document']
-
-#: Prefix of all that operators write.
-OPERATOR_PREFIX = 'op/'
+__all__ = ['CONFIGURATION_KEY', 'decode_document']
 
 #: Key of the newest configuration.
 CONFIGURATION_KEY = 'op/config'
--- a/bronzesill/platform/servers.py
+++ b/bronzesill/platform/servers.py
@@ -14,6 +14,7 @@
 #: Prefix of the entries of backend servers.
 SERVER_PREFIX = 'servers/'
 
+_MS_PER_S = 1000
 _READY = 'ready'
 _DRAINING = 'draining'
 
@@ -55,7 +56,8 @@
             version=raw['version'],
             service=raw['service'],
             capacity=slots,
+            # `born` is the Unix millisecond of this start of the server.
+            started_at_s=int(raw.get('born') or 0) / _MS_PER_S,
         ),
         is_leaving=state == _DRAINING,
-        started_at_ms=int(raw.get('born') or 0),
     )
--- a/bronzesill/platform/store.py
+++ b/bronzesill/platform/store.py
@@ -12,7 +12,10 @@
 from ..store import Changes, Mutation, Snapshot, StoredEntry
 from ..utils import Address, BronzesillError, ResultCode
 
-__all__ = ['PlatformStore']
+__all__ = ['ALL_KEYS', 'PlatformStore']
+
+#: Prefix of every key: operators', servers' and our own.
+ALL_KEYS = ''
 
 _CALL_TIMEOUT_S = 1.5
 _CONNECT_TIMEOUT_S = 0.5
--- /dev/null
+++ b/bronzesill/platform/tests/test_decoding.py
@@ -0,0 +1,162 @@
+"""Settings, configuration and entries of servers, good and bad."""
+
+import unittest
+from typing import Any
+
+import orjson
+
+from ...utils import DocumentInvalid, hash_secret
+from ..documents import decode_document
+from ..servers import decode_server
+from ..settings import decode_settings
+
+_CONFIGURATION: dict[str, Any] = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'guides',
+            'host': 'a.example',
+            'prefix': '/g/',
+            'routeType': 'streaming',
+            'timeoutMs': 25000,
+            'targetLatencyMs': 4500,
+            'service': 'engines',
+            'maxAttempts': 5,
+            'resumable': True,
+            'itlTargetMs': 700,
+        },
+        {
+            'name': 'orders',
+            'host': 'a.example',
+            'prefix': '/g/orders/',
+            'routeType': 'non_idempotent',
+            'backends': [
+                {'service': 'shop', 'weight': 90},
+                {'service': 'shop2', 'weight': 10},
+            ],
+            'maxAttempts': 1,
+            'public': True,
+        },
+    ],
+    'services': [
+        {'name': 'engines', 'inferenceEngine': {'slots': 12, 'backups': True}},
+        {'name': 'shop', 'maxConnections': 90},
+    ],
+    'limits': {'maxHeaderBytes': 100, 'headerTimeoutMs': 3000},
+    'tenants': [{'name': 'huka', 'apiKeys': ['k1', 'k2'], 'priority': 1}],
+}
+
+_ENTRY: dict[str, Any] = {
+    'service': 'shop',
+    'address': '10.0.0.9:80',
+    'zone': 'z-a',
+    'version': 'v1',
+    'slots': 6,
+    'state': 'ready',
+    'sequence': 4,
+    'born': 1700000000123,
+}
+
+_SETTINGS: dict[str, Any] = {
+    'nodeName': 'edge-1',
+    'zone': 'z-a',
+    'region': 'r',
+    'ip': '10.0.0.1',
+    'listen': {
+        'frontend': '10.0.0.1:1',
+        'readiness': '10.0.0.1:2',
+        'registry': '10.0.0.1:3',
+    },
+    'portRange': [7200, 7215],
+    'platform': {'address': '10.0.0.7:9'},
+    'bounds': {'gracePeriodS': 8, 'drainMs': 2000, 'revokeStrict': False},
+    'aFieldOfTheFuture': 1,
+}
+
+
+class DocumentTest(unittest.TestCase):
+    """The operators' configuration."""
+
+    def setUp(self) -> None:
+        self.document = decode_document(orjson.dumps(_CONFIGURATION))
+
+    def test_route_with_the_longest_prefix_is_found(self) -> None:
+        find = self.document.find_route
+        self.assertEqual(find('a.example', '/g/orders/1'), 'orders')
+        self.assertEqual(find('a.example', '/g/ordersX'), 'guides')
+        self.assertIsNone(find('b.example', '/g/1'))
+
+    def test_kind_of_route_says_what_may_be_repeated(self) -> None:
+        guides = self.document.routes['guides']
+        self.assertTrue(guides.is_stream and guides.idempotent)
+        self.assertEqual(guides.max_pause_s, 0.7)
+        orders = self.document.routes['orders']
+        self.assertFalse(orders.idempotent)
+        self.assertEqual(orders.weight_by_service, {'shop': 90, 'shop2': 10})
+
+    def test_stream_that_may_not_be_resumed_is_not_repeated(self) -> None:
+        route = {**_CONFIGURATION['routes'][0], 'resumable': False}
+        raw = {**_CONFIGURATION, 'routes': [route]}
+        document = decode_document(orjson.dumps(raw))
+        self.assertFalse(document.routes['guides'].idempotent)
+
+    def test_all_keys_of_an_account_lead_to_it(self) -> None:
+        by_key = self.document.account_by_key
+        self.assertEqual(by_key[hash_secret('k2')], 'huka')
+        self.assertNotIn(hash_secret('k3'), by_key)
+
+    def test_without_accounts_no_key_is_asked_for(self) -> None:
+        raw = {**_CONFIGURATION}
+        raw.pop('tenants')
+        self.assertTrue(self.document.has_accounts)
+        self.assertFalse(decode_document(orjson.dumps(raw)).has_accounts)
+
+    def test_what_is_no_configuration_is_refused(self) -> None:
+        for payload in (b'', b'[]', b'{"routes": [1]}', b'{"tenants": 3}'):
+            with self.subTest(payload), self.assertRaises(DocumentInvalid):
+                decode_document(payload)
+
+
+class ServerTest(unittest.TestCase):
+    """Entries of backend servers."""
+
+    def test_entry(self) -> None:
+        listed = decode_server(orjson.dumps(_ENTRY))
+        assert listed is not None
+        self.assertEqual(listed.server.failure_domain, 'z-a')
+        self.assertEqual(listed.server.started_at_s, 1700000000.123)
+        self.assertFalse(listed.is_leaving)
+
+    def test_entries_that_name_no_server(self) -> None:
+        for change in (
+            {'state': 'asleep'},
+            {'service': 3},
+            {'address': 'nowhere'},
+            {'slots': True},
+            {'slots': '6'},
+            {'zone': ''},
+        ):
+            with self.subTest(change):
+                payload = orjson.dumps({**_ENTRY, **change})
+                self.assertIsNone(decode_server(payload))
+        for payload in (b'', b'\xff\x00', b'[]', b'null', b'{}'):
+            with self.subTest(payload):
+                self.assertIsNone(decode_server(payload))
+
+
+class SettingsTest(unittest.TestCase):
+    """The settings file of a host."""
+
+    def test_unknown_fields_are_ignored(self) -> None:
+        settings = decode_settings(_SETTINGS)
+        self.assertEqual(str(settings.peers), '10.0.0.1:7200')
+        self.assertEqual(settings.bounds.drain_s, 2)
+
+    def test_every_missing_field_is_named(self) -> None:
+        raw = {**_SETTINGS, 'listen': {'frontend': 'x'}}
+        raw.pop('zone')
+        with self.assertRaises(DocumentInvalid) as caught:
+            decode_settings(raw)
+        faults = '\n'.join(caught.exception.faults)
+        for place in ('$.zone', '$.listen.frontend', '$.listen.registry'):
+            self.assertIn(place, faults)
--- /dev/null
+++ b/bronzesill/platform/tests/test_headers.py
@@ -0,0 +1,150 @@
+"""Headers: what is passed on, what only the system sets, what is read."""
+
+import unittest
+
+from ...upstream import (
+    AnswerHead,
+    CallerFields,
+    ForwardRequest,
+    Header,
+    MemoryCopy,
+    SendPlan,
+)
+from ...utils import Address, BronzesillError, ResultCode
+from ..headers import PlatformDialect
+
+
+def _headers(*lines: bytes) -> tuple[Header, ...]:
+    pairs = (line.split(b': ', 1) for line in lines)
+    return tuple(Header(name.lower(), text) for name, text in pairs)
+
+
+def _request(**changes: object) -> ForwardRequest:
+    fields: dict[str, object] = {
+        'request_id': '9c41d07be2a35f68',
+        'method': 'POST',
+        'target': b'/lohu930//2f%2F?a=1&&b=%zz',
+        'headers': _headers(b'Host: ficu95.example', b'X-Model: m'),
+        'body': b'abc',
+        'account': 'huka270',
+        'deadline_at_s': 10.0,
+    }
+    return ForwardRequest(**{**fields, **changes})  # type: ignore[arg-type]
+
+
+class PassedOnTest(unittest.TestCase):
+    """What reaches a backend server."""
+
+    def setUp(self) -> None:
+        self.dialect = PlatformDialect()
+
+    def test_target_and_body_are_sent_byte_for_byte(self) -> None:
+        sent = self.dialect.encode(_request(), SendPlan('i-1', 1.5))
+        head, _, body = sent.partition(b'\r\n\r\n')
+        self.assertTrue(
+            head.startswith(b'POST /lohu930//2f%2F?a=1&&b=%zz HTTP/1.1\r\n')
+        )
+        self.assertEqual(body, b'abc')
+        self.assertIn(b'\r\ncontent-length: 3', head)
+
+    def test_account_server_and_time_left_are_set(self) -> None:
+        sent = self.dialect.encode(_request(), SendPlan('i-1', 1.5))
+        self.assertIn(b'x-tenant: huka270\r\n', sent)
+        self.assertIn(b'x-target-instance: i-1\r\n', sent)
+        self.assertIn(b'x-deadline-ms: 1500\r\n', sent)
+
+    def test_resume_names_offset_and_copy(self) -> None:
+        copy = MemoryCopy(Address('10.0.0.1', 80), '9c41')
+        plan = SendPlan(
+            'i-2', 1, 12, copy_to=Address('10.0.0.2', 80), copy_from=copy
+        )
+        sent = self.dialect.encode(_request(), plan)
+        self.assertIn(b'last-event-id: 12\r\n', sent)
+        self.assertIn(b'kv-from: 10.0.0.1:80/9c41\r\n', sent)
+        self.assertIn(b'x-kv-backup: 10.0.0.2:80\r\n', sent)
+
+    def test_no_header_of_the_system_comes_from_the_caller(self) -> None:
+        forged = _headers(
+            b'X-Tenant: other',
+            b'X-Target-Instance: i-9',
+            b'X-Deadline-Ms: 99',
+            b'X-Kv-Backup: 10.0.0.9:1',
+            b'Kv-From: 10.0.0.9:1/x',
+            b'X-Cache-Retention: 1',
+            b'X-Pin-Ms: 5',
+            b'X-Request-Priority: 0',
+            b'Authorization: Bearer secret',
+            b'X-Attempt-Id: 9c41',
+        )
+        kept = self.dialect.kept_headers(forged)
+        self.assertEqual(kept, (Header(b'x-attempt-id', b'9c41'),))
+
+    def test_headers_of_one_connection_stay_there(self) -> None:
+        kept = self.dialect.kept_headers(
+            _headers(
+                b'Connection: keep-alive, X-Hop',
+                b'X-Hop: 1',
+                b'Keep-Alive: timeout=5',
+                b'Transfer-Encoding: chunked',
+                b'TE: trailers',
+                b'X-Stays: 1',
+            )
+        )
+        self.assertEqual(kept, (Header(b'x-stays', b'1'),))
+
+    def test_a_caller_cannot_have_the_request_id_taken_away(self) -> None:
+        kept = self.dialect.kept_headers(
+            _headers(b'Connection: X-Attempt-Id', b'X-Attempt-Id: 1')
+        )
+        self.assertEqual(kept, (Header(b'x-attempt-id', b'1'),))
+
+
+class ReadTest(unittest.TestCase):
+    """What callers and backend servers say."""
+
+    def setUp(self) -> None:
+        self.dialect = PlatformDialect()
+
+    def test_caller(self) -> None:
+        caller = self.dialect.read_caller(
+            _headers(
+                b'X-Attempt-Id: 9c41',
+                b'X-Deadline-Ms: 600',
+                b'Last-Event-Id: 12',
+                b'X-Token-Usage: 1460,80',
+                b'Authorization: Bearer k1',
+            )
+        )
+        self.assertEqual(caller, CallerFields('9c41', 0.6, 12, 1460, 80, 'k1'))
+
+    def test_unusable_number_is_refused(self) -> None:
+        with self.assertRaises(BronzesillError) as caught:
+            self.dialect.read_caller(_headers(b'X-Deadline-Ms: soon'))
+        self.assertIs(caught.exception.code, ResultCode.FIELD_INVALID)
+
+    def test_answers_of_other_requests_are_told_apart(self) -> None:
+        mine = AnswerHead(
+            200, _headers(b'X-Attempt-Id: 9c41d07be2a35f68'), True
+        )
+        other = AnswerHead(200, _headers(b'X-Attempt-Id: other'), True)
+        unnamed = AnswerHead(200, (), True)
+        request = _request()
+        self.assertTrue(self.dialect.answers(mine, request))
+        self.assertFalse(self.dialect.answers(other, request))
+        self.assertFalse(self.dialect.answers(unnamed, request))
+
+    def test_not_run_is_what_the_server_states(self) -> None:
+        stated = AnswerHead(503, _headers(b'X-Not-Executed: 1'), True)
+        misdirected = AnswerHead(421, (), True)
+        failed = AnswerHead(503, (), True)
+        self.assertTrue(self.dialect.is_not_run(stated))
+        self.assertTrue(self.dialect.is_not_run(misdirected))
+        self.assertFalse(self.dialect.is_not_run(failed))
+
+    def test_load(self) -> None:
+        told = AnswerHead(200, _headers(b'X-Instance-Load: 3,1,8'), True)
+        load = self.dialect.load(told)
+        assert load is not None
+        self.assertEqual((load.running, load.waiting, load.slots), (3, 1, 8))
+        garbled = AnswerHead(200, _headers(b'X-Instance-Load: 3,x'), True)
+        self.assertIsNone(self.dialect.load(garbled))
--- /dev/null
+++ b/bronzesill/replica/tests/test_state.py
@@ -0,0 +1,39 @@
+"""Keys by revision: never backwards, whoever tells."""
+
+import unittest
+
+from ...store import Snapshot, StoredEntry
+from ..state import Replica, merge, replace_prefix
+
+
+def _entry(key: str, revision: int, payload: bytes = b'x') -> StoredEntry:
+    return StoredEntry(key, payload, revision)
+
+
+class MergeTest(unittest.TestCase):
+    """What is news and what is old."""
+
+    def test_older_entry_changes_nothing(self) -> None:
+        new = merge(Replica(), (_entry('op/config', 9, b'new'),)).replica
+        merged = merge(new, (_entry('op/config', 8, b'old'),))
+        self.assertEqual(merged.news, ())
+        known = merged.replica.entries_by_key['op/config']
+        self.assertEqual(known.payload, b'new')
+
+    def test_writes_of_one_key_are_taken_in_their_order(self) -> None:
+        merged = merge(
+            Replica(), (_entry('a', 3), _entry('a', 5), _entry('a', 4))
+        )
+        self.assertEqual(merged.replica.revision('a'), 5)
+
+    def test_key_missing_from_a_snapshot_is_removed(self) -> None:
+        known = merge(Replica(), (_entry('s/1', 1), _entry('t/1', 2))).replica
+        merged = replace_prefix(known, 's/', Snapshot((), 7))
+        self.assertEqual([entry.key for entry in merged.news], ['s/1'])
+        self.assertTrue(merged.news[0].is_removed)
+
+    def test_removed_key_does_not_come_back_from_a_peer(self) -> None:
+        known = merge(Replica(), (_entry('s/1', 1),)).replica
+        gone = replace_prefix(known, 's/', Snapshot((), 7)).replica
+        self.assertEqual(merge(gone, (_entry('s/1', 1),)).news, ())
+        self.assertEqual(len(merge(gone, (_entry('s/1', 8),)).news), 1)
--- a/bronzesill/routing/choose.py
+++ b/bronzesill/routing/choose.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import math
+from collections.abc import Sequence
 from random import Random
 
 from ..utils import rank_by_rendezvous
@@ -16,6 +17,15 @@
 ]
 
 _REPORT_HALF_LIFE_S = 4.0
+_READING_WEIGHT = 2.0
+_MEMORY_WEIGHT = 0.5
+#: Domains whose servers started within this time are alike.
+_SAME_START_S = 1.0
+#: Cost of a domain by its rank, in fill of a server.
+_COPY_RANK_COST = 0.2
+_RUN_RANK_COST = 0.06
+#: Runs rarely need all the memory that they may need.
+_MEMORY_SLACK = 1.1
 _AFFINITY_SLACK = 1.25
 _AFFINITY_FLOOR = 0.25
 _RESUME_SLACK = 4.0
@@ -32,6 +42,13 @@
     :param version: version it runs.
     :param capacity: streams it handles well at once.
     :param own_running: streams this daemon has open there.
+    :param own_reading: those of them whose answer has not begun.
+    :param others_running: streams that other daemons told they have open.
+    :param others_reading: those of them whose answer has not begun.
+    :param tokens: memory that all these and kept copies may need, in tokens.
+    :param memory_tokens: tokens that its memory holds, 0 if not known.
+    :param domain_started_at_s: when half of the servers of its kind in its
+        failure domain had started, seconds since the epoch.
     :param own_since_report: streams opened there since its last report.
     :param reported_running: streams it reported.
     :param report_age_s: seconds since that report.
@@ -45,6 +62,12 @@
     version: str
     capacity: int
     own_running: int = 0
+    own_reading: int = 0
+    others_running: int = 0
+    others_reading: int = 0
+    tokens: int = 0
+    memory_tokens: int = 0
+    domain_started_at_s: float = 0
     own_since_report: int = 0
     reported_running: int = 0
     report_age_s: float = 0
@@ -56,8 +79,16 @@
         """Estimated streams per unit of capacity."""
         trust = math.exp2(-self.report_age_s / _REPORT_HALF_LIFE_S)
         reported = trust * self.reported_running
-        running = max(reported + self.own_since_report, self.own_running)
-        return running / self.capacity
+        told = self.own_running + self.others_running
+        running = max(reported + self.own_since_report, told)
+        # A prompt that is read holds up all streams beside it.
+        reading = _READING_WEIGHT * (self.own_reading + self.others_reading)
+        return (running + reading) / self.capacity
+
+    @property
+    def memory_fill(self) -> float:
+        """Part of the memory that may be needed, 0 if not known."""
+        return self.tokens / self.memory_tokens if self.memory_tokens else 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,6 +104,8 @@
     :param is_resume: whether a begun answer goes on; it may overfill.
     :param copy_at: server that keeps a copy of the lost run's memory, empty
         for none.
+    :param is_use_told: whether the daemons tell each other at once which
+        servers they use; otherwise loads are old when they arrive.
     """
 
     model: str
@@ -82,6 +115,7 @@
     home_domain: str = ''
     is_resume: bool = False
     copy_at: str = ''
+    is_use_told: bool = False
 
 
 def choose_copy_holder(
@@ -93,7 +127,9 @@
     """
     Choose the server that keeps a copy of a run's memory.
 
-    It stands in another failure domain than the server that runs it.
+    It stands in another failure domain than the server that runs it, rather
+    in one whose servers started late: a domain that failed together a moment
+    ago is taken to be the last to do so again.
 
     :param views: the servers this daemon knows.
     :param needs: what the stream needs.
@@ -108,8 +144,9 @@
     ]
     if not fitting:
         return None
-    drawn = random.sample(fitting, min(2, len(fitting)))
-    return min(drawn, key=lambda view: (view.fill, view.name))
+    return _cheapest(
+        fitting, needs, _DomainCost(views, _COPY_RANK_COST), random
+    )
 
 
 def choose_server(
@@ -118,28 +155,27 @@
     """
     Choose a backend server for a stream.
 
-    The server that holds the prefix wins while its fill is near the mean;
-    otherwise the emptier of two drawn at random does, so that many daemons
-    do not run together onto a server that just reported idle.
+    The server that keeps a copy of the run's memory wins, or the one that
+    holds the prefix while its fill is near the mean; otherwise the emptiest
+    does.  Where loads are old when they arrive, that is the emptier of two
+    drawn at random, so that many daemons do not run together onto a server
+    that just reported idle.
 
     :param views: the servers this daemon knows.
     :param needs: what the stream needs.
     :param random: generator to draw from.
     :returns: the server, none if no server fits.
     """
+    holder = _holder_of_copy(views, needs)
+    if holder is not None:
+        return holder
     fitting = _fitting(views, needs)
     if not fitting:
         return None
-    favourite = _holder_of_copy(fitting, needs)
-    if favourite is None:
-        favourite = _holder_of_prefix(fitting, needs)
+    favourite = _holder_of_prefix(fitting, needs)
     if favourite is not None:
         return favourite
-    drawn = random.sample(fitting, min(2, len(fitting)))
-    return min(
-        drawn,
-        key=lambda view: (_cost(view, needs), view.name),
-    )
+    return _cheapest(fitting, needs, _DomainCost(views, _RUN_RANK_COST), random)
 
 
 def _fitting(
@@ -156,7 +192,11 @@
     healthy = tuple(view for view in usable if not view.is_suspected)
     candidates = healthy or usable
     slack = _RESUME_SLACK if needs.is_resume else 2.0
-    with_room = tuple(view for view in candidates if view.fill < slack)
+    with_room = tuple(
+        view
+        for view in candidates
+        if view.fill < slack and view.memory_fill < _MEMORY_SLACK
+    )
     if with_room or not needs.is_resume:
         return with_room
     return candidates
@@ -167,13 +207,58 @@
         view.failure_domain != needs.home_domain
     )
     detour = int(is_away) / view.capacity
-    return view.fill + detour
+    return view.fill + _MEMORY_WEIGHT * view.memory_fill + detour
+
+
+def _cheapest(
+    fitting: Sequence[ServerView],
+    needs: Requirements,
+    domains: _DomainCost,
+    random: Random,
+) -> ServerView:
+    # Equal ones in a drawn order, so that daemons do not all take the first.
+    count = len(fitting) if needs.is_use_told else min(2, len(fitting))
+    drawn = random.sample(fitting, count)
+    return min(drawn, key=lambda view: _cost(view, needs) + domains.cost(view))
+
+
+class _DomainCost:
+    """
+    Cost of failure domains, none for the one whose servers started last.
+
+    :param views: the servers this daemon knows.
+    :param cost_of_rank: cost of each domain that started later.
+    """
+
+    def __init__(
+        self, views: tuple[ServerView, ...], cost_of_rank: float
+    ) -> None:
+        self._cost_of_rank = cost_of_rank
+        self._start_by_domain = {
+            view.failure_domain: view.domain_started_at_s for view in views
+        }
+
+    def cost(self, view: ServerView) -> float:
+        """Return the cost of a server's domain, in fill of a server."""
+        later = [
+            started_s
+            for started_s in self._start_by_domain.values()
+            if started_s - view.domain_started_at_s > _SAME_START_S
+        ]
+        return self._cost_of_rank * len(later)
 
 
 def _holder_of_copy(
-    fitting: tuple[ServerView, ...], needs: Requirements
+    views: tuple[ServerView, ...], needs: Requirements
 ) -> ServerView | None:
-    holders = [view for view in fitting if view.name == needs.copy_at]
+    # Whether it has room is no question: the copy takes it already.
+    holders = [
+        view
+        for view in views
+        if view.name == needs.copy_at
+        and not view.is_leaving
+        and not view.is_suspected
+    ]
     return holders[0] if holders else None
 
 
--- a/bronzesill/routing/listing.py
+++ b/bronzesill/routing/listing.py
@@ -43,9 +43,15 @@
         """
         if listed is None:
             return self._without(name)
+        kept = {
+            known: other
+            for known, other in self.listed_by_name.items()
+            if other.server.address != listed.server.address
+        }
+        # Another start of a server at the same address ended the older one.
         return self._changed(
-            listed_by_name={**self.listed_by_name, name: listed},
-            missing=self.missing - {name},
+            listed_by_name={**kept, name: listed},
+            missing=self.missing & kept.keys() - {name},
         )
 
     def removed(self, name: str, now_s: float) -> Listing:
--- /dev/null
+++ b/bronzesill/routing/use.py
@@ -0,0 +1,99 @@
+"""Use of backend servers by all daemons, each telling its own."""
+
+import dataclasses
+from collections.abc import Mapping
+from dataclasses import field
+
+__all__ = ['FleetUse', 'ServerUse', 'UseReport']
+
+_EXPIRE_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class ServerUse:
+    """
+    One daemon's use of one server.
+
+    :param server: name of the server.
+    :param running: requests that it has open there.
+    :param reading: those of them whose answer has not begun.
+    :param tokens: memory that these requests and kept copies may need.
+    """
+
+    server: str
+    running: int
+    reading: int
+    tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class UseReport:
+    """
+    Message by which a daemon tells its use of all servers.
+
+    :param daemon: name of the daemon.
+    :param sequence: grows with each report of this daemon.
+    :param uses: servers that it uses.
+    :param failed: servers that failed it a moment ago.
+    """
+
+    daemon: str
+    sequence: int
+    uses: tuple[ServerUse, ...]
+    failed: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class _Heard:
+    report: UseReport
+    at_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetUse:
+    """
+    What the other daemons told last.
+
+    :param heard_by_daemon: last report of each.
+    """
+
+    heard_by_daemon: Mapping[str, _Heard] = field(default_factory=dict)
+
+    def after(self, report: UseReport, now_s: float) -> 'FleetUse':
+        """Take in a report, unless a newer one came before."""
+        known = self.heard_by_daemon.get(report.daemon)
+        if known is not None and known.report.sequence >= report.sequence:
+            return self
+        fresh = {
+            daemon: heard
+            for daemon, heard in self.heard_by_daemon.items()
+            if now_s - heard.at_s < _EXPIRE_S
+        }
+        return FleetUse({**fresh, report.daemon: _Heard(report, now_s)})
+
+    def failed(self, daemon: str, now_s: float) -> tuple[str, ...]:
+        """Return the failures that a daemon told a moment ago."""
+        heard = self.heard_by_daemon.get(daemon)
+        if heard is None or now_s - heard.at_s >= _EXPIRE_S:
+            return ()
+        return heard.report.failed
+
+    def of_servers(self, now_s: float) -> dict[str, ServerUse]:
+        """Return the use by all other daemons, by server."""
+        totals: dict[str, ServerUse] = {}
+        for heard in self.heard_by_daemon.values():
+            if now_s - heard.at_s < _EXPIRE_S:
+                for use in heard.report.uses:
+                    totals[use.server] = _sum(use, totals.get(use.server))
+        return totals
+
+
+def _sum(use: ServerUse, other: ServerUse | None) -> ServerUse:
+    if other is None:
+        return use
+    return ServerUse(
+        use.server,
+        use.running + other.running,
+        use.reading + other.reading,
+        use.tokens + other.tokens,
+    )
--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -13,6 +13,7 @@
 __all__ = ['ConnectionPool', 'Lease', 'Target']
 
 _CONNECT_TIMEOUT_S = 0.25
+_PROBE_TIMEOUT_S = 0.15
 _KEEP_ALIVE_MARGIN_S = 1.0
 _DEFAULT_KEEP_S = 4.0
 _TIMEOUT_PATTERN = re.compile(rb'timeout=(\d+)')
@@ -58,7 +59,23 @@
             if connection.is_reusable and is_fresh:
                 return Lease(self, target, connection)
             connection.close()
-        return Lease(self, target, await self._connect(target))
+        connection = await self._connect(target, _CONNECT_TIMEOUT_S)
+        return Lease(self, target, connection)
+
+    async def probe(self, target: Target) -> bool:
+        """
+        Say whether a server takes a connection, and keep that.
+
+        :param target: server to connect to.
+        """
+        try:
+            connection = await self._connect(target, _PROBE_TIMEOUT_S)
+        except NotSent:
+            return False
+        now_s = asyncio.get_running_loop().time()
+        connection.usable_until_s = now_s + _DEFAULT_KEEP_S
+        self.keep(target, connection)
+        return True
 
     def keep(self, target: Target, connection: UpstreamConnection) -> None:
         """Keep a connection whose answer was read to its end."""
@@ -76,11 +93,13 @@
         """Close all kept connections."""
         self.retain(frozenset())
 
-    async def _connect(self, target: Target) -> UpstreamConnection:
+    async def _connect(
+        self, target: Target, timeout_s: float
+    ) -> UpstreamConnection:
         loop = asyncio.get_running_loop()
         self.opened += 1
         try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
                     UpstreamConnection, target.address.ip, target.address.port
                 )
--- /dev/null
+++ b/bronzesill/upstream/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of connections to backend servers."""
--- a/bronzesill/utils/tests/test_serving.py
+++ b/bronzesill/utils/tests/test_serving.py
@@ -4,12 +4,13 @@
 import time
 import unittest
 from collections.abc import AsyncIterator
+from typing import Any
 
 import aiohttp
 from falcon import asgi
 
 from ..addresses import Address
-from ..serving import HttpServer
+from ..serving import TARGET_KEY, HttpServer, ServingLimits
 
 
 class _TwoPieces:
@@ -45,3 +46,102 @@
                 times_s.append(time.monotonic() - started_s)
         await server.kill()
         self.assertLess(sorted(times_s)[4], 0.035)
+
+
+class _Echo:
+    def __init__(self) -> None:
+        self.targets: list[bytes] = []
+
+    async def on_any(
+        self, req: asgi.Request, resp: asgi.Response | None, **_: Any
+    ) -> None:
+        self.targets.append(req.scope[TARGET_KEY])
+        await req.stream.read()
+        await asyncio.sleep(0.05)
+        assert resp is not None
+        resp.text = 'done'
+
+
+class LimitsTest(unittest.IsolatedAsyncioTestCase):
+    """Heads are bounded, and nothing is smuggled behind a request."""
+
+    async def asyncSetUp(self) -> None:
+        self.echo = _Echo()
+        limits = ServingLimits(
+            max_head_bytes=2000, head_timeout_s=0.3, idle_timeout_s=0.4
+        )
+        self.server = HttpServer(
+            self.make_app, Address('127.0.0.1', 0), lambda: limits
+        )
+        await self.server.start()
+
+    async def asyncTearDown(self) -> None:
+        await self.server.kill()
+
+    def make_app(self) -> asgi.App:  # type: ignore[type-arg]
+        app = asgi.App()
+        app.add_sink(self.echo.on_any, '/')
+        return app
+
+    async def send(self, sent: bytes) -> bytes:
+        address = self.server.address
+        reader, writer = await asyncio.open_connection(address.ip, address.port)
+        writer.write(sent)
+        async with asyncio.timeout(3):
+            answer = await reader.read()
+        writer.close()
+        return answer
+
+    async def test_target_is_kept_byte_for_byte(self) -> None:
+        target = b'/a//b%2F%zz?x=1&&y=%20'
+        await self.send(b'GET %b HTTP/1.1\r\nhost: x\r\n\r\n' % target)
+        self.assertEqual(self.echo.targets, [target])
+
+    async def test_large_head_is_refused(self) -> None:
+        head = b'GET / HTTP/1.1\r\nx-big: %b\r\n\r\n'
+        answer = await self.send(head % (b'a' * 3000))
+        self.assertTrue(answer.startswith(b'HTTP/1.1 431 '))
+        self.assertEqual(self.echo.targets, [])
+
+    async def test_slow_head_is_refused(self) -> None:
+        answer = await self.send(b'GET / HTTP/1.1\r\nhost')
+        self.assertTrue(answer.startswith(b'HTTP/1.1 408 '))
+
+    async def test_idle_connection_is_closed(self) -> None:
+        self.assertEqual(await self.send(b''), b'')
+        answer = await self.send(b'GET / HTTP/1.1\r\nhost: x\r\n\r\n')
+        self.assertTrue(answer.endswith(b'done'))
+
+    async def test_smuggled_requests_are_not_run(self) -> None:
+        inner = b'GET /inner HTTP/1.1\r\nhost: x\r\n\r\n'
+        chunked = b'5\r\nhello\r\n0\r\n\r\n'
+        for head, body in (
+            (b'content-length: 4\r\ntransfer-encoding: chunked', chunked),
+            (b'transfer-encoding: chunked\r\ncontent-length: 4', chunked),
+            (b'content-length: 3\r\ncontent-length: 4', b'abc'),
+            (b'x-a: 1\r\n folded: 2\r\ncontent-length: 0', b''),
+            (b'transfer-encoding: xchunked', chunked),
+            (b'content-length: +3', b'abc'),
+            (b'content-length : 3', b'abc'),
+        ):
+            with self.subTest(head):
+                self.echo.targets.clear()
+                answer = await self.send(
+                    b'POST / HTTP/1.1\r\nhost: x\r\n%b\r\n\r\n%b%b'
+                    % (head, body, inner)
+                )
+                self.assertNotIn(b'/inner', self.echo.targets)
+                self.assertTrue(answer.startswith(b'HTTP/1.1 400 '))
+
+    async def test_what_comes_behind_a_request_is_not_read(self) -> None:
+        request = b'POST /%b HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n\r\nx'
+        answer = await self.send(request % b'first' + request % b'second')
+        self.assertEqual(self.echo.targets, [b'/first'])
+        self.assertEqual(answer.count(b'HTTP/1.1 200 OK'), 1)
+
+    async def test_nonsense_behind_a_request_does_not_answer_it(self) -> None:
+        request = b'POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n\r\nx'
+        nonsense = b'\x00\x01 nonsense\r\n\r\n'
+        answer = await self.send(b'%b%b' % (request, nonsense))
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200 OK'))
+        self.assertNotIn(b'400', answer)
--- a/bronzesill/wire/__init__.py
+++ b/bronzesill/wire/__init__.py
@@ -2,13 +2,19 @@
 
 from .codec import FRAME_VERSION, Envelope, MessageRegistry, UnknownMessage
 from .counters import WireCounters
-from .datagrams import MAX_DATAGRAM_BYTES, Arrival, DatagramSocket
+from .datagrams import (
+    MAX_DATAGRAM_BYTES,
+    Arrival,
+    ArrivalMailbox,
+    DatagramSocket,
+)
 from .peers import PeerClient, PeerHandler, PeerServer
 
 __all__ = [
     'FRAME_VERSION',
     'MAX_DATAGRAM_BYTES',
     'Arrival',
+    'ArrivalMailbox',
     'DatagramSocket',
     'Envelope',
     'MessageRegistry',
--- a/bronzesill/wire/datagrams.py
+++ b/bronzesill/wire/datagrams.py
@@ -5,13 +5,18 @@
 import asyncio
 import dataclasses
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from ..utils import Address, PartLogger
 from .codec import MessageRegistry, UnknownMessage
 from .counters import WireCounters
 
-__all__ = ['MAX_DATAGRAM_BYTES', 'Arrival', 'DatagramSocket']
+__all__ = [
+    'MAX_DATAGRAM_BYTES',
+    'Arrival',
+    'ArrivalMailbox',
+    'DatagramSocket',
+]
 
 #: Largest datagram that is sent, below the usual MTU.
 MAX_DATAGRAM_BYTES = 1400
@@ -32,6 +37,13 @@
     message: Any
 
 
+class ArrivalMailbox(Protocol):
+    """Where arrivals are put."""
+
+    def put_nowait(self, arrival: Arrival, /) -> object:
+        """Take in an arrival."""
+
+
 def _keep_all(address: Address) -> bool:
     return True
 
@@ -49,7 +61,7 @@
         self,
         registry: MessageRegistry,
         counters: WireCounters,
-        mailbox: asyncio.Queue[Any],
+        mailbox: ArrivalMailbox,
     ) -> None:
         #: Whether a datagram to an address is sent; tests lose some here.
         self.keeps: Callable[[Address], bool] = _keep_all
