Keep all retries within this daemon's share of the fleet's bounds

Attempts of streams after the first were not bounded at all, calls by a budget that knew no fleet.

Change: `RetryWindow` counts first tries and retries second by second and allows a share of the fleet's free retries; one allowance serves streams and calls of a host. A stream without allowance waits instead of sending.

--- a/bronzesill/calls/idempotent.py
+++ b/bronzesill/calls/idempotent.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TypeAlias
 
-from ..limits import RetryBudget
+from ..limits import OwnAllowance, RetryAllowance
 from ..utils import BronzesillError, ResultCode
 from .hedging import LatencyEstimate
 from .interfaces import CallSender, RoutedCall
@@ -25,19 +25,19 @@
 
     :param sender: sends a call to one server.
     :param servers: order of servers for a call.
-    :param budget: bounds the calls that are sent again.
+    :param allowance: bounds the calls that are sent again.
     """
 
     def __init__(
         self,
         sender: CallSender,
         servers: ServiceServers,
-        budget: RetryBudget | None = None,
+        allowance: RetryAllowance | None = None,
     ) -> None:
         self.repeats = 0
         self._sender = sender
         self._servers = servers
-        self._budget = budget or RetryBudget()
+        self._allowance = allowance or OwnAllowance()
         self._latency_by_route: dict[str, LatencyEstimate] = {}
 
     async def run(self, routed: RoutedCall) -> CallAnswer:
@@ -47,7 +47,7 @@
         :returns: the answer, a failure only if every server failed.
         :raises BronzesillError: no server answered in time.
         """
-        self._budget = self._budget.after_try()
+        self._allowance.note_first(routed.route.service)
         try:
             async with asyncio.timeout_at(routed.deadline_at_s):
                 return await self._race(routed, self._servers.order(routed))
@@ -81,7 +81,8 @@
     def _repeat(
         self, routed: RoutedCall, remaining: list[str]
     ) -> set[asyncio.Task[SendOutcome]]:
-        if remaining and self._may_repeat():
+        if remaining and self._allowance.take(routed.route.service):
+            self.repeats += 1
             return {self._start(routed, remaining.pop(0))}
         return set()
 
@@ -120,20 +121,13 @@
     def _patience_s(
         self, routed: RoutedCall, remaining: list[str]
     ) -> float | None:
-        if not remaining or not self._budget.allows_retry:
+        if not remaining:
             return None
         estimate = self._latency_by_route.get(
             routed.route_name, LatencyEstimate()
         )
         return estimate.late_s
 
-    def _may_repeat(self) -> bool:
-        if not self._budget.allows_retry:
-            return False
-        self._budget = self._budget.after_retry()
-        self.repeats += 1
-        return True
-
 
 def _best_outcome(
     done: set[asyncio.Task[SendOutcome]], before: SendOutcome
--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -24,7 +24,7 @@
     LocalDirectory,
     LocationTable,
 )
-from ..limits import RetryBudget
+from ..limits import FleetAllowance, RetryBounds
 from ..membership import (
     FetchView,
     GossipPolicy,
@@ -262,11 +262,17 @@
         generations.keeps_copies = self._keeps_copies
         generations.is_use_told = True
         bounds = self._settings.bounds
-        budget = RetryBudget(earn_per_try=bounds.retry_ratio / 2)
+        allowance = FleetAllowance(
+            RetryBounds(
+                bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
+            ),
+            lambda: self.known_peers + 1,
+        )
+        generations.allowance = allowance
         parts = ForwardParts(
             self._dialect,
             generations,
-            IdempotentCalls(sender, servers, budget),
+            IdempotentCalls(sender, servers, allowance),
             OnceCalls(sender, servers),
             self._random,
         )
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -9,6 +9,7 @@
 from random import Random
 from typing import TypeAlias
 
+from ..limits import RetryAllowance
 from ..routing import (
     Requirements,
     ServerBook,
@@ -84,6 +85,8 @@
         self.observer = BookObserver(daemon, book, directory, metrics)
         #: Gives the version that answers a request not yet begun.
         self.pick_version: PickVersion = _keep_version
+        #: Bounds the attempts after the first one, none for no bound.
+        self.allowance: RetryAllowance | None = None
         #: Whether the daemons tell each other at once which engines they use.
         self.is_use_told = False
         #: Says whether the engines of a model keep copies of runs.
@@ -197,7 +200,7 @@
             request = dataclasses.replace(request, version=version)
             generation.request = request
         choice = self._choose(request, action)
-        if choice is None:
+        if choice is None or not self._may_send(generation):
             return Placement(NoServer(), request)
         chosen = Placement(choice, request)
         if not request.can_reconnect:
@@ -212,6 +215,15 @@
             return Placement(chosen.event, _fork(request))
         return await self._join(request, offered, holds)
 
+    def _may_send(self, generation: GenerationTask) -> bool:
+        if self.allowance is None:
+            return True
+        model = generation.request.model
+        if generation.state.attempt:
+            return self.allowance.take(model)
+        self.allowance.note_first(model)
+        return True
+
     def _record(
         self, generation: GenerationTask, server: str
     ) -> LocationRecord:
--- a/bronzesill/limits/tests/test_limits.py
+++ b/bronzesill/limits/tests/test_limits.py
@@ -18,6 +18,7 @@
 )
 from ..budget import RetryBudget
 from ..quota import GRANT_S, QuotaQuestion, QuotaTable, wanted_grant
+from ..retry_window import RetryBounds, RetryWindow
 
 
 def _ticket(number: int, account: str = 'a', **changes: object) -> Ticket:
@@ -119,6 +120,36 @@
         self.assertEqual(wanted_grant(40), 50)
 
 
+class RetryWindowTest(unittest.TestCase):
+    """All daemons together stay within the fleet's bounds."""
+
+    def sent(self, first_tries: int, daemons: int) -> int:
+        window = RetryWindow(RetryBounds(0.8, 10, 150))
+        for _ in range(first_tries):
+            window = window.after_try(5)
+        retries = 0
+        while window.allows_retry(5.5, daemons):
+            window = window.after_retry(5.5)
+            retries += 1
+        return retries
+
+    def test_fleet_that_loses_all_its_engines_stays_within_bounds(self) -> None:
+        for daemons in (1, 7, 59, 300):
+            with self.subTest(daemons):
+                total = daemons * self.sent(10, daemons)
+                self.assertLessEqual(total, 0.8 * 10 * daemons + 150)
+
+    def test_counts_leave_the_window(self) -> None:
+        window = RetryWindow(RetryBounds(0.8, 10, 0)).after_try(5)
+        for _ in range(9):
+            window = window.after_try(5)
+        for _ in range(6):
+            window = window.after_retry(6)
+        self.assertFalse(window.allows_retry(9, 1))
+        self.assertFalse(window.allows_retry(20, 1))
+        self.assertTrue(window.after_try(20).after_try(20).allows_retry(20, 1))
+
+
 class RetryBudgetTest(unittest.TestCase):
     """Repeats stay a small share of first tries."""
 
