Avoid servers by evidence, log decisions as JSON, explain a request

A server that answered 500 was suspected like one that gave no answer, so with one lookup in seven failing all servers were suspected most of the time. Log lines named no inputs.

Change: no answer means suspicion, doubled each time in a row up to 12 s and told to all hosts, for plain servers too; answers that are failures raise a smoothed rate that is a cost in the order of servers. Lines are JSON on standard output with request, inputs and outcome, bounded by kind and second, dropped rather than waited for. `bronzesill explain` tells a request's way from the logs of all hosts, `bronzesill check-settings` lists every fault.

--- a/bronzesill/calls/idempotent.py
+++ b/bronzesill/calls/idempotent.py
@@ -10,7 +10,8 @@
 from .hedging import LatencyEstimate
 from .interfaces import CallSender, RoutedCall
 from .pass_through import CallAnswer
-from .servers import ServiceServers
+from .send_log import log_send
+from .servers import CallEnd, ServiceServers
 
 __all__ = ['IdempotentCalls']
 
@@ -95,23 +96,28 @@
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         self._servers.opened(name)
-        outcome: SendOutcome = _no_answer()
+        outcome: SendOutcome | None = None
         try:
             outcome = await self._sender.send(name, routed)
         except BronzesillError as error:
             outcome = error
         finally:
-            latency_s = loop.time() - started_s
-            self._servers.closed(
-                name,
-                routed,
-                is_failed=not _is_good(outcome),
-                latency_s=latency_s,
-            )
-        if _is_good(outcome):
-            self._note(routed, latency_s)
+            self._note_end(routed, name, outcome, loop.time() - started_s)
         return outcome
 
+    def _note_end(
+        self,
+        routed: RoutedCall,
+        name: str,
+        outcome: SendOutcome | None,
+        latency_s: float,
+    ) -> None:
+        end = CallEnd.from_outcome(outcome)
+        self._servers.closed(name, routed, end=end, latency_s=latency_s)
+        log_send(routed, name, outcome, latency_s)
+        if end is CallEnd.GOOD:
+            self._note(routed, latency_s)
+
     def _note(self, routed: RoutedCall, latency_s: float) -> None:
         estimate = self._latency_by_route.get(
             routed.route_name, LatencyEstimate()
--- a/bronzesill/calls/once.py
+++ b/bronzesill/calls/once.py
@@ -7,12 +7,11 @@
 from ..utils import BronzesillError, ResultCode
 from .interfaces import CallSender, RoutedCall
 from .pass_through import CallAnswer
-from .servers import ServiceServers
+from .send_log import log_send
+from .servers import CallEnd, ServiceServers
 
 __all__ = ['OnceCalls']
 
-_SERVER_ERROR = 500
-
 
 class OnceCalls:
     """
@@ -49,21 +48,33 @@
         loop = asyncio.get_running_loop()
         self._servers.opened(name)
         started_s = loop.time()
-        is_failed = True
+        outcome: CallAnswer | BronzesillError | None = None
+        try:
+            outcome = await self._send_in_time(name, routed)
+        except BronzesillError as error:
+            outcome = error
+            raise
+        finally:
+            self._note_end(routed, name, outcome, loop.time() - started_s)
+        return outcome
+
+    def _note_end(
+        self,
+        routed: RoutedCall,
+        name: str,
+        outcome: CallAnswer | BronzesillError | None,
+        latency_s: float,
+    ) -> None:
+        end = CallEnd.from_outcome(outcome)
+        self._servers.closed(name, routed, end=end, latency_s=latency_s)
+        log_send(routed, name, outcome, latency_s)
+
+    async def _send_in_time(self, name: str, routed: RoutedCall) -> CallAnswer:
         try:
             async with asyncio.timeout_at(routed.deadline_at_s):
-                answer = await self._sender.send(name, routed)
-            is_failed = answer.status >= _SERVER_ERROR
+                return await self._sender.send(name, routed)
         except TimeoutError:
             raise BronzesillError(
                 ResultCode.CALL_OUTCOME_UNKNOWN,
                 f'outcome unknown: {name} did not answer in time',
             ) from None
-        finally:
-            self._servers.closed(
-                name,
-                routed,
-                is_failed=is_failed,
-                latency_s=loop.time() - started_s,
-            )
-        return answer
--- a/bronzesill/calls/servers.py
+++ b/bronzesill/calls/servers.py
@@ -3,15 +3,50 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 from collections.abc import Callable
 from random import Random
 from typing import Protocol
 
-from ..routing import ServerBook, TrafficSplit, pick_version
+from ..routing import ServerBook, ServerView, TrafficSplit, pick_version
 from ..utils import Address, BronzesillError, ResultCode
 from .interfaces import RoutedCall
+from .pass_through import CallAnswer
 
-__all__ = ['OnCallEnded', 'ServiceServers']
+__all__ = ['CallEnd', 'OnCallEnded', 'ServiceServers']
+
+
+#: Weight of the share of failures against the fill of a server.
+_FAILURE_WEIGHT = 0.6
+_SERVER_ERROR = 500
+
+
+class CallEnd(enum.Enum):
+    """How a call to one server ended."""
+
+    GOOD = 'good'
+    FAILURE = 'failure'
+    NOT_RUN = 'not_run'
+    LOST = 'lost'
+    GIVEN_UP = 'given_up'
+
+    @classmethod
+    def from_outcome(
+        cls, outcome: CallAnswer | BronzesillError | None
+    ) -> CallEnd:
+        """
+        Tell how a call ended.
+
+        :param outcome: answer or failure, none if nobody waits any more.
+        """
+        if outcome is None:
+            return cls.GIVEN_UP
+        if isinstance(outcome, CallAnswer):
+            is_failure = outcome.status >= _SERVER_ERROR
+            return cls.FAILURE if is_failure else cls.GOOD
+        if outcome.code is ResultCode.CALL_NOT_RUN:
+            return cls.NOT_RUN
+        return cls.LOST
 
 
 class OnCallEnded(Protocol):
@@ -69,7 +104,7 @@
                 ResultCode.CALL_NOT_RUN, 'not run: no server of the service'
             )
         self._random.shuffle(views)
-        views.sort(key=lambda view: (view.is_suspected, view.own_running))
+        views.sort(key=_cost)
         return tuple(view.name for view in views)
 
     def address(self, name: str) -> Address:
@@ -85,21 +120,28 @@
         name: str,
         routed: RoutedCall,
         *,
-        is_failed: bool,
+        end: CallEnd,
         latency_s: float,
     ) -> None:
-        """Count a call that ended, and avoid the server if it failed."""
+        """Count a call that ended, and avoid a server that gave no answer."""
         self._book.closed(name)
-        if is_failed:
+        if end is CallEnd.LOST:
             self._book.suspect(name, _now_s())
+        elif end is not CallEnd.GIVEN_UP:
+            is_failure = end is CallEnd.FAILURE
+            self._book.answered(name, is_failure=is_failure)
         self._on_ended(
             routed.route.service,
             routed.route_name,
             name,
-            is_failed=is_failed,
+            is_failed=end in {CallEnd.FAILURE, CallEnd.LOST},
             latency_s=latency_s,
         )
 
 
+def _cost(view: ServerView) -> tuple[bool, float]:
+    return view.is_suspected, view.fill + _FAILURE_WEIGHT * view.failure_rate
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
--- a/bronzesill/cli/main.py
+++ b/bronzesill/cli/main.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 
 from .. import __version__
@@ -15,6 +16,7 @@
     config_commands,
     host_commands,
     move_commands,
+    offline_commands,
     order_commands,
 )
 from .context import open_context
@@ -93,6 +95,23 @@
     parser.set_defaults(run=host_commands.make_key)
 
 
+def _add_offline_commands(nouns: argparse._SubParsersAction) -> None:  # type: ignore[type-arg]
+    parser = nouns.add_parser('explain', help=offline_commands.explain.__doc__)
+    parser.set_defaults(run_offline=offline_commands.explain)
+    parser.add_argument('request', help='id of the request')
+    parser.add_argument(
+        '--logs', type=Path, nargs='+', required=True, help='logs of hosts'
+    )
+    parser = nouns.add_parser(
+        'check-settings', help=offline_commands.check_settings.__doc__
+    )
+    parser.set_defaults(run_offline=offline_commands.check_settings)
+    parser.add_argument('file', type=Path, help='settings file of a host')
+    parser.add_argument(
+        '--hosted', action='store_true', help='as the platform writes it'
+    )
+
+
 def _add_move_commands(nouns: argparse._SubParsersAction) -> None:  # type: ignore[type-arg]
     parser = nouns.add_parser('move', help='moves of traffic')
     verbs = parser.add_subparsers(dest='verb', required=True)
@@ -155,6 +174,7 @@
     _add_other_commands(nouns)
     _add_move_commands(nouns)
     _add_order_commands(nouns)
+    _add_offline_commands(nouns)
     return parser
 
 
@@ -165,11 +185,22 @@
         return code
 
 
-def main() -> int:
-    """Run one command and return its exit status."""
-    options = make_parser().parse_args()
+def _run(options: argparse.Namespace) -> ResultCode:
+    if 'run_offline' in options:
+        code: ResultCode = options.run_offline(options)
+        return code
+    return asyncio.run(run_command(options))
+
+
+def main(words: Sequence[str] | None = None) -> int:
+    """
+    Run one command and return its exit status.
+
+    :param words: the command line, none for the one of this process.
+    """
+    options = make_parser().parse_args(words)
     try:
-        code = asyncio.run(run_command(options))
+        code = _run(options)
     except DocumentInvalid as error:
         for fault in error.faults:
             sys.stderr.write(f'{options.settings}: {fault}\n')
--- /dev/null
+++ b/bronzesill/cli/tests/test_story.py
@@ -0,0 +1,86 @@
+"""From a request's id to its cause."""
+
+import io
+import unittest
+from contextlib import redirect_stderr, redirect_stdout
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import orjson
+
+from ..main import main, make_parser
+from ..story import parse_line, tell_story
+
+
+def _line(at_s: float, host: str, **fields: object) -> str:
+    told = orjson.dumps({'time_s': at_s, 'level': 'info', **fields})
+    return f'  {at_s:.4f} {host} {told.decode()}\n'
+
+
+_LOG = (
+    _line(10.0, 'h1', event='attempt_sent', request='r1', server='s1'),
+    _line(9.5, 'h2', event='attempt_lost', request='r0', server='s1'),
+    _line(9.0, 'h2', event='call_sent', request='r8', server='s1', status=200),
+    _line(5.0, 'h2', event='attempt_lost', request='r9', server='s1'),
+    _line(11.0, 'h1', event='attempt_lost', request='r1', cause='silent'),
+    _line(11.1, 'h1', text='s1 is gone: another server has its address'),
+    'not a line of the log\n',
+)
+
+
+class StoryTest(unittest.TestCase):
+    """What is told and in which order."""
+
+    def test_steps_of_all_hosts_in_order(self) -> None:
+        lines = [parse_line('file', text) for text in _LOG]
+        story = tell_story('r1', [line for line in lines if line])
+        told = [(step.at_s, step.host, step.about) for step in story]
+        self.assertEqual(
+            told,
+            [
+                (-0.5, 'h2', 'server'),
+                (0, 'h1', 'request'),
+                (1, 'h1', 'request'),
+                (1.1, 'h1', 'server'),
+            ],
+        )
+
+    def test_unknown_request_has_no_story(self) -> None:
+        line = parse_line('file', _LOG[0])
+        assert line is not None
+        self.assertEqual(tell_story('other', [line]), [])
+
+
+class CommandTest(unittest.TestCase):
+    """The commands on files."""
+
+    def setUp(self) -> None:
+        folder = TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / 'file'
+
+    def run_command(self, *words: str) -> tuple[int, str]:
+        output = io.StringIO()
+        with redirect_stdout(output), redirect_stderr(output):
+            code = main(words)
+        return code, output.getvalue()
+
+    def test_explain(self) -> None:
+        self.path.write_text(''.join(_LOG))
+        path = str(self.path)
+        code, told = self.run_command('explain', 'r1', '--logs', path)
+        self.assertEqual(code, 0)
+        self.assertIn('cause silent', told)
+        code, _ = self.run_command('explain', 'r7', '--logs', path)
+        self.assertEqual(code, 12)
+
+    def test_check_settings_lists_every_fault(self) -> None:
+        self.path.write_text('{"ip": "10.0.0.1"}')
+        path = str(self.path)
+        code, told = self.run_command('check-settings', path, '--hosted')
+        self.assertEqual(code, 14)
+        self.assertIn('$.nodeName', told)
+        self.assertIn('$.platform.address', told)
+
+    def test_commands_are_listed(self) -> None:
+        self.assertIn('check-settings', make_parser().format_help())
--- a/bronzesill/daemon/hosted_main.py
+++ b/bronzesill/daemon/hosted_main.py
@@ -9,7 +9,13 @@
 from pathlib import Path
 
 from ..platform import SETTINGS_VARIABLE, read_settings
-from ..utils import DocumentInvalid, PartLogger, configure_logging
+from ..utils import (
+    BronzesillError,
+    DocumentInvalid,
+    PartLogger,
+    configure_logging,
+    quiet_server_logs,
+)
 from .hosted import HostedDaemon
 
 __all__ = ['main']
@@ -38,7 +44,8 @@
 
 def main() -> int:
     """Run the daemon until it is told to stop."""
-    configure_logging('info')
+    configure_logging('info', is_json=True)
+    quiet_server_logs(BronzesillError)
     path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
     try:
         asyncio.run(_serve(path))
--- a/bronzesill/gateway/forwarding.py
+++ b/bronzesill/gateway/forwarding.py
@@ -333,12 +333,12 @@
         self._watch = self._watch.after(token_count, now_s)
 
     def _log_end(self, outcome: str) -> None:
-        _log.info(
-            '%s ended %s: first event after %.3f s, longest pause %.3f s',
-            self._request.request_id,
-            outcome,
-            self._watch.first_token_s,
-            self._watch.longest_gap_s,
+        _log.event(
+            'stream_ended',
+            request=self._request.request_id,
+            outcome=outcome,
+            first_event_s=round(self._watch.first_token_s, 3),
+            longest_pause_s=round(self._watch.longest_gap_s, 3),
         )
 
     def _leave(self) -> None:
@@ -368,7 +368,15 @@
     response.data = render_error(error)
     if error.retry_after_s is not None:
         response.set_header('Retry-After', f'{error.retry_after_s:.3f}')
-    _log.info('%s refused: %s', request.path, error)
+    _log.event(
+        'refused',
+        request=request.get_header('X-Attempt-Id') or '',
+        path=request.path,
+        status=response.status,
+        code=int(error.code),
+        reason=error.message,
+        retry_after_s=error.retry_after_s,
+    )
 
 
 def _render(resp: asgi.Response, answer: CallAnswer) -> None:
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -112,7 +112,7 @@
             while True:
                 self._take(await self._next_mail())
         except TimeoutError:
-            _log.info('%s has no reader left', self.request.request_id)
+            _log.event('no_reader_left', request=self.request.request_id)
             await self._cancel_unread()
         finally:
             await self._attempts.close()
@@ -182,15 +182,15 @@
                 self._set_timer(action.at_s)
 
     def _open(self, action: OpenAttempt) -> None:
-        _log.info(
-            '%s attempt %s goes to %s (fill %.2f) from token %s%s, copy to %s',
-            self.request.request_id,
-            action.attempt,
-            action.server,
-            self.state.fill,
-            action.offset,
-            ' by its copy' if action.uses_copy else '',
-            action.copy_to or 'nobody',
+        _log.event(
+            'attempt_sent',
+            request=self.request.request_id,
+            attempt=action.attempt,
+            server=action.server,
+            fill=round(self.state.fill, 2),
+            from_token=action.offset,
+            uses_copy=action.uses_copy,
+            copy_to=action.copy_to,
         )
         self._attempts.open(self.request, action, tuple(self.journal))
 
@@ -221,15 +221,14 @@
         self.mailbox.put_nowait(placement.event)
 
     def _lose(self, action: CancelAttempt) -> None:
-        _log.warning(
-            '%s lost attempt %s on %s at token %s: %s (%s)%s',
-            self.request.request_id,
-            action.attempt,
-            action.server,
-            self.state.accepted,
-            action.cause.value,
-            action.detail,
-            ' with a copy' if self.state.uses_copy else '',
+        _log.event(
+            'attempt_lost',
+            request=self.request.request_id,
+            attempt=action.attempt,
+            server=action.server,
+            at_token=self.state.accepted,
+            cause=action.cause.value,
+            detail=action.detail,
         )
         self._attempts.cancel(self.request, action)
 
--- a/bronzesill/routing/book.py
+++ b/bronzesill/routing/book.py
@@ -93,9 +93,15 @@
         self._change(name, self._record(name).reported(report))
 
     def suspect(self, name: str, now_s: float) -> None:
-        """Avoid a server for a moment after it failed here."""
+        """Avoid a server for a while after it gave no answer here."""
+        self._change(name, self._record(name).failed(now_s))
         self._avoid(name, now_s)
-        self._change_use(name, self._record(name).failed(now_s))
+        self.on_use_changed()
+
+    def answered(self, name: str, *, is_failure: bool) -> None:
+        """Take in an answer of a server, which may be a failure."""
+        answered = self._record(name).answered(is_failure=is_failure)
+        self._change(name, answered)
 
     def set_leaving(self, name: str, *, is_leaving: bool) -> None:
         """Take over whether a server takes no new work."""
@@ -121,7 +127,7 @@
         )
         failed = tuple(
             name
-            for name, record in engines.items()
+            for name, record in self._records_by_name.items()
             if now_s - record.failed_at_s < _TELL_FAILURE_S
         )
         return UseReport(daemon, sequence, uses, failed)
@@ -206,6 +212,7 @@
             report_age_s=now_s - report.at_s,
             is_leaving=name in self._leaving,
             is_suspected=is_suspected,
+            failure_rate=record.failure_rate,
         )
 
 
--- a/bronzesill/routing/choose.py
+++ b/bronzesill/routing/choose.py
@@ -54,6 +54,7 @@
     :param report_age_s: seconds since that report.
     :param is_leaving: whether it takes no new work.
     :param is_suspected: whether it failed or was silent a moment ago.
+    :param failure_rate: smoothed share of requests that failed.
     """
 
     name: str
@@ -73,6 +74,7 @@
     report_age_s: float = 0
     is_leaving: bool = False
     is_suspected: bool = False
+    failure_rate: float = 0
 
     @property
     def fill(self) -> float:
--- a/bronzesill/routing/records.py
+++ b/bronzesill/routing/records.py
@@ -8,6 +8,8 @@
 __all__ = ['LoadReport', 'ServerRecord']
 
 _SUSPECT_S = 3.0
+_MOST_DOUBLINGS = 2
+_SMOOTHING = 0.05
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,7 +38,9 @@
     :param since_report: streams opened there since the last report.
     :param report: last report, none before the first.
     :param suspected_until_s: time until which it is avoided.
-    :param failed_at_s: when it last failed this daemon.
+    :param failed_at_s: when it last gave this daemon no answer.
+    :param losses: requests without an answer since the last answer.
+    :param failure_rate: smoothed share of requests that failed.
     """
 
     running: int = 0
@@ -46,6 +50,8 @@
     report: LoadReport | None = None
     suspected_until_s: float = 0
     failed_at_s: float = -math.inf
+    losses: int = 0
+    failure_rate: float = 0
 
     @property
     def is_used(self) -> bool:
@@ -82,10 +88,29 @@
         """Take in a load report."""
         return dataclasses.replace(self, report=report, since_report=0)
 
+    def answered(self, *, is_failure: bool) -> ServerRecord:
+        """Take in an answer, which may be a failure."""
+        return dataclasses.replace(
+            self, losses=0, failure_rate=self._rate_after(is_failure)
+        )
+
     def failed(self, now_s: float) -> ServerRecord:
-        """Take in that the server failed this daemon."""
-        return dataclasses.replace(self, failed_at_s=now_s)
+        """Take in that the server gave this daemon no answer."""
+        return dataclasses.replace(
+            self,
+            failed_at_s=now_s,
+            losses=self.losses + 1,
+            failure_rate=self._rate_after(True),
+        )
 
     def avoided(self, now_s: float) -> ServerRecord:
-        """Avoid the server for a moment."""
-        return dataclasses.replace(self, suspected_until_s=now_s + _SUSPECT_S)
+        """Avoid the server for a while, longer each time in a row."""
+        doublings = min(max(self.losses - 1, 0), _MOST_DOUBLINGS)
+        until_s = now_s + _SUSPECT_S * 2**doublings
+        return dataclasses.replace(
+            self, suspected_until_s=max(until_s, self.suspected_until_s)
+        )
+
+    def _rate_after(self, is_failure: bool) -> float:
+        change = int(is_failure) - self.failure_rate
+        return self.failure_rate + _SMOOTHING * change
--- a/bronzesill/utils/__init__.py
+++ b/bronzesill/utils/__init__.py
@@ -17,7 +17,7 @@
     rank_by_rendezvous,
     stable_hash,
 )
-from .logs import PartLogger, configure_logging
+from .logs import PartLogger, configure_logging, quiet_server_logs
 from .metrics import Metrics, NullMetrics, connect_metrics
 from .serving import TARGET_KEY, HttpServer, ServingLimits
 
@@ -36,6 +36,7 @@
     'configure_logging',
     'connect_metrics',
     'hash_secret',
+    'quiet_server_logs',
     'rank_by_rendezvous',
     'stable_hash',
     'structure',
--- a/bronzesill/utils/codes.py
+++ b/bronzesill/utils/codes.py
@@ -34,6 +34,7 @@
     GENERATION_LOST = 2004
     DIGEST_MISMATCH = 2005
     CALLER_LEFT = 2006
+    REQUEST_UNKNOWN = 2007
 
     # 3000-3999: plain calls.
     CALL_NOT_RUN = 3001
