Show metrics as text; show a whole answer on the platform in make run

Cause: counters went to statsd only, the platform reads a page of text.

Change: `PageMetrics` (prometheus_client) behind the same interface, shown at the address of the deploy file; requests, sends, refusals, losses and calls to the store are counted.

--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -51,7 +51,7 @@
 from ..utils import (
     Address,
     HttpServer,
-    NullMetrics,
+    PageMetrics,
     PartLogger,
     ResultCode,
 )
@@ -121,6 +121,10 @@
             self._random,
         )
         self._peers.answer_replica = self._peer_knowledge.answer
+        self._metrics = PageMetrics()
+        self._metrics_page = HttpServer(
+            self._metrics.make_app, settings.metrics
+        )
         self._stop_asked = asyncio.Event()
 
     @classmethod
@@ -156,7 +160,7 @@
     async def run(self) -> None:
         """Serve until a stop is asked for and all requests have ended."""
         await self._peers.open()
-        for server in (self._callers, self._directory, self._readiness):
+        for server in self._servers():
             await server.start()
         _log.info('%s serves on %s', self._settings.name, self._callers.address)
         tasks = [asyncio.create_task(part) for part in self._parts()]
@@ -199,6 +203,14 @@
             self._fleet.find_peers(),
         ]
 
+    def _servers(self) -> tuple[HttpServer, ...]:
+        return (
+            self._callers,
+            self._directory,
+            self._readiness,
+            self._metrics_page,
+        )
+
     def _follow(
         self, prefix: str, policy: FollowPolicy
     ) -> Coroutine[Any, Any, None]:
@@ -228,12 +240,8 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        await asyncio.gather(
-            self._callers.kill(),
-            self._directory.kill(),
-            self._readiness.kill(),
-            self._peers.close(),
-        )
+        endings = [server.kill() for server in self._servers()]
+        await asyncio.gather(*endings, self._peers.close())
         self._pool.close()
         await self._session.close()
 
@@ -245,7 +253,7 @@
 
     def _make_app(self) -> object:
         servers = ServiceServers(
-            self._book, _no_split, _ignore_call, self._random
+            self._book, _no_split, self._note_call, self._random
         )
         sender = ForwardSender(
             self._pool, self._dialect, servers, self._note_head
@@ -256,7 +264,7 @@
             self._book,
             ForwardStreamClient(self._pool, self._dialect, self._note_head),
             LocalDirectory(LocationTable()),
-            NullMetrics(),
+            self._metrics,
             self._random,
         )
         generations.keeps_copies = self._keeps_copies
@@ -275,6 +283,7 @@
             IdempotentCalls(sender, servers, allowance),
             OnceCalls(sender, servers),
             self._random,
+            self._metrics,
         )
         return make_forward_app(ForwardResource(self._state, parts))
 
@@ -287,6 +296,21 @@
         engine = service.engine if service else None
         return engine is not None and engine.keeps_copies
 
+    def _note_call(
+        self,
+        service: str,
+        route: str,
+        server: str,
+        *,
+        is_failed: bool,
+        latency_s: float,
+    ) -> None:
+        """Count a call that ended, and what the store was asked so far."""
+        outcome = 'failed' if is_failed else 'good'
+        self._metrics.incr(f'sends.{outcome}')
+        for kind, count in self._store.calls_by_kind.items():
+            self._metrics.gauge(f'store.{kind}', count)
+
     def _note_head(self, server: str, head: AnswerHead) -> None:
         if self._dialect.is_other_server(head):
             self._knowledge.note_other_server(server)
@@ -364,14 +388,3 @@
 
 def _no_split(service: str) -> TrafficSplit:
     return TrafficSplit('')
-
-
-def _ignore_call(
-    service: str,
-    route: str,
-    server: str,
-    *,
-    is_failed: bool,
-    latency_s: float,
-) -> None:
-    """Do nothing with how a call ended."""
--- a/bronzesill/gateway/forwarding.py
+++ b/bronzesill/gateway/forwarding.py
@@ -31,7 +31,13 @@
     Subscription,
 )
 from ..upstream import Dialect, ForwardRequest, Header
-from ..utils import TARGET_KEY, BronzesillError, PartLogger, ResultCode
+from ..utils import (
+    TARGET_KEY,
+    BronzesillError,
+    Metrics,
+    PartLogger,
+    ResultCode,
+)
 from .disconnect import (
     ReceiveKeeper,
     run_until_disconnect,
@@ -45,6 +51,7 @@
 __all__ = ['ForwardParts', 'ForwardResource', 'make_forward_app']
 
 _FALLBACK_STATUS = 503
+_MS_PER_S = 1000
 _CLOSE = 'close'
 _RETRY_ELSEWHERE_S = 0.05
 
@@ -82,6 +89,7 @@
     :param repeated: answers calls that may run more than once.
     :param once: answers calls that may run at most once.
     :param random: generator for the choice among services.
+    :param metrics: receiver of counts and latencies.
     """
 
     dialect: Dialect
@@ -89,6 +97,7 @@
     repeated: IdempotentCalls
     once: OnceCalls
     random: Random
+    metrics: Metrics
 
 
 class ForwardResource:
@@ -124,9 +133,24 @@
         self._check_time_left(route, forward, started_s)
         if route.is_stream and route.idempotent:
             await self._stream(req, resp, forward, route, exchange.route_name)
+            self._note_latency('stream_first_event', started_s)
             return
         work = self._call(resp, forward, route, exchange.route_name)
         await run_until_disconnect(req, work)
+        kind = 'repeatable' if route.idempotent else 'once'
+        self._note_latency(kind, started_s)
+
+    async def on_error(
+        self,
+        req: asgi.Request,
+        resp: asgi.Response,
+        error: BronzesillError,
+        params: dict[str, Any],
+        **_: Any,
+    ) -> None:
+        """Answer a request that was refused or failed."""
+        self._parts.metrics.incr(f'refused.{error.code.name.lower()}')
+        _send_error(req, resp, error)
 
     def _check_time_left(
         self, route: Route, forward: ForwardRequest, now_s: float
@@ -171,6 +195,10 @@
             caller=exchange.caller,
         )
 
+    def _note_latency(self, kind: str, started_s: float) -> None:
+        spent_s = asyncio.get_running_loop().time() - started_s
+        self._parts.metrics.timing(f'requests.{kind}', spent_s * _MS_PER_S)
+
     async def _call(
         self,
         resp: asgi.Response,
@@ -351,17 +379,13 @@
 ) -> ReceiveKeeper:
     """Put the sink into an application."""
     app: asgi.App[Any, Any] = asgi.App()
-    app.add_error_handler(BronzesillError, _send_error)
+    app.add_error_handler(BronzesillError, resource.on_error)
     app.add_sink(resource.on_request, '/')
     return ReceiveKeeper(app)
 
 
-async def _send_error(
-    request: asgi.Request,
-    response: asgi.Response,
-    error: BronzesillError,
-    route_fields: dict[str, Any],
-    **ignored: Any,
+def _send_error(
+    request: asgi.Request, response: asgi.Response, error: BronzesillError
 ) -> None:
     response.status = _STATUS_BY_CODE.get(error.code, _FALLBACK_STATUS)
     response.content_type = 'application/json'
--- a/bronzesill/platform/settings.py
+++ b/bronzesill/platform/settings.py
@@ -18,7 +18,8 @@
 SETTINGS_VARIABLE = 'BRONZESILL_SETTINGS'
 
 _MS_PER_S = 1000
-_METRICS_PORT_OFFSET = 1
+#: Port that the deploy file names for the metrics.
+_METRICS_PORT = 9102
 
 #: Fields of our own by the platform's field and its unit in seconds.
 _BOUNDS: Mapping[str, tuple[str, float]] = types.MappingProxyType(
@@ -71,7 +72,7 @@
         readiness=reader.address('listen', 'readiness'),
         store=reader.address('platform', 'address'),
         peers=Address(ip, int(peer_port)),
-        metrics=Address(ip, int(peer_port) + _METRICS_PORT_OFFSET),
+        metrics=Address(ip, _METRICS_PORT),
         bounds=_decode_bounds(raw.get('bounds', {})),
         seeds=_decode_seeds(raw.get('seedNodes') or (), int(peer_port)),
     )
--- a/bronzesill/utils/__init__.py
+++ b/bronzesill/utils/__init__.py
@@ -19,6 +19,7 @@
 )
 from .logs import PartLogger, configure_logging, quiet_server_logs
 from .metrics import Metrics, NullMetrics, connect_metrics
+from .metrics_page import PageMetrics
 from .serving import TARGET_KEY, HttpServer, ServingLimits
 
 __all__ = [
@@ -29,6 +30,7 @@
     'HttpServer',
     'Metrics',
     'NullMetrics',
+    'PageMetrics',
     'PartLogger',
     'ResultCode',
     'ServingLimits',
--- /dev/null
+++ b/bronzesill/utils/tests/test_metrics_page.py
@@ -0,0 +1,25 @@
+"""Counters, levels and latencies come out as text."""
+
+import unittest
+
+from falcon import testing
+
+from ..metrics_page import PageMetrics
+
+
+class PageTest(unittest.TestCase):
+    """The page that is shown at the metrics address."""
+
+    def test_page(self) -> None:
+        metrics = PageMetrics()
+        metrics.incr('generations.lost.silent')
+        metrics.incr('generations.lost.silent', 2)
+        metrics.gauge('store.calls', 7)
+        metrics.timing('requests.call', 30)
+        page = testing.TestClient(metrics.make_app()).simulate_get('/metrics')
+        for line in (
+            'bronzesill_generations_lost_silent_total 3.0',
+            'bronzesill_store_calls 7.0',
+            'bronzesill_requests_call_seconds_bucket{le="0.05"} 1.0',
+        ):
+            self.assertIn(line, page.text)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -81,6 +81,7 @@
 status=0
 "$python" -m examples.long_answer --entry "$first_entry" \
   --key "$CALLER_KEY" --engines $ENGINES || status=$?
+"$python" -m examples.hosted_answer || status=$?
 if [ "$keep" = yes ]; then
   echo 'everything stays up; Ctrl-C ends it'
   wait
