Let daemons that are back in, though the store and their seeds are silent

The seeds were asked only after the store's call had run out of time, and those three hosts were down.

Change: a daemon asks its seeds at once while it is alone, and daemons that live ask those they lost every 0.7 s, so that one that is back learns of them; peers tell keys also to who knows none yet. Refusals for want of a server or of a configuration say when to come back.

--- a/bronzesill/calls/idempotent.py
+++ b/bronzesill/calls/idempotent.py
@@ -54,7 +54,7 @@
                 return await self._race(routed, self._servers.order(routed))
         except TimeoutError:
             raise BronzesillError(
-                ResultCode.CALL_FAILED, 'no server answered in time'
+                ResultCode.CALL_TIMED_OUT, 'no server answered in time'
             ) from None
 
     async def _race(
--- a/bronzesill/calls/servers.py
+++ b/bronzesill/calls/servers.py
@@ -19,6 +19,7 @@
 #: Weight of the share of failures against the fill of a server.
 _FAILURE_WEIGHT = 0.6
 _SERVER_ERROR = 500
+_RETRY_NO_SERVER_S = 0.2
 
 
 class CallEnd(enum.Enum):
@@ -101,7 +102,9 @@
         ]
         if not views:
             raise BronzesillError(
-                ResultCode.CALL_NOT_RUN, 'not run: no server of the service'
+                ResultCode.CALL_NOT_RUN,
+                'not run: no server of the service',
+                retry_after_s=_RETRY_NO_SERVER_S,
             )
         self._random.shuffle(views)
         views.sort(key=_cost)
--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -201,6 +201,7 @@
             self._peer_knowledge.run(),
             self._fleet.keep_listed(),
             self._fleet.find_peers(),
+            self._fleet.greet(),
         ]
 
     def _servers(self) -> tuple[HttpServer, ...]:
--- a/bronzesill/daemon/hosted_fleet.py
+++ b/bronzesill/daemon/hosted_fleet.py
@@ -27,6 +27,7 @@
 _SEEDS = 4
 _SEARCH_S = 0.4
 _SEARCH_FULL_S = 8.0
+_GREET_S = 0.7
 
 _log = PartLogger('fleet')
 
@@ -72,11 +73,20 @@
                 await self._join_listed()
             except BronzesillError as error:
                 _log.warning('hosts not listed: %s', error)
-                if not self.live_peers():
-                    await self._join(self._seeds)
             pause_s = _SEARCH_FULL_S if self.live_peers() else _SEARCH_S
             await asyncio.sleep(pause_s * (0.5 + self._random.random()))
 
+    async def greet(self) -> None:
+        """
+        Join seeds while alone, and lost daemons in case they are back.
+
+        A daemon that starts again knows nobody; while the store is away it
+        is those who remember it that let it in.
+        """
+        while True:
+            await self._join(self._strangers())
+            await asyncio.sleep(_GREET_S * (0.5 + self._random.random()))
+
     async def withdraw(self) -> None:
         """Take this daemon's entry away."""
         if self._lease_id:
@@ -111,6 +121,16 @@
         ]
         return tuple(welcome) or (self._membership.own.callers,)
 
+    def _strangers(self) -> tuple[Address, ...]:
+        lost = tuple(
+            member.peers
+            for member in self._membership.view.members_by_name.values()
+            if not member.is_alive
+        )
+        if self.live_peers():
+            return lost
+        return (*self._seeds, *lost)
+
     async def _renew(self) -> None:
         if self._lease_id and await self._store.keep_lease(self._lease_id):
             return
@@ -139,7 +159,8 @@
         if count:
             drawn = tuple(self._random.sample(unknown, count))
             joined = await self._membership.join(drawn)
-            _log.info('joined by %s of %s seeds', joined, count)
+            if joined:
+                _log.info('joined by %s of %s seeds', joined, count)
 
 
 def _member(entry: StoredEntry) -> Member | None:
--- a/bronzesill/daemon/peer_knowledge.py
+++ b/bronzesill/daemon/peer_knowledge.py
@@ -14,7 +14,7 @@
 
 __all__ = ['PeerKnowledge']
 
-_PAUSE_S = 0.4
+_PAUSE_S = 0.3
 _TIMEOUT_S = 0.5
 
 _log = PartLogger('knowledge')
@@ -47,7 +47,7 @@
         while True:
             await asyncio.sleep(_PAUSE_S * (0.5 + self._random.random()))
             peers = self._list_peers()
-            if self._knowledge.listing.is_store_away and peers:
+            if self._is_needed() and peers:
                 await self._ask(self._random.choice(peers))
 
     def answer(self, question: FetchReplica) -> ReplicaAnswer:
@@ -61,6 +61,10 @@
             )
         )
 
+    def _is_needed(self) -> bool:
+        knowledge = self._knowledge
+        return knowledge.listing.is_store_away or not knowledge.is_complete
+
     async def _ask(self, peer: Member) -> None:
         question = FetchReplica(self._knowledge.replica.last_revision)
         try:
--- a/bronzesill/daemon/tests/test_hosted.py
+++ b/bronzesill/daemon/tests/test_hosted.py
@@ -295,6 +295,19 @@
         answer = await self.caller.ask(late.settings.callers, '/orders/1')
         self.assertEqual(answer.status, 200)
 
+    async def test_daemon_that_is_back_is_let_in_by_who_remembers_it(
+        self,
+    ) -> None:
+        # It has no seeds, and the store does not answer.
+        lost, remembering = self.fleet.daemons
+        await self.fleet.kill(lost)
+        self.fleet.store.state.faults.down = True
+        back = self.fleet.add_daemon(settings=lost.settings)
+        async with asyncio.timeout(8):
+            while not back.is_ready:
+                await asyncio.sleep(0.02)
+        self.assertEqual(remembering.known_peers, 1)
+
     async def test_daemon_that_knows_nothing_says_so(self) -> None:
         self.fleet.store.state.faults.down = True
         late = self.fleet.add_daemon()
--- a/bronzesill/gateway/forwarding.py
+++ b/bronzesill/gateway/forwarding.py
@@ -71,6 +71,7 @@
         ResultCode.BODY_TOO_LARGE: 413,
         ResultCode.CALL_OUTCOME_UNKNOWN: 502,
         ResultCode.CALL_FAILED: 502,
+        ResultCode.CALL_TIMED_OUT: 504,
         ResultCode.INCOMPLETE_RETRIES: 502,
         ResultCode.INCOMPLETE_DEADLINE: 504,
     }
--- a/bronzesill/gateway/state.py
+++ b/bronzesill/gateway/state.py
@@ -10,6 +10,9 @@
 
 __all__ = ['GatewayState']
 
+#: A host that starts knows its configuration soon, if the store answers.
+_RETRY_STARTING_S = 0.3
+
 
 class GatewayState:
     """
@@ -45,6 +48,6 @@
             raise BronzesillError(
                 ResultCode.NOT_READY,
                 'not run: this host has no configuration yet',
-                retry_after_s=1,
+                retry_after_s=_RETRY_STARTING_S,
             )
         return Exchange(http, self.document)
--- a/bronzesill/standins/hosted_fleet.py
+++ b/bronzesill/standins/hosted_fleet.py
@@ -159,14 +159,30 @@
                 (Mutation(CONFIGURATION_KEY, orjson.dumps(document)),),
             )
 
-    def add_daemon(self, seeds: tuple[Address, ...] = ()) -> HostedDaemon:
-        """Start one more daemon."""
+    def add_daemon(
+        self,
+        seeds: tuple[Address, ...] = (),
+        settings: HostedSettings | None = None,
+    ) -> HostedDaemon:
+        """
+        Start one more daemon.
+
+        :param seeds: addresses of daemons that may live.
+        :param settings: settings of a daemon that starts again, none for a
+            new one.
+        """
         number = len(self.daemons)
-        daemon = HostedDaemon.from_settings(self._settings(number, seeds))
+        settings = settings or self._settings(number, seeds)
+        daemon = HostedDaemon.from_settings(settings)
         self.daemons.append(daemon)
         self._tasks_by_daemon[daemon] = asyncio.create_task(daemon.run())
         return daemon
 
+    async def kill(self, daemon: HostedDaemon) -> None:
+        """End a daemon at once, as a crash would."""
+        self._tasks_by_daemon[daemon].cancel()
+        await self.ended(daemon)
+
     async def ended(self, daemon: HostedDaemon) -> None:
         """Wait until a daemon that was asked to stop has ended."""
         await asyncio.wait((self._tasks_by_daemon[daemon],))
--- a/bronzesill/utils/codes.py
+++ b/bronzesill/utils/codes.py
@@ -43,6 +43,7 @@
     CALL_KEY_REUSED = 3004
     CALL_KEY_EXPIRED = 3005
     CALL_FAILED = 3006
+    CALL_TIMED_OUT = 3007
 
     # 4000-4999: settings and configuration.
     DOCUMENT_INVALID = 4001
@@ -85,6 +86,7 @@
         ResultCode.CALL_KEY_EXPIRED: 409,
         ResultCode.CALL_OUTCOME_UNKNOWN: 409,
         ResultCode.CALL_FAILED: 502,
+        ResultCode.CALL_TIMED_OUT: 504,
         ResultCode.OPERATOR_REJECTED: 401,
         ResultCode.DOCUMENT_INVALID: 422,
         ResultCode.REVISION_CONFLICT: 409,
--- a/bronzesill/utils/logs.py
+++ b/bronzesill/utils/logs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging as standard_logging
 import os
 import time
@@ -150,7 +151,7 @@
     record: standard_logging.LogRecord, expected: type[Exception]
 ) -> bool:
     return record.exc_info is not None and isinstance(
-        record.exc_info[1], expected
+        record.exc_info[1], expected | asyncio.CancelledError
     )
 
 
