--- a/bronzesill/daemon/core.py
+++ b/bronzesill/daemon/core.py
@@ -39,6 +39,7 @@
 )
 from .capacity import admission_limits
 from .config_keeper import RevisionHeard
+from .part_runner import run_parts
 from .parts import RequestParts, SharedParts
 
 __all__ = ['Daemon']
@@ -107,14 +108,12 @@
         await self._shared.socket.open(peers)
         await self._server.start()
         _log.info('%s serves on %s', self.settings.name, self.address)
-        tasks = [asyncio.create_task(part) for part in self._parts()]
-        for task in tasks:
-            task.add_done_callback(self._notice_end)
         try:
-            await self._stop_asked.wait()
-            await self._drain()
+            async with run_parts(self._parts(), self._give_up):
+                await self._stop_asked.wait()
+                await self._drain()
         finally:
-            await self._close(tasks)
+            await self._close()
         _log.info('%s stopped', self.settings.name)
 
     def begin_stop(self) -> None:
@@ -149,11 +148,7 @@
         """State for an operator that a backend server leaves or is back."""
         self._shared.fleet.state_server(name, is_leaving=is_leaving)
 
-    def _notice_end(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled():
-            return
-        # A part never ends by itself: without it the host is of no use.
-        _log.error('a part failed: %r', task.exception())
+    def _give_up(self) -> None:
         self._stop_now.set()
         self.begin_stop()
 
@@ -195,10 +190,7 @@
             _log.info('%s is no longer used', self.settings.name)
         await self._server.stop()
 
-    async def _close(self, tasks: list[asyncio.Task[None]]) -> None:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+    async def _close(self) -> None:
         await self._server.kill()
         await self._requests.generations.stop()
         await self._shared.ledger.stop()
--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from random import Random
 from typing import Any
 
@@ -25,13 +25,6 @@
     LocationTable,
 )
 from ..limits import FleetAllowance, RetryBounds
-from ..membership import (
-    FetchView,
-    GossipPolicy,
-    Member,
-    MembershipController,
-    MembershipMailbox,
-)
 from ..platform import (
     ALL_KEYS,
     PlatformDialect,
@@ -40,9 +33,7 @@
     make_readiness_app,
 )
 from ..replica import (
-    FetchReplica,
     FollowPolicy,
-    ReplicaAnswer,
     StoreFollower,
 )
 from ..routing import LoadReport, ServerBook, TrafficSplit, UseReport
@@ -53,14 +44,13 @@
     HttpServer,
     PageMetrics,
     PartLogger,
-    ResultCode,
 )
-from ..wire import DatagramSocket, PeerClient, PeerServer, WireCounters
 from .hosted_fleet import HostedFleet
 from .hosted_knowledge import HostedKnowledge
+from .hosted_peers import HostedPeers
+from .part_runner import run_parts
 from .peer_knowledge import PeerKnowledge
-from .protocol import Refusal, make_registry
-from .use_sharing import ArrivalSorter, UseSharing
+from .use_sharing import UseSharing
 
 __all__ = ['HostedDaemon']
 
@@ -95,7 +85,7 @@
         self._pool = ConnectionPool()
         self._store = PlatformStore(session, settings.store)
         self._dialect = PlatformDialect()
-        self._peers = _Peers(settings, self._random)
+        self._peers = HostedPeers(settings, self._random)
         self._fleet = HostedFleet(
             self._store, self._peers.membership, settings.seeds, self._random
         )
@@ -163,14 +153,12 @@
         for server in self._servers():
             await server.start()
         _log.info('%s serves on %s', self._settings.name, self._callers.address)
-        tasks = [asyncio.create_task(part) for part in self._parts()]
-        for task in tasks:
-            task.add_done_callback(self._notice_end)
         try:
-            await self._stop_asked.wait()
-            await self._drain()
+            async with run_parts(self._parts(), self.begin_stop):
+                await self._stop_asked.wait()
+                await self._drain()
         finally:
-            await self._close(tasks)
+            await self._close()
         _log.info('%s stopped', self._settings.name)
 
     def begin_stop(self) -> None:
@@ -185,13 +173,6 @@
         self._fleet.state_stop()
         self._stop_asked.set()
 
-    def _notice_end(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled():
-            return
-        # A part never ends by itself: without it the host is of no use.
-        _log.error('a part failed: %r', task.exception())
-        self.begin_stop()
-
     def _parts(self) -> list[Coroutine[Any, Any, None]]:
         return [
             self._follow(ALL_KEYS, FollowPolicy(_WATCH_WAIT_S, _WATCH_PAUSE_S)),
@@ -237,10 +218,7 @@
                 break
             await asyncio.sleep(_STOP_POLL_S)
 
-    async def _close(self, tasks: list[asyncio.Task[None]]) -> None:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+    async def _close(self) -> None:
         endings = [server.kill() for server in self._servers()]
         await asyncio.gather(*endings, self._peers.close())
         self._pool.close()
@@ -322,70 +300,5 @@
             self._book.reported(server, LoadReport(running, '', now_s))
 
 
-class _Peers:
-    """
-    Membership with its socket, and streams to and from peers.
-
-    :param settings: the host's own settings.
-    :param random: generator for choices of targets.
-    """
-
-    def __init__(self, settings: HostedSettings, random: Random) -> None:
-        registry = make_registry()
-        counters = WireCounters()
-        mailbox: MembershipMailbox = asyncio.Queue()
-        self._address = settings.peers
-        self.client = PeerClient(registry, counters)
-        self.sorter = ArrivalSorter(mailbox)
-        self.socket = DatagramSocket(registry, counters, self.sorter)
-        self.membership = MembershipController(
-            _describe(settings),
-            self.socket,
-            mailbox,
-            self.client,
-            random,
-            GossipPolicy(),
-        )
-        #: Answers peers that do not reach the store; set by the daemon.
-        self.answer_replica: Callable[[FetchReplica], object] = _answer_nothing
-        self._server = PeerServer(settings.peers, registry, self, counters)
-
-    async def open(self) -> None:
-        """Listen to peers."""
-        await self._server.start()
-        await self.socket.open(self._address)
-
-    async def close(self) -> None:
-        """End all connections with peers."""
-        await self._server.stop()
-        await self.client.stop()
-        self.socket.close()
-
-    async def answer(self, question: Any) -> Any:
-        """Answer one question of a peer."""
-        match question:
-            case FetchView():
-                return self.membership.answer_view(question)
-            case FetchReplica():
-                return self.answer_replica(question)
-            case _:
-                return Refusal(int(ResultCode.MESSAGE_INVALID))
-
-
-def _answer_nothing(question: FetchReplica) -> ReplicaAnswer:
-    return ReplicaAnswer(())
-
-
-def _describe(settings: HostedSettings) -> Member:
-    return Member(
-        name=settings.name,
-        region=settings.region,
-        failure_domain=settings.failure_domain,
-        peers=settings.peers,
-        callers=settings.callers,
-        incarnation=int(time.time() * _MS_PER_S),
-    )
-
-
 def _no_split(service: str) -> TrafficSplit:
     return TrafficSplit('')
