--- a/bronzesill/platform/headers.py
+++ b/bronzesill/platform/headers.py
@@ -22,7 +22,7 @@
 _ID_PATTERN = re.compile(r'[\x21-\x7e]{1,256}')
 _BEARER = b'bearer '
 
-#: Names the client's attempt; the bench of retries counts by it.
+#: Names the request; each attempt of a client has its own.
 _REQUEST_ID = b'x-attempt-id'
 _PATIENCE = b'x-deadline-ms'
 _EVENTS_HELD = b'last-event-id'
