Read a request's name for the log through the dialect

Cause: the line of a refusal took `X-Attempt-Id` in the gateway, a name of the platform outside its folder.

Change: `Dialect.request_id`, implemented in `platform/headers.py`, also for requests whose other headers are not usable. The tests of connections share their sending server and name their socket options.

--- a/bronzesill/gateway/forwarding.py
+++ b/bronzesill/gateway/forwarding.py
@@ -142,7 +142,8 @@
     ) -> None:
         """Answer a request that was refused or failed."""
         self._parts.metrics.incr(f'refused.{error.code.name.lower()}')
-        _send_error(req, resp, error)
+        request_id = self._parts.dialect.request_id(raw_headers(req))
+        _send_error(request_id, req.path, resp, error)
 
     def _check_time_left(
         self, route: Route, forward: ForwardRequest, now_s: float
@@ -259,7 +260,7 @@
 
 
 def _send_error(
-    request: asgi.Request, response: asgi.Response, error: BronzesillError
+    request_id: str, path: str, response: asgi.Response, error: BronzesillError
 ) -> None:
     response.status = _STATUS_BY_CODE.get(error.code, _FALLBACK_STATUS)
     response.content_type = 'application/json'
@@ -268,8 +269,8 @@
         response.set_header('Retry-After', f'{error.retry_after_s:.3f}')
     _log.event(
         'refused',
-        request=request.get_header('X-Attempt-Id') or '',
-        path=request.path,
+        request=request_id,
+        path=path,
         status=response.status,
         code=int(error.code),
         reason=error.message,
--- a/bronzesill/platform/headers.py
+++ b/bronzesill/platform/headers.py
@@ -75,14 +75,18 @@
 class PlatformDialect:
     """Reads and writes the platform's headers."""
 
+    def request_id(self, headers: tuple[Header, ...]) -> str:
+        """Return the name of a request, for the log; empty if it has none."""
+        return _text_by_name(headers).get(_REQUEST_ID, b'').decode('latin-1')
+
     def read_caller(self, headers: tuple[Header, ...]) -> CallerFields:
         """
         Read what a caller says.
 
         :raises BronzesillError: ``FIELD_INVALID``, a header is not usable.
         """
-        text_by_name = {header.name: header.text for header in headers}
-        request_id = text_by_name.get(_REQUEST_ID, b'').decode('latin-1')
+        text_by_name = _text_by_name(headers)
+        request_id = self.request_id(headers)
         if request_id and _ID_PATTERN.fullmatch(request_id) is None:
             raise _invalid(_REQUEST_ID)
         patience_ms = _number(text_by_name, _PATIENCE)
@@ -160,6 +164,10 @@
         return ReportedLoad(running, waiting, slots)
 
 
+def _text_by_name(headers: tuple[Header, ...]) -> dict[bytes, bytes]:
+    return {header.name: header.text for header in headers}
+
+
 def _invalid(name: bytes) -> BronzesillError:
     return BronzesillError(
         ResultCode.FIELD_INVALID, f'not run: {name.decode()} is not usable'
--- a/bronzesill/platform/tests/test_headers.py
+++ b/bronzesill/platform/tests/test_headers.py
@@ -117,6 +117,11 @@
         )
         self.assertEqual(caller, CallerFields('9c41', 0.6, 12, 1460, 80, 'k1'))
 
+    def test_request_is_named_though_its_headers_are_not_usable(self) -> None:
+        headers = _headers(b'X-Attempt-Id: 9c41', b'X-Deadline-Ms: soon')
+        self.assertEqual(self.dialect.request_id(headers), '9c41')
+        self.assertEqual(self.dialect.request_id(()), '')
+
     def test_unusable_number_is_refused(self) -> None:
         with self.assertRaises(BronzesillError) as caught:
             self.dialect.read_caller(_headers(b'X-Deadline-Ms: soon'))
--- a/bronzesill/upstream/request.py
+++ b/bronzesill/upstream/request.py
@@ -116,6 +116,9 @@
 class Dialect(Protocol):
     """Names and formats of a request's headers on one platform."""
 
+    def request_id(self, headers: tuple[Header, ...]) -> str:
+        """Return the name of a request, for the log; empty if it has none."""
+
     def read_caller(self, headers: tuple[Header, ...]) -> CallerFields:
         """
         Read what a caller says.
--- a/bronzesill/upstream/tests/test_connection.py
+++ b/bronzesill/upstream/tests/test_connection.py
@@ -1,6 +1,8 @@
 """Connections against a server that answers in odd ways."""
 
 import asyncio
+import socket
+import struct
 import unittest
 from collections.abc import Awaitable, Callable
 
@@ -14,6 +16,17 @@
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
+def _send_and_close(answer: bytes) -> Script:
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(answer)
+        writer.close()
+
+    return script
+
+
 class ConnectionTest(unittest.IsolatedAsyncioTestCase):
     """Whole answers only, and only to the request that is due."""
 
@@ -98,26 +111,13 @@
         self.assertEqual(self.pool.opened, 2)
 
     async def test_answer_cut_short_is_broken(self) -> None:
-        async def script(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await reader.readuntil(b'\r\n\r\n')
-            writer.write(_WHOLE[:-1])
-            writer.close()
-
-        target = await self.listen(script)
+        target = await self.listen(_send_and_close(_WHOLE[:-1]))
         with self.assertRaises(AnswerBroken):
             await self.ask(target)
 
     async def test_answer_without_length_ends_with_its_connection(self) -> None:
-        async def script(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await reader.readuntil(b'\r\n\r\n')
-            writer.write(b'HTTP/1.1 200 OK\r\n\r\nabc')
-            writer.close()
-
-        target = await self.listen(script)
+        unframed = b'HTTP/1.1 200 OK\r\n\r\nabc'
+        target = await self.listen(_send_and_close(unframed))
         self.assertEqual(await self.ask(target), b'abc')
 
     async def test_answer_without_length_that_is_reset_is_broken(self) -> None:
@@ -129,7 +129,8 @@
             await asyncio.sleep(0.05)
             # Unread bytes and no lingering: the other side sees a reset.
             sock = writer.get_extra_info('socket')
-            sock.setsockopt(1, 13, b'\x01\x00\x00\x00\x00\x00\x00\x00')
+            linger = struct.pack('ii', 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             writer.transport.abort()
 
         target = await self.listen(script)
