Carry out operators' roll-out orders on the platform as moves

Cause: orders under op/rollout/ were not read, so workers of a version that is being rolled out got their full share of the traffic at once, and no status was ever written. The product's judge and driver were not connected.

Change: the order becomes a move record (one driver by rendezvous hashing, conditions on revisions), its split decides the version of calls and streams, reports of all daemons go to the driver, the status is written from the record. Moves under two minutes get their own stages and error rates and are not committed while doubt remains.

--- a/bronzesill/calls/servers.py
+++ b/bronzesill/calls/servers.py
@@ -94,20 +94,19 @@
         :raises BronzesillError: ``CALL_NOT_RUN``, there is no server.
         """
         service = routed.route.service
-        version = pick_version(self._find_split(service), routed.request_id)
-        views = [
-            view
-            for view in self._book.service_views(service, _now_s())
-            if not view.is_leaving and version in {'', view.version}
-        ]
+        split = self._find_split(service)
+        version = pick_version(split, routed.request_id)
+        views = self._views_of(service, version)
+        if version == split.new_version and routed.route.idempotent:
+            # What the version under trial loses is not given to it again.
+            old = self._views_of(service, split.old_version)
+            views = [*views[:1], *old]
         if not views:
             raise BronzesillError(
                 ResultCode.CALL_NOT_RUN,
                 'not run: no server of the service',
                 retry_after_s=_RETRY_NO_SERVER_S,
             )
-        self._random.shuffle(views)
-        views.sort(key=_cost)
         return tuple(view.name for view in views)
 
     def address(self, name: str) -> Address:
@@ -141,6 +140,16 @@
             latency_s=latency_s,
         )
 
+    def _views_of(self, service: str, version: str) -> list[ServerView]:
+        views = [
+            view
+            for view in self._book.service_views(service, _now_s())
+            if not view.is_leaving and version in {'', view.version}
+        ]
+        self._random.shuffle(views)
+        views.sort(key=_cost)
+        return views
+
 
 def _cost(view: ServerView) -> tuple[bool, float]:
     return view.is_suspected, view.fill + _FAILURE_WEIGHT * view.failure_rate
--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -25,6 +25,7 @@
     LocationTable,
 )
 from ..limits import FleetAllowance, RetryBounds
+from ..moves import MoveReport
 from ..platform import (
     ALL_KEYS,
     PlatformDialect,
@@ -33,10 +34,11 @@
     make_readiness_app,
 )
 from ..replica import (
+    FetchReplica,
     FollowPolicy,
     StoreFollower,
 )
-from ..routing import LoadReport, ServerBook, TrafficSplit, UseReport
+from ..routing import LoadReport, ServerBook, UseReport
 from ..store import StoredEntry
 from ..upstream import AnswerHead, ConnectionPool
 from ..utils import (
@@ -47,6 +49,7 @@
 )
 from .hosted_fleet import HostedFleet
 from .hosted_knowledge import HostedKnowledge
+from .hosted_moves import HostedMoves
 from .hosted_peers import HostedPeers
 from .part_runner import run_parts
 from .peer_knowledge import PeerKnowledge
@@ -110,7 +113,16 @@
             self._fleet.live_peers,
             self._random,
         )
-        self._peers.answer_replica = self._peer_knowledge.answer
+        self._moves = HostedMoves(
+            self._store,
+            self._peers.membership,
+            self._peers.client,
+            self._book,
+        )
+        self._peers.answers_by_type[FetchReplica] = self._peer_knowledge.answer
+        self._peers.answers_by_type[MoveReport] = (
+            self._moves.controller.answer_report
+        )
         self._metrics = PageMetrics()
         self._metrics_page = HttpServer(
             self._metrics.make_app, settings.metrics
@@ -183,6 +195,7 @@
             self._fleet.keep_listed(),
             self._fleet.find_peers(),
             self._fleet.greet(),
+            self._moves.run(),
         ]
 
     def _servers(self) -> tuple[HttpServer, ...]:
@@ -228,11 +241,14 @@
         return tuple(member.peers for member in self._fleet.live_peers())
 
     def _hear(self, news: tuple[StoredEntry, ...]) -> None:
-        """Take in entries that were news."""
+        self._moves.take_news(news, self._knowledge.replica)
 
     def _make_app(self) -> object:
         servers = ServiceServers(
-            self._book, _no_split, self._note_call, self._random
+            self._book,
+            self._moves.traffic.service_split,
+            self._note_call,
+            self._random,
         )
         sender = ForwardSender(
             self._pool, self._dialect, servers, self._note_head
@@ -248,6 +264,9 @@
         )
         generations.keeps_copies = self._keeps_copies
         generations.is_use_told = True
+        generations.observer.on_seen = self._moves.traffic.note_attempt
+        generations.pick_version = self._moves.traffic.pick_version
+        generations.resume_version = self._moves.traffic.resume_version
         bounds = self._settings.bounds
         allowance = FleetAllowance(
             RetryBounds(
@@ -285,6 +304,9 @@
         latency_s: float,
     ) -> None:
         """Count a call that ended, and what the store was asked so far."""
+        self._moves.traffic.note_call(
+            service, route, server, is_failed=is_failed, latency_s=latency_s
+        )
         outcome = 'failed' if is_failed else 'good'
         self._metrics.incr(f'sends.{outcome}')
         for kind, count in self._store.calls_by_kind.items():
@@ -298,7 +320,3 @@
             now_s = asyncio.get_running_loop().time()
             running = load.running + load.waiting
             self._book.reported(server, LoadReport(running, '', now_s))
-
-
-def _no_split(service: str) -> TrafficSplit:
-    return TrafficSplit('')
--- a/bronzesill/daemon/hosted_peers.py
+++ b/bronzesill/daemon/hosted_peers.py
@@ -16,7 +16,6 @@
     MembershipController,
     MembershipMailbox,
 )
-from ..replica import FetchReplica, ReplicaAnswer
 from ..utils import ResultCode
 from ..wire import DatagramSocket, PeerClient, PeerServer, WireCounters
 from .protocol import Refusal, make_registry
@@ -51,8 +50,10 @@
             random,
             GossipPolicy(),
         )
-        #: Answers peers that do not reach the store; set by the daemon.
-        self.answer_replica: Callable[[FetchReplica], object] = _answer_nothing
+        #: What answers questions of peers, by type of the question.
+        self.answers_by_type: dict[type, Callable[[Any], object]] = {
+            FetchView: self.membership.answer_view
+        }
         self._server = PeerServer(settings.peers, registry, self, counters)
 
     async def open(self) -> None:
@@ -68,17 +69,10 @@
 
     async def answer(self, question: Any) -> Any:
         """Answer one question of a peer."""
-        match question:
-            case FetchView():
-                return self.membership.answer_view(question)
-            case FetchReplica():
-                return self.answer_replica(question)
-            case _:
-                return Refusal(int(ResultCode.MESSAGE_INVALID))
-
-
-def _answer_nothing(question: FetchReplica) -> ReplicaAnswer:
-    return ReplicaAnswer(())
+        answer = self.answers_by_type.get(type(question))
+        if answer is None:
+            return Refusal(int(ResultCode.MESSAGE_INVALID))
+        return answer(question)
 
 
 def _describe(settings: HostedSettings) -> Member:
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -85,6 +85,8 @@
         self.observer = BookObserver(daemon, book, directory, metrics)
         #: Gives the version that answers a request not yet begun.
         self.pick_version: PickVersion = _keep_version
+        #: Gives the version that goes on with an answer of a model's version.
+        self.resume_version: Callable[[str, str], str] = _keep_same
         #: Bounds the attempts after the first one, none for no bound.
         self.allowance: RetryAllowance | None = None
         #: Whether the daemons tell each other at once which engines they use.
@@ -199,6 +201,10 @@
             version = self.pick_version(request, is_retry)
             request = dataclasses.replace(request, version=version)
             generation.request = request
+        elif request.version:
+            version = self.resume_version(request.model, request.version)
+            request = dataclasses.replace(request, version=version)
+            generation.request = request
         choice = self._choose(request, action)
         if choice is None or not self._may_send(generation):
             return Placement(NoServer(), request)
@@ -308,6 +314,10 @@
     return request.version
 
 
+def _keep_same(model: str, version: str) -> str:
+    return version
+
+
 def _keeps_none(model: str) -> bool:
     return False
 
--- a/bronzesill/moves/book.py
+++ b/bronzesill/moves/book.py
@@ -45,6 +45,20 @@
         """Say whether word came that a move is taken back."""
         return move_id in self._taken_back
 
+    def find(self, move_id: str) -> KnownMove | None:
+        """Return a move by its name, none if it is not known."""
+        return self._moves_by_id.get(move_id)
+
+    def first_version(self, subject: str) -> str:
+        """Return the version before a subject's first move, if any."""
+        records = [
+            known.record
+            for known in self._moves_by_id.values()
+            if known.record.subject == subject
+        ]
+        records.sort(key=lambda record: record.created_at_s)
+        return records[0].old_version if records else ''
+
     def open_moves(self) -> list[KnownMove]:
         """Return the moves whose end is not recorded, as far as known."""
         return [
--- a/bronzesill/moves/controller.py
+++ b/bronzesill/moves/controller.py
@@ -123,7 +123,7 @@
             change came first.
         """
         if state is MoveState.TAKEN_BACK:
-            return await self._take_back(move_id, operator, reason)
+            return await self.take_back(move_id, operator, reason)
         if self.book.is_taken_back(move_id):
             raise BronzesillError(
                 ResultCode.MOVE_ENDED, f'move {move_id} is taken back'
@@ -148,9 +148,15 @@
         self._state_fact(fact_of(record))
         return record
 
-    async def _take_back(
+    async def take_back(
         self, move_id: str, operator: str, reason: str
     ) -> MoveRecord | None:
+        """
+        Take a move back for an operator.
+
+        :returns: the record, none if it could not be recorded yet.
+        :raises BronzesillError: the move is done or unknown.
+        """
         record = await self._driver.take_back(move_id, operator, reason)
         if record is not None and record.state is MoveState.DONE:
             raise BronzesillError(
--- a/bronzesill/moves/judge.py
+++ b/bronzesill/moves/judge.py
@@ -34,6 +34,8 @@
         above that edge, and against it if it lies clearly below.
     :param alarm: log-likelihood ratio that is an alarm.
     :param alarm_elsewhere: the same without the worst engine.
+    :param doubt: log-likelihood ratio with which a version is no longer
+        committed, though it is no alarm; the time for more evidence is over.
     :param accept: log-likelihood ratio below which the version is good.
     :param warm_up_requests: first requests of an engine whose latency is
         not looked at, for its cache is cold.
@@ -50,6 +52,7 @@
     slow_odds: float = 1.6
     alarm: float = 8
     alarm_elsewhere: float = 4
+    doubt: float = 8
     accept: float = -4.6
     warm_up_requests: int = 60
     failure_cap: int = 2
@@ -161,6 +164,14 @@
             return Opinion.GOOD
         return Opinion.OPEN
 
+    @property
+    def is_doubtful(self) -> bool:
+        """Whether too much speaks against a commit."""
+        return any(
+            sums.alarm >= self.policy.doubt
+            for sums in self.sums_by_kind.values()
+        )
+
     @property
     def sick_engines(self) -> frozenset[str]:
         """Engines that are bad, whether or not others are."""
--- a/bronzesill/moves/policy.py
+++ b/bronzesill/moves/policy.py
@@ -6,7 +6,7 @@
 from dataclasses import field
 
 from .evidence import Evidence
-from .judge import Judge, Opinion
+from .judge import Judge, JudgePolicy, Opinion
 from .record import MoveRecord, MoveState, has_ended
 
 __all__ = [
@@ -46,6 +46,21 @@
     part: float
 
 
+_SHORT_WINDOW_S = 120.0
+_SHORT_STAGES = (Stage(0.08, 0.25), Stage(0.2, 0.2), Stage(0.45, 0.2))
+#: The shortest stay at a share, as a part of a short move's time.
+_SHORT_STAGE_COUNT = 12
+#: Little is seen in a short move, and a bad version must not pass.
+_SHORT_POLICY = JudgePolicy(
+    failure_ratio=3,
+    gross_ratio=8,
+    alarm=4,
+    alarm_elsewhere=1,
+    doubt=1.5,
+    warm_up_requests=4,
+)
+
+
 @dataclasses.dataclass(frozen=True)
 class MovePlan:
     """
@@ -67,6 +82,22 @@
     margin_s: float = 16
     min_stage_s: float = 5
 
+    @classmethod
+    def for_window(cls, window_s: float) -> 'MovePlan':
+        """
+        Plan a move by the time that it has.
+
+        In a short time a small share shows nothing: it begins with a larger
+        one, under the share that a bad version may get.
+
+        :param window_s: seconds from the order to its deadline.
+        """
+        if window_s >= _SHORT_WINDOW_S:
+            return cls()
+        return cls(
+            stages=_SHORT_STAGES, min_stage_s=window_s / _SHORT_STAGE_COUNT
+        )
+
     def stage_at(self, share: float) -> int:
         """Return the number of the stage with a share, -1 for none yet."""
         reached = [
@@ -104,17 +135,26 @@
         :data:`ALL_ROUTES` looks at all of them together.
     :param share_since_s: when the present share came into force.
     :param plan: how the move spends its time.
+    :param policy: error rates of the comparison.
     """
 
     judges_by_route: dict[str, Judge]
     share_since_s: float
     plan: MovePlan = field(default_factory=MovePlan)
+    policy: JudgePolicy = field(default_factory=JudgePolicy)
 
     @classmethod
     def from_record(cls, record: MoveRecord) -> 'MoveProgress':
         """Begin to drive a move, or go on with one that another drove."""
-        judge = Judge(record.new_version)
-        return cls({ALL_ROUTES: judge}, record.changed_at_s)
+        window_s = _window_s(record)
+        policy = _policy_for(window_s)
+        judge = Judge(record.new_version, policy)
+        return cls(
+            {ALL_ROUTES: judge},
+            record.changed_at_s,
+            MovePlan.for_window(window_s),
+            policy,
+        )
 
     @property
     def opinion(self) -> Opinion:
@@ -141,7 +181,7 @@
             pooled = pooled.plus(evidence)
         judges = dict(self.judges_by_route)
         for route, seen in {**evidence_by_route, ALL_ROUTES: pooled}.items():
-            judge = judges.get(route, Judge(record.new_version))
+            judge = judges.get(route, Judge(record.new_version, self.policy))
             judges[route] = judge.after(seen, record.old_version)
         return dataclasses.replace(self, judges_by_route=judges)
 
@@ -209,6 +249,8 @@
         return _to_stage(progress, number + 1, now_s, reason)
     if now_s < ends_at_s or now_s > plan.latest_commit_s(record):
         return MoveDecision(progress, Verdict.HOLD, record.share)
+    if progress.judges_by_route[ALL_ROUTES].is_doubtful:
+        return _take_back(progress, 'too doubtful to commit')
     return MoveDecision(progress, Verdict.COMMIT, 1, reason)
 
 
@@ -220,5 +262,11 @@
     return MoveDecision(grown, Verdict.GROW, share, reason)
 
 
+def _policy_for(window_s: float) -> JudgePolicy:
+    if window_s >= _SHORT_WINDOW_S:
+        return JudgePolicy()
+    return _SHORT_POLICY
+
+
 def _window_s(record: MoveRecord) -> float:
     return record.deadline_at_s - record.created_at_s
--- a/bronzesill/moves/repository.py
+++ b/bronzesill/moves/repository.py
@@ -8,12 +8,19 @@
 
 from ..audit import AuditEntry, audit_mutation
 from ..store import KeyValueStore, Mutation, StoredEntry
-from ..utils import BronzesillError, ResultCode, structure_json, unstructure
+from ..utils import (
+    BronzesillError,
+    DocumentInvalid,
+    ResultCode,
+    structure_json,
+    unstructure,
+)
 from .record import MoveRecord, MoveState, has_ended
 
-__all__ = ['HeldMove', 'MoveRepository']
+__all__ = ['MOVE_PREFIX', 'HeldMove', 'MoveRepository', 'record_from_entry']
 
-_PREFIX = '/bronzesill/moves/'
+#: Prefix of the keys of records.
+MOVE_PREFIX = '/bronzesill/moves/'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -47,7 +54,7 @@
 
     async def list(self) -> tuple[HeldMove, ...]:
         """Read all records."""
-        entries = await self._store.list(_PREFIX)
+        entries = await self._store.list(MOVE_PREFIX)
         return tuple(HeldMove.from_entry(entry) for entry in entries)
 
     async def read(self, move_id: str) -> HeldMove:
@@ -56,7 +63,7 @@
 
         :raises BronzesillError: ``MOVE_UNKNOWN`` if there is none.
         """
-        entry = await self._store.get(f'{_PREFIX}{move_id}')
+        entry = await self._store.get(f'{MOVE_PREFIX}{move_id}')
         if entry is None:
             raise BronzesillError(
                 ResultCode.MOVE_UNKNOWN, f'no move {move_id!r}'
@@ -104,7 +111,7 @@
     async def _swap(
         self, before: MoveRecord | None, after: MoveRecord, revision: int
     ) -> bool:
-        key = f'{_PREFIX}{after.move_id}'
+        key = f'{MOVE_PREFIX}{after.move_id}'
         mutations = (
             Mutation(key, orjson.dumps(unstructure(after))),
             audit_mutation(_entry(before, after)),
@@ -122,6 +129,14 @@
         return written is not None
 
 
+def record_from_entry(entry: StoredEntry) -> MoveRecord | None:
+    """Return the record that an entry holds, none if it is not readable."""
+    try:
+        return HeldMove.from_entry(entry).record
+    except (BronzesillError, DocumentInvalid):
+        return None
+
+
 def _outweighs(after: MoveRecord, before: MoveRecord) -> bool:
     """Say whether word of a taking back outweighs a commit."""
     return (
--- a/bronzesill/moves/split.py
+++ b/bronzesill/moves/split.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from ..routing import TrafficSplit
-from .record import MoveRecord, MoveState
+from .record import MoveRecord, MoveState, has_ended
 
 __all__ = ['KnownMove', 'effective_share', 'split_of']
 
@@ -22,6 +22,11 @@
     record: MoveRecord
     is_taken_back: bool = False
 
+    @property
+    def is_ended(self) -> bool:
+        """Whether it is done or taken back, as far as known."""
+        return self.is_taken_back or has_ended(self.record)
+
 
 def effective_share(known: KnownMove, now_s: float) -> float:
     """
--- a/bronzesill/routing/book.py
+++ b/bronzesill/routing/book.py
@@ -27,7 +27,8 @@
         self._servers_by_name: Mapping[str, BackendServer] = {}
         self._records_by_name: dict[str, ServerRecord] = {}
         self._known: frozenset[str] = frozenset()
-        self._leaving: frozenset[str] = frozenset()
+        #: Names of the servers that take no new work.
+        self.leaving: frozenset[str] = frozenset()
         self._domains = DomainSuspicion()
         self._fleet_use = FleetUse()
         self._started_at_s_by_group: Mapping[str, float] = {}
@@ -105,9 +106,9 @@
 
     def set_leaving(self, name: str, *, is_leaving: bool) -> None:
         """Take over whether a server takes no new work."""
-        self._leaving = self._leaving - {name}
+        self.leaving = self.leaving - {name}
         if is_leaving:
-            self._leaving = self._leaving | {name}
+            self.leaving = self.leaving | {name}
 
     def running(self, name: str) -> int:
         """Return the streams this daemon has open on a server."""
@@ -210,7 +211,7 @@
             own_since_report=record.since_report,
             reported_running=report.running,
             report_age_s=now_s - report.at_s,
-            is_leaving=name in self._leaving,
+            is_leaving=name in self.leaving,
             is_suspected=is_suspected,
             failure_rate=record.failure_rate,
         )
--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -41,6 +41,7 @@
     :param reading_s: seconds to the first event without a copy.
     :param slots: requests it runs at once.
     :param failures: requests that it answers 500, before all goes well.
+    :param version: version of its software.
     """
 
     name: str
@@ -52,6 +53,7 @@
     reading_s: float = 0.02
     slots: int = 12
     failures: int = 0
+    version: str = 'v1'
 
 
 def expected_events(body: bytes, count: int) -> bytes:
@@ -233,7 +235,7 @@
             'service': self.plan.service,
             'address': str(self.address),
             'zone': self.plan.failure_domain,
-            'version': 'v1',
+            'version': self.plan.version,
             'slots': self.plan.slots,
             'state': 'draining' if self.is_leaving else 'ready',
             'coldRemainingMs': 0,
