--- a/bronzesill/cli/main.py
+++ b/bronzesill/cli/main.py
@@ -15,6 +15,7 @@
     audit_commands,
     config_commands,
     host_commands,
+    hosted_commands,
     move_commands,
     offline_commands,
     order_commands,
@@ -154,6 +155,21 @@
     verb.set_defaults(run=order_commands.list_orders)
 
 
+def _add_hosted_commands(nouns: argparse._SubParsersAction) -> None:  # type: ignore[type-arg]
+    parser = nouns.add_parser('status', help=hosted_commands.status.__doc__)
+    parser.set_defaults(run=hosted_commands.status)
+    parser.add_argument(
+        '--reports', action='store_true', help='ask each server for its load'
+    )
+    parser = nouns.add_parser('roll-out', help="operators' orders")
+    verbs = parser.add_subparsers(dest='verb', required=True)
+    verb = verbs.add_parser('list', help=hosted_commands.list_roll_outs.__doc__)
+    verb.set_defaults(run=hosted_commands.list_roll_outs)
+    verb = verbs.add_parser('show', help=hosted_commands.show_roll_out.__doc__)
+    verb.set_defaults(run=hosted_commands.show_roll_out)
+    verb.add_argument('service', help='service whose traffic moves')
+
+
 def make_parser() -> argparse.ArgumentParser:
     """Return the parser of the whole command line."""
     parser = argparse.ArgumentParser(
@@ -174,6 +190,7 @@
     _add_other_commands(nouns)
     _add_move_commands(nouns)
     _add_order_commands(nouns)
+    _add_hosted_commands(nouns)
     _add_offline_commands(nouns)
     return parser
 
--- /dev/null
+++ b/bronzesill/cli/tests/test_hosted_commands.py
@@ -0,0 +1,70 @@
+"""The operators' tool against a fleet on the platform's stand-ins."""
+
+import contextlib
+import io
+import json
+import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+import aiohttp
+import orjson
+import yaml
+
+from ...platform import ORDER_PREFIX, PlatformStore
+from ...standins.hosted_fleet import HostedFleet, HostedPlan
+from ...store import Mutation
+from ...utils import ResultCode
+from ..main import make_parser, run_command
+
+
+class HostedToolTest(unittest.IsolatedAsyncioTestCase):
+    """What the store tells operators."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = await HostedFleet(HostedPlan(daemons=1)).__aenter__()
+        self.folder = TemporaryDirectory()
+        self.settings = Path(self.folder.name) / 'tool.yaml'
+        tool = {'store': str(self.fleet.store.address)}
+        self.settings.write_text(yaml.safe_dump(tool))
+
+    async def asyncTearDown(self) -> None:
+        self.folder.cleanup()
+        await self.fleet.__aexit__()
+
+    async def run_tool(self, *words: str) -> tuple[ResultCode, Any]:
+        given = ('--settings', str(self.settings), '--output', 'json')
+        options = make_parser().parse_args([*given, *words])
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            code = await run_command(options)
+        text = output.getvalue()
+        return code, json.loads(text) if text else None
+
+    async def test_status_names_hosts_and_servers(self) -> None:
+        code, rows = await self.run_tool('status', '--reports')
+        self.assertEqual(code, ResultCode.DONE)
+        names = {(row['kind'], row['name']) for row in rows}
+        self.assertIn(('host', 'host-0'), names)
+        self.assertIn(('server', 'engine-a'), names)
+        self.assertIn(('configuration', 'op/config'), names)
+        engine = next(row for row in rows if row['name'] == 'engine-a')
+        self.assertIn('0 run, 0 wait, 0 of 88000 tokens', engine['detail'])
+
+    async def test_roll_out_is_listed_and_shown(self) -> None:
+        key = f'{ORDER_PREFIX}shop'
+        order = {'service': 'shop', 'target': 'v2', 'durationS': 30}
+        async with aiohttp.ClientSession() as session:
+            store = PlatformStore(session, self.fleet.store.address)
+            await store.compare_and_swap(
+                key, 0, (Mutation(key, orjson.dumps(order)),)
+            )
+        code, rows = await self.run_tool('roll-out', 'list')
+        self.assertEqual(code, ResultCode.DONE)
+        self.assertEqual([row['target'] for row in rows], ['v2'])
+        code, row = await self.run_tool('roll-out', 'show', 'shop')
+        self.assertEqual(code, ResultCode.DONE)
+        self.assertEqual(row['window_s'], 30)
+        code, _ = await self.run_tool('roll-out', 'show', 'none')
+        self.assertEqual(code, ResultCode.MOVE_UNKNOWN)
--- a/bronzesill/daemon/hosted_fleet.py
+++ b/bronzesill/daemon/hosted_fleet.py
@@ -8,6 +8,7 @@
 import orjson
 
 from ..membership import Fact, FactKind, Member, MembershipController
+from ..platform import HOST_PREFIX
 from ..store import KeyValueStore, Mutation, StoredEntry
 from ..utils import (
     Address,
@@ -20,7 +21,6 @@
 
 __all__ = ['HostedFleet']
 
-_PREFIX = 'bronzesill/hosts/'
 _LEASE_S = 10.0
 _RENEW_S = 3.0
 _RETRY_S = 0.5
@@ -136,7 +136,7 @@
             return
         self._lease_id = await self._store.grant_lease(_LEASE_S)
         own = self._membership.own
-        key = f'{_PREFIX}{own.name}'
+        key = f'{HOST_PREFIX}{own.name}'
         payload = orjson.dumps(unstructure(own))
         known = await self._store.get(key)
         await self._store.compare_and_swap(
@@ -146,7 +146,7 @@
         )
 
     async def _join_listed(self) -> None:
-        listed = await self._store.snapshot(_PREFIX, is_stale_fine=True)
+        listed = await self._store.snapshot(HOST_PREFIX, is_stale_fine=True)
         members = (_member(entry) for entry in listed.entries)
         await self._join(
             tuple(member.peers for member in members if member is not None)
--- a/bronzesill/platform/__init__.py
+++ b/bronzesill/platform/__init__.py
@@ -4,6 +4,11 @@
 from .entry import make_directory_app, make_readiness_app
 from .headers import PlatformDialect
 from .hosts import HttpHostList
+from .reports import (
+    decode_cache_events,
+    decode_engine_report,
+    fetch_engine_report,
+)
 from .rollouts import (
     ORDER_PREFIX,
     decode_order,
@@ -11,24 +16,33 @@
     status_key,
     status_mutation,
 )
-from .servers import SERVER_PREFIX, decode_server, server_name
+from .servers import (
+    HOST_PREFIX,
+    SERVER_PREFIX,
+    decode_server,
+    server_name,
+)
 from .settings import SETTINGS_VARIABLE, decode_settings, read_settings
 from .store import ALL_KEYS, PlatformStore
 
 __all__ = [
     'ALL_KEYS',
     'CONFIGURATION_KEY',
+    'HOST_PREFIX',
     'ORDER_PREFIX',
     'SERVER_PREFIX',
     'SETTINGS_VARIABLE',
     'HttpHostList',
     'PlatformDialect',
     'PlatformStore',
+    'decode_cache_events',
     'decode_document',
+    'decode_engine_report',
     'decode_order',
     'decode_server',
     'decode_settings',
     'decode_status',
+    'fetch_engine_report',
     'make_directory_app',
     'make_readiness_app',
     'read_settings',
--- a/bronzesill/platform/servers.py
+++ b/bronzesill/platform/servers.py
@@ -9,11 +9,14 @@
 from ..config import BackendServer, ListedServer
 from ..utils import Address
 
-__all__ = ['SERVER_PREFIX', 'decode_server', 'server_name']
+__all__ = ['HOST_PREFIX', 'SERVER_PREFIX', 'decode_server', 'server_name']
 
 #: Prefix of the entries of backend servers.
 SERVER_PREFIX = 'servers/'
 
+#: Prefix of the entries of our own daemons.
+HOST_PREFIX = 'bronzesill/hosts/'
+
 _MS_PER_S = 1000
 _READY = 'ready'
 _DRAINING = 'draining'
--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -25,6 +25,7 @@
 _LEASE_S = 1.2
 _MS_PER_S = 1000
 _COPY_TIMEOUT_S = 1.0
+_MEMORY_TOKENS = 88_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -144,6 +145,23 @@
         self.copies.add(run_id)
         resp.status = falcon.HTTP_204
 
+    async def on_get_report(
+        self, req: asgi.Request, resp: asgi.Response
+    ) -> None:
+        """Report the state."""
+        resp.media = {
+            'phase': 'prefill_decode',
+            'models': [],
+            'busy': False,
+            'sequence': 0,
+            'queued': 0,
+            'active': self._running,
+            'kvUsed': 0,
+            'kvTotal': _MEMORY_TOKENS,
+            'born': self._started_at_ms,
+            'runs': [],
+        }
+
     def _admit(
         self, headers: dict[str, str], request_id: str, resp: asgi.Response
     ) -> bool:
@@ -246,6 +264,7 @@
     def _make_app(self) -> ReceiveKeeper:
         app: asgi.App[Any, Any] = asgi.App()
         app.add_route('/standin/copies/{run_id}', self, suffix='copy')
+        app.add_route('/v1/report', self, suffix='report')
         app.add_sink(self.on_request, '/')
         return ReceiveKeeper(app)
 
--- a/bronzesill/upstream/__init__.py
+++ b/bronzesill/upstream/__init__.py
@@ -9,6 +9,7 @@
 )
 from .connection import UpstreamConnection
 from .pool import ConnectionPool, Lease, Target
+from .reports import CacheEvent, CacheEvents, EngineReport, RunReport
 from .request import (
     CallerFields,
     Dialect,
@@ -21,9 +22,12 @@
 __all__ = [
     'AnswerBroken',
     'AnswerHead',
+    'CacheEvent',
+    'CacheEvents',
     'CallerFields',
     'ConnectionPool',
     'Dialect',
+    'EngineReport',
     'ForwardRequest',
     'Header',
     'Lease',
@@ -31,6 +35,7 @@
     'NotSent',
     'OnAnswerHead',
     'ReportedLoad',
+    'RunReport',
     'SendPlan',
     'Target',
     'UpstreamConnection',
