Find servers that start anew before the store tells of them

The store is away from 18 to 26 s; the five engines of a failure domain that died at 17 s were back at 18.4 s at their addresses under new ids, unknown until 26.8 s, and four more at 25.3 s. Nine of 14 engines carried the load, streams fell silent, prompts were read again (580 thousand tokens), engines answered 421 31 times. That the store was away was noticed only after 3.4 s, because the waiting watch hangs.

Change: a daemon that read bytes of a server within reuseDelayS asks for its health at its address when it fails; who answers is the next start. Peers hear of it with the reports of use. A watch that is overdue by 0.5 s counts as a store that is away. A server that takes no connection for a call is now suspected, and a server that went between choice and send no longer raises KeyError (found by the new test: the caller got 500).

--- a/bronzesill/calls/senders.py
+++ b/bronzesill/calls/senders.py
@@ -89,6 +89,7 @@
         try:
             lease = await self._pool.take(target, max_idle_s=max_idle_s)
         except NotSent as error:
+            self._servers.note_unreachable(server)
             raise _not_run(str(error)) from error
         try:
             return await self._exchange(lease, server, forward)
--- a/bronzesill/calls/servers.py
+++ b/bronzesill/calls/servers.py
@@ -110,8 +110,21 @@
         return tuple(view.name for view in views)
 
     def address(self, name: str) -> Address:
-        """Return where a server listens."""
-        return self._book.servers_by_name[name].address
+        """
+        Return where a server listens.
+
+        :raises BronzesillError: ``CALL_NOT_RUN``, it is gone.
+        """
+        server = self._book.servers_by_name.get(name)
+        if server is None:
+            raise BronzesillError(
+                ResultCode.CALL_NOT_RUN, f'not run: {name} is gone'
+            )
+        return server.address
+
+    def note_unreachable(self, name: str) -> None:
+        """Avoid a server that takes no connection."""
+        self._book.suspect(name, _now_s())
 
     def opened(self, name: str) -> None:
         """Count a call sent to a server."""
--- a/bronzesill/config/document.py
+++ b/bronzesill/config/document.py
@@ -90,11 +90,13 @@
     :param version: backend server version that serves it, empty for any.
     :param max_connections: connections a server accepts from all callers.
     :param engine: traits of its engines, none for a plain service.
+    :param health_path: path of its servers' health check, empty for none.
     """
 
     version: str = ''
     max_connections: int = 100
     engine: EngineTraits | None = None
+    health_path: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/config/hosted.py
+++ b/bronzesill/config/hosted.py
@@ -19,6 +19,8 @@
     :param apply_s: seconds in which a configuration comes into force.
     :param rollback_s: seconds in which a bad version is left alone.
     :param address_ttl_s: longest time that a told address is kept.
+    :param reuse_s: seconds after the end of a server in which its address
+        goes to no other service.
     :param retry_ratio: retries per first try, over the whole fleet.
     :param retry_window_s: window in which retries are counted.
     :param retry_slack: retries that are free in each window.
@@ -31,6 +33,7 @@
     apply_s: float = 2
     rollback_s: float = 5
     address_ttl_s: float = 5
+    reuse_s: float = 0
     retry_ratio: float = 0.8
     retry_window_s: float = 10
     retry_slack: float = 150
--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -53,6 +53,7 @@
 from .hosted_peers import HostedPeers
 from .part_runner import run_parts
 from .peer_knowledge import PeerKnowledge
+from .restart_finder import RestartFinder
 from .use_sharing import UseSharing
 
 __all__ = ['HostedDaemon']
@@ -119,6 +120,14 @@
             self._peers.client,
             self._book,
         )
+        self._restarts = RestartFinder(
+            self._knowledge,
+            self._book,
+            self._pool,
+            self._dialect,
+            settings.bounds.reuse_s,
+        )
+        self._use.on_restart = self._knowledge.note_restart
         self._peers.answers_by_type[FetchReplica] = self._peer_knowledge.answer
         self._peers.answers_by_type[MoveReport] = (
             self._moves.controller.answer_report
@@ -196,6 +205,7 @@
             self._fleet.find_peers(),
             self._fleet.greet(),
             self._moves.run(),
+            self._restarts.run(),
         ]
 
     def _servers(self) -> tuple[HttpServer, ...]:
@@ -257,7 +267,12 @@
             self._settings.name,
             self._settings.failure_domain,
             self._book,
-            ForwardStreamClient(self._pool, self._dialect, self._note_head),
+            ForwardStreamClient(
+                self._pool,
+                self._dialect,
+                self._note_head,
+                self._restarts.note_sign,
+            ),
             LocalDirectory(LocationTable()),
             self._metrics,
             self._random,
@@ -314,7 +329,9 @@
 
     def _note_head(self, server: str, head: AnswerHead) -> None:
         if self._dialect.is_other_server(head):
-            self._knowledge.note_other_server(server)
+            self._restarts.note_other_server(server)
+        else:
+            self._restarts.note_sign(server)
         load = self._dialect.load(head)
         if load is not None:
             now_s = asyncio.get_running_loop().time()
--- a/bronzesill/daemon/hosted_knowledge.py
+++ b/bronzesill/daemon/hosted_knowledge.py
@@ -16,7 +16,7 @@
     server_name,
 )
 from ..replica import Merge, Replica, merge, replace_prefix
-from ..routing import Listing, ServerBook
+from ..routing import Listing, ServerBook, ServerRestart
 from ..store import Snapshot, StoredEntry
 from ..utils import DocumentInvalid, PartLogger
 
@@ -75,6 +75,24 @@
             self.listing = self.listing.written(name, None)
             self._refresh_servers()
 
+    def note_restart(self, restart: ServerRestart) -> None:
+        """Take in that a server started anew, before its entry is read."""
+        renewed = self.listing.restarted(restart, _now_s())
+        if renewed is self.listing:
+            return
+        self.listing = renewed
+        self._book.restarts = (*self._book.restarts, restart)
+        _log.event(
+            'server_restarted', before=restart.before, server=restart.name
+        )
+        self._refresh_servers()
+
+    def health_path(self, service: str) -> str:
+        """Return the path of a service's health check, empty for none."""
+        document = self._state.document
+        known = document.services.get(service) if document else None
+        return known.health_path if known else ''
+
     async def settle(self) -> None:
         """Drop servers that stayed missing, for ever."""
         while True:
@@ -122,12 +140,18 @@
         known = self.listing.listed_by_name.get(name)
         if listed == known and name not in self.listing.missing:
             return
-        if _is_new_start(known, listed):
+        is_confirmed = name in self.listing.missing
+        if _is_new_start(known, listed) and not is_confirmed:
             self._book.forget(name)
         self.listing = self.listing.written(name, listed)
 
     def _refresh_servers(self) -> None:
         listed_by_name = self.listing.listed_by_name
+        self._book.restarts = tuple(
+            restart
+            for restart in self._book.restarts
+            if restart.name in self.listing.missing
+        )
         self._book.replace_servers(
             {
                 name: _as_used(listed.server, self._state.document)
--- a/bronzesill/daemon/servers.py
+++ b/bronzesill/daemon/servers.py
@@ -98,7 +98,7 @@
             )
             for kind, names in names_by_kind.items()
         )
-        self._book.know_only(frozenset(itertools.chain(*subsets)))
+        self._book.known = frozenset(itertools.chain(*subsets))
 
     def _usable(self, kind: _Kind, names: list[str]) -> tuple[str, ...]:
         split = self._find_split(kind.model, kind.service)
--- a/bronzesill/daemon/tests/test_hosted.py
+++ b/bronzesill/daemon/tests/test_hosted.py
@@ -346,3 +346,23 @@
         async with asyncio.timeout(_SERVING_AGAIN_S):
             while not all(daemon.is_ready for daemon in back):
                 await asyncio.sleep(0.02)
+
+
+class RestartedWorkerTest(_HostedCase):
+    """A worker that starts anew is used, though the store is away."""
+
+    plan = HostedPlan(workers=(WorkerPlan('shop-a', 'shop', 'a'),))
+
+    async def test_used_by_all_daemons_while_the_store_is_away(self) -> None:
+        self.fleet.store.state.faults.down = True
+        before = await self.caller.ask(self.address, '/orders/1')
+        self.assertEqual(before.status, 200)
+        await self.fleet.restart_worker('shop-a', 'shop-b')
+        # The daemon finds the worker gone, then looks for its next start.
+        await self.caller.ask(self.address, '/lookups/1', 'GET', b'')
+        await asyncio.sleep(1)
+        for daemon in self.fleet.daemons:
+            answer = await self.caller.ask(daemon.settings.callers, '/orders/2')
+            self.assertEqual(answer.status, 200)
+        worker = self.fleet.workers_by_name['shop-b']
+        self.assertEqual(worker.runs_by_id.total(), len(self.fleet.daemons))
--- a/bronzesill/daemon/use_sharing.py
+++ b/bronzesill/daemon/use_sharing.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from ..membership import MembershipMailbox
-from ..routing import ServerBook, UseReport
+from ..routing import ServerBook, ServerRestart, UseReport
 from ..utils import Address
 from ..wire import Arrival, DatagramSocket
 
@@ -63,6 +63,8 @@
         # Grows over restarts too.
         self._sequence = int(time.time() * _MS_PER_S)
         self._changed = asyncio.Event()
+        #: Told of servers that started anew; set by the daemon.
+        self.on_restart: Callable[[ServerRestart], None] = _ignore
         book.on_use_changed = self._changed.set
 
     async def run(self) -> None:
@@ -78,6 +80,8 @@
         if isinstance(message, UseReport):
             now_s = asyncio.get_running_loop().time()
             self._book.heard_use(message, now_s)
+            for restart in message.restarts:
+                self.on_restart(restart)
 
     async def _wait_for_change(self) -> None:
         with contextlib.suppress(TimeoutError):
@@ -90,3 +94,7 @@
         report = self._book.report_use(self._daemon, self._sequence, now_s)
         for address in self._list_peers():
             self._socket.send(address, report)
+
+
+def _ignore(restart: ServerRestart) -> None:
+    """Do nothing."""
--- a/bronzesill/generations/forward_client.py
+++ b/bronzesill/generations/forward_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from ..upstream import (
     AnswerBroken,
@@ -39,14 +39,20 @@
     :param pool: connections to engines.
     :param dialect: names and formats of headers.
     :param on_head: told of each answer that begins.
+    :param on_bytes: told of the server from which more of an answer came.
     """
 
     def __init__(
-        self, pool: ConnectionPool, dialect: Dialect, on_head: OnAnswerHead
+        self,
+        pool: ConnectionPool,
+        dialect: Dialect,
+        on_head: OnAnswerHead,
+        on_bytes: Callable[[str], None],
     ) -> None:
         self._pool = pool
         self._dialect = dialect
         self._on_head = on_head
+        self._on_bytes = on_bytes
 
     async def read(
         self, opening: StreamOpening
@@ -81,6 +87,7 @@
         reader = _EventReader(opening, forward)
         body = await lease.read()
         while body:
+            self._on_bytes(opening.server)
             for message in reader.take(body):
                 yield message
             body = await lease.read()
--- a/bronzesill/platform/documents.py
+++ b/bronzesill/platform/documents.py
@@ -73,6 +73,7 @@
         service['name']: Service(
             max_connections=int(service.get('maxConnections', 100)),
             engine=_engine(service.get('inferenceEngine')),
+            health_path=service.get('healthPath', ''),
         )
         for service in raw
     }
--- a/bronzesill/platform/headers.py
+++ b/bronzesill/platform/headers.py
@@ -12,7 +12,7 @@
     ReportedLoad,
     SendPlan,
 )
-from ..utils import BronzesillError, ResultCode
+from ..utils import Address, BronzesillError, ResultCode
 
 __all__ = ['PlatformDialect']
 
@@ -34,6 +34,7 @@
 _COPY_TO = b'x-kv-backup'
 _COPY_FROM = b'kv-from'
 _NOT_RUN = b'x-not-executed'
+_ANSWERING = b'x-instance-id'
 _LOAD = b'x-instance-load'
 
 #: Headers that concern one connection only.
@@ -154,6 +155,14 @@
         echoed = head.find(_REQUEST_ID)
         return echoed == request.request_id.encode('latin-1')
 
+    def encode_health_check(self, path: str, address: Address) -> bytes:
+        """Return the bytes of a health check."""
+        return f'GET {path} HTTP/1.1\r\nhost: {address}\r\n\r\n'.encode()
+
+    def server(self, head: AnswerHead) -> str:
+        """Return the name of the server that answered a health check."""
+        return (head.find(_ANSWERING) or b'').decode('latin-1')
+
     def load(self, head: AnswerHead) -> ReportedLoad | None:
         """Return the load that came with an answer."""
         parts = (head.find(_LOAD) or b'').split(b',')
--- a/bronzesill/platform/settings.py
+++ b/bronzesill/platform/settings.py
@@ -29,6 +29,7 @@
         'configApplyMs': ('apply_s', 1 / _MS_PER_S),
         'rollbackMs': ('rollback_s', 1 / _MS_PER_S),
         'ttl_max_s': ('address_ttl_s', 1),
+        'reuseDelayS': ('reuse_s', 1),
         'retryBudgetRatio': ('retry_ratio', 1),
         'budgetWindowS': ('retry_window_s', 1),
         'budgetSlack': ('retry_slack', 1),
--- a/bronzesill/replica/follower.py
+++ b/bronzesill/replica/follower.py
@@ -14,6 +14,7 @@
 __all__ = ['FollowPolicy', 'StoreFollower']
 
 _BACKOFF_S = 0.25
+_OVERDUE_S = 0.5
 _MAX_BACKOFF_S = 1.0
 
 _log = PartLogger('replica')
@@ -92,9 +93,16 @@
             self._revision = snapshot.revision
             self._on_snapshot(self._prefix, snapshot)
             return
-        changes = await self._store.changes(
-            self._prefix, self._revision, self._policy.wait_s
+        # A call that is overdue may hang for long, so it is told before.
+        overdue = asyncio.get_running_loop().call_later(
+            self._policy.wait_s + _OVERDUE_S, self._on_reached, False
         )
+        try:
+            changes = await self._store.changes(
+                self._prefix, self._revision, self._policy.wait_s
+            )
+        finally:
+            overdue.cancel()
         if changes.is_gap:
             _log.info('%s: history is gone, read anew', self._prefix)
             self._revision = None
--- a/bronzesill/routing/__init__.py
+++ b/bronzesill/routing/__init__.py
@@ -9,17 +9,20 @@
 )
 from .listing import Listing
 from .records import LoadReport, ServerRecord
+from .restarts import LastSigns
 from .subsets import pick_subset
-from .use import FleetUse, ServerUse, UseReport
+from .use import FleetUse, ServerRestart, ServerUse, UseReport
 from .versions import TrafficSplit, pick_version
 
 __all__ = [
     'FleetUse',
+    'LastSigns',
     'Listing',
     'LoadReport',
     'Requirements',
     'ServerBook',
     'ServerRecord',
+    'ServerRestart',
     'ServerUse',
     'ServerView',
     'TrafficSplit',
--- a/bronzesill/routing/book.py
+++ b/bronzesill/routing/book.py
@@ -9,7 +9,7 @@
 from .choose import ServerView
 from .domains import DomainSuspicion
 from .records import LoadReport, ServerRecord
-from .use import FleetUse, ServerUse, UseReport
+from .use import FleetUse, ServerRestart, ServerUse, UseReport
 
 __all__ = ['ServerBook']
 
@@ -26,9 +26,12 @@
     def __init__(self) -> None:
         self._servers_by_name: Mapping[str, BackendServer] = {}
         self._records_by_name: dict[str, ServerRecord] = {}
-        self._known: frozenset[str] = frozenset()
+        #: Names of the servers that choices are made among.
+        self.known: frozenset[str] = frozenset()
         #: Names of the servers that take no new work.
         self.leaving: frozenset[str] = frozenset()
+        #: Servers that started anew and are not listed yet.
+        self.restarts: tuple[ServerRestart, ...] = ()
         self._domains = DomainSuspicion()
         self._fleet_use = FleetUse()
         self._started_at_s_by_group: Mapping[str, float] = {}
@@ -39,7 +42,7 @@
         """Take over the servers of a new configuration."""
         self._servers_by_name = by_name
         self._records_by_name = {name: self._record(name) for name in by_name}
-        self._known = frozenset(by_name)
+        self.known = frozenset(by_name)
         self._started_at_s_by_group = _started_at_s_by_group(by_name)
 
     def forget(self, name: str) -> None:
@@ -47,15 +50,6 @@
         self._records_by_name.pop(name, None)
         self.set_leaving(name, is_leaving=False)
 
-    def know_only(self, names: frozenset[str]) -> None:
-        """Restrict choices to the subset that this daemon knows well."""
-        self._known = names
-
-    @property
-    def known(self) -> frozenset[str]:
-        """Names of the servers that choices are made among."""
-        return self._known
-
     @property
     def servers_by_name(self) -> Mapping[str, BackendServer]:
         """The servers of the configuration in force."""
@@ -126,12 +120,16 @@
             for name, record in engines.items()
             if record.is_used
         )
-        failed = tuple(
+        failed = self.failed_since(now_s - _TELL_FAILURE_S)
+        return UseReport(daemon, sequence, uses, failed, self.restarts)
+
+    def failed_since(self, since_s: float) -> tuple[str, ...]:
+        """Return the servers that gave this daemon no answer of late."""
+        return tuple(
             name
             for name, record in self._records_by_name.items()
-            if now_s - record.failed_at_s < _TELL_FAILURE_S
+            if record.failed_at_s > since_s
         )
-        return UseReport(daemon, sequence, uses, failed)
 
     def heard_use(self, report: UseReport, now_s: float) -> None:
         """Take in another daemon's use of engines and their failures."""
@@ -150,7 +148,7 @@
         return tuple(
             self._view(name, now_s, use_by_server.get(name))
             for name in self._servers_by_name
-            if name in self._known
+            if name in self.known
         )
 
     def service_views(self, service: str, now_s: float) -> list[ServerView]:
--- a/bronzesill/routing/listing.py
+++ b/bronzesill/routing/listing.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from ..config import ListedServer
+from .use import ServerRestart
 
 __all__ = ['Listing']
 
@@ -25,6 +26,8 @@
     :param is_store_away: whether the store does not answer.
     :param back_at_s: when the store answered again, none if it was never
         away.
+    :param expected_at_s_by_name: time by which servers that started anew
+        have an entry.
     """
 
     listed_by_name: Mapping[str, ListedServer] = dataclasses.field(
@@ -33,6 +36,9 @@
     missing: frozenset[str] = frozenset()
     is_store_away: bool = False
     back_at_s: float | None = None
+    expected_at_s_by_name: Mapping[str, float] = dataclasses.field(
+        default_factory=dict
+    )
 
     def written(self, name: str, listed: ListedServer | None) -> Listing:
         """
@@ -54,6 +60,29 @@
             missing=self.missing & kept.keys() - {name},
         )
 
+    def restarted(self, restart: ServerRestart, now_s: float) -> Listing:
+        """
+        Take in that a server started anew, though no entry says so yet.
+
+        Without an entry it is dropped when it should have one.
+
+        :param restart: the server.
+        :param now_s: time in seconds.
+        """
+        before = self.listed_by_name.get(restart.before)
+        if before is None:
+            return self
+        listed = dataclasses.replace(before, is_leaving=False)
+        renewed = self.written(restart.name, listed)
+        expected = {
+            **self.expected_at_s_by_name,
+            restart.name: now_s + _RETURN_S,
+        }
+        return renewed._changed(
+            missing=renewed.missing | {restart.name},
+            expected_at_s_by_name=expected,
+        )
+
     def removed(self, name: str, now_s: float) -> Listing:
         """Take in that an entry is missing."""
         if name not in self.listed_by_name:
@@ -76,7 +105,8 @@
             return self
         settled = self
         for name in self.missing:
-            settled = settled._without(name)
+            if now_s >= self.expected_at_s_by_name.get(name, 0):
+                settled = settled._without(name)
         return settled
 
     def _may_be_back(self, now_s: float) -> bool:
@@ -90,7 +120,16 @@
             for known, listed in self.listed_by_name.items()
             if known != name
         }
-        return self._changed(listed_by_name=kept, missing=self.missing - {name})
+        expected = {
+            known: at_s
+            for known, at_s in self.expected_at_s_by_name.items()
+            if known != name
+        }
+        return self._changed(
+            listed_by_name=kept,
+            missing=self.missing - {name},
+            expected_at_s_by_name=expected,
+        )
 
     def _changed(self, **changes: Any) -> Listing:
         return dataclasses.replace(self, **changes)
--- a/bronzesill/routing/use.py
+++ b/bronzesill/routing/use.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from dataclasses import field
 
-__all__ = ['FleetUse', 'ServerUse', 'UseReport']
+__all__ = ['FleetUse', 'ServerRestart', 'ServerUse', 'UseReport']
 
 _EXPIRE_S = 2.0
 
@@ -26,6 +26,19 @@
     tokens: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class ServerRestart:
+    """
+    A server that started anew under another name.
+
+    :param before: its name before.
+    :param name: its name now.
+    """
+
+    before: str
+    name: str
+
+
 @dataclasses.dataclass(frozen=True)
 class UseReport:
     """
@@ -35,12 +48,14 @@
     :param sequence: grows with each report of this daemon.
     :param uses: servers that it uses.
     :param failed: servers that failed it a moment ago.
+    :param restarts: servers that started anew and are not listed yet.
     """
 
     daemon: str
     sequence: int
     uses: tuple[ServerUse, ...]
     failed: tuple[str, ...] = ()
+    restarts: tuple[ServerRestart, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/standins/hosted_fleet.py
+++ b/bronzesill/standins/hosted_fleet.py
@@ -27,6 +27,7 @@
 _LOOPBACK = '127.0.0.1'
 _READY_TIMEOUT_S = 10.0
 _READY_POLL_S = 0.02
+_REUSE_S = 2.0
 _DOMAINS = ('a', 'b', 'c')
 
 
@@ -88,13 +89,14 @@
         'services': [
             {
                 'name': 'engines',
+                'healthPath': '/healthz',
                 'inferenceEngine': {
                     'slots': 12,
                     'kvCapacity': 88_000,
                     'backups': True,
                 },
             },
-            {'name': 'shop'},
+            {'name': 'shop', 'healthPath': '/healthz'},
         ],
         'limits': {
             'maxHeaderBytes': 16_384,
@@ -148,6 +150,18 @@
             await worker.stop()
         await self.store.stop()
 
+    async def restart_worker(self, name: str, new_name: str) -> None:
+        """Let a worker start anew at its address under another name."""
+        before = self.workers_by_name[name]
+        await before.stop()
+        worker = WorkerStandIn(
+            dataclasses.replace(before.plan, name=new_name),
+            before.address,
+            self.store.address,
+        )
+        self.workers_by_name[new_name] = worker
+        await worker.start()
+
     async def configure(self, document: dict[str, Any]) -> None:
         """Write a configuration as an operator would."""
         async with aiohttp.ClientSession() as session:
@@ -211,6 +225,6 @@
             peers=free_address(),
             store=self.store.address,
             metrics=free_address(),
-            bounds=FleetBounds(grace_s=self.plan.grace_s),
+            bounds=FleetBounds(grace_s=self.plan.grace_s, reuse_s=_REUSE_S),
             seeds=seeds,
         )
--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -145,6 +145,12 @@
         self.copies.add(run_id)
         resp.status = falcon.HTTP_204
 
+    async def on_get_health(
+        self, req: asgi.Request, resp: asgi.Response
+    ) -> None:
+        """Say which worker this is."""
+        resp.set_header('X-Instance-Id', self.plan.name)
+
     async def on_get_report(
         self, req: asgi.Request, resp: asgi.Response
     ) -> None:
@@ -264,6 +270,7 @@
     def _make_app(self) -> ReceiveKeeper:
         app: asgi.App[Any, Any] = asgi.App()
         app.add_route('/standin/copies/{run_id}', self, suffix='copy')
+        app.add_route('/healthz', self, suffix='health')
         app.add_route('/v1/report', self, suffix='report')
         app.add_sink(self.on_request, '/')
         return ReceiveKeeper(app)
--- a/bronzesill/upstream/request.py
+++ b/bronzesill/upstream/request.py
@@ -12,6 +12,7 @@
     'CallerFields',
     'Dialect',
     'ForwardRequest',
+    'HealthDialect',
     'MemoryCopy',
     'ReportedLoad',
     'SendPlan',
@@ -113,6 +114,16 @@
     slots: int
 
 
+class HealthDialect(Protocol):
+    """Words of a health check on one platform."""
+
+    def encode_health_check(self, path: str, address: Address) -> bytes:
+        """Return the bytes of a health check."""
+
+    def server(self, head: AnswerHead) -> str:
+        """Return the name of the server that answered a health check."""
+
+
 class Dialect(Protocol):
     """Names and formats of a request's headers on one platform."""
 
