--- a/bronzesill/generations/__init__.py
+++ b/bronzesill/generations/__init__.py
@@ -1,7 +1,7 @@
 """Generations: journal, attempts, resume and reconnect."""
 
 from .controller import GenerationsController, Site
-from .decisions import Decision, GenerationState, Phase, decide
+from .decisions import decide
 from .engine_client import EngineClient, StreamClient
 from .event_stream import EventSplitter, StreamEvent
 from .forward_client import ForwardStreamClient
@@ -21,6 +21,7 @@
 from .pace import Pace, StallPolicy
 from .peer_directory import Home, PeerDirectory, answer_location
 from .request import GenerationRequest
+from .state import Decision, GenerationState, Phase
 from .stopwatch import Stopwatch
 from .subscription import Ended, Failed, Opened, Piece, Subscription
 
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -19,7 +19,6 @@
 )
 from ..utils import Address, BronzesillError, Metrics, PartLogger, ResultCode
 from .book_observer import BookObserver
-from .decisions import GenerationState
 from .engine_client import StreamClient
 from .locations import LocationDirectory, LocationRecord
 from .messages import (
@@ -32,6 +31,7 @@
 )
 from .pace import StallPolicy
 from .request import GenerationRequest
+from .state import GenerationState
 from .subscription import Subscribe, Subscription, Unsubscribe
 from .task import GenerationTask, Placement
 
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -9,7 +9,7 @@
 
 from ..utils import Address, PartLogger
 from .attempt import AttemptRunner
-from .decisions import GenerationState, decide
+from .decisions import decide
 from .engine_client import StreamClient
 from .messages import (
     Action,
@@ -28,6 +28,7 @@
 )
 from .observer import GenerationObserver
 from .request import GenerationRequest
+from .state import GenerationState
 from .subscription import (
     Ended,
     Failed,
--- a/bronzesill/generations/tests/test_copies.py
+++ b/bronzesill/generations/tests/test_copies.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from ..decisions import GenerationState, decide
+from ..decisions import decide
 from ..event_stream import EventSplitter
 from ..messages import (
     Action,
@@ -19,6 +19,7 @@
     TokensArrived,
 )
 from ..pace import StallPolicy
+from ..state import GenerationState
 
 
 class _Driver:
--- a/bronzesill/generations/tests/test_decisions.py
+++ b/bronzesill/generations/tests/test_decisions.py
@@ -13,7 +13,7 @@
 )
 
 from ...utils import ResultCode, chain_digest
-from ..decisions import GenerationState, Phase, decide
+from ..decisions import decide
 from ..messages import (
     AttemptLost,
     Begin,
@@ -32,6 +32,7 @@
     TimerFired,
     TokensArrived,
 )
+from ..state import GenerationState, Phase
 
 _ANSWER = tuple(f't{number}' for number in range(30))
 _DEADLINE_S = 1000.0
--- a/bronzesill/routing/__init__.py
+++ b/bronzesill/routing/__init__.py
@@ -3,7 +3,6 @@
 from .book import ServerBook
 from .choose import (
     Requirements,
-    ServerView,
     choose_copy_holder,
     choose_server,
 )
@@ -13,6 +12,7 @@
 from .subsets import pick_subset
 from .use import FleetUse, ServerRestart, ServerUse, UseReport
 from .versions import TrafficSplit, pick_version
+from .views import ServerView
 
 __all__ = [
     'FleetUse',
--- a/bronzesill/routing/book.py
+++ b/bronzesill/routing/book.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable, Mapping
 
 from ..config import BackendServer
-from .choose import ServerView
 from .domains import DomainSuspicion
 from .records import LoadReport, ServerRecord
 from .use import FleetUse, ServerRestart, ServerUse, UseReport
+from .views import ServerView
 
 __all__ = ['ServerBook']
 
--- a/bronzesill/routing/tests/test_hosted.py
+++ b/bronzesill/routing/tests/test_hosted.py
@@ -8,13 +8,13 @@
 from ..book import ServerBook
 from ..choose import (
     Requirements,
-    ServerView,
     choose_copy_holder,
     choose_server,
 )
 from ..domains import DomainSuspicion
 from ..listing import Listing
 from ..use import ServerUse, UseReport
+from ..views import ServerView
 
 
 def _server(port: int, domain: str = 'a', start_s: float = 0) -> BackendServer:
--- a/bronzesill/routing/tests/test_routing.py
+++ b/bronzesill/routing/tests/test_routing.py
@@ -5,9 +5,10 @@
 import unittest
 from random import Random
 
-from ..choose import Requirements, ServerView, choose_server
+from ..choose import Requirements, choose_server
 from ..subsets import pick_subset
 from ..versions import TrafficSplit, pick_version
+from ..views import ServerView
 
 
 def _view(number: int, **changes: object) -> ServerView:
