Never try the same server twice; keep the plan of moves over 25 s

Without a version under trial the picked and the new version are both empty, so the order of servers took the branch for trials and named the first server twice: a lookup that met a 500 could be asked again at the same server. And the plan for short moves also took the product's own moves of 30 and 60 s.

Change: the branch needs a version; short moves are those under 25 s.

--- a/bronzesill/calls/servers.py
+++ b/bronzesill/calls/servers.py
@@ -97,7 +97,8 @@
         split = self._find_split(service)
         version = pick_version(split, routed.request_id)
         views = self._views_of(service, version)
-        if version == split.new_version and routed.route.idempotent:
+        is_trial = bool(version) and version == split.new_version
+        if is_trial and routed.route.idempotent:
             # What the version under trial loses is not given to it again.
             old = self._views_of(service, split.old_version)
             views = [*views[:1], *old]
--- a/bronzesill/moves/policy.py
+++ b/bronzesill/moves/policy.py
@@ -46,7 +46,7 @@
     part: float
 
 
-_SHORT_WINDOW_S = 120.0
+_SHORT_WINDOW_S = 25.0
 _SHORT_STAGES = (Stage(0.08, 0.25), Stage(0.2, 0.2), Stage(0.45, 0.2))
 #: The shortest stay at a share, as a part of a short move's time.
 _SHORT_STAGE_COUNT = 12
