--- a/bronzesill/cli/tests/test_hosted_commands.py
+++ b/bronzesill/cli/tests/test_hosted_commands.py
@@ -1,5 +1,6 @@
 """The operators' tool against a fleet on the platform's stand-ins."""
 
+import asyncio
 import contextlib
 import io
 import json
@@ -18,6 +19,8 @@
 from ...utils import ResultCode
 from ..main import make_parser, run_command
 
+_LISTED_S = 2.0
+
 
 class HostedToolTest(unittest.IsolatedAsyncioTestCase):
     """What the store tells operators."""
@@ -43,6 +46,8 @@
         return code, json.loads(text) if text else None
 
     async def test_status_names_hosts_and_servers(self) -> None:
+        # A daemon lists itself once it knows whether it is to watch.
+        await asyncio.sleep(_LISTED_S)
         code, rows = await self.run_tool('status', '--reports')
         self.assertEqual(code, ResultCode.DONE)
         names = {(row['kind'], row['name']) for row in rows}
--- a/bronzesill/config/hosted.py
+++ b/bronzesill/config/hosted.py
@@ -58,6 +58,7 @@
     :param bounds: bounds for the whole fleet.
     :param seeds: addresses of daemons that may live, for a start without
         the key-value service.
+    :param link_mbps: what the host's link carries, 0 if not known.
     """
 
     name: str
@@ -71,3 +72,4 @@
     metrics: Address
     bounds: FleetBounds = dataclasses.field(default_factory=FleetBounds)
     seeds: tuple[Address, ...] = ()
+    link_mbps: float = 0
--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -112,6 +112,7 @@
             self._knowledge,
             self._peers.client,
             self._fleet.live_peers,
+            self._fleet.watchers,
             self._random,
         )
         self._moves = HostedMoves(
@@ -158,6 +159,16 @@
         """Backend servers that this daemon may use."""
         return len(self._book.servers_by_name)
 
+    @property
+    def store_calls(self) -> int:
+        """Calls made to the store so far."""
+        return sum(self._store.calls_by_kind.values())
+
+    @property
+    def is_watching(self) -> bool:
+        """Whether this daemon follows the store by itself."""
+        return self._peer_knowledge.should_watch()
+
     @property
     def known_peers(self) -> int:
         """Other daemons that are taken to live."""
@@ -227,6 +238,7 @@
             self._knowledge.take_entries,
             self._knowledge.note_reached,
             self._random,
+            self._peer_knowledge.should_watch,
         )
         return follower.run()
 
--- a/bronzesill/daemon/hosted_fleet.py
+++ b/bronzesill/daemon/hosted_fleet.py
@@ -7,7 +7,13 @@
 
 import orjson
 
-from ..membership import Fact, FactKind, Member, MembershipController
+from ..membership import (
+    Fact,
+    FactKind,
+    Member,
+    MembershipController,
+    is_watcher,
+)
 from ..platform import HOST_PREFIX
 from ..store import KeyValueStore, Mutation, StoredEntry
 from ..utils import (
@@ -24,6 +30,7 @@
 _LEASE_S = 10.0
 _RENEW_S = 3.0
 _RETRY_S = 0.5
+_FIRST_LISTED_S = 1.0
 _SEEDS = 4
 _SEARCH_S = 0.4
 _SEARCH_FULL_S = 8.0
@@ -57,9 +64,11 @@
 
     async def keep_listed(self) -> None:
         """Keep this daemon's entry alive, for ever."""
+        # Whoever is not one of the few need not be listed, once that is known.
+        await asyncio.sleep(_FIRST_LISTED_S)
         while True:
             try:
-                await self._renew()
+                await self._list_if_watcher()
                 pause_s = _RENEW_S
             except BronzesillError as error:
                 _log.warning('not listed: %s', error)
@@ -70,7 +79,8 @@
         """Join daemons that are listed, for ever; rarely once joined."""
         while True:
             try:
-                await self._join_listed()
+                if not self.watchers():
+                    await self._join_listed()
             except BronzesillError as error:
                 _log.warning('hosts not listed: %s', error)
             pause_s = _SEARCH_FULL_S if self.live_peers() else _SEARCH_S
@@ -102,6 +112,23 @@
             Fact(FactKind.HOST_LEAVING, own.name, own.incarnation)
         )
 
+    def watchers(self) -> tuple[Member, ...]:
+        """
+        Return the daemons of this failure domain that watch the store.
+
+        :returns: the daemons; none if this one is to watch.
+        """
+        own = self._membership.own
+        view = self._membership.view
+        if is_watcher(view, own):
+            return ()
+        return tuple(
+            member
+            for member in self.live_peers()
+            if member.failure_domain == own.failure_domain
+            and is_watcher(view, member)
+        )
+
     def live_peers(self) -> tuple[Member, ...]:
         """Return the other daemons that live."""
         own = self._membership.own
@@ -131,6 +158,13 @@
             return lost
         return (*self._seeds, *lost)
 
+    async def _list_if_watcher(self) -> None:
+        if not self.watchers():
+            await self._renew()
+        elif self._lease_id:
+            await self._store.end_lease(self._lease_id)
+            self._lease_id = 0
+
     async def _renew(self) -> None:
         if self._lease_id and await self._store.keep_lease(self._lease_id):
             return
--- a/bronzesill/daemon/hosted_knowledge.py
+++ b/bronzesill/daemon/hosted_knowledge.py
@@ -47,6 +47,7 @@
         self._state = state
         self._book = book
         self._on_news = on_news
+        self._news = asyncio.Event()
 
     @property
     def is_complete(self) -> bool:
@@ -93,6 +94,11 @@
         known = document.services.get(service) if document else None
         return known.health_path if known else ''
 
+    async def wait_above(self, revision: int) -> None:
+        """Wait until a change after a revision is known."""
+        while self.replica.last_revision <= revision:
+            await self._news.wait()
+
     async def settle(self) -> None:
         """Drop servers that stayed missing, for ever."""
         while True:
@@ -111,6 +117,8 @@
             self._apply(entry)
         if self.listing is not before:
             self._refresh_servers()
+        self._news.set()
+        self._news = asyncio.Event()
         self._on_news(merged.news)
 
     def _apply(self, entry: StoredEntry) -> None:
--- a/bronzesill/daemon/hosted_peers.py
+++ b/bronzesill/daemon/hosted_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import inspect
 import time
 from collections.abc import Callable
 from random import Random
@@ -51,7 +52,7 @@
             GossipPolicy(),
         )
         #: What answers questions of peers, by type of the question.
-        self.answers_by_type: dict[type, Callable[[Any], object]] = {
+        self.answers_by_type: dict[type, Callable[[Any], Any]] = {
             FetchView: self.membership.answer_view
         }
         self._server = PeerServer(settings.peers, registry, self, counters)
@@ -72,7 +73,8 @@
         answer = self.answers_by_type.get(type(question))
         if answer is None:
             return Refusal(int(ResultCode.MESSAGE_INVALID))
-        return answer(question)
+        found = answer(question)
+        return await found if inspect.isawaitable(found) else found
 
 
 def _describe(settings: HostedSettings) -> Member:
@@ -83,4 +85,5 @@
         peers=settings.peers,
         callers=settings.callers,
         incarnation=int(time.time() * _MS_PER_S),
+        link_mbps=settings.link_mbps,
     )
--- a/bronzesill/daemon/use_sharing.py
+++ b/bronzesill/daemon/use_sharing.py
@@ -15,7 +15,11 @@
 __all__ = ['ArrivalSorter', 'UseSharing']
 
 _CHANGE_PAUSE_S = 0.03
-_REPEAT_S = 0.7
+_MIN_REPEAT_S = 0.7
+#: What is added for each peer, so that a large fleet says no more a second.
+_REPEAT_S_PER_PEER = 0.03
+#: Reports may be lost.
+_VALID_REPEATS = 3
 _MS_PER_S = 1000
 
 
@@ -63,6 +67,7 @@
         # Grows over restarts too.
         self._sequence = int(time.time() * _MS_PER_S)
         self._changed = asyncio.Event()
+        self._was_empty = False
         #: Told of servers that started anew; set by the daemon.
         self.on_restart: Callable[[ServerRestart], None] = _ignore
         book.on_use_changed = self._changed.set
@@ -85,13 +90,25 @@
 
     async def _wait_for_change(self) -> None:
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(_REPEAT_S):
+            async with asyncio.timeout(self._repeat_s()):
                 await self._changed.wait()
 
+    def _repeat_s(self) -> float:
+        peers = len(self._list_peers())
+        return max(_MIN_REPEAT_S, peers * _REPEAT_S_PER_PEER)
+
     def _report(self) -> None:
         self._sequence += 1
         now_s = asyncio.get_running_loop().time()
-        report = self._book.report_use(self._daemon, self._sequence, now_s)
+        report = self._book.report_use(
+            self._daemon,
+            self._sequence,
+            now_s,
+            _VALID_REPEATS * self._repeat_s(),
+        )
+        if report.is_empty and self._was_empty:
+            return
+        self._was_empty = report.is_empty
         for address in self._list_peers():
             self._socket.send(address, report)
 
--- a/bronzesill/membership/members.py
+++ b/bronzesill/membership/members.py
@@ -28,6 +28,7 @@
     :param callers: address for callers.
     :param incarnation: grows at each start and at each rebuttal.
     :param liveness: what is believed of it.
+    :param link_mbps: what its link carries, 0 if not known.
     """
 
     name: str
@@ -37,6 +38,7 @@
     callers: Address
     incarnation: int
     liveness: int = Liveness.ALIVE
+    link_mbps: float = 0
 
     @property
     def is_alive(self) -> bool:
--- a/bronzesill/membership/roles.py
+++ b/bronzesill/membership/roles.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from ..utils import rank_by_rendezvous
 from .members import Member
 from .view import FleetView
@@ -9,7 +11,9 @@
 __all__ = ['choose_entries', 'choose_homes', 'is_watcher']
 
 _HOMES = 2
-_WATCHERS_PER_DOMAIN = 2
+_MIN_WATCHERS = 2
+_DAEMONS_PER_WATCHER = 16
+_WIDE_MBPS = 20
 
 
 def choose_entries(
@@ -79,13 +83,22 @@
     """
     Say whether a daemon is one of the few that watch the store.
 
+    Hosts with a narrow link watch only where others are too few.
+
     :param view: what is believed of the fleet.
     :param own: the daemon.
     """
-    names = tuple(
-        member.name
+    members = [
+        member
         for member in view.members_by_name.values()
         if member.is_alive and member.failure_domain == own.failure_domain
-    )
-    watchers = rank_by_rendezvous('watch', names)[:_WATCHERS_PER_DOMAIN]
-    return own.name in watchers
+    ]
+    count = max(_MIN_WATCHERS, math.ceil(len(members) / _DAEMONS_PER_WATCHER))
+    wide = [member for member in members if not _has_narrow_link(member)]
+    candidates = wide if len(wide) >= count else members
+    names = tuple(member.name for member in candidates)
+    return own.name in rank_by_rendezvous('watch', names)[:count]
+
+
+def _has_narrow_link(member: Member) -> bool:
+    return 0 < member.link_mbps < _WIDE_MBPS
--- a/bronzesill/membership/tests/test_gossip.py
+++ b/bronzesill/membership/tests/test_gossip.py
@@ -264,3 +264,27 @@
             member for member in self.members if is_watcher(self.view, member)
         ]
         self.assertEqual(len(watchers), 8)
+
+    def test_hosts_with_narrow_links_do_not_watch(self) -> None:
+        members = tuple(
+            dataclasses.replace(member, link_mbps=5 if number < 12 else 100)
+            for number, member in enumerate(self.members)
+        )
+        view = FleetView().merge(Rumours(members)).view
+        watchers = [member for member in members if is_watcher(view, member)]
+        self.assertEqual(len(watchers), 8)
+        self.assertEqual({member.link_mbps for member in watchers}, {100})
+
+    def test_narrow_links_watch_where_there_are_no_others(self) -> None:
+        members = tuple(
+            dataclasses.replace(member, link_mbps=5) for member in self.members
+        )
+        view = FleetView().merge(Rumours(members)).view
+        watchers = [member for member in members if is_watcher(view, member)]
+        self.assertEqual(len(watchers), 8)
+
+    def test_watchers_grow_slowly_with_the_fleet(self) -> None:
+        members = tuple(_member(number) for number in range(360))
+        view = FleetView().merge(Rumours(members)).view
+        watchers = [member for member in members if is_watcher(view, member)]
+        self.assertEqual(len(watchers), 4 * 6)
--- a/bronzesill/platform/settings.py
+++ b/bronzesill/platform/settings.py
@@ -76,6 +76,7 @@
         metrics=Address(ip, _METRICS_PORT),
         bounds=_decode_bounds(raw.get('bounds', {})),
         seeds=_decode_seeds(raw.get('seedNodes') or (), int(peer_port)),
+        link_mbps=_decode_link(raw.get('limits')),
     )
     if reader.faults:
         raise DocumentInvalid(tuple(reader.faults))
@@ -132,6 +133,11 @@
         self.faults.append(f'{message} @ $.{place}')
 
 
+def _decode_link(limits: Any) -> float:
+    known = limits.get('linkMbps') if isinstance(limits, dict) else None
+    return float(known) if isinstance(known, int | float) else 0
+
+
 def _decode_seeds(raw: Sequence[Any], peer_port: int) -> tuple[Address, ...]:
     # The seeds are given by another port; ports are the same on all hosts.
     ips = (str(seed).rpartition(':')[0] for seed in raw)
--- a/bronzesill/replica/follower.py
+++ b/bronzesill/replica/follower.py
@@ -15,6 +15,7 @@
 
 _BACKOFF_S = 0.25
 _OVERDUE_S = 0.5
+_IDLE_S = 0.1
 _MAX_BACKOFF_S = 1.0
 
 _log = PartLogger('replica')
@@ -38,6 +39,10 @@
     pause_s: float = 0
 
 
+def _always() -> bool:
+    return True
+
+
 class StoreFollower:
     """
     Task that reads a prefix once and then waits for its changes.
@@ -49,6 +54,7 @@
     :param on_entries: told of changes.
     :param on_reached: told whether the service answers.
     :param random: generator for jitter.
+    :param is_due: says whether this daemon has to follow by itself.
     """
 
     def __init__(
@@ -60,6 +66,7 @@
         on_entries: OnEntries,
         on_reached: OnReached,
         random: Random,
+        is_due: Callable[[], bool] = _always,
     ) -> None:
         self._store = store
         self._prefix = prefix
@@ -68,12 +75,15 @@
         self._on_entries = on_entries
         self._on_reached = on_reached
         self._random = random
+        self._is_due = is_due
         self._revision: int | None = None
         self._backoff_s = _BACKOFF_S
 
     async def run(self) -> None:
         """Follow the prefix, for ever."""
         while True:
+            while not self._is_due():
+                await asyncio.sleep(_IDLE_S)
             try:
                 await self._step()
             except BronzesillError as error:
--- a/bronzesill/replica/state.py
+++ b/bronzesill/replica/state.py
@@ -30,6 +30,14 @@
             default=0,
         )
 
+    def above(self, revision: int) -> tuple[StoredEntry, ...]:
+        """Return the entries that changed after a revision."""
+        return tuple(
+            entry
+            for entry in self.entries_by_key.values()
+            if entry.mod_revision > revision
+        )
+
     def revision(self, key: str) -> int:
         """Return the revision known of a key, 0 if it is not known."""
         entry = self.entries_by_key.get(key)
--- a/bronzesill/routing/book.py
+++ b/bronzesill/routing/book.py
@@ -108,8 +108,17 @@
         """Return the streams this daemon has open on a server."""
         return self._record(name).running
 
-    def report_use(self, daemon: str, sequence: int, now_s: float) -> UseReport:
-        """Return what the other daemons are told of this one's engines."""
+    def report_use(
+        self, daemon: str, sequence: int, now_s: float, valid_s: float
+    ) -> UseReport:
+        """
+        Return what the other daemons are told of this one's engines.
+
+        :param daemon: name of this daemon.
+        :param sequence: grows with each report.
+        :param now_s: time in seconds.
+        :param valid_s: seconds for which the report holds.
+        """
         engines = {
             name: record
             for name, record in self._records_by_name.items()
@@ -121,7 +130,7 @@
             if record.is_used
         )
         failed = self.failed_since(now_s - _TELL_FAILURE_S)
-        return UseReport(daemon, sequence, uses, failed, self.restarts)
+        return UseReport(daemon, sequence, uses, failed, self.restarts, valid_s)
 
     def failed_since(self, since_s: float) -> tuple[str, ...]:
         """Return the servers that gave this daemon no answer of late."""
--- a/bronzesill/routing/tests/test_hosted.py
+++ b/bronzesill/routing/tests/test_hosted.py
@@ -126,6 +126,13 @@
         self.book.heard_use(self.report(1, 0), 10)
         self.assertEqual(self.chosen(10.1), 's2')
 
+    def test_report_holds_as_long_as_it_says(self) -> None:
+        use = ServerUse('s1', 3, 3)
+        self.book.heard_use(UseReport('other', 2, (use,), valid_s=5), 10)
+        self.assertEqual(self.chosen(14.9), 's2')
+        fills = [view.fill for view in self.book.views(15.1)]
+        self.assertEqual(fills, [0, 0])
+
     def test_daemon_that_fell_silent_is_forgotten(self) -> None:
         self.book.heard_use(self.report(2, 3), 10)
         fills = [view.fill for view in self.book.views(13)]
@@ -144,11 +151,11 @@
         self.book.opened('s1')
         self.book.opened('s1')
         self.book.begun('s1')
-        told = self.book.report_use('own', 1, 10)
+        told = self.book.report_use('own', 1, 10, 2)
         self.assertEqual(told.uses, (ServerUse('s1', 2, 1, 0),))
         self.book.closed('s1', has_begun=True)
         self.book.closed('s1')
-        self.assertEqual(self.book.report_use('own', 2, 10).uses, ())
+        self.assertEqual(self.book.report_use('own', 2, 10, 2).uses, ())
 
 
 class CopyTest(unittest.TestCase):
--- a/bronzesill/routing/use.py
+++ b/bronzesill/routing/use.py
@@ -6,7 +6,7 @@
 
 __all__ = ['FleetUse', 'ServerRestart', 'ServerUse', 'UseReport']
 
-_EXPIRE_S = 2.0
+_VALID_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -49,6 +49,7 @@
     :param uses: servers that it uses.
     :param failed: servers that failed it a moment ago.
     :param restarts: servers that started anew and are not listed yet.
+    :param valid_s: seconds for which the report holds without another.
     """
 
     daemon: str
@@ -56,6 +57,12 @@
     uses: tuple[ServerUse, ...]
     failed: tuple[str, ...] = ()
     restarts: tuple[ServerRestart, ...] = ()
+    valid_s: float = _VALID_S
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether it tells of nothing."""
+        return not (self.uses or self.failed or self.restarts)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,6 +70,9 @@
     report: UseReport
     at_s: float
 
+    def holds(self, now_s: float) -> bool:
+        return now_s - self.at_s < self.report.valid_s
+
 
 @dataclasses.dataclass(frozen=True)
 class FleetUse:
@@ -82,14 +92,14 @@
         fresh = {
             daemon: heard
             for daemon, heard in self.heard_by_daemon.items()
-            if now_s - heard.at_s < _EXPIRE_S
+            if heard.holds(now_s)
         }
         return FleetUse({**fresh, report.daemon: _Heard(report, now_s)})
 
     def failed(self, daemon: str, now_s: float) -> tuple[str, ...]:
         """Return the failures that a daemon told a moment ago."""
         heard = self.heard_by_daemon.get(daemon)
-        if heard is None or now_s - heard.at_s >= _EXPIRE_S:
+        if heard is None or not heard.holds(now_s):
             return ()
         return heard.report.failed
 
@@ -97,7 +107,7 @@
         """Return the use by all other daemons, by server."""
         totals: dict[str, ServerUse] = {}
         for heard in self.heard_by_daemon.values():
-            if now_s - heard.at_s < _EXPIRE_S:
+            if heard.holds(now_s):
                 for use in heard.report.uses:
                     totals[use.server] = _sum(use, totals.get(use.server))
         return totals
--- a/bronzesill/standins/hosted_fleet.py
+++ b/bronzesill/standins/hosted_fleet.py
@@ -28,7 +28,6 @@
 _READY_TIMEOUT_S = 10.0
 _READY_POLL_S = 0.02
 _REUSE_S = 2.0
-_DOMAINS = ('a', 'b', 'c')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -39,6 +38,7 @@
     :param daemons: number of daemons.
     :param workers: the workers.
     :param grace_s: seconds that a daemon has to stop.
+    :param domains: failure domains of the daemons, in turn.
     """
 
     daemons: int = 2
@@ -49,6 +49,7 @@
         WorkerPlan('shop-b', 'shop', 'b'),
     )
     grace_s: float = 3
+    domains: tuple[str, ...] = ('a', 'b', 'c')
 
 
 def configuration(**limits: int) -> dict[str, Any]:
@@ -218,7 +219,7 @@
         return HostedSettings(
             name=f'host-{number}',
             region='r',
-            failure_domain=_DOMAINS[number % len(_DOMAINS)],
+            failure_domain=self.plan.domains[number % len(self.plan.domains)],
             callers=free_address(),
             directory=free_address(),
             readiness=free_address(),
--- a/bronzesill/wire/peers.py
+++ b/bronzesill/wire/peers.py
@@ -157,10 +157,12 @@
         self.waiting_by_id: dict[int, asyncio.Future[Any]] = {}
         self.next_id = 0
         self.used_at_s: float = 0
+        self.heard_at_s: float = 0
         self.task: asyncio.Task[None] | None = None
 
     def deliver(self, envelope: Envelope) -> None:
         """Hand an answer to who waits for it."""
+        self.heard_at_s = asyncio.get_running_loop().time()
         waiting = self.waiting_by_id.get(envelope.exchange_id)
         if waiting is not None and not waiting.done():
             waiting.set_result(envelope.message)
@@ -226,7 +228,8 @@
     async def _exchange(self, connection: _Connection, question: object) -> Any:
         connection.next_id += 1
         exchange_id = connection.next_id
-        connection.used_at_s = asyncio.get_running_loop().time()
+        asked_at_s = asyncio.get_running_loop().time()
+        connection.used_at_s = asked_at_s
         waiting: asyncio.Future[Any] = asyncio.Future()
         connection.waiting_by_id[exchange_id] = waiting
         packed = self._registry.encode(question, exchange_id)
@@ -234,6 +237,9 @@
         connection.writer.write(packed)
         try:
             return await waiting
+        except asyncio.CancelledError:
+            _drop_if_silent(connection, asked_at_s)
+            raise
         finally:
             connection.waiting_by_id.pop(exchange_id, None)
 
@@ -270,5 +276,11 @@
             connection.close()
 
 
+def _drop_if_silent(connection: _Connection, asked_at_s: float) -> None:
+    """Close a stream on which nothing came since a question."""
+    if connection.heard_at_s <= asked_at_s:
+        connection.writer.transport.abort()
+
+
 def _unavailable(detail: str) -> BronzesillError:
     return BronzesillError(ResultCode.PEER_UNAVAILABLE, detail)
