Tell the next start of a host on which a request did not end

Change: explain adds the first start of that host after the request's last line, if the request was under way.

--- a/bronzesill/cli/story.py
+++ b/bronzesill/cli/story.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 from collections.abc import Iterable, Mapping
 from typing import Any
 
@@ -12,6 +13,10 @@
 
 _BEFORE_S = 2.0
 _AFTER_S = 0.5
+#: Events after which a request is still under way.
+_UNDER_WAY = frozenset(('attempt_sent', 'attempt_lost'))
+#: What a host says when it starts.
+_SERVES = ' serves on '
 _KNOWN = frozenset(('time_s', 'level', 'part', 'event', 'text', 'request'))
 
 
@@ -45,8 +50,9 @@
 
     :param at_s: seconds since the first step.
     :param host: host or file that tells it.
-    :param about: ``request``, or ``server`` for what else was seen of a
-        server that the request met.
+    :param about: ``request``; ``server`` for what else was seen of a server
+        that the request met; ``host`` for the next start of a host on which
+        the request did not end.
     :param event: kind of the line.
     :param details: its other fields.
     """
@@ -88,16 +94,38 @@
     own = [line for line in ordered if line.fields.get('request') == request]
     if not own:
         return []
-    servers = {line.server for line in own} - {''}
     first_s = own[0].time_s
-    last_s = own[-1].time_s + _AFTER_S
-    told = []
-    for line in ordered:
-        is_own = line.fields.get('request') == request
-        is_near = first_s - _BEFORE_S <= line.time_s <= last_s
-        if is_own or (is_near and _is_trouble(line, servers)):
-            told.append(_step(line, first_s, is_own=is_own))
-    return told
+    told = [
+        _step(line, first_s, about)
+        for line in ordered
+        if (about := _about(line, own))
+    ]
+    starts = _next_start(ordered, own[-1])
+    return [*told, *(_step(start, first_s, 'host') for start in starts)]
+
+
+def _about(line: LogLine, own: list[LogLine]) -> str:
+    """Return what a line is about, empty if it is not told."""
+    if line.fields.get('request') == own[0].fields['request']:
+        return 'request'
+    servers = {each.server for each in own} - {''}
+    from_s = own[0].time_s - _BEFORE_S
+    is_near = from_s <= line.time_s <= own[-1].time_s + _AFTER_S
+    return 'server' if is_near and _is_trouble(line, servers) else ''
+
+
+def _next_start(ordered: Iterable[LogLine], last: LogLine) -> Iterable[LogLine]:
+    """Return the start of a host that ended with a request under way."""
+    if last.fields.get('event') not in _UNDER_WAY:
+        return ()
+    starts = (
+        line
+        for line in ordered
+        if line.source == last.source
+        and line.time_s > last.time_s
+        and _SERVES in str(line.fields.get('text', ''))
+    )
+    return itertools.islice(starts, 1)
 
 
 def _is_trouble(line: LogLine, servers: set[str]) -> bool:
@@ -108,7 +136,7 @@
     return any(server in text for server in servers)
 
 
-def _step(line: LogLine, first_s: float, *, is_own: bool) -> StoryLine:
+def _step(line: LogLine, first_s: float, about: str) -> StoryLine:
     fields = line.fields
     details = ', '.join(
         f'{name} {told}' for name, told in fields.items() if name not in _KNOWN
@@ -116,7 +144,7 @@
     return StoryLine(
         at_s=round(line.time_s - first_s, 3),
         host=line.source,
-        about='request' if is_own else 'server',
+        about=about,
         event=str(fields.get('event') or fields.get('text', '')),
         details=details,
     )
--- a/bronzesill/cli/tests/test_story.py
+++ b/bronzesill/cli/tests/test_story.py
@@ -45,6 +45,14 @@
             ],
         )
 
+    def test_host_that_ended_with_the_request_under_way(self) -> None:
+        start = _line(14.0, 'h1', part='daemon', text='h1 serves on 10.0.0.1:1')
+        texts = (_LOG[0], start, start.replace('14.0', '19.0'))
+        lines = [parse_line('file', text) for text in texts]
+        story = tell_story('r1', [line for line in lines if line])
+        told = [(step.at_s, step.host, step.about) for step in story]
+        self.assertEqual(told, [(0, 'h1', 'request'), (4, 'h1', 'host')])
+
     def test_unknown_request_has_no_story(self) -> None:
         line = parse_line('file', _LOG[0])
         assert line is not None
