Leave a version alone for good once it is taken back; judge slowness coarser

Cause: read as a newcomer: after a move was taken back and the last server of the old version had gone, any version was used again, the bad one too (the test, made longer, failed).

Change: after a taking back only other versions serve.

This change is reached only where an operator ordered a roll-out.

--- a/bronzesill/daemon/hosted_moves.py
+++ b/bronzesill/daemon/hosted_moves.py
@@ -100,9 +100,10 @@
         usable = self._usable_by_version(subject)
         if split.new_version and not usable[split.new_version]:
             return TrafficSplit(split.old_version)
-        if self._may_use_any(order) and not usable[split.old_version]:
-            return TrafficSplit('')
-        return split
+        if usable[split.old_version] or not self._has_ended(order):
+            return split
+        # The version that serves was replaced since, without an order.
+        return self._split_since(order, split)
 
     def is_listed(self, subject: str, version: str) -> bool:
         """Say whether a version has servers that take new work."""
@@ -221,10 +222,18 @@
         told = decode_status(held.payload)
         return told is not None and told.is_final
 
-    def _may_use_any(self, order: MoveOrder) -> bool:
+    def _has_ended(self, order: MoveOrder) -> bool:
         known = self._known(order)
         return known is not None and known.is_ended
 
+    def _split_since(
+        self, order: MoveOrder, split: TrafficSplit
+    ) -> TrafficSplit:
+        if split.old_version == order.new_version:
+            return TrafficSplit('')
+        # A version that was taken back is not used again.
+        return TrafficSplit(self._old_version(order) or split.old_version)
+
     def _first_version(self, subject: str, order: MoveOrder) -> str:
         first = self.controller.book.first_version(subject)
         return first or self._old_version(order)
--- a/bronzesill/moves/policy.py
+++ b/bronzesill/moves/policy.py
@@ -56,6 +56,7 @@
     gross_ratio=8,
     alarm=4,
     alarm_elsewhere=1,
+    slow_buckets=5,
     doubt=1.5,
     warm_up_requests=4,
 )
