One end of a call, one choice of watchers, one caller and one stand-in base

Read again as a newcomer, the choice of watchers ranked a whole failure domain once for each of its daemons, ten times a second: quadratic in the fleet.

Change: CallSeen is the message of a call that ended; ServiceServers counts and logs it; choose_watchers ranks once; ServedStandIn and HostedCaller are shared; no test checks less than before (the bytes behind an answer are still written before anybody reads it).

--- a/bronzesill/calls/__init__.py
+++ b/bronzesill/calls/__init__.py
@@ -17,7 +17,7 @@
 from .pass_through import CallAnswer, CallRequest, send_call
 from .runner import RouteRunner
 from .senders import ForwardSender, SessionSender
-from .servers import ServiceServers
+from .servers import CallSeen, ServiceServers
 
 __all__ = [
     'CallAnswer',
@@ -25,6 +25,7 @@
     'CallOutcome',
     'CallRequest',
     'CallRunner',
+    'CallSeen',
     'CallSender',
     'ClaimAnswer',
     'ClaimCall',
--- a/bronzesill/calls/idempotent.py
+++ b/bronzesill/calls/idempotent.py
@@ -10,8 +10,7 @@
 from .hedging import LatencyEstimate
 from .interfaces import CallSender, RoutedCall
 from .pass_through import CallAnswer
-from .send_log import log_send
-from .servers import CallEnd, ServiceServers
+from .servers import ServiceServers
 
 __all__ = ['IdempotentCalls']
 
@@ -102,22 +101,11 @@
         except BronzesillError as error:
             outcome = error
         finally:
-            self._note_end(routed, name, outcome, loop.time() - started_s)
+            self._servers.closed(name, routed, outcome, started_s)
+        if _is_good(outcome):
+            self._note(routed, loop.time() - started_s)
         return outcome
 
-    def _note_end(
-        self,
-        routed: RoutedCall,
-        name: str,
-        outcome: SendOutcome | None,
-        latency_s: float,
-    ) -> None:
-        end = CallEnd.from_outcome(outcome)
-        self._servers.closed(name, routed, end=end, latency_s=latency_s)
-        log_send(routed, name, outcome, latency_s)
-        if end is CallEnd.GOOD:
-            self._note(routed, latency_s)
-
     def _note(self, routed: RoutedCall, latency_s: float) -> None:
         estimate = self._latency_by_route.get(
             routed.route_name, LatencyEstimate()
--- a/bronzesill/calls/once.py
+++ b/bronzesill/calls/once.py
@@ -7,8 +7,7 @@
 from ..utils import BronzesillError, ResultCode
 from .interfaces import CallSender, RoutedCall
 from .pass_through import CallAnswer
-from .send_log import log_send
-from .servers import CallEnd, ServiceServers
+from .servers import ServiceServers
 
 __all__ = ['OnceCalls']
 
@@ -55,20 +54,9 @@
             outcome = error
             raise
         finally:
-            self._note_end(routed, name, outcome, loop.time() - started_s)
+            self._servers.closed(name, routed, outcome, started_s)
         return outcome
 
-    def _note_end(
-        self,
-        routed: RoutedCall,
-        name: str,
-        outcome: CallAnswer | BronzesillError | None,
-        latency_s: float,
-    ) -> None:
-        end = CallEnd.from_outcome(outcome)
-        self._servers.closed(name, routed, end=end, latency_s=latency_s)
-        log_send(routed, name, outcome, latency_s)
-
     async def _send_in_time(self, name: str, routed: RoutedCall) -> CallAnswer:
         try:
             async with asyncio.timeout_at(routed.deadline_at_s):
--- a/bronzesill/calls/servers.py
+++ b/bronzesill/calls/servers.py
@@ -3,17 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import enum
 from collections.abc import Callable
 from random import Random
-from typing import Protocol
 
 from ..routing import ServerBook, ServerView, TrafficSplit, pick_version
 from ..utils import Address, BronzesillError, ResultCode
 from .interfaces import RoutedCall
 from .pass_through import CallAnswer
+from .send_log import log_send
 
-__all__ = ['CallEnd', 'OnCallEnded', 'ServiceServers']
+__all__ = ['CallEnd', 'CallSeen', 'ServiceServers']
 
 
 #: Weight of the share of failures against the fill of a server.
@@ -50,19 +51,23 @@
         return cls.LOST
 
 
-class OnCallEnded(Protocol):
-    """Receiver of how calls ended."""
+@dataclasses.dataclass(frozen=True)
+class CallSeen:
+    """
+    How a call to one server ended.
 
-    def __call__(
-        self,
-        service: str,
-        route: str,
-        server: str,
-        *,
-        is_failed: bool,
-        latency_s: float,
-    ) -> None:
-        """Take in the end of a call."""
+    :param service: the service.
+    :param route: name of the route that led to it.
+    :param server: name of the server.
+    :param is_failed: whether it ended badly.
+    :param latency_s: seconds that it took.
+    """
+
+    service: str
+    route: str
+    server: str
+    is_failed: bool
+    latency_s: float
 
 
 class ServiceServers:
@@ -79,7 +84,7 @@
         self,
         book: ServerBook,
         find_split: Callable[[str], TrafficSplit],
-        on_ended: OnCallEnded,
+        on_ended: Callable[[CallSeen], None],
         random: Random,
     ) -> None:
         self._on_ended = on_ended
@@ -135,24 +140,36 @@
         self,
         name: str,
         routed: RoutedCall,
-        *,
-        end: CallEnd,
-        latency_s: float,
+        outcome: CallAnswer | BronzesillError | None,
+        started_s: float,
     ) -> None:
-        """Count a call that ended, and avoid a server that gave no answer."""
+        """
+        Count a call that ended, and avoid a server that gave no answer.
+
+        :param name: name of the server.
+        :param routed: the call.
+        :param outcome: answer or failure, none if nobody waits any more.
+        :param started_s: when it was sent.
+        """
+        now_s = _now_s()
+        latency_s = now_s - started_s
+        end = CallEnd.from_outcome(outcome)
         self._book.closed(name)
         if end is CallEnd.LOST:
-            self._book.suspect(name, _now_s())
+            self._book.suspect(name, now_s)
         elif end is not CallEnd.GIVEN_UP:
             is_failure = end is CallEnd.FAILURE
             self._book.answered(name, is_failure=is_failure)
         self._on_ended(
-            routed.route.service,
-            routed.route_name,
-            name,
-            is_failed=end in {CallEnd.FAILURE, CallEnd.LOST},
-            latency_s=latency_s,
+            CallSeen(
+                routed.route.service,
+                routed.route_name,
+                name,
+                is_failed=end in {CallEnd.FAILURE, CallEnd.LOST},
+                latency_s=latency_s,
+            )
         )
+        log_send(routed, name, outcome, latency_s)
 
     def _views_of(self, service: str, version: str) -> list[ServerView]:
         views = [
--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -10,7 +10,13 @@
 
 import aiohttp
 
-from ..calls import ForwardSender, IdempotentCalls, OnceCalls, ServiceServers
+from ..calls import (
+    CallSeen,
+    ForwardSender,
+    IdempotentCalls,
+    OnceCalls,
+    ServiceServers,
+)
 from ..config import HostedSettings
 from ..gateway import (
     ForwardParts,
@@ -321,20 +327,10 @@
         engine = service.engine if service else None
         return engine is not None and engine.keeps_copies
 
-    def _note_call(
-        self,
-        service: str,
-        route: str,
-        server: str,
-        *,
-        is_failed: bool,
-        latency_s: float,
-    ) -> None:
+    def _note_call(self, seen: CallSeen) -> None:
         """Count a call that ended, and what the store was asked so far."""
-        self._moves.traffic.note_call(
-            service, route, server, is_failed=is_failed, latency_s=latency_s
-        )
-        outcome = 'failed' if is_failed else 'good'
+        self._moves.traffic.note_call(seen)
+        outcome = 'failed' if seen.is_failed else 'good'
         self._metrics.incr(f'sends.{outcome}')
         for kind, count in self._store.calls_by_kind.items():
             self._metrics.gauge(f'store.{kind}', count)
--- a/bronzesill/daemon/hosted_fleet.py
+++ b/bronzesill/daemon/hosted_fleet.py
@@ -12,7 +12,7 @@
     FactKind,
     Member,
     MembershipController,
-    is_watcher,
+    choose_watchers,
 )
 from ..platform import HOST_PREFIX
 from ..store import KeyValueStore, Mutation, StoredEntry
@@ -119,15 +119,10 @@
         :returns: the daemons; none if this one is to watch.
         """
         own = self._membership.own
-        view = self._membership.view
-        if is_watcher(view, own):
+        watchers = choose_watchers(self._membership.view, own.failure_domain)
+        if any(member.name == own.name for member in watchers):
             return ()
-        return tuple(
-            member
-            for member in self.live_peers()
-            if member.failure_domain == own.failure_domain
-            and is_watcher(view, member)
-        )
+        return watchers
 
     def live_peers(self) -> tuple[Member, ...]:
         """Return the other daemons that live."""
--- a/bronzesill/daemon/tests/test_hosted.py
+++ b/bronzesill/daemon/tests/test_hosted.py
@@ -1,11 +1,9 @@
 """Requests passed on byte for byte, over deaths, outages and stops."""
 
 import asyncio
-import dataclasses
 import unittest
 
 import aiohttp
-from yarl import URL
 
 from ...standins.hosted_fleet import (
     HOSTED_KEY,
@@ -14,67 +12,20 @@
     configuration,
 )
 from ...standins.worker import WorkerPlan, expected_events
-from ...utils import Address
+from .hosted_caller import HOST, HostedCaller
 
-_HOST = 'shop.example'
 #: Serving again within seconds: of the 12 s of recovery, a quarter.
 _SERVING_AGAIN_S = 3
 #: From the start of a host to serving.
 _START_S = 2
 
 
-@dataclasses.dataclass(frozen=True)
-class _Answer:
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-
-class _Caller:
-    """Sends requests as callers of the platform do."""
-
-    def __init__(self) -> None:
-        self._session = aiohttp.ClientSession(auto_decompress=False)
-        self._sent = 0
-
-    async def close(self) -> None:
-        await self._session.close()
-
-    async def ask(
-        self,
-        address: Address,
-        target: str,
-        method: str = 'POST',
-        body: bytes = b'catalogue',
-        **headers: str,
-    ) -> _Answer:
-        self._sent += 1
-        named = {
-            'Host': _HOST,
-            'Authorization': f'Bearer {HOSTED_KEY}',
-            'X-Attempt-Id': f'id-{self._sent}',
-            'X-Deadline-Ms': '8000',
-        }
-        changed = {
-            name.replace('_', '-'): text for name, text in headers.items()
-        }
-        url = URL(f'{address.url}{target}', encoded=True)
-        async with self._session.request(
-            method, url, data=body, headers={**named, **changed}
-        ) as response:
-            return _Answer(
-                response.status,
-                {name.lower(): text for name, text in response.headers.items()},
-                await response.read(),
-            )
-
-
 class _HostedCase(unittest.IsolatedAsyncioTestCase):
     plan = HostedPlan()
 
     async def asyncSetUp(self) -> None:
         self.fleet = await HostedFleet(self.plan).__aenter__()
-        self.caller = _Caller()
+        self.caller = HostedCaller()
         self.address = self.fleet.daemons[0].settings.callers
 
     async def asyncTearDown(self) -> None:
@@ -133,7 +84,7 @@
             b'POST /orders/1 HTTP/1.1\r\nHost: %b\r\n'
             b'Authorization: Bearer %b\r\nX-Attempt-Id: cut\r\n'
             b'Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n'
-            % (_HOST.encode(), HOSTED_KEY.encode())
+            % (HOST.encode(), HOSTED_KEY.encode())
         )
         await asyncio.sleep(0.1)
         writer.close()
--- a/bronzesill/daemon/tests/test_hosted_moves.py
+++ b/bronzesill/daemon/tests/test_hosted_moves.py
@@ -13,9 +13,10 @@
     decode_status,
     status_key,
 )
-from ...standins.hosted_fleet import HOSTED_KEY, HostedFleet, HostedPlan
+from ...standins.hosted_fleet import HostedFleet, HostedPlan
 from ...standins.worker import WorkerPlan
 from ...store import Mutation
+from .hosted_caller import HostedCaller
 
 _SERVICE = 'shop'
 _WINDOW_S = 8.0
@@ -48,15 +49,14 @@
         await self.fleet.store.start()
         await self.order()
         await self.fleet.__aenter__()
-        self.session = aiohttp.ClientSession()
-        self.sent = 0
+        self.caller = HostedCaller()
         self.statuses: list[int] = []
         self.calling = asyncio.create_task(self.call_for_ever())
 
     async def asyncTearDown(self) -> None:
         self.calling.cancel()
         await asyncio.gather(self.calling, return_exceptions=True)
-        await self.session.close()
+        await self.caller.close()
         await self.fleet.__aexit__()
 
     async def order(self) -> None:
@@ -88,18 +88,11 @@
 
     async def call_for_ever(self) -> None:
         while True:
-            self.sent += 1
-            daemon = self.fleet.daemons[self.sent % 3]
-            url = f'{daemon.settings.callers.url}/orders/{self.sent}'
-            headers = {
-                'Host': 'shop.example',
-                'Authorization': f'Bearer {HOSTED_KEY}',
-                'X-Attempt-Id': f'call-{self.sent}',
-                'X-Deadline-Ms': '1000',
-            }
-            async with self.session.post(url, headers=headers) as response:
-                await response.read()
-                self.statuses.append(response.status)
+            daemon = self.fleet.daemons[self.caller.sent % 3]
+            answer = await self.caller.ask(
+                daemon.settings.callers, '/orders/1', X_Deadline_Ms='1000'
+            )
+            self.statuses.append(answer.status)
             await asyncio.sleep(0.02)
 
     def runs(self, names: tuple[str, ...]) -> int:
@@ -135,7 +128,7 @@
         told = await self.until_final()
         self.assertTrue(told.is_taken_back)
         exposed = self.runs(_NEW)
-        allowed = _EXPOSURE_RATIO * self.sent + _EXPOSURE_SLACK
+        allowed = _EXPOSURE_RATIO * self.caller.sent + _EXPOSURE_SLACK
         self.assertGreater(exposed, 0)
         self.assertLessEqual(exposed, allowed)
         # Not even when no server of the old version is left.
--- a/bronzesill/daemon/tests/test_losses.py
+++ b/bronzesill/daemon/tests/test_losses.py
@@ -36,6 +36,14 @@
     def setUp(self) -> None:
         self.body = _body()
 
+    def begin(self, fleet: Fleet) -> tuple[Received, asyncio.Task[Received]]:
+        """Ask the first daemon, without waiting for the answer."""
+        received = Received()
+        answer = asyncio.create_task(
+            stream(fleet.daemons[0].address, self.body, received=received)
+        )
+        return received, answer
+
     def assert_whole(self, received: Received) -> None:
         self.assertIsNone(received.error)
         self.assertEqual(received.tokens, _expected())
@@ -43,22 +51,14 @@
 
     async def test_broken_connection(self) -> None:
         async with Fleet(FleetPlan(engines=3)) as fleet:
-            received = Received()
-            address = fleet.daemons[0].address
-            answer = asyncio.create_task(
-                stream(address, self.body, received=received)
-            )
+            received, answer = self.begin(fleet)
             await _until(received, 50)
             await fleet.kill_engine(fleet.busy_engine())
             self.assert_whole(await answer)
 
     async def test_death_during_resume(self) -> None:
         async with Fleet(FleetPlan(engines=3)) as fleet:
-            received = Received()
-            address = fleet.daemons[0].address
-            answer = asyncio.create_task(
-                stream(address, self.body, received=received)
-            )
+            received, answer = self.begin(fleet)
             for count in (30, 31):
                 await _until(received, count)
                 busy = fleet.busy_engine()
@@ -69,11 +69,7 @@
     async def test_silent_engine_that_wakes_with_late_tokens(self) -> None:
         plan = FleetPlan(engines=2, preferences={'resume_latency_weight': 1.0})
         async with Fleet(plan) as fleet:
-            received = Received()
-            address = fleet.daemons[0].address
-            answer = asyncio.create_task(
-                stream(address, self.body, received=received)
-            )
+            received, answer = self.begin(fleet)
             await _until(received, 50)
             engine = fleet.engines_by_name[fleet.busy_engine()]
             now_s = asyncio.get_running_loop().time()
@@ -84,11 +80,7 @@
     async def test_no_engine_left_is_said_in_an_error(self) -> None:
         plan = FleetPlan(engines=1, limits={'deadline_s': 1})
         async with Fleet(plan) as fleet:
-            received = Received()
-            address = fleet.daemons[0].address
-            answer = asyncio.create_task(
-                stream(address, self.body, received=received)
-            )
+            received, answer = self.begin(fleet)
             await _until(received, 50)
             await fleet.kill_engine('engine-0')
             await answer
@@ -105,28 +97,37 @@
     def setUp(self) -> None:
         self.body = _body()
 
+    async def lose_daemon(
+        self, fleet: Fleet, request_id: str, engines_lost: int
+    ) -> tuple[Received, Received]:
+        """Ask, lose the daemon and engines, ask another for the rest."""
+        first = Received()
+        victim = fleet.daemons[0]
+        answer = asyncio.create_task(
+            stream(
+                victim.address,
+                self.body,
+                request_id=request_id,
+                received=first,
+            )
+        )
+        await _until(first, 60)
+        for _ in range(engines_lost):
+            await fleet.kill_engine(fleet.busy_engine())
+        await fleet.kill_daemon(victim)
+        await answer
+        rest = await stream(
+            fleet.daemons[0].address,
+            self.body,
+            request_id=request_id,
+            last_event_id=first.last_event_id,
+        )
+        return first, rest
+
     async def test_reconnect_elsewhere_gives_just_the_rest(self) -> None:
         async with Fleet(FleetPlan(daemons=3, engines=3)) as fleet:
-            first = Received()
-            victim = fleet.daemons[0]
-            answer = asyncio.create_task(
-                stream(
-                    victim.address,
-                    self.body,
-                    request_id='guide-1',
-                    received=first,
-                )
-            )
-            await _until(first, 60)
-            await fleet.kill_daemon(victim)
-            await answer
+            first, rest = await self.lose_daemon(fleet, 'guide-1', 0)
             self.assertIsNone(first.total)
-            rest = await stream(
-                fleet.daemons[0].address,
-                self.body,
-                request_id='guide-1',
-                last_event_id=first.last_event_id,
-            )
             self.assertEqual(first.tokens + rest.tokens, _expected())
             self.assertEqual(rest.total, _TOKENS)
             computed = sum(
@@ -157,26 +158,7 @@
 
     async def test_engine_and_daemon_die_together(self) -> None:
         async with Fleet(FleetPlan(daemons=2, engines=3)) as fleet:
-            first = Received()
-            victim = fleet.daemons[0]
-            answer = asyncio.create_task(
-                stream(
-                    victim.address,
-                    self.body,
-                    request_id='guide-3',
-                    received=first,
-                )
-            )
-            await _until(first, 60)
-            await fleet.kill_engine(fleet.busy_engine())
-            await fleet.kill_daemon(victim)
-            await answer
-            rest = await stream(
-                fleet.daemons[0].address,
-                self.body,
-                request_id='guide-3',
-                last_event_id=first.last_event_id,
-            )
+            first, rest = await self.lose_daemon(fleet, 'guide-3', 1)
             self.assertEqual(first.tokens + rest.tokens, _expected())
 
     async def test_beginning_of_another_answer_is_refused(self) -> None:
--- a/bronzesill/daemon/tests/test_watchers.py
+++ b/bronzesill/daemon/tests/test_watchers.py
@@ -3,16 +3,14 @@
 import asyncio
 import unittest
 
-import aiohttp
-
 from ...standins.hosted_fleet import (
-    HOSTED_KEY,
     HostedFleet,
     HostedPlan,
     configuration,
 )
 from ...standins.worker import WorkerPlan
 from ..hosted import HostedDaemon
+from .hosted_caller import HostedCaller
 
 #: The users' bound for a configuration to be in force.
 _APPLY_S = 2.0
@@ -31,10 +29,10 @@
             domains=('a',),
         )
         self.fleet = await HostedFleet(plan).__aenter__()
-        self.session = aiohttp.ClientSession()
+        self.caller = HostedCaller()
 
     async def asyncTearDown(self) -> None:
-        await self.session.close()
+        await self.caller.close()
         await self.fleet.__aexit__()
 
     def watchers(self) -> list[HostedDaemon]:
@@ -51,18 +49,11 @@
         await self.fleet.configure(changed)
 
     async def statuses(self, daemons: list[HostedDaemon]) -> set[int]:
-        found = set()
-        for number, daemon in enumerate(daemons):
-            url = f'{daemon.settings.callers.url}/orders/1'
-            headers = {
-                'Host': 'shop.example',
-                'Authorization': f'Bearer {HOSTED_KEY}',
-                'X-Attempt-Id': f'ask-{number}',
-                'X-Deadline-Ms': '1000',
-            }
-            async with self.session.post(url, headers=headers) as response:
-                found.add(response.status)
-        return found
+        answers = [
+            await self.caller.ask(daemon.settings.callers, '/orders/1')
+            for daemon in daemons
+        ]
+        return {answer.status for answer in answers}
 
     async def test_only_watchers_call_the_store(self) -> None:
         await self.until_watchers(_WATCHERS)
--- a/bronzesill/daemon/traffic.py
+++ b/bronzesill/daemon/traffic.py
@@ -4,6 +4,7 @@
 
 import time
 
+from ..calls import CallSeen
 from ..config import Document
 from ..generations import AttemptSeen, GenerationRequest
 from ..moves import MovesController, Observation
@@ -83,26 +84,18 @@
             )
         )
 
-    def note_call(
-        self,
-        service: str,
-        route: str,
-        server: str,
-        *,
-        is_failed: bool,
-        latency_s: float,
-    ) -> None:
+    def note_call(self, seen: CallSeen) -> None:
         """Pass on how a call to a plain service ended."""
-        known = self._book.servers_by_name.get(server)
+        known = self._book.servers_by_name.get(seen.server)
         if known is not None:
             self._moves.log.add(
                 Observation(
-                    subject=service,
-                    route=route,
-                    server=server,
+                    subject=seen.service,
+                    route=seen.route,
+                    server=seen.server,
                     version=known.version,
                     is_end=True,
-                    is_failed=is_failed,
-                    first_token_s=None if is_failed else latency_s,
+                    is_failed=seen.is_failed,
+                    first_token_s=None if seen.is_failed else seen.latency_s,
                 )
             )
--- a/bronzesill/membership/__init__.py
+++ b/bronzesill/membership/__init__.py
@@ -22,7 +22,7 @@
     Rumours,
     View,
 )
-from .roles import choose_entries, choose_homes, is_watcher
+from .roles import choose_entries, choose_homes, choose_watchers, is_watcher
 from .state import GossipPolicy, GossipState, Step
 from .view import FleetView
 
@@ -53,6 +53,7 @@
     'ViewFetched',
     'choose_entries',
     'choose_homes',
+    'choose_watchers',
     'is_watcher',
     'step',
 ]
--- a/bronzesill/membership/roles.py
+++ b/bronzesill/membership/roles.py
@@ -8,7 +8,7 @@
 from .members import Member
 from .view import FleetView
 
-__all__ = ['choose_entries', 'choose_homes', 'is_watcher']
+__all__ = ['choose_entries', 'choose_homes', 'choose_watchers', 'is_watcher']
 
 _HOMES = 2
 _MIN_WATCHERS = 2
@@ -79,25 +79,38 @@
     return _spread(ranked)[:_HOMES] if ranked else ()
 
 
-def is_watcher(view: FleetView, own: Member) -> bool:
+def choose_watchers(view: FleetView, failure_domain: str) -> tuple[Member, ...]:
     """
-    Say whether a daemon is one of the few that watch the store.
+    Choose the few daemons of a failure domain that watch the store.
 
     Hosts with a narrow link watch only where others are too few.
 
     :param view: what is believed of the fleet.
-    :param own: the daemon.
+    :param failure_domain: the failure domain.
     """
-    members = [
-        member
+    members_by_name = {
+        member.name: member
         for member in view.members_by_name.values()
-        if member.is_alive and member.failure_domain == own.failure_domain
-    ]
+        if member.is_alive and member.failure_domain == failure_domain
+    }
+    members = members_by_name.values()
     count = max(_MIN_WATCHERS, math.ceil(len(members) / _DAEMONS_PER_WATCHER))
     wide = [member for member in members if not _has_narrow_link(member)]
     candidates = wide if len(wide) >= count else members
     names = tuple(member.name for member in candidates)
-    return own.name in rank_by_rendezvous('watch', names)[:count]
+    ranked = rank_by_rendezvous('watch', names)
+    return tuple(members_by_name[name] for name in ranked[:count])
+
+
+def is_watcher(view: FleetView, own: Member) -> bool:
+    """
+    Say whether a daemon is one of the few that watch the store.
+
+    :param view: what is believed of the fleet.
+    :param own: the daemon.
+    """
+    watchers = choose_watchers(view, own.failure_domain)
+    return any(member.name == own.name for member in watchers)
 
 
 def _has_narrow_link(member: Member) -> bool:
--- a/bronzesill/standins/engine.py
+++ b/bronzesill/standins/engine.py
@@ -12,8 +12,9 @@
 import orjson
 from falcon import asgi
 
-from ..utils import Address, HttpServer
+from ..utils import Address
 from .batch import Batch, EngineProfile, EngineStream
+from .served import ServedStandIn
 from .stream_events import (
     hold_while_paused,
     parse_stream_request,
@@ -33,7 +34,7 @@
     os._exit(_DIED_STATUS)
 
 
-class EngineStandIn:
+class EngineStandIn(ServedStandIn):
     """
     A model engine for tests and demonstrations.
 
@@ -50,6 +51,7 @@
         address: Address,
         die: Callable[[], None] = _exit_process,
     ) -> None:
+        super().__init__(address)
         self.model = model
         self.profile = profile
         self.batch = Batch(profile)
@@ -58,17 +60,11 @@
         self._die = die
         self._load_report: dict[str, Any] = {}
         self._random = random.Random(model)
-        self._server = HttpServer(self._make_app, address)
         self._tasks: list[asyncio.Task[None]] = []
 
-    @property
-    def address(self) -> Address:
-        """Where the engine listens."""
-        return self._server.address
-
     async def start(self) -> None:
         """Begin to serve."""
-        await self._server.start()
+        await super().start()
         self._tasks = [
             asyncio.create_task(self.batch.run()),
             asyncio.create_task(self._report_load()),
@@ -79,7 +75,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._server.kill()
+        await super().stop()
 
     async def on_get_load(
         self, request: asgi.Request, response: asgi.Response
--- a/bronzesill/standins/hosts.py
+++ b/bronzesill/standins/hosts.py
@@ -10,7 +10,8 @@
 import orjson
 from falcon import asgi
 
-from ..utils import Address, HttpServer
+from ..utils import Address
+from .served import ServedStandIn
 
 __all__ = ['HostListStandIn']
 
@@ -21,7 +22,7 @@
     hosts: list[dict[str, Any]]
 
 
-class HostListStandIn:
+class HostListStandIn(ServedStandIn):
     """
     A list of hosts for tests and demonstrations.
 
@@ -30,23 +31,10 @@
     """
 
     def __init__(self, address: Address, lag_s: float = 1) -> None:
+        super().__init__(address)
         self.lag_s = lag_s
         self._shown: list[dict[str, Any]] = []
         self._pending: collections.deque[_Change] = collections.deque()
-        self._server = HttpServer(self._make_app, address)
-
-    @property
-    def address(self) -> Address:
-        """Where the list is served."""
-        return self._server.address
-
-    async def start(self) -> None:
-        """Begin to serve."""
-        await self._server.start()
-
-    async def stop(self) -> None:
-        """End at once."""
-        await self._server.kill()
 
     def replace(self, hosts: list[dict[str, Any]]) -> None:
         """Change the list; readers see it after the lag."""
--- a/bronzesill/standins/service.py
+++ b/bronzesill/standins/service.py
@@ -8,14 +8,15 @@
 import orjson
 from falcon import asgi
 
-from ..utils import Address, HttpServer
+from ..utils import Address
+from .served import ServedStandIn
 
 __all__ = ['ServiceStandIn']
 
 _SERVER_ERROR = 500
 
 
-class ServiceStandIn:
+class ServiceStandIn(ServedStandIn):
     """
     A shop or booking service that keeps a list of what it ran.
 
@@ -24,25 +25,12 @@
     """
 
     def __init__(self, address: Address, name: str) -> None:
+        super().__init__(address)
         self.name = name
         self.runs: list[str] = []
         self.delay_s: float = 0
         self.fail_after_run = False
         self.abort_after_run = False
-        self._server = HttpServer(self._make_app, address)
-
-    @property
-    def address(self) -> Address:
-        """Where the service listens."""
-        return self._server.address
-
-    async def start(self) -> None:
-        """Begin to serve."""
-        await self._server.start()
-
-    async def stop(self) -> None:
-        """End at once."""
-        await self._server.kill()
 
     async def run_call(
         self, request: asgi.Request, response: asgi.Response
--- a/bronzesill/standins/store.py
+++ b/bronzesill/standins/store.py
@@ -11,7 +11,8 @@
 import orjson
 from falcon import asgi
 
-from ..utils import Address, HttpServer
+from ..utils import Address
+from .served import ServedStandIn
 from .store_state import Item, Lease, StoreFaults, StoreState
 
 __all__ = ['StoreStandIn']
@@ -26,7 +27,7 @@
 _CONDITION_FAILED = 412
 
 
-class StoreStandIn:
+class StoreStandIn(ServedStandIn):
     """
     A key-value service for tests and demonstrations.
 
@@ -34,25 +35,20 @@
     """
 
     def __init__(self, address: Address) -> None:
+        super().__init__(address)
         self.state = StoreState()
-        self._server = HttpServer(self._make_app, address)
         self._expiry: asyncio.Task[None] | None = None
 
-    @property
-    def address(self) -> Address:
-        """Where the store listens."""
-        return self._server.address
-
     async def start(self) -> None:
         """Begin to serve."""
-        await self._server.start()
+        await super().start()
         self._expiry = asyncio.create_task(self._expire())
 
     async def stop(self) -> None:
         """End at once."""
         if self._expiry is not None:
             self._expiry.cancel()
-        await self._server.kill()
+        await super().stop()
 
     async def on_get_key(
         self, request: asgi.Request, response: asgi.Response
--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -17,7 +17,8 @@
 from ..gateway import ReceiveKeeper, read_body, watch_disconnect
 from ..platform import SERVER_PREFIX, PlatformStore
 from ..store import Mutation
-from ..utils import Address, BronzesillError, HttpServer, stable_hash
+from ..utils import Address, BronzesillError, stable_hash
+from .served import ServedStandIn
 
 __all__ = ['WorkerPlan', 'WorkerStandIn', 'expected_events']
 
@@ -62,7 +63,7 @@
     return b''.join(_event(body, number) for number in range(1, count + 1))
 
 
-class WorkerStandIn:
+class WorkerStandIn(ServedStandIn):
     """
     A worker that lists itself in the store and answers requests.
 
@@ -74,6 +75,7 @@
     def __init__(
         self, plan: WorkerPlan, address: Address, store: Address
     ) -> None:
+        super().__init__(address)
         self.plan = plan
         #: Requests run so far by their id.
         self.runs_by_id: Counter[str] = Counter()
@@ -89,24 +91,18 @@
         self._started_at_ms = int(time.time() * _MS_PER_S)
         self._failures_left = plan.failures
         self._running = 0
-        self._server = HttpServer(self._make_app, address)
         self._task: asyncio.Task[None] | None = None
 
-    @property
-    def address(self) -> Address:
-        """Where it listens."""
-        return self._server.address
-
     async def start(self) -> None:
         """Begin to serve and to list itself."""
-        await self._server.start()
+        await super().start()
         self._task = asyncio.create_task(self._keep_listed())
 
     async def stop(self) -> None:
         """End at once, as a crash would."""
         if self._task is not None:
             self._task.cancel()
-        await self._server.kill()
+        await super().stop()
 
     async def on_request(
         self, req: asgi.Request, resp: asgi.Response | None, **_: Any
--- a/bronzesill/upstream/tests/test_connection.py
+++ b/bronzesill/upstream/tests/test_connection.py
@@ -27,6 +27,21 @@
     return script
 
 
+def _send_more(more: bytes, after_s: float) -> Script:
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(_WHOLE)
+        # At once means before anybody reads the answer.
+        if after_s:
+            await asyncio.sleep(after_s)
+        writer.write(more)
+        await reader.read()
+
+    return script
+
+
 class ConnectionTest(unittest.IsolatedAsyncioTestCase):
     """Whole answers only, and only to the request that is due."""
 
@@ -81,30 +96,15 @@
         self.assertEqual(self.pool.opened, 1)
 
     async def test_bytes_behind_an_answer_end_the_connection(self) -> None:
-        async def script(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await reader.readuntil(b'\r\n\r\n')
-            writer.write(_WHOLE)
-            writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: 1\r\n')
-            await reader.read()
-
-        target = await self.listen(script)
+        more = b'HTTP/1.1 200 OK\r\ncontent-length: 1\r\n'
+        target = await self.listen(_send_more(more, after_s=0))
         self.assertEqual(await self.ask(target), b'abc')
         self.assertEqual(await self.ask(target), b'abc')
         self.assertEqual(self.pool.opened, 2)
 
     async def test_late_second_answer_is_never_taken(self) -> None:
-        async def script(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await reader.readuntil(b'\r\n\r\n')
-            writer.write(_WHOLE)
-            await asyncio.sleep(0.05)
-            writer.write(_WHOLE.replace(b'abc', b'xyz'))
-            await reader.read()
-
-        target = await self.listen(script)
+        late = _WHOLE.replace(b'abc', b'xyz')
+        target = await self.listen(_send_more(late, after_s=0.05))
         self.assertEqual(await self.ask(target), b'abc')
         await asyncio.sleep(0.1)
         self.assertEqual(await self.ask(target), b'abc')
