End polls of a silent store early, so that changes after it are adopted in time

A poll that it leaves unanswered ended only after 1.5 + 1 + 1 s, and as all hosts lose the store at the same moment, their polls and back-offs run in step: a poll sent at 25.5 s ends near 29 s on all hosts, and there is no peer that knows more.

Change: a poll ends 1 s after its waiting time; while the store does not answer, polls do not wait; the time of a failed poll is part of the pause.

--- a/bronzesill/replica/follower.py
+++ b/bronzesill/replica/follower.py
@@ -15,7 +15,11 @@
 
 _INITIAL_BACKOFF_S = 0.25
 _RESPONSE_GRACE_S = 0.5
+#: A silent service ends a poll this long after its waiting time.  Together
+#: with the longest pause it bounds the delay of changes after an outage.
+_RESPONSE_TIMEOUT_S = 1.0
 _IDLE_POLL_INTERVAL_S = 0.1
+_MIN_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 1.0
 
 _log = PartLogger('replica')
@@ -78,6 +82,7 @@
         self._random = random
         self._should_follow = should_follow
         self._revision: int | None = None
+        self._is_reached = True
         self._backoff_s = _INITIAL_BACKOFF_S
 
     async def run(self) -> None:
@@ -85,18 +90,19 @@
         while True:
             while not self._should_follow():
                 await asyncio.sleep(_IDLE_POLL_INTERVAL_S)
+            started_s = _now_s()
             try:
                 await self._poll()
-            except BronzesillError as error:
+            except (BronzesillError, TimeoutError) as error:
                 _log.warning(
-                    "cannot follow the keys below prefix '%s': %s",
+                    "cannot follow the keys below prefix '%s': %r",
                     self._prefix,
                     error,
                 )
-                self._on_reachability(False)
-                await self._back_off()
+                self._set_reached(False)
+                await self._back_off(_now_s() - started_s)
             else:
-                self._on_reachability(True)
+                self._set_reached(True)
                 self._backoff_s = _INITIAL_BACKOFF_S
                 await asyncio.sleep(self._policy.pause_s)
 
@@ -108,17 +114,18 @@
             self._revision = snapshot.revision
             self._on_snapshot(self._prefix, snapshot)
             return
-        # A poll that exceeds its waiting time may hang for long, so the
-        # store is reported as unreachable before the poll fails.
+        # While the store does not answer, polls do not wait for changes: one
+        # that is sent just before its return must not hang long beyond it.
+        wait_s = self._policy.wait_s if self._is_reached else 0
+        # The store is reported as unreachable before the poll fails.
         grace_timer = asyncio.get_running_loop().call_later(
-            self._policy.wait_s + _RESPONSE_GRACE_S,
-            self._on_reachability,
-            False,
+            wait_s + _RESPONSE_GRACE_S, self._on_reachability, False
         )
         try:
-            changes = await self._store.changes(
-                self._prefix, self._revision, self._policy.wait_s
-            )
+            async with asyncio.timeout(wait_s + _RESPONSE_TIMEOUT_S):
+                changes = await self._store.changes(
+                    self._prefix, self._revision, wait_s
+                )
         finally:
             grace_timer.cancel()
         if changes.has_gap:
@@ -133,6 +140,16 @@
         if changes.entries:
             self._on_entries(changes.entries)
 
-    async def _back_off(self) -> None:
-        await asyncio.sleep(self._backoff_s * (0.5 + self._random.random()))
+    def _set_reached(self, is_reached: bool) -> None:
+        self._is_reached = is_reached
+        self._on_reachability(is_reached)
+
+    async def _back_off(self, elapsed_s: float) -> None:
+        # The time that the failed poll took is part of the pause.
+        pause_s = self._backoff_s * (0.5 + self._random.random()) - elapsed_s
+        await asyncio.sleep(max(pause_s, _MIN_BACKOFF_S))
         self._backoff_s = min(2 * self._backoff_s, _MAX_BACKOFF_S)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
