Listen before the program loads, and spread streams until the use of peers is known

Change: the entry module opens the listening sockets with the standard library and loads the program then; requests wait up to 0.7 s after the start for the first configuration; the tasks that learn it start before the HTTP servers. `platform` exports nothing, so that reading the addresses loads nothing else. Until 2 s after its start a daemon compares two random servers and has no preference of a domain. The composition of the request path is `daemon.hosted_requests`.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -20,7 +20,7 @@
 import yaml
 
 from bronzesill.config.repository import ConfigChange, ConfigRepository
-from bronzesill.platform import PlatformStore
+from bronzesill.platform.store import PlatformStore
 from bronzesill.standins import (
     EngineProfile,
     EngineStandIn,
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -18,7 +18,7 @@
 import yaml
 
 from bronzesill.config.repository import ConfigChange, ConfigRepository
-from bronzesill.platform import PlatformStore
+from bronzesill.platform.store import PlatformStore
 from bronzesill.standins import HostListStandIn, StoreStandIn
 from bronzesill.standins.fleet import free_address
 from bronzesill.utils import Address, hash_secret
--- a/bronzesill/cli/context.py
+++ b/bronzesill/cli/context.py
@@ -13,7 +13,7 @@
 import yaml
 
 from ..config.repository import ConfigRepository
-from ..platform import PlatformStore
+from ..platform.store import PlatformStore
 from ..utils import Address, DocumentInvalid, structure
 
 __all__ = ['Context', 'ToolSettings', 'open_context']
--- a/bronzesill/cli/hosted_commands.py
+++ b/bronzesill/cli/hosted_commands.py
@@ -8,19 +8,21 @@
 
 from ..config import RegisteredServer
 from ..moves import MOVE_PREFIX, MoveRecord, record_from_entry
-from ..platform import (
-    ALL_KEYS,
-    CONFIGURATION_KEY,
-    HOST_PREFIX,
+from ..platform.documents import CONFIGURATION_KEY
+from ..platform.reports import fetch_engine_report
+from ..platform.rollouts import (
     ORDER_PREFIX,
-    SERVER_PREFIX,
     decode_order,
-    decode_server,
     decode_status,
-    server_name,
     status_key,
 )
-from ..platform.reports import fetch_engine_report
+from ..platform.servers import (
+    HOST_PREFIX,
+    SERVER_PREFIX,
+    decode_server,
+    server_name,
+)
+from ..platform.store import ALL_KEYS
 from ..store import StoredEntry
 from ..utils import ResultCode
 from .context import Context
--- a/bronzesill/cli/offline_commands.py
+++ b/bronzesill/cli/offline_commands.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from ..config.settings import DaemonSettings
-from ..platform import read_settings
+from ..platform.settings import read_settings
 from ..utils import DocumentInvalid, ResultCode
 from .output import show_table
 from .request_trace import LogLine, parse_line, trace_request
--- a/bronzesill/cli/tests/test_hosted_commands.py
+++ b/bronzesill/cli/tests/test_hosted_commands.py
@@ -12,7 +12,8 @@
 import orjson
 import yaml
 
-from ...platform import ORDER_PREFIX, PlatformStore
+from ...platform.rollouts import ORDER_PREFIX
+from ...platform.store import PlatformStore
 from ...standins.hosted_fleet import HostedFleet, HostedPlan
 from ...store import Mutation
 from ...utils import ResultCode
--- a/bronzesill/daemon/components.py
+++ b/bronzesill/daemon/components.py
@@ -30,8 +30,8 @@
 )
 from ..moves import MovesController
 from ..orders import OrderClient, OrderRepository, OrdersController
-from ..platform import PlatformStore
 from ..platform.hosts import HttpHostList
+from ..platform.store import PlatformStore
 from ..routing import ServerTracker
 from ..utils import Address
 from ..utils.statsd_metrics import connect_metrics
--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -8,52 +8,31 @@
 from random import Random
 from typing import Any
 
-from ..calls import (
-    AtMostOnceCalls,
-    CallResult,
-    ForwardSender,
-    IdempotentCalls,
-    ServiceServers,
-)
 from ..config import HostedSettings
-from ..gateway import (
-    ForwardComponents,
-    ForwardResource,
-    GatewayState,
-    make_forward_app,
-)
-from ..generations import (
-    ForwardStreamClient,
-    GenerationsController,
-    LocalDirectory,
-    LocationTable,
-)
-from ..limits import FleetRetryAllowance, RetryBounds
+from ..gateway import GatewayState
 from ..moves import MoveReport
-from ..platform import (
-    ALL_KEYS,
-    PlatformDialect,
-    PlatformStore,
-    make_directory_app,
-    make_readiness_app,
-)
+from ..platform.headers import PlatformDialect
+from ..platform.http_apps import make_directory_app, make_readiness_app
+from ..platform.store import ALL_KEYS, PlatformStore
 from ..replica import (
     FetchReplica,
     FollowPolicy,
     StoreFollower,
 )
-from ..routing import LoadReport, ServerTracker, UseReport
+from ..routing import ServerTracker, UseReport
 from ..store import StoredEntry
-from ..upstream import AnswerHead, ConnectionPool
+from ..upstream import ConnectionPool
 from ..utils import (
     Address,
     HttpServer,
     PartLogger,
     PrometheusMetrics,
 )
+from .early_sockets import EarlySockets
 from .hosted_fleet import HostedFleet
 from .hosted_moves import HostedMoves
 from .hosted_peers import HostedPeers
+from .hosted_requests import HostedRequests, RequestContext
 from .hosted_store_state import HostedStoreState
 from .peer_replication import PeerReplication
 from .restart_detector import RestartDetector
@@ -82,9 +61,13 @@
     Creating it requires a running event loop.
 
     :param settings: settings of this host.
+    :param listeners: sockets that listen already; others are opened.
     """
 
-    def __init__(self, settings: HostedSettings) -> None:
+    def __init__(
+        self, settings: HostedSettings, listeners: EarlySockets | None = None
+    ) -> None:
+        listeners = listeners or EarlySockets()
         self._settings = settings
         self._random = Random(f'{settings.name} {time.time_ns()}')
         self._state = GatewayState()
@@ -92,22 +75,26 @@
         self._pool = ConnectionPool()
         self._store = PlatformStore(settings.store)
         self._dialect = PlatformDialect()
-        self._peers = HostedPeers(settings, self._random)
+        self._peers = HostedPeers(settings, self._random, listeners)
         self._fleet = HostedFleet(
             self._store, self._peers.membership, settings.seeds, self._random
         )
         self._store_state = HostedStoreState(
             self._state, self._tracker, self._apply_store_changes
         )
-        self._caller_server = HttpServer(
-            self._make_app, settings.callers, self._state.serving_limits
-        )
         self._directory_server = HttpServer(
             lambda: make_directory_app(self._fleet.addresses, _ADDRESS_TTL_S),
             settings.directory,
+            listener=listeners.take(
+                settings.directory.ip, settings.directory.port
+            ),
         )
         self._readiness_server = HttpServer(
-            self._make_readiness_app, settings.readiness
+            self._make_readiness_app,
+            settings.readiness,
+            listener=listeners.take(
+                settings.readiness.ip, settings.readiness.port
+            ),
         )
         self._usage_exchange = UsageExchange(
             settings.name,
@@ -145,9 +132,29 @@
         self._peers.handlers_by_type[MoveReport] = (
             self._moves.controller.answer_report
         )
-        self._metrics = PrometheusMetrics()
-        self._metrics_server = HttpServer(
-            self._metrics.make_app, settings.metrics
+        metrics = PrometheusMetrics()
+        self._metrics_server = HttpServer(metrics.make_app, settings.metrics)
+        requests = HostedRequests(
+            RequestContext(
+                settings,
+                self._state,
+                self._tracker,
+                self._pool,
+                self._dialect,
+                self._moves.traffic,
+                self._restart_detector,
+                metrics,
+                self._random,
+                self._usage_exchange.is_settled,
+                lambda: self.known_peers + 1,
+                self._store.calls_by_kind,
+            )
+        )
+        self._caller_server = HttpServer(
+            requests.make_app,
+            settings.callers,
+            self._state.serving_limits,
+            listeners.take(settings.callers.ip, settings.callers.port),
         )
         self._stop_requested = asyncio.Event()
 
@@ -188,14 +195,18 @@
         Draining takes at least ``_STOP_LINGER_S`` seconds and ends when no
         request is running, at the latest when the grace period ends.
         """
+        self._state.begin_start()
         await self._peers.open()
-        for server in self._http_servers():
-            await server.start()
-        _log.info(
-            '%s serves on %s', self._settings.name, self._caller_server.address
-        )
         try:
             async with run_tasks(self._tasks(), self.begin_stop):
+                # The tasks learn the configuration while the servers start.
+                for server in self._http_servers():
+                    await server.start()
+                _log.info(
+                    '%s serves on %s',
+                    self._settings.name,
+                    self._caller_server.address,
+                )
                 await self._stop_requested.wait()
                 await self._drain()
         finally:
@@ -276,79 +287,5 @@
     def _apply_store_changes(self, entries: tuple[StoredEntry, ...]) -> None:
         self._moves.apply_store_changes(entries, self._store_state.replica)
 
-    def _make_app(self) -> object:
-        servers = ServiceServers(
-            self._tracker,
-            self._moves.traffic.service_split,
-            self._record_call,
-            self._random,
-        )
-        sender = ForwardSender(
-            self._pool, self._dialect, servers, self._process_response_head
-        )
-        generations = GenerationsController(
-            self._settings.name,
-            self._settings.failure_domain,
-            self._tracker,
-            ForwardStreamClient(
-                self._pool,
-                self._dialect,
-                self._process_response_head,
-                self._restart_detector.record_activity,
-            ),
-            LocalDirectory(LocationTable()),
-            self._metrics,
-            self._random,
-        )
-        generations.keeps_copies = self._keeps_copies
-        generations.is_usage_shared = True
-        generations.observer.on_attempt_observed = (
-            self._moves.traffic.record_attempt
-        )
-        generations.pick_version = self._moves.traffic.pick_version
-        generations.resume_version = self._moves.traffic.resume_version
-        bounds = self._settings.bounds
-        allowance = FleetRetryAllowance(
-            RetryBounds(
-                bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
-            ),
-            lambda: self.known_peers + 1,
-        )
-        generations.allowance = allowance
-        components = ForwardComponents(
-            self._dialect,
-            generations,
-            IdempotentCalls(sender, servers, allowance),
-            AtMostOnceCalls(sender, servers),
-            self._random,
-            self._metrics,
-        )
-        return make_forward_app(ForwardResource(self._state, components))
-
     def _make_readiness_app(self) -> object:
         return make_readiness_app(lambda: self.is_ready)
-
-    def _keeps_copies(self, model: str) -> bool:
-        document = self._state.document
-        service = document.services.get(model) if document else None
-        engine = service.engine if service else None
-        return engine is not None and engine.keeps_copies
-
-    def _record_call(self, result: CallResult) -> None:
-        """Record a finished call and update the counts of store calls."""
-        self._moves.traffic.record_call(result)
-        outcome = 'failed' if result.is_failed else 'good'
-        self._metrics.incr(f'sends.{outcome}')
-        for kind, count in self._store.calls_by_kind.items():
-            self._metrics.gauge(f'store.{kind}', count)
-
-    def _process_response_head(self, server: str, head: AnswerHead) -> None:
-        if self._dialect.is_misdirected(head):
-            self._restart_detector.handle_other_server(server)
-        else:
-            self._restart_detector.record_activity(server)
-        load = self._dialect.load(head)
-        if load is not None:
-            now_s = asyncio.get_running_loop().time()
-            running = load.running + load.waiting
-            self._tracker.reported(server, LoadReport(running, '', now_s))
--- a/bronzesill/daemon/hosted_fleet.py
+++ b/bronzesill/daemon/hosted_fleet.py
@@ -14,7 +14,7 @@
     MembershipController,
     choose_watchers,
 )
-from ..platform import HOST_PREFIX
+from ..platform.servers import HOST_PREFIX
 from ..store import KeyValueStore, Mutation, StoredEntry
 from ..utils import (
     Address,
--- a/bronzesill/daemon/hosted_main.py
+++ b/bronzesill/daemon/hosted_main.py
@@ -1,62 +1,37 @@
-"""The daemon program ``bronzesilld-hosted`` for a hosting platform."""
+"""
+Entry point of the daemon program ``bronzesilld-hosted``.
 
-from __future__ import annotations
+It listens before it loads the rest of the program, so that callers of a host
+that starts again wait instead of being refused.
+"""
 
-import asyncio
+import importlib
 import os
-import signal
 import sys
+import time
 from pathlib import Path
 
-from ..platform import SETTINGS_VARIABLE, read_settings
-from ..utils import (
-    BronzesillError,
-    DocumentInvalid,
-    PartLogger,
-    configure_logging,
-    filter_server_logs,
+from ..platform.listen_addresses import (
+    SETTINGS_VARIABLE,
+    read_listen_addresses,
 )
-from .hosted import HostedDaemon
+from .early_sockets import EarlySockets
 
 __all__ = ['main']
 
-_EXIT_BAD_SETTINGS = 2
-
-_log = PartLogger('daemon')
-
-
-async def _serve(path: Path) -> None:
-    daemon = HostedDaemon(read_settings(path))
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, daemon.begin_stop)
-    loop.add_signal_handler(signal.SIGHUP, _reload, path)
-    await daemon.run()
-
-
-def _reload(path: Path) -> None:
-    try:
-        settings = read_settings(path)
-    except (DocumentInvalid, OSError) as error:
-        _log.error('changed settings cannot be used: %s', error)
-        return
-    _log.info('settings of %s reloaded', settings.name)
+_PROGRAM = 'bronzesill.daemon.hosted_program'
 
 
 def main() -> int:
     """Run the daemon until a signal stops it; return the exit status."""
-    configure_logging('info', is_json=True)
-    filter_server_logs(BronzesillError)
+    started_s = time.monotonic()
     path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
-    try:
-        asyncio.run(_serve(path))
-    except DocumentInvalid as error:
-        for fault in error.faults:
-            _log.error('%s: %s', path, fault)
-        return _EXIT_BAD_SETTINGS
-    except OSError as error:
-        _log.error('%s: %s', path, error)
-        return _EXIT_BAD_SETTINGS
-    return 0
+    listeners = EarlySockets()
+    listeners.open(read_listen_addresses(path))
+    # Imported only now: the program takes many times as long to load.
+    program = importlib.import_module(_PROGRAM)
+    status: int = program.run_program(path, listeners, started_s)
+    return status
 
 
 if __name__ == '__main__':
--- a/bronzesill/daemon/hosted_moves.py
+++ b/bronzesill/daemon/hosted_moves.py
@@ -19,7 +19,7 @@
     should_publish_status,
     status_of,
 )
-from ..platform import (
+from ..platform.rollouts import (
     ORDER_PREFIX,
     decode_order,
     decode_status,
--- a/bronzesill/daemon/hosted_peers.py
+++ b/bronzesill/daemon/hosted_peers.py
@@ -19,6 +19,7 @@
 )
 from ..utils import ResultCode
 from ..wire import DatagramSocket, PeerClient, PeerServer, WireCounters
+from .early_sockets import EarlySockets
 from .peer_messages import Refusal, make_registry
 from .usage_exchange import DatagramRouter
 
@@ -33,9 +34,15 @@
 
     :param settings: settings of this host.
     :param random: generator for the choice of gossip targets.
+    :param listeners: sockets that listen already.
     """
 
-    def __init__(self, settings: HostedSettings, random: Random) -> None:
+    def __init__(
+        self,
+        settings: HostedSettings,
+        random: Random,
+        listeners: EarlySockets,
+    ) -> None:
         registry = make_registry()
         counters = WireCounters()
         membership_queue: MembershipQueue = asyncio.Queue()
@@ -56,7 +63,13 @@
         self.handlers_by_type: dict[type, Callable[[Any], Any]] = {
             FetchView: self.membership.handle_fetch_view
         }
-        self._server = PeerServer(settings.peers, registry, self, counters)
+        self._server = PeerServer(
+            settings.peers,
+            registry,
+            self,
+            counters,
+            listeners.take(settings.peers.ip, settings.peers.port),
+        )
 
     async def open(self) -> None:
         """Start to listen for requests and datagrams of peers."""
--- /dev/null
+++ b/bronzesill/daemon/hosted_requests.py
@@ -0,0 +1,171 @@
+"""Composition of the components that process the requests of callers."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from collections.abc import Callable, Mapping
+from random import Random
+from typing import Any
+
+from ..calls import (
+    AtMostOnceCalls,
+    CallResult,
+    ForwardSender,
+    IdempotentCalls,
+    ServiceServers,
+)
+from ..config import HostedSettings
+from ..gateway import (
+    ForwardComponents,
+    ForwardResource,
+    GatewayState,
+    make_forward_app,
+)
+from ..generations import (
+    ForwardStreamClient,
+    GenerationsController,
+    LocalDirectory,
+    LocationTable,
+)
+from ..limits import FleetRetryAllowance, RetryBounds
+from ..platform.headers import PlatformDialect
+from ..routing import LoadReport, ServerTracker
+from ..upstream import AnswerHead, ConnectionPool
+from ..utils import PrometheusMetrics
+from .hosted_moves import HostedTraffic
+from .restart_detector import RestartDetector
+
+__all__ = ['HostedRequests', 'RequestContext']
+
+
+@dataclasses.dataclass(frozen=True)
+class RequestContext:
+    """
+    Components of a daemon that the processing of requests uses.
+
+    :param settings: settings of this host.
+    :param state: configuration in force.
+    :param tracker: state of the backend servers.
+    :param pool: pool of connections to backend servers.
+    :param dialect: names and formats of headers.
+    :param traffic: selection of the version that serves a request.
+    :param restart_detector: is notified of answers of backend servers.
+    :param metrics: receives counters and latencies.
+    :param random: generator for random choices and jitter.
+    :param is_usage_shared: returns whether the engine use of the other
+        daemons is known.
+    :param count_daemons: returns the number of live daemons.
+    :param store_calls_by_kind: number of calls to the store, for metrics.
+    """
+
+    settings: HostedSettings
+    state: GatewayState
+    tracker: ServerTracker
+    pool: ConnectionPool
+    dialect: PlatformDialect
+    traffic: HostedTraffic
+    restart_detector: RestartDetector
+    metrics: PrometheusMetrics
+    random: Random
+    is_usage_shared: Callable[[], bool]
+    count_daemons: Callable[[], int]
+    store_calls_by_kind: Mapping[str, int]
+
+
+class HostedRequests:
+    """
+    Builds the application that serves callers.
+
+    :param context: components of the daemon.
+    """
+
+    def __init__(self, context: RequestContext) -> None:
+        self._context = context
+
+    def make_app(self) -> Any:
+        """Return the ASGI application for callers."""
+        context = self._context
+        servers = ServiceServers(
+            context.tracker,
+            context.traffic.service_split,
+            self._record_call,
+            context.random,
+        )
+        sender = ForwardSender(
+            context.pool, context.dialect, servers, self._process_answer_head
+        )
+        allowance = self._make_allowance()
+        components = ForwardComponents(
+            context.dialect,
+            self._make_generations(allowance),
+            IdempotentCalls(sender, servers, allowance),
+            AtMostOnceCalls(sender, servers),
+            context.random,
+            context.metrics,
+        )
+        return make_forward_app(ForwardResource(context.state, components))
+
+    def _make_allowance(self) -> FleetRetryAllowance:
+        bounds = self._context.settings.bounds
+        return FleetRetryAllowance(
+            RetryBounds(
+                bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
+            ),
+            self._context.count_daemons,
+        )
+
+    def _make_generations(
+        self, allowance: FleetRetryAllowance
+    ) -> GenerationsController:
+        context = self._context
+        generations = GenerationsController(
+            context.settings.name,
+            context.settings.failure_domain,
+            context.tracker,
+            ForwardStreamClient(
+                context.pool,
+                context.dialect,
+                self._process_answer_head,
+                context.restart_detector.record_activity,
+            ),
+            LocalDirectory(LocationTable()),
+            context.metrics,
+            context.random,
+        )
+        generations.keeps_copies = self._keeps_copies
+        generations.is_usage_shared = context.is_usage_shared
+        generations.observer.on_attempt_observed = (
+            context.traffic.record_attempt
+        )
+        generations.pick_version = context.traffic.pick_version
+        generations.resume_version = context.traffic.resume_version
+        generations.allowance = allowance
+        return generations
+
+    def _keeps_copies(self, model: str) -> bool:
+        document = self._context.state.document
+        service = document.services.get(model) if document else None
+        engine = service.engine if service else None
+        return engine is not None and engine.keeps_copies
+
+    def _record_call(self, result: CallResult) -> None:
+        """Record a finished call and update the counts of store calls."""
+        context = self._context
+        context.traffic.record_call(result)
+        outcome = 'failed' if result.is_failed else 'good'
+        context.metrics.incr(f'sends.{outcome}')
+        for kind, count in context.store_calls_by_kind.items():
+            context.metrics.gauge(f'store.{kind}', count)
+
+    def _process_answer_head(self, server: str, head: AnswerHead) -> None:
+        context = self._context
+        if context.dialect.is_misdirected(head):
+            context.restart_detector.handle_other_server(server)
+        else:
+            context.restart_detector.record_activity(server)
+        load = context.dialect.load(head)
+        if load is not None:
+            now_s = asyncio.get_running_loop().time()
+            running = load.running + load.waiting
+            context.tracker.reported(server, LoadReport(running, '', now_s))
--- a/bronzesill/daemon/hosted_store_state.py
+++ b/bronzesill/daemon/hosted_store_state.py
@@ -8,13 +8,8 @@
 
 from ..config import BackendServer, Document, RegisteredServer
 from ..gateway import GatewayState
-from ..platform import (
-    CONFIGURATION_KEY,
-    SERVER_PREFIX,
-    decode_document,
-    decode_server,
-    server_name,
-)
+from ..platform.documents import CONFIGURATION_KEY, decode_document
+from ..platform.servers import SERVER_PREFIX, decode_server, server_name
 from ..replica import MergeResult, Replica, merge, merge_snapshot
 from ..routing import ServerListing, ServerRestart, ServerTracker
 from ..store import Snapshot, StoredEntry
--- a/bronzesill/daemon/tests/test_hosted_moves.py
+++ b/bronzesill/daemon/tests/test_hosted_moves.py
@@ -7,12 +7,8 @@
 import orjson
 
 from ...moves import OrderStatus
-from ...platform import (
-    ORDER_PREFIX,
-    PlatformStore,
-    decode_status,
-    status_key,
-)
+from ...platform.rollouts import ORDER_PREFIX, decode_status, status_key
+from ...platform.store import PlatformStore
 from ...standins.hosted_fleet import HostedFleet, HostedPlan
 from ...standins.worker import WorkerPlan
 from ...store import Mutation
--- a/bronzesill/daemon/tests/test_program_modules.py
+++ b/bronzesill/daemon/tests/test_program_modules.py
@@ -9,7 +9,7 @@
 import sys
 import unittest
 
-_PROGRAM = 'bronzesill.daemon.hosted_main'
+_PROGRAM = 'bronzesill.daemon.hosted_program'
 #: Upper bounds on the number of modules; raise them only with a reason.
 _MAX_OWN_MODULES = 135
 _MAX_MODULES = 620
--- a/bronzesill/daemon/usage_exchange.py
+++ b/bronzesill/daemon/usage_exchange.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import time
 from collections.abc import Callable
 
@@ -22,6 +23,8 @@
 #: Validity of a report in report intervals; some datagrams may be lost.
 _VALID_INTERVALS = 3
 _MS_PER_S = 1000
+#: Time after the start within which the reports of the peers arrive.
+_SETTLING_S = 2.0
 
 
 class DatagramRouter:
@@ -71,6 +74,7 @@
         self._sequence = int(time.time() * _MS_PER_S)
         self._changed = asyncio.Event()
         self._was_empty = False
+        self._started_at_s = math.inf
         #: Called with each reported server restart; set by the daemon.
         self.on_restart: Callable[[ServerRestart], None] = _ignore
         tracker.on_use_changed = self._changed.set
@@ -82,12 +86,18 @@
         Changes within ``_MIN_CHANGE_INTERVAL_S`` seconds share a report.  An
         empty report is sent once and not repeated.
         """
+        self._started_at_s = asyncio.get_running_loop().time()
         while True:
             await self._wait_for_change()
             self._changed.clear()
             self._report()
             await asyncio.sleep(_MIN_CHANGE_INTERVAL_S)
 
+    def is_settled(self) -> bool:
+        """Return whether the use of the other daemons is known."""
+        now_s = asyncio.get_running_loop().time()
+        return now_s - self._started_at_s >= _SETTLING_S
+
     def handle_report(self, message: object) -> None:
         """Apply a usage report of another daemon."""
         if isinstance(message, UseReport):
--- a/bronzesill/gateway/forwarding.py
+++ b/bronzesill/gateway/forwarding.py
@@ -138,6 +138,7 @@
         if self._state.is_stopping:
             resp.set_header('Connection', _CLOSE)
         started_s = asyncio.get_running_loop().time()
+        await self._state.wait_until_started()
         exchange = await run_filters(
             self._filters, self._state.new_exchange(req)
         )
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -92,8 +92,8 @@
         self.resume_version: Callable[[str, str], str] = _same_version
         #: Retry budget for attempts after the first, or None for no limit.
         self.allowance: RetryAllowance | None = None
-        #: Whether daemons exchange their current engine usage immediately.
-        self.is_usage_shared = False
+        #: Returns whether the engine use of the other daemons is known now.
+        self.is_usage_shared: Callable[[], bool] = _never
         #: Returns whether the engines of a model keep copies of runs.
         self.keeps_copies: Callable[[str], bool] = _no_copies
         self.tasks_by_key: dict[str, GenerationTask] = {}
@@ -295,7 +295,7 @@
             home_domain=self._failure_domain,
             is_resume=action.is_resume,
             copy_holder=action.copy_holder,
-            is_usage_shared=self.is_usage_shared,
+            is_usage_shared=self.is_usage_shared(),
         )
         now_s = asyncio.get_running_loop().time()
         views = self._tracker.views(now_s)
@@ -336,6 +336,10 @@
     return False
 
 
+def _never() -> bool:
+    return False
+
+
 def _request_id_conflict() -> BronzesillError:
     return BronzesillError(
         ResultCode.REQUEST_ID_CONFLICT,
--- a/bronzesill/platform/listen_addresses.py
+++ b/bronzesill/platform/listen_addresses.py
@@ -25,12 +25,24 @@
         reports why.
     """
     try:
-        raw = json.loads(path.read_bytes())
+        return _decode(path.read_bytes())
+    except (OSError, ValueError):
+        return ()
+
+
+def _decode(text: bytes) -> tuple[tuple[str, int], ...]:
+    """
+    Return the addresses of the file's content.
+
+    :raises ValueError: a field is missing or of another type.
+    """
+    raw = json.loads(text)
+    try:
         listen = raw['listen']
         peer_address = (str(raw['ip']), int(raw['portRange'][0]))
-        callers = tuple(_parse(listen[field]) for field in _LISTEN_FIELDS)
-    except (OSError, ValueError, TypeError, LookupError):
-        return ()
+        callers = tuple(_parse(str(listen[field])) for field in _LISTEN_FIELDS)
+    except (LookupError, TypeError) as error:
+        raise ValueError(f'settings without {error}') from error
     return (*callers, peer_address)
 
 
--- a/bronzesill/platform/settings.py
+++ b/bronzesill/platform/settings.py
@@ -12,10 +12,7 @@
 from ..config import FleetBounds, HostedSettings
 from ..utils import Address, DocumentInvalid
 
-__all__ = ['SETTINGS_VARIABLE', 'decode_settings', 'read_settings']
-
-#: Environment variable that holds the path of the settings file.
-SETTINGS_VARIABLE = 'BRONZESILL_SETTINGS'
+__all__ = ['decode_settings', 'read_settings']
 
 _MS_PER_S = 1000
 #: TCP port for metrics; the deploy file names the same port.
--- a/bronzesill/routing/choose.py
+++ b/bronzesill/routing/choose.py
@@ -168,6 +168,10 @@
         len(eligible) if requirements.is_usage_shared else min(2, len(eligible))
     )
     sampled = random.sample(eligible, count)
+    if not requirements.is_usage_shared:
+        # Daemons that do not see each other's streams would all meet in the
+        # domain with the lowest cost.
+        return min(sampled, key=lambda view: _cost(view, requirements))
     return min(
         sampled, key=lambda view: _cost(view, requirements) + domains.cost(view)
     )
--- a/bronzesill/standins/fleet.py
+++ b/bronzesill/standins/fleet.py
@@ -16,7 +16,7 @@
 from ..config.repository import ConfigChange, ConfigRepository
 from ..config.settings import DaemonSettings
 from ..daemon.core import Daemon
-from ..platform import PlatformStore
+from ..platform.store import PlatformStore
 from ..utils import Address, hash_secret
 from .batch import EngineProfile
 from .engine import EngineStandIn
--- a/bronzesill/standins/hosted_fleet.py
+++ b/bronzesill/standins/hosted_fleet.py
@@ -12,7 +12,8 @@
 
 from ..config import FleetBounds, HostedSettings
 from ..daemon.hosted import HostedDaemon
-from ..platform import CONFIGURATION_KEY, PlatformStore
+from ..platform.documents import CONFIGURATION_KEY
+from ..platform.store import PlatformStore
 from ..store import Mutation
 from ..utils import Address
 from .fleet import free_address
--- a/bronzesill/standins/tests/test_standins.py
+++ b/bronzesill/standins/tests/test_standins.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from ...platform import PlatformStore
+from ...platform.store import PlatformStore
 from ...store import Mutation
 from ...utils import Address, BronzesillError, ResultCode
 from ..batch import EngineProfile
--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -16,7 +16,8 @@
 from falcon import asgi
 
 from ..gateway import ReceiveBufferMiddleware, read_body, watch_disconnect
-from ..platform import SERVER_PREFIX, PlatformStore
+from ..platform.servers import SERVER_PREFIX
+from ..platform.store import PlatformStore
 from ..store import Mutation
 from ..utils import Address, BronzesillError, stable_hash
 from .http_standin import HttpStandIn
--- a/bronzesill/utils/serving.py
+++ b/bronzesill/utils/serving.py
@@ -217,6 +217,7 @@
     :param make_app: builds the ASGI application when the server is started.
     :param address: address to listen on; port 0 selects a free port.
     :param get_limits: returns the current limits of connections.
+    :param listener: socket that is bound to the address already.
     """
 
     def __init__(
@@ -224,13 +225,9 @@
         make_app: Callable[[], Any],
         address: Address,
         get_limits: Callable[[], ServingLimits] = ServingLimits,
+        listener: socket.socket | None = None,
     ) -> None:
-        # asyncio disables Nagle's algorithm only if the protocol is given.
-        self._socket = socket.socket(
-            socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
-        )
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.bind((address.ip, address.port))
+        self._socket = listener or _bind(address)
         self.address = Address(address.ip, self._socket.getsockname()[1])
         self._make_app = make_app
         self._get_limits = get_limits
@@ -274,6 +271,16 @@
         self._socket.close()
 
 
+def _bind(address: Address) -> socket.socket:
+    # asyncio disables Nagle's algorithm only if the protocol is given.
+    listener = socket.socket(
+        socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
+    )
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((address.ip, address.port))
+    return listener
+
+
 def _uvicorn_config(
     app: Any, get_limits: Callable[[], ServingLimits]
 ) -> uvicorn.Config:
--- a/bronzesill/wire/peers.py
+++ b/bronzesill/wire/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import AsyncIterator
 from typing import Any, Protocol
 
@@ -88,6 +89,7 @@
     :param registry: registered message types.
     :param handler: handles the requests.
     :param counters: counters of traffic and dropped frames.
+    :param listener: socket that is bound to the address already.
     """
 
     def __init__(
@@ -96,8 +98,10 @@
         registry: MessageRegistry,
         handler: PeerHandler,
         counters: WireCounters,
+        listener: socket.socket | None = None,
     ) -> None:
         self._address = address
+        self._listener = listener
         self._registry = registry
         self._handler = handler
         self._counters = counters
@@ -106,9 +110,14 @@
 
     async def start(self) -> Address:
         """Start listening and return the address with the actual port."""
-        self._server = await asyncio.start_server(
-            self._accept, self._address.ip, self._address.port
-        )
+        if self._listener is None:
+            self._server = await asyncio.start_server(
+                self._accept, self._address.ip, self._address.port
+            )
+        else:
+            self._server = await asyncio.start_server(
+                self._accept, sock=self._listener
+            )
         port = self._server.sockets[0].getsockname()[1]
         return Address(self._address.ip, port)
 
