Collect reports of use at one daemon a failure domain, and wake hosts less often

Cause: each daemon sent its use of the servers to every other one at each change, and each receiver copied and summed all reports: with 59 hosts 41 datagrams a second and host, growing with the square of the fleet.

Weighed: (a) sums passed on from domain to domain: messages still go to all hosts; (b) slots of a server granted by an owner: exact, but a question and a failure path for each stream; (c) reports go to one collector a failure domain, and a daemon asks the nearest one when it chooses a server. (c): messages grow with streams, not with hosts, and a lost collector costs one wait of 60 ms. Fleets up to 16 daemons report to all, as before. Failures and restarts of servers go to all, once.

Change: that, plus: an HTTP server waits for its end instead of ticking; hosts that do not follow the store look every 0.4 s whether they must; servers are checked for restarts every 0.12 s only after failures.

--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -19,11 +19,10 @@
     FollowPolicy,
     StoreFollower,
 )
-from ..routing import ServerTracker, UseReport
+from ..routing import FetchUse, ServerTracker, UseReport
 from ..store import StoredEntry
 from ..upstream import ConnectionPool
 from ..utils import (
-    Address,
     HttpServer,
     PartLogger,
     PrometheusMetrics,
@@ -100,7 +99,9 @@
             settings.name,
             self._tracker,
             self._peers.socket,
-            self._peer_addresses,
+            self._peers.client,
+            self._fleet.live_peers,
+            self._fleet.collectors,
         )
         self._peers.datagram_router.handlers_by_type[UseReport] = (
             self._usage_exchange.handle_report
@@ -126,6 +127,9 @@
             settings.bounds.reuse_s,
         )
         self._usage_exchange.on_restart = self._store_state.record_restart
+        self._peers.handlers_by_type[FetchUse] = (
+            self._usage_exchange.answer_fetch
+        )
         self._peers.handlers_by_type[FetchReplica] = (
             self._peer_replication.handle_fetch
         )
@@ -145,7 +149,7 @@
                 self._restart_detector,
                 metrics,
                 self._random,
-                self._usage_exchange.is_settled,
+                self._usage_exchange,
                 lambda: self.known_peers + 1,
                 self._store.calls_by_kind,
             )
@@ -281,9 +285,6 @@
         self._pool.close()
         self._store.close()
 
-    def _peer_addresses(self) -> tuple[Address, ...]:
-        return tuple(member.peers for member in self._fleet.live_peers())
-
     def _apply_store_changes(self, entries: tuple[StoredEntry, ...]) -> None:
         self._moves.apply_store_changes(entries, self._store_state.replica)
 
--- a/bronzesill/daemon/hosted_fleet.py
+++ b/bronzesill/daemon/hosted_fleet.py
@@ -12,6 +12,7 @@
     FactKind,
     Member,
     MembershipController,
+    choose_collectors,
     choose_watchers,
 )
 from ..platform.servers import HOST_PREFIX
@@ -137,6 +138,21 @@
             return ()
         return watchers
 
+    def collectors(self) -> tuple[Member, ...]:
+        """
+        Return the daemons that collect reports of use, nearest first.
+
+        The result is empty if all daemons receive all reports.
+        """
+        own_domain = self._membership.own.failure_domain
+        collectors = choose_collectors(self._membership.view)
+        return tuple(
+            sorted(
+                collectors,
+                key=lambda member: member.failure_domain != own_domain,
+            )
+        )
+
     def live_peers(self) -> tuple[Member, ...]:
         """Return the other daemons that are alive."""
         own = self._membership.own
--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -35,6 +35,7 @@
 from ..utils import PrometheusMetrics
 from .hosted_moves import HostedTraffic
 from .restart_detector import RestartDetector
+from .usage_exchange import UsageExchange
 
 __all__ = ['HostedRequests', 'RequestContext']
 
@@ -53,8 +54,7 @@
     :param restart_detector: is notified of answers of backend servers.
     :param metrics: receives counters and latencies.
     :param random: generator for random choices and jitter.
-    :param is_usage_shared: returns whether the engine use of the other
-        daemons is known.
+    :param usage_exchange: engine use of the other daemons.
     :param count_daemons: returns the number of live daemons.
     :param store_calls_by_kind: number of calls to the store, for metrics.
     """
@@ -68,7 +68,7 @@
     restart_detector: RestartDetector
     metrics: PrometheusMetrics
     random: Random
-    is_usage_shared: Callable[[], bool]
+    usage_exchange: UsageExchange
     count_daemons: Callable[[], int]
     store_calls_by_kind: Mapping[str, int]
 
@@ -134,7 +134,8 @@
             context.random,
         )
         generations.keeps_copies = self._keeps_copies
-        generations.is_usage_shared = context.is_usage_shared
+        generations.is_usage_shared = context.usage_exchange.is_settled
+        generations.refresh_usage = context.usage_exchange.refresh
         generations.observer.on_attempt_observed = (
             context.traffic.record_attempt
         )
--- a/bronzesill/daemon/peer_messages.py
+++ b/bronzesill/daemon/peer_messages.py
@@ -16,7 +16,7 @@
 )
 from ..moves import MoveReport, MoveReportReply
 from ..replica import FetchReplica, ReplicaAnswer
-from ..routing import UseReport
+from ..routing import FetchUse, UseReport
 from ..wire import MessageRegistry
 
 __all__ = ['Refusal', 'make_registry']
@@ -48,6 +48,7 @@
         60: UseReport,
         61: FetchReplica,
         62: ReplicaAnswer,
+        63: FetchUse,
         99: Refusal,
     }
 )
--- a/bronzesill/daemon/restart_detector.py
+++ b/bronzesill/daemon/restart_detector.py
@@ -19,6 +19,8 @@
 __all__ = ['RestartDetector']
 
 _CHECK_INTERVAL_S = 0.12
+#: Interval while no server failed; must reveal pauses of the process.
+_IDLE_CHECK_INTERVAL_S = 0.3
 _PROBE_TIMEOUT_S = 0.5
 _FAILURE_WINDOW_S = 2.0
 _HTTP_OK = 200
@@ -75,14 +77,21 @@
         """Probe the addresses of failed servers until cancelled."""
         async with asyncio.TaskGroup() as group:
             while True:
-                await asyncio.sleep(_CHECK_INTERVAL_S)
+                await asyncio.sleep(self._check_interval_s())
                 self._activity = self._activity.with_check(_now_s())
                 for server in self._probe_candidates():
                     group.create_task(self._probe(server))
 
-    def _probe_candidates(self) -> tuple[str, ...]:
+    def _check_interval_s(self) -> float:
+        has_failures = bool(self._recently_failed())
+        return _CHECK_INTERVAL_S if has_failures else _IDLE_CHECK_INTERVAL_S
+
+    def _recently_failed(self) -> tuple[str, ...]:
         now_s = asyncio.get_running_loop().time()
-        failed = self._tracker.failed_since(now_s - _FAILURE_WINDOW_S)
+        return self._tracker.failed_since(now_s - _FAILURE_WINDOW_S)
+
+    def _probe_candidates(self) -> tuple[str, ...]:
+        failed = self._recently_failed()
         candidates = self._activity.restart_candidates(failed, _now_s())
         return tuple(
             server for server in candidates if server not in self._probing
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -5,7 +5,7 @@
 import asyncio
 import dataclasses
 import uuid
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 from typing import TypeAlias
 
@@ -92,6 +92,8 @@
         self.resume_version: Callable[[str, str], str] = _same_version
         #: Retry budget for attempts after the first, or None for no limit.
         self.allowance: RetryAllowance | None = None
+        #: Brings the engine use of the other daemons up to date.
+        self.refresh_usage: Callable[[], Awaitable[None]] = _do_nothing
         #: Returns whether the engine use of the other daemons is known now.
         self.is_usage_shared: Callable[[], bool] = _never
         #: Returns whether the engines of a model keep copies of runs.
@@ -216,6 +218,7 @@
             version = self.resume_version(request.model, request.version)
             request = dataclasses.replace(request, version=version)
             generation.request = request
+        await self.refresh_usage()
         choice = self._choose_servers(request, action)
         if choice is None or not self._may_send(generation):
             return Placement(NoServer(), request)
@@ -336,6 +339,10 @@
     return False
 
 
+async def _do_nothing() -> None:
+    """Leave the use as it is known."""
+
+
 def _never() -> bool:
     return False
 
--- a/bronzesill/membership/__init__.py
+++ b/bronzesill/membership/__init__.py
@@ -22,7 +22,13 @@
     PingRequest,
     View,
 )
-from .roles import choose_entries, choose_replicas, choose_watchers, is_watcher
+from .roles import (
+    choose_collectors,
+    choose_entries,
+    choose_replicas,
+    choose_watchers,
+    is_watcher,
+)
 from .state import GossipPolicy, GossipState, Step
 from .view import FleetView
 
@@ -51,6 +57,7 @@
     'View',
     'ViewFetched',
     'ViewUpdated',
+    'choose_collectors',
     'choose_entries',
     'choose_replicas',
     'choose_watchers',
--- a/bronzesill/membership/roles.py
+++ b/bronzesill/membership/roles.py
@@ -8,12 +8,20 @@
 from .members import Member
 from .view import FleetView
 
-__all__ = ['choose_entries', 'choose_replicas', 'choose_watchers', 'is_watcher']
+__all__ = [
+    'choose_collectors',
+    'choose_entries',
+    'choose_replicas',
+    'choose_watchers',
+    'is_watcher',
+]
 
 _REPLICA_COUNT = 2
 _MIN_WATCHERS = 2
 _DAEMONS_PER_WATCHER = 16
 _MIN_WATCHER_LINK_MBPS = 20
+#: Up to this many daemons each one reports to all others directly.
+_MAX_DIRECT_DAEMONS = 16
 
 
 def choose_entries(
@@ -92,18 +100,29 @@
     :param view: current view of the fleet.
     :param failure_domain: name of the failure domain.
     """
-    members_by_name = {
-        member.name: member
-        for member in view.members_by_name.values()
-        if member.is_alive and member.failure_domain == failure_domain
-    }
-    members = members_by_name.values()
+    members = _live_members(view, failure_domain)
     count = max(_MIN_WATCHERS, math.ceil(len(members) / _DAEMONS_PER_WATCHER))
-    fast = [member for member in members if not _has_slow_link(member)]
-    candidates = fast if len(fast) >= count else members
-    names = tuple(member.name for member in candidates)
-    ranked = rank_by_rendezvous('watch', names)
-    return tuple(members_by_name[name] for name in ranked[:count])
+    return _rank_by_link('watch', members, count)[:count]
+
+
+def choose_collectors(view: FleetView) -> tuple[Member, ...]:
+    """
+    Select the daemons that collect the reports of use, one a failure domain.
+
+    :param view: current view of the fleet.
+    :returns: the daemons; empty in a small fleet, where all receive all
+        reports.
+    """
+    live = [
+        member for member in view.members_by_name.values() if member.is_alive
+    ]
+    if len(live) <= _MAX_DIRECT_DAEMONS:
+        return ()
+    domains = sorted({member.failure_domain for member in live})
+    return tuple(
+        _rank_by_link('use', _live_members(view, domain), 1)[0]
+        for domain in domains
+    )
 
 
 def is_watcher(view: FleetView, own: Member) -> bool:
@@ -117,5 +136,30 @@
     return any(member.name == own.name for member in watchers)
 
 
+def _live_members(view: FleetView, failure_domain: str) -> tuple[Member, ...]:
+    return tuple(
+        member
+        for member in view.members_by_name.values()
+        if member.is_alive and member.failure_domain == failure_domain
+    )
+
+
+def _rank_by_link(
+    key: str, members: tuple[Member, ...], count: int
+) -> tuple[Member, ...]:
+    """
+    Rank daemons by rendezvous hashing, without slow links if possible.
+
+    :param key: key of the role.
+    :param members: daemons of one failure domain.
+    :param count: number of daemons that the role needs.
+    """
+    fast = tuple(member for member in members if not _has_slow_link(member))
+    candidates = fast if len(fast) >= count else members
+    members_by_name = {member.name: member for member in candidates}
+    ranked = rank_by_rendezvous(key, tuple(members_by_name))
+    return tuple(members_by_name[name] for name in ranked)
+
+
 def _has_slow_link(member: Member) -> bool:
     return 0 < member.link_mbps < _MIN_WATCHER_LINK_MBPS
--- a/bronzesill/replica/follower.py
+++ b/bronzesill/replica/follower.py
@@ -18,7 +18,7 @@
 #: A silent service ends a poll this long after its waiting time.  Together
 #: with the longest pause it bounds the delay of changes after an outage.
 _RESPONSE_TIMEOUT_S = 1.0
-_IDLE_POLL_INTERVAL_S = 0.1
+_IDLE_POLL_INTERVAL_S = 0.4
 _MIN_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 1.0
 
--- a/bronzesill/routing/__init__.py
+++ b/bronzesill/routing/__init__.py
@@ -9,11 +9,21 @@
 from .records import LoadReport, ServerRecord
 from .restarts import LastActivity
 from .server_tracker import ServerTracker
-from .use_reports import FleetUse, ServerRestart, ServerUse, UseReport
+from .use_reports import (
+    FetchUse,
+    FleetUse,
+    ServerRestart,
+    ServerUse,
+    SharedNews,
+    UseReport,
+    news_of,
+)
+from .use_sharing import SharingPeers, choose_recipients
 from .versions import TrafficSplit, pick_version
 from .views import ServerView
 
 __all__ = [
+    'FetchUse',
     'FleetUse',
     'LastActivity',
     'LoadReport',
@@ -24,9 +34,13 @@
     'ServerTracker',
     'ServerUse',
     'ServerView',
+    'SharedNews',
+    'SharingPeers',
     'TrafficSplit',
     'UseReport',
     'choose_copy_holder',
+    'choose_recipients',
     'choose_server',
+    'news_of',
     'pick_version',
 ]
--- a/bronzesill/routing/server_tracker.py
+++ b/bronzesill/routing/server_tracker.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+import dataclasses
 import statistics
 from collections.abc import Callable, Mapping
 
 from ..config import BackendServer
 from .domains import DomainFailures
 from .records import LoadReport, ServerRecord
-from .use_reports import FleetUse, ServerRestart, ServerUse, UseReport
+from .use_reports import (
+    FleetUse,
+    ServerRestart,
+    ServerUse,
+    UseReport,
+    news_of,
+)
 from .views import ServerView
 
 __all__ = ['ServerTracker']
@@ -35,7 +42,8 @@
         #: Restarted servers that are not listed yet.
         self.restarts: tuple[ServerRestart, ...] = ()
         self._domains = DomainFailures()
-        self._fleet_use = FleetUse()
+        #: Reports of the other daemons.
+        self.fleet_use = FleetUse()
         self._started_at_s_by_group: Mapping[str, float] = {}
         #: Called after a change of this daemon's use of model engines.
         self.on_use_changed: Callable[[], object] = _do_nothing
@@ -150,6 +158,27 @@
         failed = self.failed_since(now_s - _FAILURE_REPORT_WINDOW_S)
         return UseReport(daemon, sequence, uses, failed, self.restarts, valid_s)
 
+    def build_totals(
+        self, report: UseReport, requester: str, now_s: float
+    ) -> UseReport:
+        """
+        Return a report extended by what the other daemons reported.
+
+        :param report: report of this daemon.
+        :param requester: daemon whose own use is left out.
+        :param now_s: current time in seconds.
+        """
+        totals = self.fleet_use.totals_by_server(now_s, requester)
+        for use in report.uses:
+            totals[use.server] = use.plus(totals.get(use.server))
+        news = news_of(report).joined(self.fleet_use.recent_news(now_s))
+        return dataclasses.replace(
+            report,
+            uses=tuple(totals.values()),
+            failed=tuple(sorted(news.failed)),
+            restarts=tuple(news.restarts),
+        )
+
     def failed_since(self, since_s: float) -> tuple[str, ...]:
         """Return the servers that failed to respond after a given time."""
         return tuple(
@@ -168,9 +197,9 @@
         :param report: report of the other daemon.
         :param now_s: current time in seconds.
         """
-        previous_use = self._fleet_use
-        self._fleet_use = previous_use.with_report(report, now_s)
-        if self._fleet_use is previous_use:
+        previous_use = self.fleet_use
+        self.fleet_use = previous_use.with_report(report, now_s)
+        if self.fleet_use is previous_use:
             return
         already_reported = previous_use.reported_failures(report.daemon, now_s)
         for name in report.failed:
@@ -179,7 +208,7 @@
 
     def views(self, now_s: float) -> tuple[ServerView, ...]:
         """Return views of all candidate servers for server selection."""
-        use_by_server = self._fleet_use.totals_by_server(now_s)
+        use_by_server = self.fleet_use.totals_by_server(now_s)
         return tuple(
             self._view(name, now_s, use_by_server.get(name))
             for name in self._servers_by_name
--- a/bronzesill/routing/use_reports.py
+++ b/bronzesill/routing/use_reports.py
@@ -4,9 +4,19 @@
 from collections.abc import Mapping
 from dataclasses import field
 
-__all__ = ['FleetUse', 'ServerRestart', 'ServerUse', 'UseReport']
+__all__ = [
+    'FetchUse',
+    'FleetUse',
+    'ServerRestart',
+    'ServerUse',
+    'SharedNews',
+    'UseReport',
+    'news_of',
+]
 
 _DEFAULT_VALID_S = 2.0
+#: Failures are reported, and known to all, for this long.
+_NEWS_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -26,6 +36,17 @@
     prefilling: int
     tokens: int = 0
 
+    def plus(self, other: 'ServerUse | None') -> 'ServerUse':
+        """Return the use of the same server by this and another part."""
+        if other is None:
+            return self
+        return ServerUse(
+            self.server,
+            self.running + other.running,
+            self.prefilling + other.prefilling,
+            self.tokens + other.tokens,
+        )
+
 
 @dataclasses.dataclass(frozen=True)
 class ServerRestart:
@@ -66,6 +87,54 @@
         return not (self.uses or self.failed or self.restarts)
 
 
+@dataclasses.dataclass(frozen=True)
+class SharedNews:
+    """
+    Failures and restarts of servers.
+
+    :param failed: servers that recently did not respond.
+    :param restarts: restarted servers that are not listed yet.
+    """
+
+    failed: frozenset[str] = frozenset()
+    restarts: frozenset[ServerRestart] = frozenset()
+
+    def without(self, known: 'SharedNews') -> 'SharedNews':
+        """Return what another one does not contain."""
+        return SharedNews(
+            self.failed - known.failed, self.restarts - known.restarts
+        )
+
+    def joined(self, other: 'SharedNews') -> 'SharedNews':
+        """Return what this one or another one contains."""
+        return SharedNews(
+            self.failed | other.failed, self.restarts | other.restarts
+        )
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is neither a failure nor a restart."""
+        return not (self.failed or self.restarts)
+
+
+def news_of(report: UseReport) -> 'SharedNews':
+    """Return the failures and restarts that a report contains."""
+    return SharedNews(frozenset(report.failed), frozenset(report.restarts))
+
+
+@dataclasses.dataclass(frozen=True)
+class FetchUse:
+    """
+    Request for the use of all servers by all daemons but the requester.
+
+    The reply is a :class:`UseReport` in the name of the daemon that answers.
+
+    :param daemon: name of the requesting daemon.
+    """
+
+    daemon: str
+
+
 @dataclasses.dataclass(frozen=True)
 class _ReceivedReport:
     report: UseReport
@@ -113,22 +182,26 @@
             return ()
         return received.report.failed
 
-    def totals_by_server(self, now_s: float) -> dict[str, ServerUse]:
-        """Return the total use by all other daemons, by server name."""
-        totals: dict[str, ServerUse] = {}
+    def recent_news(self, now_s: float) -> SharedNews:
+        """Return the failures and restarts of reports of the last second."""
+        news = SharedNews()
         for received in self.received_by_daemon.values():
-            if received.is_valid(now_s):
-                for use in received.report.uses:
-                    totals[use.server] = _sum(use, totals.get(use.server))
-        return totals
+            if now_s - received.at_s < _NEWS_S:
+                news = news.joined(news_of(received.report))
+        return news
 
+    def totals_by_server(
+        self, now_s: float, excluded_daemon: str = ''
+    ) -> dict[str, ServerUse]:
+        """
+        Return the total use by the other daemons, by server name.
 
-def _sum(use: ServerUse, other: ServerUse | None) -> ServerUse:
-    if other is None:
-        return use
-    return ServerUse(
-        use.server,
-        use.running + other.running,
-        use.prefilling + other.prefilling,
-        use.tokens + other.tokens,
-    )
+        :param now_s: current time in seconds.
+        :param excluded_daemon: daemon whose use is left out, empty for none.
+        """
+        totals: dict[str, ServerUse] = {}
+        for daemon, received in self.received_by_daemon.items():
+            if daemon != excluded_daemon and received.is_valid(now_s):
+                for use in received.report.uses:
+                    totals[use.server] = use.plus(totals.get(use.server))
+        return totals
--- a/bronzesill/utils/serving.py
+++ b/bronzesill/utils/serving.py
@@ -34,6 +34,16 @@
     def __init__(self, config: uvicorn.Config) -> None:
         super().__init__(config)
         self.listening = asyncio.Event()
+        self._exit_requested = asyncio.Event()
+
+    def request_exit(self) -> None:
+        """End :meth:`main_loop`."""
+        self.should_exit = True
+        self._exit_requested.set()
+
+    async def main_loop(self) -> None:
+        """Wait for the exit; uvicorn's own loop wakes ten times a second."""
+        await self._exit_requested.wait()
 
     async def startup(self, sockets: list[socket.socket] | None = None) -> None:
         """Open the sockets and set the event ``listening``."""
@@ -249,7 +259,7 @@
     async def stop(self) -> None:
         """Stop accepting connections and wait for running requests."""
         if self._server is not None and self._task is not None:
-            self._server.should_exit = True
+            self._server.request_exit()
             await self._task
         self._socket.close()
 
@@ -260,7 +270,7 @@
             self._socket.close()
             return
         server.force_exit = True
-        server.should_exit = True
+        server.request_exit()
         for listener in server.servers:
             listener.close()
         for connection in tuple(server.server_state.connections):
