Judge versions on rare routes, and do not commit what they cannot be judged on

Evidence is compared in steps of half a second, in which such a route sees finished requests of one version only, and a step without finished requests of the old version counts as no evidence. So the version was committed 4 s before the deadline.

--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -10,7 +10,7 @@
 
 from ..config import HostedSettings
 from ..gateway import GatewayState
-from ..moves import MoveReport
+from ..moves import ExposureLimit, MoveReport
 from ..platform.headers import PlatformDialect
 from ..platform.http_apps import make_directory_app, make_readiness_app
 from ..platform.store import ALL_KEYS, PlatformStore
@@ -118,6 +118,9 @@
             self._peers.membership,
             self._peers.client,
             self._tracker,
+            ExposureLimit(
+                settings.bounds.exposure_ratio, settings.bounds.exposure_slack
+            ),
         )
         self._restart_detector = RestartDetector(
             self._store_state,
--- a/bronzesill/daemon/hosted_moves.py
+++ b/bronzesill/daemon/hosted_moves.py
@@ -10,6 +10,7 @@
 from ..moves import (
     MOVE_PREFIX,
     Driver,
+    ExposureLimit,
     KnownMove,
     MoveOrder,
     MoveRecord,
@@ -50,6 +51,7 @@
     :param membership: this daemon's view of the fleet.
     :param client: client for requests to peers.
     :param tracker: state of the backend servers.
+    :param exposure_limit: requests that a bad version may get.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         membership: MembershipController,
         client: PeerClient,
         tracker: ServerTracker,
+        exposure_limit: ExposureLimit,
     ) -> None:
         self._store = store
         self._membership = membership
@@ -70,6 +73,7 @@
             client,
             self._find_drivers,
             membership.publish_fact,
+            exposure_limit,
         )
         self.traffic = HostedTraffic(self, tracker)
         membership.listeners.append(self._apply_view_change)
--- a/bronzesill/moves/__init__.py
+++ b/bronzesill/moves/__init__.py
@@ -7,6 +7,7 @@
 )
 from .controller import Driver, MovesController
 from .evidence import Evidence, ServerEvidence, bucket_of_s
+from .exposure import ExposureLimit
 from .facts import fact_of
 from .move_table import MoveTable
 from .order import MoveOrder, OrderStatus
@@ -32,6 +33,7 @@
     'ComparisonPolicy',
     'Driver',
     'Evidence',
+    'ExposureLimit',
     'KnownMove',
     'MoveAction',
     'MoveDecision',
--- a/bronzesill/moves/controller.py
+++ b/bronzesill/moves/controller.py
@@ -13,6 +13,7 @@
 from ..utils import Address, BronzesillError, PartLogger, ResultCode
 from ..wire import PeerClient
 from .driver import MoveDriver
+from .exposure import ExposureLimit
 from .facts import fact_of
 from .move_table import MoveTable
 from .policy import MovePlan
@@ -62,6 +63,7 @@
     :param find_drivers: returns the daemons assigned to a move, the driver
         first.
     :param publish_fact: publishes a fact to all daemons by gossip.
+    :param exposure_limit: requests that a bad version may get.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         client: PeerClient,
         find_drivers: FindDrivers,
         publish_fact: Callable[[Fact], None],
+        exposure_limit: ExposureLimit | None = None,
     ) -> None:
         self.observations = ObservationLog()
         self.move_table = MoveTable()
@@ -80,7 +83,11 @@
         self._find_drivers = find_drivers
         self._publish_fact = publish_fact
         self._driver = MoveDriver(
-            daemon_name, self._repository, self.move_table, publish_fact
+            daemon_name,
+            self._repository,
+            self.move_table,
+            publish_fact,
+            exposure_limit or ExposureLimit(),
         )
 
     async def run(self, should_reconcile: Callable[[], bool]) -> None:
--- a/bronzesill/moves/driver.py
+++ b/bronzesill/moves/driver.py
@@ -10,6 +10,7 @@
 from ..membership import Fact
 from ..utils import BronzesillError, PartLogger, ResultCode
 from .evidence import Evidence
+from .exposure import ExposureLimit
 from .facts import fact_of, rollback_fact
 from .move_table import MoveTable
 from .policy import MoveAction, MoveDecision, MoveProgress, decide
@@ -33,6 +34,7 @@
     :param repository: records in the store.
     :param move_table: moves known to this daemon.
     :param publish_fact: publishes a fact to all daemons by gossip.
+    :param exposure_limit: requests that a bad version may get.
     """
 
     def __init__(
@@ -41,7 +43,9 @@
         repository: MoveRepository,
         move_table: MoveTable,
         publish_fact: Callable[[Fact], None],
+        exposure_limit: ExposureLimit,
     ) -> None:
+        self._exposure_limit = exposure_limit
         self._daemon_name = daemon_name
         self._repository = repository
         self._move_table = move_table
@@ -68,7 +72,7 @@
         progress = self._progress_by_id.get(record.move_id)
         decision = decide(
             record,
-            progress or MoveProgress.from_record(record),
+            progress or MoveProgress.from_record(record, self._exposure_limit),
             self._evidence_by_id.pop(record.move_id, {}),
             time.time(),
         )
--- a/bronzesill/moves/policy.py
+++ b/bronzesill/moves/policy.py
@@ -11,6 +11,7 @@
     SequentialComparison,
 )
 from .evidence import Evidence
+from .exposure import Exposure, ExposureLimit
 from .record import MoveRecord, MoveState, has_ended
 
 __all__ = [
@@ -147,15 +148,26 @@
         since the epoch.
     :param plan: schedule of the stages.
     :param policy: effect sizes and thresholds of the comparisons.
+    :param pending_by_route: evidence on routes on which, since the last
+        comparison, only one of the versions finished a request.
+    :param exposure: answered requests since the move began.
+    :param exposure_limit: requests that a bad version may get.
     """
 
     comparisons_by_route: dict[str, SequentialComparison]
     share_since_s: float
     plan: MovePlan = field(default_factory=MovePlan)
     policy: ComparisonPolicy = field(default_factory=ComparisonPolicy)
+    pending_by_route: Mapping[str, Evidence] = field(default_factory=dict)
+    exposure: Exposure = field(default_factory=Exposure)
+    exposure_limit: ExposureLimit = field(default_factory=ExposureLimit)
 
     @classmethod
-    def from_record(cls, record: MoveRecord) -> 'MoveProgress':
+    def from_record(
+        cls,
+        record: MoveRecord,
+        exposure_limit: ExposureLimit | None = None,
+    ) -> 'MoveProgress':
         """
         Return the initial state of a move that this daemon starts to drive.
 
@@ -163,6 +175,7 @@
         was gathered before is not part of the record.
 
         :param record: record of the move.
+        :param exposure_limit: requests that a bad version may get.
         """
         window_s = _window_s(record)
         policy = _policy_for(window_s)
@@ -172,6 +185,7 @@
             record.changed_at_s,
             MovePlan.for_window(window_s),
             policy,
+            exposure_limit=exposure_limit or ExposureLimit(),
         )
 
     @property
@@ -206,14 +220,26 @@
         for evidence in evidence_by_route.values():
             pooled = pooled.plus(evidence)
         comparisons = dict(self.comparisons_by_route)
-        for route, counts in {**evidence_by_route, ALL_ROUTES: pooled}.items():
+        pending = dict(self.pending_by_route)
+        for route, added in {**evidence_by_route, ALL_ROUTES: pooled}.items():
+            counts = pending.pop(route, Evidence()).plus(added)
+            if not _is_comparable(counts, record):
+                pending[route] = counts
+                continue
             comparison = comparisons.get(
                 route, SequentialComparison(record.new_version, self.policy)
             )
             comparisons[route] = comparison.updated_with(
                 counts, record.old_version
             )
-        return dataclasses.replace(self, comparisons_by_route=comparisons)
+        return dataclasses.replace(
+            self,
+            comparisons_by_route=comparisons,
+            pending_by_route=pending,
+            exposure=self.exposure.updated_with(
+                evidence_by_route, record.new_version
+            ),
+        )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -284,9 +310,37 @@
         return MoveDecision(progress, MoveAction.HOLD, record.share)
     if progress.comparisons_by_route[ALL_ROUTES].is_commit_blocked:
         return _roll_back(progress, 'too doubtful to commit')
+    unproved = _unproved_routes(record, progress, now_s)
+    if unproved:
+        routes = ', '.join(unproved)
+        return _roll_back(progress, f'too few answers on {routes}')
     return MoveDecision(progress, MoveAction.COMMIT, 1, reason)
 
 
+def _is_comparable(evidence: Evidence, record: MoveRecord) -> bool:
+    """Return whether both versions finished requests."""
+    return all(
+        any(server.requests for server in evidence.of_version(version).values())
+        for version in (record.old_version, record.new_version)
+    )
+
+
+def _unproved_routes(
+    record: MoveRecord, progress: MoveProgress, now_s: float
+) -> tuple[str, ...]:
+    """
+    Return routes without a verdict, if a commit risks too many requests.
+
+    With little traffic even a bad version cannot get too many of them.
+    """
+    elapsed_s = now_s - record.created_at_s
+    remaining_s = record.deadline_at_s - now_s
+    would_exceed = progress.exposure.would_exceed(
+        progress.exposure_limit, elapsed_s, remaining_s
+    )
+    return progress.exposure.routes_without_verdict() if would_exceed else ()
+
+
 def _start_stage(
     progress: MoveProgress, index: int, now_s: float, reason: str
 ) -> MoveDecision:
