Resume a caller's stream at the engine that still holds its prompt

Weighed: records of runs and copies in the store (a write a run, read at each start) and placement by the hash of the prompt (gives up the choice by load and domain) against asking the engines: nothing is stored, nothing is spent until a caller comes back.

Change: that; a copy's holder now has to be of the model and version too.

--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -30,10 +30,12 @@
 )
 from ..limits import FleetRetryAllowance, RetryBounds
 from ..platform.headers import PlatformDialect
+from ..platform.prompts import fetch_held_parts
 from ..routing import LoadReport, ServerTracker
 from ..upstream import AnswerHead, ConnectionPool
 from ..utils import PrometheusMetrics
 from .hosted_moves import HostedTraffic
+from .prompt_finder import PromptFinder
 from .restart_detector import RestartDetector
 from .usage_exchange import UsageExchange
 
@@ -142,6 +144,8 @@
         generations.pick_version = context.traffic.pick_version
         generations.resume_version = context.traffic.resume_version
         generations.allowance = allowance
+        finder = PromptFinder(context.tracker, fetch_held_parts)
+        generations.find_prompt = finder.find
         return generations
 
     def _keeps_copies(self, model: str) -> bool:
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -92,6 +92,10 @@
         self.resume_version: Callable[[str, str], str] = _same_version
         #: Retry budget for attempts after the first, or None for no limit.
         self.allowance: RetryAllowance | None = None
+        #: Returns the engine that holds the prompt of a resumed request.
+        self.find_prompt: Callable[[GenerationRequest], Awaitable[str]] = (
+            _no_prompt
+        )
         #: Brings the engine use of the other daemons up to date.
         self.refresh_usage: Callable[[], Awaitable[None]] = _do_nothing
         #: Returns whether the engine use of the other daemons is known now.
@@ -219,7 +223,9 @@
             request = dataclasses.replace(request, version=version)
             generation.request = request
         await self.refresh_usage()
-        choice = self._choose_servers(request, action)
+        is_first = generation.state.attempt == 0
+        prompt_holder = await self.find_prompt(request) if is_first else ''
+        choice = self._choose_servers(request, action, prompt_holder)
         if choice is None or not self._may_send(generation):
             return Placement(NoServer(), request)
         chosen = Placement(choice, request)
@@ -288,7 +294,10 @@
         return Placement(event, adopted)
 
     def _choose_servers(
-        self, request: GenerationRequest, action: ChooseServer
+        self,
+        request: GenerationRequest,
+        action: ChooseServer,
+        prompt_holder: str,
     ) -> ServerChosen | None:
         requirements = Requirements(
             model=request.model,
@@ -298,6 +307,7 @@
             home_domain=self._failure_domain,
             is_resume=action.is_resume,
             copy_holder=action.copy_holder,
+            prompt_holder=prompt_holder,
             is_usage_shared=self.is_usage_shared(),
         )
         now_s = asyncio.get_running_loop().time()
@@ -339,6 +349,10 @@
     return False
 
 
+async def _no_prompt(request: GenerationRequest) -> str:
+    return ''
+
+
 async def _do_nothing() -> None:
     """Leave the use as it is known."""
 
--- a/bronzesill/platform/headers.py
+++ b/bronzesill/platform/headers.py
@@ -27,6 +27,7 @@
 _DEADLINE_MS = b'x-deadline-ms'
 _LAST_EVENT_ID = b'last-event-id'
 _TOKEN_USAGE = b'x-token-usage'
+_PROMPT_PARTS = b'x-prefix-hash'
 _AUTHORIZATION = b'authorization'
 _TENANT = b'x-tenant'
 _TARGET_INSTANCE = b'x-target-instance'
@@ -108,6 +109,9 @@
             prompt_tokens=prompt_tokens,
             max_output_tokens=output_tokens,
             key=_parse_bearer_key(text_by_name.get(_AUTHORIZATION, b'')),
+            own_prompt_part=_parse_own_part(
+                text_by_name.get(_PROMPT_PARTS, b'')
+            ),
         )
 
     def forwarded_request_headers(
@@ -249,6 +253,12 @@
     return int(prompt), int(output)
 
 
+def _parse_own_part(text: bytes) -> str:
+    # The header lists ID:TOKENS; the last part belongs to the request itself.
+    last = text.rpartition(b',')[2].strip()
+    return last.partition(b':')[0].decode('latin-1')
+
+
 def _parse_bearer_key(text: bytes) -> str:
     if not text.lower().startswith(_BEARER):
         return ''
--- a/bronzesill/routing/__init__.py
+++ b/bronzesill/routing/__init__.py
@@ -6,6 +6,7 @@
     choose_server,
 )
 from .listing import ServerListing
+from .prompts import choose_prompt_holder
 from .records import LoadReport, ServerRecord
 from .restarts import LastActivity
 from .server_tracker import ServerTracker
@@ -39,6 +40,7 @@
     'TrafficSplit',
     'UseReport',
     'choose_copy_holder',
+    'choose_prompt_holder',
     'choose_recipients',
     'choose_server',
     'news_of',
--- a/bronzesill/routing/choose.py
+++ b/bronzesill/routing/choose.py
@@ -45,6 +45,8 @@
         stream may exceed the normal load limits.
     :param copy_holder: name of the server that keeps a copy of the lost run's
         memory, empty for none.
+    :param prompt_holder: name of the server that holds the prompt, empty for
+        none.
     :param is_usage_shared: whether daemons exchange their server use
         immediately; otherwise load information is stale when it arrives.
     """
@@ -56,6 +58,7 @@
     home_domain: str = ''
     is_resume: bool = False
     copy_holder: str = ''
+    prompt_holder: str = ''
     is_usage_shared: bool = False
 
 
@@ -98,12 +101,12 @@
     Select a backend server for a stream.
 
     The order of preference is: the server that keeps a copy of the run's
-    memory, unless it is leaving or suspected; the server with affinity for the
-    prompt prefix, unless its load is well above the mean; and the server with
-    the lowest cost.  If load information is stale on arrival, the cost is
-    compared between two randomly sampled servers only ("power of two
-    choices"), which prevents many daemons from selecting the same server right
-    after it reported an idle state.
+    memory, unless it is leaving or suspected; the server that holds the
+    prompt; the server with affinity for the prompt prefix, unless its load is
+    well above the mean; and the server with the lowest cost.  If load
+    information is stale on arrival, the cost is compared between two randomly
+    sampled servers only ("power of two choices"), which prevents many daemons
+    from selecting the same server right after it reported an idle state.
 
     :param views: candidate servers known to this daemon.
     :param requirements: requirements of the stream.
@@ -116,6 +119,9 @@
     eligible = _eligible_servers(views, requirements)
     if not eligible:
         return None
+    for view in eligible:
+        if view.name == requirements.prompt_holder:
+            return view
     preferred = _find_prefix_server(eligible, requirements)
     if preferred is not None:
         return preferred
@@ -213,6 +219,8 @@
         view
         for view in views
         if view.name == requirements.copy_holder
+        and view.model == requirements.model
+        and requirements.version in {'', view.version}
         and not view.is_leaving
         and not view.is_suspected
     ]
--- a/bronzesill/upstream/request.py
+++ b/bronzesill/upstream/request.py
@@ -32,6 +32,8 @@
     :param max_output_tokens: maximum length of the answer in tokens, 0 if not
         stated.
     :param key: key of the client account, empty if there is none.
+    :param own_prompt_part: id of the part of the prompt that only this
+        request or its session contains, empty if not stated.
     """
 
     request_id: str = ''
@@ -40,6 +42,7 @@
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     key: str = ''
+    own_prompt_part: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
