End answers whose head, chunks, trailers or events have no end

Cause: servers in trouble may send bytes that are no answer until the caller closes. A connection counted bytes of the body only: heads, interim answers, chunk extensions and trailers without end were read forever, an event without end and the body of a call were kept in memory.

Change: at most 64 KiB and 16 times the body may lie outside of the body; an event is limited to 1 MiB, the body of a call to 16 MiB. The connection is closed, the answer counts as broken, its server is suspected.

--- a/bronzesill/calls/forward_sender.py
+++ b/bronzesill/calls/forward_sender.py
@@ -26,6 +26,8 @@
 #: Calls that must not be repeated use recently active connections only: the
 #: server may have closed one that was idle for longer, unnoticed here.
 _AT_MOST_ONCE_MAX_IDLE_S = 1.0
+#: An answer is kept in memory until it is complete.
+_MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
 class ForwardSender:
@@ -112,9 +114,14 @@
 
 async def _read_all(lease: ConnectionLease) -> bytes:
     chunks = []
+    size = 0
     chunk = await lease.read()
     while chunk:
         chunks.append(chunk)
+        size += len(chunk)
+        if size > _MAX_ANSWER_BYTES:
+            lease.discard()
+            raise AnswerError(f'the body exceeds {_MAX_ANSWER_BYTES} bytes')
         chunk = await lease.read()
     return b''.join(chunks)
 
--- a/bronzesill/generations/event_stream.py
+++ b/bronzesill/generations/event_stream.py
@@ -8,6 +8,7 @@
 
 _EVENT_END = b'\n\n'
 _ID_FIELD = b'id:'
+_MAX_EVENT_BYTES = 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,9 +38,15 @@
         return bool(self._pending)
 
     def feed(self, body: bytes) -> list[StreamEvent]:
-        """Append bytes and return the events completed by them."""
+        """
+        Append bytes and return the events completed by them.
+
+        :raises ValueError: an event exceeds 1 MiB.
+        """
         parts = (self._pending + body).split(_EVENT_END)
         self._pending = parts.pop()
+        if len(self._pending) > _MAX_EVENT_BYTES:
+            raise ValueError(f'event exceeds {_MAX_EVENT_BYTES} bytes')
         return [_parse_event(raw_event + _EVENT_END) for raw_event in parts]
 
 
--- a/bronzesill/upstream/connection.py
+++ b/bronzesill/upstream/connection.py
@@ -12,6 +12,11 @@
 __all__ = ['UpstreamConnection']
 
 _MAX_BUFFERED_BYTES = 256 * 1024
+#: Bytes that are not part of the body: heads, chunk sizes and trailers.  A
+#: faulty server may send them without end.
+_MAX_OVERHEAD_BYTES = 64 * 1024
+#: Small chunks have several times as many bytes of overhead as of body.
+_OVERHEAD_PER_BODY_BYTE = 16
 _FIRST_FINAL_STATUS = 200
 _BODILESS_STATUSES = frozenset((204, 304))
 
@@ -103,6 +108,7 @@
         if answer is None or answer.is_finished:
             self._fail_connection('unexpected bytes outside of an answer')
             return
+        answer.received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (
@@ -111,6 +117,9 @@
         ) as error:
             self._fail_connection(f'invalid HTTP response: {error}')
             return
+        if answer.has_excess_overhead:
+            self._fail_connection('too many bytes outside of the body')
+            return
         if answer.buffered_bytes > _MAX_BUFFERED_BYTES and self._transport:
             self._transport.pause_reading()
 
@@ -201,11 +210,22 @@
         self.has_head = False
         self.is_delimited_by_close = False
         self.buffered_bytes = 0
+        #: All bytes received since the request, and those of the body.
+        self.received_bytes = 0
+        self._body_bytes = 0
         self._is_head = is_head
         self._chunks: list[bytes] = []
         self._failure_reason = ''
         self._updated = asyncio.Event()
 
+    @property
+    def has_excess_overhead(self) -> bool:
+        """Whether more bytes than allowed are not part of the body."""
+        allowed = (
+            _MAX_OVERHEAD_BYTES + _OVERHEAD_PER_BODY_BYTE * self._body_bytes
+        )
+        return self.received_bytes - self._body_bytes > allowed
+
     def complete_head(self, status: int) -> None:
         """
         Build the head from the headers received so far.
@@ -231,6 +251,7 @@
         if self.is_finished:
             return
         self._chunks.append(body)
+        self._body_bytes += len(body)
         self.buffered_bytes += len(body)
         self._updated.set()
 
