Tell restarts of servers once, by the daemon that found them

By reading: a restart that a daemon heard of stood in its own reports until the store listed the server, was news again after a second, and was sent to all; with 195 daemons and a domain of 20 restarted servers every host told every other one.

Change: in fleets with collectors a daemon's report leaves out the restarts that others told it.

--- a/bronzesill/daemon/usage_exchange.py
+++ b/bronzesill/daemon/usage_exchange.py
@@ -19,6 +19,7 @@
     UseReport,
     choose_recipients,
     news_of,
+    without_heard_restarts,
 )
 from ..utils import Address, BronzesillError
 from ..wire import DatagramSocket, PeerClient, ReceivedMessage
@@ -95,6 +96,7 @@
         self._changed = asyncio.Event()
         self._was_empty = False
         self._sent_news = SharedNews()
+        self._heard_restarts: frozenset[ServerRestart] = frozenset()
         self._paused_until_s_by_collector: dict[Address, float] = {}
         self._started_at_s = math.inf
         #: Called with each reported server restart; set by the daemon.
@@ -123,6 +125,7 @@
         """Apply a usage report of another daemon."""
         if isinstance(message, UseReport):
             self._tracker.apply_use_report(message, _now_s())
+            self._heard_restarts |= frozenset(message.restarts)
             for restart in message.restarts:
                 self.on_restart(restart)
 
@@ -188,14 +191,19 @@
         )
 
     def _report(self) -> None:
+        # A restart that is listed by now need not be remembered.
+        self._heard_restarts &= frozenset(self._tracker.restarts)
         report = self._build_report()
+        peers = self._sharing_peers()
+        if peers.collectors:
+            report = without_heard_restarts(report, self._heard_restarts)
         if report.is_empty and self._was_empty:
             return
         self._was_empty = report.is_empty
         known = self._sent_news.joined(
             self._tracker.fleet_use.recent_news(_now_s())
         )
-        recipients = choose_recipients(report, self._sharing_peers(), known)
+        recipients = choose_recipients(report, peers, known)
         self._sent_news = news_of(report)
         for address in recipients:
             self._socket.send(address, report)
--- a/bronzesill/routing/__init__.py
+++ b/bronzesill/routing/__init__.py
@@ -19,7 +19,11 @@
     UseReport,
     news_of,
 )
-from .use_sharing import SharingPeers, choose_recipients
+from .use_sharing import (
+    SharingPeers,
+    choose_recipients,
+    without_heard_restarts,
+)
 from .versions import TrafficSplit, pick_version
 from .views import ServerView
 
@@ -45,4 +49,5 @@
     'choose_server',
     'news_of',
     'pick_version',
+    'without_heard_restarts',
 ]
--- a/bronzesill/routing/choose.py
+++ b/bronzesill/routing/choose.py
@@ -136,9 +136,7 @@
     usable = tuple(
         view
         for view in views
-        if view.model == requirements.model
-        and requirements.version in {'', view.version}
-        and not view.is_leaving
+        if _can_run(view, requirements)
         and view.name not in requirements.excluded
     )
     healthy = tuple(view for view in usable if not view.is_suspected)
@@ -154,6 +152,14 @@
     return candidates
 
 
+def _can_run(view: ServerView, requirements: Requirements) -> bool:
+    return (
+        view.model == requirements.model
+        and requirements.version in {'', view.version}
+        and not view.is_leaving
+    )
+
+
 def _cost(view: ServerView, requirements: Requirements) -> float:
     is_outside_home = bool(requirements.home_domain) and (
         view.failure_domain != requirements.home_domain
@@ -219,9 +225,7 @@
         view
         for view in views
         if view.name == requirements.copy_holder
-        and view.model == requirements.model
-        and requirements.version in {'', view.version}
-        and not view.is_leaving
+        and _can_run(view, requirements)
         and not view.is_suspected
     ]
     return holders[0] if holders else None
--- a/bronzesill/routing/tests/test_use_sharing.py
+++ b/bronzesill/routing/tests/test_use_sharing.py
@@ -15,8 +15,12 @@
 from ...utils import Address
 from ..choose import Requirements, choose_server
 from ..server_tracker import ServerTracker
-from ..use_reports import ServerUse, SharedNews, UseReport
-from ..use_sharing import SharingPeers, choose_recipients
+from ..use_reports import ServerRestart, ServerUse, SharedNews, UseReport
+from ..use_sharing import (
+    SharingPeers,
+    choose_recipients,
+    without_heard_restarts,
+)
 
 _DAEMONS = 195
 _DOMAINS = ('a', 'b', 'c', 'd', 'e')
@@ -98,6 +102,25 @@
         self.assertEqual(choose_collectors(_view(8)), ())
 
 
+class RestartsTest(unittest.TestCase):
+    """
+    A domain of servers restarts, and one daemon finds each new name.
+
+    Pattern: 20 servers of a domain are back under new names; all 195 daemons
+    hear of them.
+    """
+
+    def test_heard_restarts_are_not_told_again(self) -> None:
+        restarts = tuple(
+            ServerRestart(f's{number}', f'n{number}') for number in range(20)
+        )
+        report = UseReport('d1', 1, (), restarts=restarts)
+        told = without_heard_restarts(report, frozenset(restarts[1:]))
+        self.assertEqual(told.restarts, restarts[:1])
+        silent = without_heard_restarts(report, frozenset(restarts))
+        self.assertTrue(silent.is_empty)
+
+
 class HerdTest(unittest.TestCase):
     """Daemons that ask a collector first spread over all servers."""
 
--- a/bronzesill/routing/use_sharing.py
+++ b/bronzesill/routing/use_sharing.py
@@ -12,9 +12,9 @@
 import dataclasses
 
 from ..utils import Address
-from .use_reports import SharedNews, UseReport, news_of
+from .use_reports import ServerRestart, SharedNews, UseReport, news_of
 
-__all__ = ['SharingPeers', 'choose_recipients']
+__all__ = ['SharingPeers', 'choose_recipients', 'without_heard_restarts']
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,6 +31,24 @@
     collectors: tuple[Address, ...] = ()
 
 
+def without_heard_restarts(
+    report: UseReport, heard: frozenset[ServerRestart]
+) -> UseReport:
+    """
+    Return a report without the restarts that this daemon was told of.
+
+    All daemons are told of a restart by the one that found it; if each told
+    it again, messages would grow with the square of the fleet.
+
+    :param report: report of this daemon.
+    :param heard: restarts that other daemons reported.
+    """
+    found = tuple(
+        restart for restart in report.restarts if restart not in heard
+    )
+    return dataclasses.replace(report, restarts=found)
+
+
 def choose_recipients(
     report: UseReport, peers: SharingPeers, known: SharedNews
 ) -> tuple[Address, ...]:
