--- a/bronzesill/calls/forward_sender.py
+++ b/bronzesill/calls/forward_sender.py
@@ -105,26 +105,12 @@
             lease.discard()
             raise AnswerError('the response belongs to another request')
         self._on_head(server, head)
-        body = await _read_all(lease)
+        body = await lease.read_all(_MAX_ANSWER_BYTES)
         if self._dialect.is_not_executed(head):
             raise _not_run_error(f'{server} answered {head.status}')
         response_headers = self._dialect.forwarded_answer_headers(head)
         return CallAnswer(head.status, '', body, headers=response_headers)
 
 
-async def _read_all(lease: ConnectionLease) -> bytes:
-    chunks = []
-    size = 0
-    chunk = await lease.read()
-    while chunk:
-        chunks.append(chunk)
-        size += len(chunk)
-        if size > _MAX_ANSWER_BYTES:
-            lease.discard()
-            raise AnswerError(f'the body exceeds {_MAX_ANSWER_BYTES} bytes')
-        chunk = await lease.read()
-    return b''.join(chunks)
-
-
 def _not_run_error(detail: str) -> BronzesillError:
     return BronzesillError(ResultCode.CALL_NOT_RUN, f'not run: {detail}')
--- a/bronzesill/upstream/client.py
+++ b/bronzesill/upstream/client.py
@@ -6,7 +6,7 @@
 import dataclasses
 
 from ..utils import Address
-from .answer import AnswerError, AnswerHead, RequestNotSent
+from .answer import AnswerError, RequestNotSent
 from .pool import ConnectionLease, ConnectionPool, Target
 
 __all__ = ['HttpAnswer', 'HttpCall', 'ServiceClient']
@@ -108,20 +108,7 @@
     ) -> HttpAnswer:
         try:
             head = await lease.send(call.encode(self._target.address))
-            return await _read_answer(lease, head)
+            body = await lease.read_all(_MAX_BODY_BYTES)
+            return HttpAnswer(head.status, body)
         finally:
             lease.release()
-
-
-async def _read_answer(lease: ConnectionLease, head: AnswerHead) -> HttpAnswer:
-    chunks = []
-    size = 0
-    chunk = await lease.read()
-    while chunk:
-        chunks.append(chunk)
-        size += len(chunk)
-        if size > _MAX_BODY_BYTES:
-            lease.discard()
-            raise AnswerError(f'body exceeds {_MAX_BODY_BYTES} bytes')
-        chunk = await lease.read()
-    return HttpAnswer(head.status, b''.join(chunks))
--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -7,7 +7,7 @@
 import re
 
 from ..utils import Address
-from .answer import AnswerHead, RequestNotSent
+from .answer import AnswerError, AnswerHead, RequestNotSent
 from .connection import UpstreamConnection
 
 __all__ = ['ConnectionLease', 'ConnectionPool', 'Target']
@@ -170,6 +170,25 @@
         self._is_fully_read = not body
         return body
 
+    async def read_all(self, max_bytes: int) -> bytes:
+        """
+        Return the whole body.
+
+        :param max_bytes: limit of its size.
+        :raises AnswerError: the answer is truncated, invalid or too long.
+        """
+        chunks = []
+        size = 0
+        chunk = await self.read()
+        while chunk:
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > max_bytes:
+                self.discard()
+                raise AnswerError(f'the body exceeds {max_bytes} bytes')
+            chunk = await self.read()
+        return b''.join(chunks)
+
     def release(self) -> None:
         """
         Return the connection to the pool, or close it.
