Report a list of hosts that is no JSON as unavailable

Cause: `HttpHostList.read` let the error of a body that is no JSON through; nothing above it catches it, so the daemon of the native interface stops.

Change: any body that cannot be decoded is reported as an unavailable list.

--- a/bronzesill/platform/hosts.py
+++ b/bronzesill/platform/hosts.py
@@ -9,7 +9,6 @@
 from ..utils import (
     Address,
     BronzesillError,
-    DocumentInvalid,
     ResultCode,
     structure,
 )
@@ -38,8 +37,8 @@
         Read the current list.
 
         :raises BronzesillError: ``STORE_UNAVAILABLE`` if the service does not
-            respond or an entry lacks a field or has one of another type.
-        :raises orjson.JSONDecodeError: the body is not JSON.
+            respond, the body is not JSON, or an entry lacks a field or has
+            one of another type.
         """
         timeout = aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S)
         try:
@@ -48,7 +47,7 @@
             ) as response:
                 raw = orjson.loads(await response.read())
                 return tuple(structure(raw, list[ListedHost]))
-        except (aiohttp.ClientError, TimeoutError, DocumentInvalid) as error:
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise BronzesillError(
                 ResultCode.STORE_UNAVAILABLE,
                 f'host list could not be read: {type(error).__name__}',
