Check for restarted servers as often as before

Since an idle host checked every 0.3 s, while a gap of 0.4 s counts as a pause of the process, after which activity is ignored: on a busy host a delay of 0.1 s was enough to miss a restart.

--- a/bronzesill/daemon/restart_detector.py
+++ b/bronzesill/daemon/restart_detector.py
@@ -16,11 +16,10 @@
 )
 from .hosted_store_state import HostedStoreState
 
-__all__ = ['RestartDetector']
+__all__ = ['CHECK_INTERVAL_S', 'RestartDetector']
 
-_CHECK_INTERVAL_S = 0.12
-#: Interval while no server failed; must reveal pauses of the process.
-_IDLE_CHECK_INTERVAL_S = 0.3
+#: Well below the gap between two checks that counts as a pause of the process.
+CHECK_INTERVAL_S = 0.12
 _PROBE_TIMEOUT_S = 0.5
 _FAILURE_WINDOW_S = 2.0
 _HTTP_OK = 200
@@ -77,15 +76,11 @@
         """Probe the addresses of failed servers until cancelled."""
         async with asyncio.TaskGroup() as group:
             while True:
-                await asyncio.sleep(self._check_interval_s())
+                await asyncio.sleep(CHECK_INTERVAL_S)
                 self._activity = self._activity.with_check(_now_s())
                 for server in self._probe_candidates():
                     group.create_task(self._probe(server))
 
-    def _check_interval_s(self) -> float:
-        has_failures = bool(self._recently_failed())
-        return _CHECK_INTERVAL_S if has_failures else _IDLE_CHECK_INTERVAL_S
-
     def _recently_failed(self) -> tuple[str, ...]:
         now_s = asyncio.get_running_loop().time()
         return self._tracker.failed_since(now_s - _FAILURE_WINDOW_S)
