Test that a copy's holder is of the model and version

Cause: the check came without a test of its own.

Change: the test.

Measured: fails without the check, for another version and another model; passes with it. Tests of `routing.test_routing` run, not the whole script.

--- a/bronzesill/routing/tests/test_routing.py
+++ b/bronzesill/routing/tests/test_routing.py
@@ -40,6 +40,13 @@
         self.assertLess(counts['s9'], 600 * 0.35)
         self.assertGreaterEqual(len(counts), 8)
 
+    def test_copy_holder_of_another_version_is_not_used(self) -> None:
+        requirements = dataclasses.replace(_REQUIREMENTS, copy_holder='s0')
+        for change in ({'version': 'v2'}, {'model': 'other'}):
+            with self.subTest(change=change):
+                views = [_view(0, **change), _view(1)]
+                self.assertEqual(set(self.names(views, requirements)), {'s1'})
+
     def test_leaving_suspected_and_other_versions_are_excluded(self) -> None:
         views = [
             _view(0, is_leaving=True),
