Add a failing test of prompts that crash each server that answers them

Seen by callers: model servers end one after the other while requests with one part in their prompts run; streams of others break with them. The engine stand-in can crash on a part.

--- /dev/null
+++ b/bronzesill/daemon/tests/test_prompt_crashes.py
@@ -0,0 +1,92 @@
+"""
+Requests with one part in their prompts crash each server that answers them.
+
+Pattern: such requests come at any host, no two alike, beside sound ones of
+the same account and with the same other parts; servers are back after a while.
+"""
+
+import asyncio
+import time
+import unittest
+
+from ...standins.hosted_fleet import HostedFleet, HostedPlan
+from ...standins.worker import WorkerPlan
+from .hosted_caller import HostedAnswer, HostedCaller
+
+_CRASHING_PART = 'bad5'
+#: Time after the fifth crash from which such requests are counted.
+_CONTACT_S = 3.0
+#: Requests that may reach servers after that time.
+_MAX_LATE = 3
+_CRASHES = 5
+_INTERVAL_S = 0.15
+_LENGTH_S = 8.0
+
+_PLAN = HostedPlan(
+    daemons=3,
+    workers=tuple(
+        WorkerPlan(
+            f'e-{number}',
+            'engines',
+            'abc'[number % 3],
+            is_engine=True,
+            events=10,
+            prefill_s=0.1,
+            crashing_part=_CRASHING_PART,
+        )
+        for number in range(9)
+    ),
+)
+
+
+class CrashingPromptTest(unittest.IsolatedAsyncioTestCase):
+    """Hosts stop sending what crashes servers, and only that."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = await HostedFleet(_PLAN).__aenter__()
+        self.caller = HostedCaller()
+        self.number = 0
+
+    async def asyncTearDown(self) -> None:
+        await self.caller.close()
+        await self.fleet.__aexit__()
+
+    def send(self, *middle_parts: str) -> asyncio.Task[HostedAnswer]:
+        self.number += 1
+        parts = ['f00d', *middle_parts, f'{self.number:x}aa']
+        daemon = self.fleet.daemons[self.number % len(self.fleet.daemons)]
+        return asyncio.create_task(
+            self.caller.send_request(
+                daemon.settings.callers,
+                f'/guides/{self.number}',
+                X_Prefix_Hash=','.join(f'{part}:100' for part in parts),
+            )
+        )
+
+    def late_arrivals(self) -> int:
+        counted_from_s = self.fleet.crashes_s[_CRASHES - 1] + _CONTACT_S
+        return sum(
+            arrival_s > counted_from_s
+            for worker in self.fleet.workers_by_name.values()
+            for arrival_s in worker.crashing_arrivals_s
+        )
+
+    # Guards against hosts that go on sending, as new requests or as retries,
+    # prompts under which one server after the other has crashed.
+    async def test_prompts_that_crash_servers_are_sent_no_more(self) -> None:
+        ends_at_s = time.monotonic() + _LENGTH_S
+        crashing = []
+        sound = []
+        while time.monotonic() < ends_at_s:
+            crashing.append(self.send(_CRASHING_PART))
+            sound.append(self.send())
+            await asyncio.sleep(_INTERVAL_S)
+        answers = await asyncio.gather(*sound[-10:], return_exceptions=True)
+        await asyncio.gather(*crashing, *sound, return_exceptions=True)
+        self.assertLessEqual(self.late_arrivals(), _MAX_LATE)
+        served = [
+            answer
+            for answer in answers
+            if isinstance(answer, HostedAnswer) and answer.status == 200
+        ]
+        self.assertGreaterEqual(len(served), 8)
--- a/bronzesill/standins/hosted_fleet.py
+++ b/bronzesill/standins/hosted_fleet.py
@@ -6,6 +6,7 @@
 import contextlib
 import dataclasses
 import logging
+import time
 from typing import Any
 
 import orjson
@@ -29,6 +30,8 @@
 _READY_TIMEOUT_S = 10.0
 _READY_POLL_S = 0.02
 _REUSE_S = 2.0
+#: Time after which a crashed worker is back.
+_CRASH_S = 0.4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -133,12 +136,16 @@
             )
             for worker in plan.workers
         }
+        #: Monotonic times in seconds at which prompts crashed workers.
+        self.crashes_s: list[float] = []
         self.daemons: list[HostedDaemon] = []
+        self._restarts: set[asyncio.Task[None]] = set()
         self._tasks_by_daemon: dict[HostedDaemon, asyncio.Task[None]] = {}
 
     async def __aenter__(self) -> HostedFleet:
         await self.store.start()
         for worker in self.workers_by_name.values():
+            worker.on_crash = self._crash_worker
             await worker.start()
         await self.configure(make_configuration())
         for _ in range(self.plan.daemons):
@@ -147,6 +154,8 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
+        for restart in self._restarts:
+            restart.cancel()
         for daemon, task in self._tasks_by_daemon.items():
             daemon.begin_stop()
             task.cancel()
@@ -165,6 +174,7 @@
             old_worker.address,
             self.store.address,
         )
+        worker.on_crash = self._crash_worker
         self.workers_by_name[new_name] = worker
         await worker.start()
 
@@ -220,6 +230,21 @@
             ):
                 await asyncio.sleep(_READY_POLL_S)
 
+    def _crash_worker(self, name: str) -> None:
+        restart = asyncio.create_task(self._restart_crashed(name))
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _restart_crashed(self, name: str) -> None:
+        worker = self.workers_by_name[name]
+        if worker.has_crashed:
+            return
+        worker.has_crashed = True
+        self.crashes_s.append(time.monotonic())
+        await worker.stop()
+        await asyncio.sleep(_CRASH_S)
+        await self.restart_worker(name, f'{name}+')
+
     def _settings(
         self, number: int, seeds: tuple[Address, ...]
     ) -> HostedSettings:
--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -7,7 +7,7 @@
 import dataclasses
 import time
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import aiohttp
@@ -47,6 +47,8 @@
     :param slots: maximum number of concurrent requests.
     :param failures: number of initial requests answered with status 500.
     :param version: software version.
+    :param crashing_part: part of a prompt on which the worker crashes when it
+        begins to write an answer, empty for none.
     """
 
     name: str
@@ -59,6 +61,7 @@
     slots: int = 12
     failures: int = 0
     version: str = 'v1'
+    crashing_part: str = ''
 
 
 def expected_events(body: bytes, count: int) -> bytes:
@@ -88,6 +91,11 @@
         self.received_targets: list[bytes] = []
         #: Ids of attempts whose state was copied to this worker.
         self.copies: set[str] = set()
+        #: Monotonic times in seconds of the requests with the crashing part.
+        self.crashing_arrivals_s: list[float] = []
+        #: Called when the worker crashes because of a prompt.
+        self.on_crash: Callable[[str], None] = _ignore
+        self.has_crashed = False
         self.cancelled = 0
         self.is_leaving = False
         self._store_address = store
@@ -120,6 +128,8 @@
         }
         self.received_headers.append(headers)
         self.received_targets.append(req.scope['bronzesill.target'])
+        if self._has_crashing_part(headers):
+            self.crashing_arrivals_s.append(time.monotonic())
         request_id = headers.get('x-attempt-id', '')
         if not self._admit(headers, request_id, resp):
             return
@@ -184,6 +194,20 @@
             return False
         return True
 
+    async def _crash_on_prompt(
+        self, headers: dict[str, str], disconnected: asyncio.Event
+    ) -> None:
+        if self._has_crashing_part(headers):
+            self.on_crash(self.plan.name)
+            await disconnected.wait()
+
+    def _has_crashing_part(self, headers: dict[str, str]) -> bool:
+        rows = headers.get('x-prefix-hash', '').split(',')
+        parts = {row.partition(':')[0] for row in rows}
+        return bool(self.plan.crashing_part) and (
+            self.plan.crashing_part in parts
+        )
+
     def _has_copy(self, headers: dict[str, str]) -> bool:
         copy_source = headers.get('kv-from')
         if copy_source is None:
@@ -203,6 +227,7 @@
             if 'kv-from' not in headers:
                 await asyncio.sleep(self.plan.prefill_s)
             await self._send_copy(headers, request_id)
+            await self._crash_on_prompt(headers, disconnected)
             for number in range(first, self.plan.events + 1):
                 if disconnected.is_set():
                     self.cancelled += 1
@@ -276,6 +301,10 @@
         return ReceiveBufferMiddleware(app)
 
 
+def _ignore(name: str) -> None:
+    """Ignore a crash; the default callback."""
+
+
 def _event(body: bytes, number: int) -> bytes:
     token = stable_hash(body.decode('latin-1'), str(number))
     return b'id: %d\ndata: %x\n\n' % (number, token)
