Refuse prompts whose parts crash the servers that answer them

Cause: a stream whose server ended before its first event was sent to the next server, up to maxAttempts, and the next such request was admitted as if nothing had happened; no host looked at what the lost requests had in common. Class: work that kills its worker is retried without memory of it. Change: hosts report the shared parts of a prompt whose server was lost before it began an answer to two hosts chosen by the part. Three servers in separate moments and two requests, with no answer on the part begun anywhere since, block it: new requests are refused at once (1015, not run), running ones get no further attempt. Gossip spreads the block, the store keeps it over a loss of power by all. An answer that begins on a part clears it; parts that always came together are refused together only, until it is known which is the cause.

--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -34,6 +34,7 @@
 from .hosted_requests import HostedRequests, RequestContext
 from .hosted_store_state import HostedStoreState
 from .peer_replication import PeerReplication
+from .prompt_quarantine import PromptQuarantine
 from .restart_detector import RestartDetector
 from .task_runner import run_tasks
 from .usage_exchange import UsageExchange
@@ -122,6 +123,7 @@
                 settings.bounds.exposure_ratio, settings.bounds.exposure_slack
             ),
         )
+        self._quarantine = PromptQuarantine(self._peers, self._store)
         self._restart_detector = RestartDetector(
             self._store_state,
             self._tracker,
@@ -153,6 +155,7 @@
                 metrics,
                 self._random,
                 self._usage_exchange,
+                self._quarantine,
                 lambda: self.known_peers + 1,
                 self._store.calls_by_kind,
             )
@@ -246,6 +249,7 @@
             self._fleet.rejoin_lost_peers(),
             self._moves.run(),
             self._restart_detector.run(),
+            self._quarantine.run(),
         ]
 
     def _http_servers(self) -> tuple[HttpServer, ...]:
@@ -290,6 +294,7 @@
 
     def _apply_store_changes(self, entries: tuple[StoredEntry, ...]) -> None:
         self._moves.apply_store_changes(entries, self._store_state.replica)
+        self._quarantine.apply_store_changes(entries)
 
     def _make_readiness_app(self) -> object:
         return make_readiness_app(lambda: self.is_ready)
--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -23,6 +23,7 @@
     make_forward_app,
 )
 from ..generations import (
+    AttemptObservation,
     ForwardStreamClient,
     GenerationsController,
     LocalDirectory,
@@ -36,6 +37,7 @@
 from ..utils import PrometheusMetrics
 from .hosted_moves import HostedTraffic
 from .prompt_finder import PromptFinder
+from .prompt_quarantine import PromptQuarantine
 from .restart_detector import RestartDetector
 from .usage_exchange import UsageExchange
 
@@ -57,6 +59,7 @@
     :param metrics: receives counters and latencies.
     :param random: generator for random choices and jitter.
     :param usage_exchange: engine use of the other daemons.
+    :param quarantine: parts of prompts that are refused.
     :param count_daemons: returns the number of live daemons.
     :param store_calls_by_kind: number of calls to the store, for metrics.
     """
@@ -71,6 +74,7 @@
     metrics: PrometheusMetrics
     random: Random
     usage_exchange: UsageExchange
+    quarantine: PromptQuarantine
     count_daemons: Callable[[], int]
     store_calls_by_kind: Mapping[str, int]
 
@@ -138,9 +142,8 @@
         generations.keeps_copies = self._keeps_copies
         generations.is_usage_shared = context.usage_exchange.is_settled
         generations.refresh_usage = context.usage_exchange.refresh
-        generations.observer.on_attempt_observed = (
-            context.traffic.record_attempt
-        )
+        generations.observer.on_attempt_observed = self._record_attempt
+        generations.blocked_for_s = context.quarantine.remaining_s
         generations.pick_version = context.traffic.pick_version
         generations.resume_version = context.traffic.resume_version
         generations.allowance = allowance
@@ -154,6 +157,10 @@
         engine = service.engine if service else None
         return engine is not None and engine.keeps_copies
 
+    def _record_attempt(self, observation: AttemptObservation) -> None:
+        self._context.traffic.record_attempt(observation)
+        self._context.quarantine.observe(observation)
+
     def _record_call(self, result: CallResult) -> None:
         """Record a finished call and update the counts of store calls."""
         context = self._context
--- a/bronzesill/daemon/peer_messages.py
+++ b/bronzesill/daemon/peer_messages.py
@@ -15,6 +15,7 @@
     View,
 )
 from ..moves import MoveReport, MoveReportReply
+from ..quarantine import CrashReport, PartStarted, PartSuspected
 from ..replica import FetchReplica, ReplicaAnswer
 from ..routing import FetchUse, UseReport
 from ..wire import MessageRegistry
@@ -49,6 +50,9 @@
         61: FetchReplica,
         62: ReplicaAnswer,
         63: FetchUse,
+        70: CrashReport,
+        71: PartSuspected,
+        72: PartStarted,
         99: Refusal,
     }
 )
--- a/bronzesill/daemon/tests/test_prompt_crashes.py
+++ b/bronzesill/daemon/tests/test_prompt_crashes.py
@@ -90,3 +90,25 @@
             if isinstance(answer, HostedAnswer) and answer.status == 200
         ]
         self.assertGreaterEqual(len(served), 8)
+
+    # Guards against hosts that forget, when all of them lose power, what
+    # crashed servers.
+    async def test_hosts_that_all_lost_power_still_know(self) -> None:
+        crashing = [self.send(_CRASHING_PART) for _ in range(4)]
+        await asyncio.gather(*crashing, return_exceptions=True)
+        settings = [daemon.settings for daemon in self.fleet.daemons]
+        await asyncio.sleep(1)
+        for daemon in tuple(self.fleet.daemons):
+            await self.fleet.kill(daemon)
+        crashes = len(self.fleet.crashes_s)
+        self.fleet.daemons.clear()
+        for restarted in settings:
+            self.fleet.add_daemon(settings=restarted)
+        await self.fleet.wait_until_ready(len(_PLAN.workers))
+        answers = await asyncio.gather(
+            *(self.send(_CRASHING_PART) for _ in range(4))
+        )
+        self.assertEqual({answer.status for answer in answers}, {503})
+        self.assertGreater(float(answers[0].headers['retry-after']), 60)
+        self.assertEqual(len(self.fleet.crashes_s), crashes)
+        self.assertEqual((await self.send()).status, 200)
--- a/bronzesill/gateway/forward_stream.py
+++ b/bronzesill/gateway/forward_stream.py
@@ -88,6 +88,13 @@
 
         :raises BronzesillError: the generation failed before a head arrived.
         """
+        blocked_s = self._generations.blocked_for_s(self._request)
+        if blocked_s:
+            raise BronzesillError(
+                ResultCode.PROMPT_BLOCKED,
+                'not run: servers crash on a part of the prompt',
+                retry_after_s=blocked_s,
+            )
         self._subscription = self._generations.subscribe(
             self._request, 0, self._policy
         )
--- a/bronzesill/generations/attempt.py
+++ b/bronzesill/generations/attempt.py
@@ -128,7 +128,11 @@
             )
 
     def record_end(
-        self, request: GenerationRequest, *, is_failed: bool
+        self,
+        request: GenerationRequest,
+        *,
+        is_failed: bool,
+        has_disconnected: bool = False,
     ) -> None:
         """Report the end of the attempt and its mean token gap."""
         self._observer.attempt_observed(
@@ -137,6 +141,9 @@
                 self._server,
                 is_end=True,
                 is_failed=is_failed,
+                is_lost_unanswered=(
+                    has_disconnected and not self._timings.first_at_s
+                ),
                 token_gap_s=self._timings.token_gap_s,
             )
         )
@@ -148,7 +155,11 @@
         A refused attempt has no stream at the engine to cancel.
         """
         self._observer.attempt_lost(action.server, action.cause)
-        self.record_end(request, is_failed=True)
+        self.record_end(
+            request,
+            is_failed=True,
+            has_disconnected=action.cause is LossCause.DISCONNECTED,
+        )
         if self._stream is not None:
             self._stream.cancel()
         if action.cause is not LossCause.REFUSED:
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -96,6 +96,9 @@
         self.find_prompt: Callable[[GenerationRequest], Awaitable[str]] = (
             _no_prompt
         )
+        #: Returns the seconds for which a request is refused because its prompt
+        #: crashes servers, 0 if it is not.
+        self.blocked_for_s: Callable[[GenerationRequest], float] = _not_blocked
         #: Brings the engine use of the other daemons up to date.
         self.refresh_usage: Callable[[], Awaitable[None]] = _do_nothing
         #: Returns whether the engine use of the other daemons is known now.
@@ -209,6 +212,10 @@
         self, generation: GenerationTask, action: ChooseServer
     ) -> Placement:
         request = generation.request
+        if self.blocked_for_s(request) and not action.is_resume:
+            return Placement(
+                PlacementRefused(_blocked_code(generation)), request
+            )
         if not action.is_resume:
             # No token has been delivered, so the version can still change.
             # A version that was rolled back must not compute the answer, and
@@ -353,6 +360,16 @@
     return ''
 
 
+def _not_blocked(request: GenerationRequest) -> float:
+    return 0
+
+
+def _blocked_code(generation: GenerationTask) -> ResultCode:
+    if generation.state.attempt:
+        return ResultCode.INCOMPLETE_RETRIES
+    return ResultCode.PROMPT_BLOCKED
+
+
 async def _do_nothing() -> None:
     """Leave the use as it is known."""
 
--- a/bronzesill/generations/observer.py
+++ b/bronzesill/generations/observer.py
@@ -22,6 +22,8 @@
     :param is_failed: whether the attempt ended in failure.
     :param first_token_s: seconds from opening the stream to the first token,
         or None if not measured.
+    :param is_lost_unanswered: whether the connection to the server ended
+        before the first token.
     :param token_gap_s: mean gap between tokens in seconds, or None if not
         measured.
     """
@@ -30,6 +32,7 @@
     server: str
     is_end: bool = False
     is_failed: bool = False
+    is_lost_unanswered: bool = False
     first_token_s: float | None = None
     token_gap_s: float | None = None
 
--- a/bronzesill/membership/facts.py
+++ b/bronzesill/membership/facts.py
@@ -17,6 +17,7 @@
     HOST_LEAVING = 4
     MOVE_RECORD = 5
     SERVER_ORDER = 6
+    PROMPT_PART = 7
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/bronzesill/quarantine/__init__.py
@@ -0,0 +1,27 @@
+"""Quarantine of prompts that crash the backend servers that answer them."""
+
+from .blocklist import BlockedParts
+from .evidence import EvidenceTable, PartEvidence, PromptCrash
+from .messages import CrashReport, PartStarted, PartSuspected
+from .record import (
+    QUARANTINE_PREFIX,
+    PartRecord,
+    fact_of,
+    record_from_entry,
+    record_from_fact,
+)
+
+__all__ = [
+    'QUARANTINE_PREFIX',
+    'BlockedParts',
+    'CrashReport',
+    'EvidenceTable',
+    'PartEvidence',
+    'PartRecord',
+    'PartStarted',
+    'PartSuspected',
+    'PromptCrash',
+    'fact_of',
+    'record_from_entry',
+    'record_from_fact',
+]
--- /dev/null
+++ b/bronzesill/quarantine/record.py
@@ -0,0 +1,123 @@
+"""Records of parts that are, or were, blocked."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import orjson
+
+from ..membership import Fact, FactKind
+from ..store import Mutation, StoredEntry
+from ..utils import (
+    BronzesillError,
+    DocumentInvalid,
+    structure_json,
+    unstructure,
+)
+
+__all__ = [
+    'QUARANTINE_PREFIX',
+    'PartRecord',
+    'fact_of',
+    'record_from_entry',
+    'record_from_fact',
+]
+
+#: Prefix of the keys of records.
+QUARANTINE_PREFIX = '/bronzesill/prompt-parts/'
+
+_BLOCK_S = 600.0
+#: A part that is blocked again stays so for longer, up to a day.
+_MAX_BLOCK_S = 86_400.0
+
+
+@dataclasses.dataclass(frozen=True)
+class PartRecord:
+    """
+    Whether a part of a prompt is blocked; the highest sequence number wins.
+
+    :param part: id of the part.
+    :param sequence: number of the change.
+    :param is_blocked: whether requests with the part are refused.
+    :param changed_at_s: Unix time of the change in seconds.
+    :param duration_s: seconds for which the block holds.
+    :param companions: parts that a prompt must contain too to be refused, as
+        nobody knows yet which of them is the cause.
+    """
+
+    part: str
+    sequence: int
+    is_blocked: bool
+    changed_at_s: float
+    duration_s: float = _BLOCK_S
+    companions: frozenset[str] = frozenset()
+
+    @property
+    def key(self) -> str:
+        """Key of the record in the store."""
+        return f'{QUARANTINE_PREFIX}{self.part}'
+
+    def remaining_s(self, now_s: float) -> float:
+        """Return for how long requests are refused, 0 if they are not."""
+        if not self.is_blocked:
+            return 0
+        return max(self.changed_at_s + self.duration_s - now_s, 0)
+
+    def blocked_again(
+        self, now_s: float, companions: frozenset[str]
+    ) -> PartRecord:
+        """Return the record of a further block."""
+        return PartRecord(
+            self.part,
+            self.sequence + 1,
+            is_blocked=True,
+            changed_at_s=now_s,
+            duration_s=min(2 * self.duration_s, _MAX_BLOCK_S),
+            companions=companions,
+        )
+
+    def widened(self, companions: frozenset[str]) -> PartRecord:
+        """Return the record of a block of more prompts."""
+        return dataclasses.replace(
+            self, sequence=self.sequence + 1, companions=companions
+        )
+
+    def lifted(self, now_s: float) -> PartRecord:
+        """Return the record after the block was lifted."""
+        return dataclasses.replace(
+            self,
+            sequence=self.sequence + 1,
+            is_blocked=False,
+            changed_at_s=now_s,
+        )
+
+    def to_mutation(self) -> Mutation:
+        """Return the write that stores the record."""
+        return Mutation(self.key, orjson.dumps(unstructure(self)))
+
+
+def fact_of(record: PartRecord) -> Fact:
+    """Return the fact by which gossip spreads a record."""
+    text = orjson.dumps(unstructure(record)).decode()
+    return Fact(FactKind.PROMPT_PART, record.part, record.sequence, text)
+
+
+def record_from_fact(fact: Fact) -> PartRecord | None:
+    """Return the record of a fact, none if it is of another kind."""
+    if fact.kind != FactKind.PROMPT_PART:
+        return None
+    return _decode(fact.text.encode())
+
+
+def record_from_entry(entry: StoredEntry) -> PartRecord | None:
+    """Return the record of an entry of the store, none if there is none."""
+    if entry.is_removed or not entry.key.startswith(QUARANTINE_PREFIX):
+        return None
+    return _decode(entry.payload)
+
+
+def _decode(payload: bytes) -> PartRecord | None:
+    try:
+        return structure_json(payload, PartRecord)
+    except (BronzesillError, DocumentInvalid, ValueError):
+        return None
--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -224,9 +224,7 @@
         first = int(headers.get('last-event-id', '0')) + 1
         self._running += 1
         try:
-            if 'kv-from' not in headers:
-                await asyncio.sleep(self.plan.prefill_s)
-            await self._send_copy(headers, request_id)
+            await self._prefill(headers, request_id)
             await self._crash_on_prompt(headers, disconnected)
             for number in range(first, self.plan.events + 1):
                 if disconnected.is_set():
@@ -237,6 +235,11 @@
         finally:
             self._running -= 1
 
+    async def _prefill(self, headers: dict[str, str], request_id: str) -> None:
+        if 'kv-from' not in headers:
+            await asyncio.sleep(self.plan.prefill_s)
+        await self._send_copy(headers, request_id)
+
     async def _send_copy(
         self, headers: dict[str, str], request_id: str
     ) -> None:
