Log the limits that servers name

Cause: whether a host knows a server's limit could not be told from its logs. Change: the header is decoded, and a line server_limit tells when a server begins, changes or ends it.

--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -34,7 +34,7 @@
 from ..platform.prompts import fetch_held_parts
 from ..routing import LoadReport, ServerTracker
 from ..upstream import AnswerHead, ConnectionPool
-from ..utils import PrometheusMetrics
+from ..utils import PartLogger, PrometheusMetrics
 from .hosted_moves import HostedTraffic
 from .prompt_finder import PromptFinder
 from .prompt_quarantine import PromptQuarantine
@@ -43,6 +43,8 @@
 
 __all__ = ['HostedRequests', 'RequestContext']
 
+_log = PartLogger('routing')
+
 
 @dataclasses.dataclass(frozen=True)
 class RequestContext:
@@ -88,6 +90,7 @@
 
     def __init__(self, context: RequestContext) -> None:
         self._context = context
+        self._limit_by_server: dict[str, float] = {}
 
     def make_app(self) -> Any:
         """Return the ASGI application for callers."""
@@ -181,3 +184,14 @@
             now_s = asyncio.get_running_loop().time()
             running = load.running + load.waiting
             context.tracker.reported(server, LoadReport(running, '', now_s))
+        self._log_limit(server, context.dialect.request_limit(head))
+
+    def _log_limit(self, server: str, limit_per_s: float | None) -> None:
+        """Log a request limit when a server begins, changes or ends it."""
+        if self._limit_by_server.get(server) == limit_per_s:
+            return
+        if limit_per_s is None:
+            self._limit_by_server.pop(server)
+        else:
+            self._limit_by_server[server] = limit_per_s
+        _log.event('server_limit', server=server, limit_per_s=limit_per_s)
--- a/bronzesill/platform/headers.py
+++ b/bronzesill/platform/headers.py
@@ -20,6 +20,7 @@
 _MISDIRECTED_REQUEST = 421
 
 _ID_PATTERN = re.compile(r'[\x21-\x7e]{1,256}')
+_DECIMAL_PATTERN = re.compile(rb'\d{1,9}(\.\d{0,9})?')
 _BEARER = b'bearer '
 
 #: Identifies the request; clients send a new identifier with each attempt.
@@ -37,6 +38,7 @@
 _NOT_EXECUTED = b'x-not-executed'
 _INSTANCE_ID = b'x-instance-id'
 _INSTANCE_LOAD = b'x-instance-load'
+_SERVER_LIMIT = b'server-limit'
 
 #: Headers that apply to a single connection and are never forwarded.
 _HOP_BY_HOP = frozenset(
@@ -225,6 +227,17 @@
             return None
         return ReportedLoad(running, waiting, slots)
 
+    def request_limit(self, head: AnswerHead) -> float | None:
+        """
+        Return the requests per second that a server takes from all hosts.
+
+        :returns: the limit, none if the header is missing or malformed.
+        """
+        text = head.find(_SERVER_LIMIT) or b''
+        if _DECIMAL_PATTERN.fullmatch(text) is None:
+            return None
+        return float(text)
+
 
 def _text_by_name(headers: tuple[Header, ...]) -> dict[bytes, bytes]:
     return {header.name: header.text for header in headers}
--- a/bronzesill/upstream/request.py
+++ b/bronzesill/upstream/request.py
@@ -177,3 +177,10 @@
 
     def load(self, head: AnswerHead) -> ReportedLoad | None:
         """Return the reported load, ``None`` if absent or unreadable."""
+
+    def request_limit(self, head: AnswerHead) -> float | None:
+        """
+        Return the requests per second that the server takes from all hosts.
+
+        ``None`` if it names no limit.
+        """
