--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -47,6 +47,8 @@
     :param slots: maximum number of concurrent requests.
     :param failures: number of initial requests answered with status 500.
     :param version: software version.
+    :param limit_per_s: requests per second that the worker names as its limit
+        in its answers, 0 for none.
     :param crashing_part: part of a prompt on which the worker crashes when it
         begins to write an answer, empty for none.
     """
@@ -61,6 +63,7 @@
     slots: int = 12
     failures: int = 0
     version: str = 'v1'
+    limit_per_s: float = 0
     crashing_part: str = ''
 
 
@@ -91,6 +94,8 @@
         self.received_targets: list[bytes] = []
         #: Ids of attempts whose state was copied to this worker.
         self.copies: set[str] = set()
+        #: Monotonic times in seconds of all requests.
+        self.arrivals_s: list[float] = []
         #: Monotonic times in seconds of the requests with the crashing part.
         self.crashing_arrivals_s: list[float] = []
         #: Called when the worker crashes because of a prompt.
@@ -128,6 +133,7 @@
         }
         self.received_headers.append(headers)
         self.received_targets.append(req.scope['bronzesill.target'])
+        self.arrivals_s.append(time.monotonic())
         if self._has_crashing_part(headers):
             self.crashing_arrivals_s.append(time.monotonic())
         request_id = headers.get('x-attempt-id', '')
@@ -184,6 +190,8 @@
         resp.set_header(
             'X-Instance-Load', f'{self._running},0,{self.plan.slots}'
         )
+        if self.plan.limit_per_s:
+            resp.set_header('Server-Limit', str(self.plan.limit_per_s))
         if headers.get('x-target-instance') != self.plan.name:
             resp.status = falcon.HTTP_421
             resp.set_header('X-Instance-Id', self.plan.name)
