Merge small modules that each start of a host loads

Change: the status of orders joins the orders, the token bucket the other retry limit, the line of a sent call its only user, the choice of a prompt's holder the other choices, the block list its records; the trimmer of the audit trail is loaded by the native interface alone. Nothing else changes.

--- a/bronzesill/audit/__init__.py
+++ b/bronzesill/audit/__init__.py
@@ -8,13 +8,11 @@
     read_trail,
     trim_trail,
 )
-from .trimmer import AuditTrimmer
 
 __all__ = [
     'AUDIT_PREFIX',
     'MAX_ENTRIES',
     'AuditEntry',
-    'AuditTrimmer',
     'audit_mutation',
     'read_trail',
     'trim_trail',
--- a/bronzesill/calls/servers.py
+++ b/bronzesill/calls/servers.py
@@ -9,10 +9,9 @@
 from random import Random
 
 from ..routing import ServerTracker, ServerView, TrafficSplit, pick_version
-from ..utils import Address, BronzesillError, ResultCode
+from ..utils import Address, BronzesillError, PartLogger, ResultCode
 from .call_messages import CallAnswer
 from .interfaces import RoutedCall
-from .send_log import log_send
 
 __all__ = ['CallEnd', 'CallResult', 'ServiceServers']
 
@@ -22,6 +21,8 @@
 _SERVER_ERROR = 500
 _RETRY_AFTER_S = 0.2
 
+_log = PartLogger('calls')
+
 
 class CallEnd(enum.Enum):
     """Classification of the outcome of one attempt to call a server."""
@@ -174,7 +175,7 @@
                 latency_s=latency_s,
             )
         )
-        log_send(routed, name, outcome, latency_s)
+        _log_send(routed, name, outcome, latency_s)
 
     def _find_views(self, service: str, version: str) -> list[ServerView]:
         views = [
@@ -191,5 +192,37 @@
     return view.is_suspected, view.fill + _FAILURE_WEIGHT * view.failure_rate
 
 
+def _log_send(
+    routed: RoutedCall,
+    server: str,
+    outcome: CallAnswer | BronzesillError | None,
+    latency_s: float,
+) -> None:
+    """
+    Log an attempt to send a call, with its outcome.
+
+    :param routed: the call.
+    :param server: name of the server that the call was sent to.
+    :param outcome: response or error, none if the attempt was cancelled.
+    :param latency_s: duration of the attempt in seconds.
+    """
+    status = 0
+    detail = 'given up'
+    if isinstance(outcome, CallAnswer):
+        status = outcome.status
+        detail = ''
+    elif outcome is not None:
+        detail = outcome.message
+    _log.event(
+        'call_sent',
+        request=routed.request_id,
+        route=routed.route_name,
+        server=server,
+        status=status,
+        detail=detail,
+        latency_s=round(latency_s, 4),
+    )
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
--- a/bronzesill/daemon/components.py
+++ b/bronzesill/daemon/components.py
@@ -10,7 +10,7 @@
 
 import aiohttp
 
-from ..audit import AuditTrimmer
+from ..audit.trimmer import AuditTrimmer
 from ..calls.ledger_client import Ledger
 from ..config import Document
 from ..config.revision import Revision
--- a/bronzesill/limits/__init__.py
+++ b/bronzesill/limits/__init__.py
@@ -1,8 +1,7 @@
 """Admission, quotas and retry budgets."""
 
 from .allowance import FleetRetryAllowance, LocalRetryAllowance, RetryAllowance
-from .budget import RetryBudget
-from .retry_window import RetryBounds, RetryWindow
+from .retry_window import RetryBounds, RetryBudget, RetryWindow
 
 __all__ = [
     'FleetRetryAllowance',
--- a/bronzesill/limits/allowance.py
+++ b/bronzesill/limits/allowance.py
@@ -6,8 +6,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from .budget import RetryBudget
-from .retry_window import RetryBounds, RetryWindow
+from .retry_window import RetryBounds, RetryBudget, RetryWindow
 
 __all__ = ['FleetRetryAllowance', 'LocalRetryAllowance', 'RetryAllowance']
 
--- a/bronzesill/limits/tests/test_limits.py
+++ b/bronzesill/limits/tests/test_limits.py
@@ -16,9 +16,8 @@
     release,
     request,
 )
-from ..budget import RetryBudget
 from ..quota import GRANT_TTL_S, QuotaRequest, QuotaTable, desired_grant
-from ..retry_window import RetryBounds, RetryWindow
+from ..retry_window import RetryBounds, RetryBudget, RetryWindow
 
 
 def _ticket(number: int, account: str = 'a', **changes: object) -> Ticket:
--- a/bronzesill/moves/__init__.py
+++ b/bronzesill/moves/__init__.py
@@ -10,8 +10,12 @@
 from .exposure import ExposureLimit
 from .facts import fact_of
 from .move_table import MoveTable
-from .order import MoveOrder, OrderStatus
-from .order_status import should_publish_status, status_of
+from .order import (
+    MoveOrder,
+    OrderStatus,
+    should_publish_status,
+    status_of,
+)
 from .policy import (
     ALL_ROUTES,
     MoveAction,
--- a/bronzesill/moves/tests/test_short_moves.py
+++ b/bronzesill/moves/tests/test_short_moves.py
@@ -5,8 +5,12 @@
 
 from ..comparison import ComparisonOutcome
 from ..evidence import Evidence, ServerEvidence, bucket_of_s
-from ..order import MoveOrder, OrderStatus
-from ..order_status import should_publish_status, status_of
+from ..order import (
+    MoveOrder,
+    OrderStatus,
+    should_publish_status,
+    status_of,
+)
 from ..policy import MoveAction, MoveProgress, decide
 from ..record import MoveRecord, MoveState
 from ..split import KnownMove
--- a/bronzesill/quarantine/__init__.py
+++ b/bronzesill/quarantine/__init__.py
@@ -1,10 +1,10 @@
 """Quarantine of prompts that crash the backend servers that answer them."""
 
-from .blocklist import BlockedParts
 from .evidence import EvidenceTable, PartEvidence, PromptCrash
 from .messages import CrashReport, PartStarted, PartSuspected
 from .record import (
     QUARANTINE_PREFIX,
+    BlockedParts,
     PartRecord,
     fact_of,
     record_from_entry,
--- a/bronzesill/quarantine/tests/test_evidence.py
+++ b/bronzesill/quarantine/tests/test_evidence.py
@@ -10,9 +10,14 @@
 from random import Random
 
 from ...store import StoredEntry
-from ..blocklist import BlockedParts
 from ..evidence import EvidenceTable, PartEvidence, PromptCrash
-from ..record import PartRecord, fact_of, record_from_entry, record_from_fact
+from ..record import (
+    BlockedParts,
+    PartRecord,
+    fact_of,
+    record_from_entry,
+    record_from_fact,
+)
 
 _HOUR_S = 3600
 
--- a/bronzesill/routing/__init__.py
+++ b/bronzesill/routing/__init__.py
@@ -3,10 +3,10 @@
 from .choose import (
     Requirements,
     choose_copy_holder,
+    choose_prompt_holder,
     choose_server,
 )
 from .listing import ServerListing
-from .prompts import choose_prompt_holder
 from .records import LoadReport, ServerRecord
 from .restarts import LastActivity
 from .server_tracker import ServerTracker
--- a/bronzesill/routing/choose.py
+++ b/bronzesill/routing/choose.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from random import Random
 
 from ..utils import rank_by_rendezvous
@@ -12,6 +12,7 @@
 __all__ = [
     'Requirements',
     'choose_copy_holder',
+    'choose_prompt_holder',
     'choose_server',
 ]
 
@@ -243,3 +244,22 @@
     max_fill = max(mean_fill * _AFFINITY_FILL_RATIO, _AFFINITY_MIN_FILL)
     fill_after = preferred.fill + 1 / preferred.capacity
     return preferred if fill_after <= max_fill else None
+
+
+def choose_prompt_holder(
+    prompt_part: str, tokens_by_part_by_server: Mapping[str, Mapping[str, int]]
+) -> str:
+    """
+    Return the server that holds most of a prompt, empty if none holds any.
+
+    :param prompt_part: id of the part that only this prompt contains; the
+        parts before it are held by servers of other prompts too.
+    :param tokens_by_part_by_server: tokens of each part that each server
+        holds.
+    """
+    tokens_by_server = {
+        server: tokens_by_part.get(prompt_part, 0)
+        for server, tokens_by_part in tokens_by_part_by_server.items()
+    }
+    holders = [name for name, tokens in tokens_by_server.items() if tokens]
+    return max(holders, key=tokens_by_server.__getitem__, default='')
