Share the limit that a server names among all hosts

Cause: the header was passed on and read by no one; the choice of a server went by load and failures alone. Class: a bound for the whole fleet that each host would have to keep its share of. Change: a limit gives numbered slots in Unix time, which the live hosts own in turn; a slot lapses after 1.2 s, so that few add up. A server without a free slot is not chosen, for streams and calls, first attempts, retries and hedged ones; a call for which no server of its service has one is refused with the time to the next.

--- a/bronzesill/calls/at_most_once.py
+++ b/bronzesill/calls/at_most_once.py
@@ -46,8 +46,8 @@
 
     async def _attempt(self, server: str, routed: RoutedCall) -> CallAnswer:
         loop = asyncio.get_running_loop()
-        self._servers.call_started(server)
         started_s = loop.time()
+        self._servers.call_started(server)
         outcome: CallAnswer | BronzesillError | None = None
         try:
             outcome = await self._send_before_deadline(server, routed)
--- a/bronzesill/calls/idempotent.py
+++ b/bronzesill/calls/idempotent.py
@@ -101,7 +101,10 @@
     async def _send(self, routed: RoutedCall, server: str) -> SendOutcome:
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        self._servers.call_started(server)
+        try:
+            self._servers.call_started(server)
+        except BronzesillError as error:
+            return error
         outcome: SendOutcome | None = None
         try:
             outcome = await self._sender.send(server, routed)
--- a/bronzesill/calls/servers.py
+++ b/bronzesill/calls/servers.py
@@ -113,7 +113,7 @@
             raise BronzesillError(
                 ResultCode.CALL_NOT_RUN,
                 'not run: no server available for the service',
-                retry_after_s=_RETRY_AFTER_S,
+                retry_after_s=max(self._limit_wait_s(service), _RETRY_AFTER_S),
             )
         return tuple(view.name for view in views)
 
@@ -137,7 +137,18 @@
         self._tracker.suspect(name, _now_s())
 
     def call_started(self, name: str) -> None:
-        """Count an attempt that is about to be sent to a server."""
+        """
+        Count an attempt that is about to be sent to a server.
+
+        :raises BronzesillError: ``CALL_NOT_RUN`` if the server has reached
+            its limit since it was selected.
+        """
+        if self._tracker.limiter.wait_s(name):
+            raise BronzesillError(
+                ResultCode.CALL_NOT_RUN,
+                f'not run: {name} has reached its limit',
+                retry_after_s=_RETRY_AFTER_S,
+            )
         self._tracker.opened(name)
 
     def call_ended(
@@ -177,6 +188,14 @@
         )
         _log_send(routed, name, outcome, latency_s)
 
+    def _limit_wait_s(self, service: str) -> float:
+        waits_s = (
+            self._tracker.limiter.wait_s(name)
+            for name, server in self._tracker.servers_by_name.items()
+            if server.service == service
+        )
+        return min(waits_s, default=0)
+
     def _find_views(self, service: str, version: str) -> list[ServerView]:
         views = [
             view
--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -156,7 +156,7 @@
                 self._random,
                 self._usage_exchange,
                 self._quarantine,
-                lambda: self.known_peers + 1,
+                self._fleet,
                 self._store.calls_by_kind,
             )
         )
--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from random import Random
 from typing import Any
 
@@ -34,17 +34,17 @@
 from ..platform.prompts import fetch_held_parts
 from ..routing import LoadReport, ServerTracker
 from ..upstream import AnswerHead, ConnectionPool
-from ..utils import PartLogger, PrometheusMetrics
+from ..utils import PrometheusMetrics
+from .hosted_fleet import HostedFleet
 from .hosted_moves import HostedTraffic
 from .prompt_finder import PromptFinder
 from .prompt_quarantine import PromptQuarantine
 from .restart_detector import RestartDetector
+from .server_limiter import ServerLimiter
 from .usage_exchange import UsageExchange
 
 __all__ = ['HostedRequests', 'RequestContext']
 
-_log = PartLogger('routing')
-
 
 @dataclasses.dataclass(frozen=True)
 class RequestContext:
@@ -62,7 +62,7 @@
     :param random: generator for random choices and jitter.
     :param usage_exchange: engine use of the other daemons.
     :param quarantine: parts of prompts that are refused.
-    :param count_daemons: returns the number of live daemons.
+    :param fleet: the live daemons.
     :param store_calls_by_kind: number of calls to the store, for metrics.
     """
 
@@ -77,7 +77,7 @@
     random: Random
     usage_exchange: UsageExchange
     quarantine: PromptQuarantine
-    count_daemons: Callable[[], int]
+    fleet: HostedFleet
     store_calls_by_kind: Mapping[str, int]
 
 
@@ -90,7 +90,10 @@
 
     def __init__(self, context: RequestContext) -> None:
         self._context = context
-        self._limit_by_server: dict[str, float] = {}
+        self._limiter = ServerLimiter(
+            context.settings.name, context.fleet.live_peers
+        )
+        context.tracker.limiter = self._limiter
 
     def make_app(self) -> Any:
         """Return the ASGI application for callers."""
@@ -121,7 +124,7 @@
             RetryBounds(
                 bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
             ),
-            self._context.count_daemons,
+            lambda: len(self._context.fleet.live_peers()) + 1,
         )
 
     def _make_generations(
@@ -184,14 +187,4 @@
             now_s = asyncio.get_running_loop().time()
             running = load.running + load.waiting
             context.tracker.reported(server, LoadReport(running, '', now_s))
-        self._log_limit(server, context.dialect.request_limit(head))
-
-    def _log_limit(self, server: str, limit_per_s: float | None) -> None:
-        """Log a request limit when a server begins, changes or ends it."""
-        if self._limit_by_server.get(server) == limit_per_s:
-            return
-        if limit_per_s is None:
-            self._limit_by_server.pop(server)
-        else:
-            self._limit_by_server[server] = limit_per_s
-        _log.event('server_limit', server=server, limit_per_s=limit_per_s)
+        self._limiter.handle_answer(server, context.dialect.request_limit(head))
--- /dev/null
+++ b/bronzesill/daemon/server_limiter.py
@@ -0,0 +1,64 @@
+"""Keeps this daemon within the limits that servers name for the fleet."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Collection
+
+from ..membership import Member
+from ..routing import FleetPosition, RequestLimits
+from ..utils import PartLogger
+
+__all__ = ['ServerLimiter']
+
+_log = PartLogger('routing')
+
+
+class ServerLimiter:
+    """
+    Limits of servers with a clock and the view of the fleet.
+
+    :param daemon: name of this daemon.
+    :param list_peers: returns the other live daemons.
+    """
+
+    def __init__(
+        self, daemon: str, list_peers: Callable[[], tuple[Member, ...]]
+    ) -> None:
+        self._limits = RequestLimits()
+        self._daemon = daemon
+        self._list_peers = list_peers
+
+    def handle_answer(self, server: str, per_s: float | None) -> None:
+        """Apply the limit that an answer of a server names, none for none."""
+        known = self._limits.by_server.get(server)
+        if known is None and per_s is None:
+            return
+        self._limits = self._limits.named(server, per_s, time.time())
+        limit = self._limits.by_server.get(server)
+        if known is None or limit is None or limit.per_s != known.per_s:
+            _log.event('server_limit', server=server, limit_per_s=per_s)
+
+    def record_request(self, server: str) -> None:
+        """Count a request to a server."""
+        if server in self._limits.by_server:
+            self._limits = self._limits.sent(
+                server, self._position(), time.time()
+            )
+
+    def wait_s(self, server: str) -> float:
+        """Return the seconds until a server may be used, 0 if it may now."""
+        if server not in self._limits.by_server:
+            return 0
+        return self._limits.wait_s(server, self._position(), time.time())
+
+    def keep_only(self, servers: Collection[str]) -> None:
+        """Forget the limits of servers that are not listed any more."""
+        for server in self._limits.by_server.keys() - set(servers):
+            self._limits = self._limits.without(server)
+
+    def _position(self) -> FleetPosition:
+        names = sorted(
+            {self._daemon, *(member.name for member in self._list_peers())}
+        )
+        return FleetPosition(names.index(self._daemon), len(names))
--- a/bronzesill/routing/__init__.py
+++ b/bronzesill/routing/__init__.py
@@ -8,6 +8,7 @@
 )
 from .listing import ServerListing
 from .records import LoadReport, ServerRecord
+from .request_limits import FleetPosition, RequestLimits
 from .restarts import LastActivity
 from .server_tracker import ServerTracker
 from .use_reports import (
@@ -29,9 +30,11 @@
 
 __all__ = [
     'FetchUse',
+    'FleetPosition',
     'FleetUse',
     'LastActivity',
     'LoadReport',
+    'RequestLimits',
     'Requirements',
     'ServerListing',
     'ServerRecord',
--- a/bronzesill/routing/server_tracker.py
+++ b/bronzesill/routing/server_tracker.py
@@ -4,7 +4,8 @@
 
 import dataclasses
 import statistics
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
+from typing import Protocol
 
 from ..config import BackendServer
 from .domains import DomainFailures
@@ -18,12 +19,36 @@
 )
 from .views import ServerView
 
-__all__ = ['ServerTracker']
+__all__ = ['RequestLimiter', 'ServerTracker']
 
 #: Failures up to this age are included in use reports.
 _FAILURE_REPORT_WINDOW_S = 1.0
 
 
+class RequestLimiter(Protocol):
+    """Limits that servers name for the requests of all daemons."""
+
+    def record_request(self, server: str) -> None:
+        """Count a request to a server."""
+
+    def wait_s(self, server: str) -> float:
+        """Return the seconds until a server may be used, 0 if it may now."""
+
+    def keep_only(self, servers: Collection[str]) -> None:
+        """Forget the limits of all other servers."""
+
+
+class _NoLimits:
+    def record_request(self, server: str) -> None:
+        """Do nothing."""
+
+    def wait_s(self, server: str) -> float:
+        return 0
+
+    def keep_only(self, servers: Collection[str]) -> None:
+        """Do nothing."""
+
+
 class ServerTracker:
     """
     Mutable collection of the records of all backend servers.
@@ -45,6 +70,8 @@
         #: Reports of the other daemons.
         self.fleet_use = FleetUse()
         self._started_at_s_by_group: Mapping[str, float] = {}
+        #: Limits of servers; those without a free slot are not in views.
+        self.limiter: RequestLimiter = _NoLimits()
         #: Called after a change of this daemon's use of model engines.
         self.on_use_changed: Callable[[], object] = _do_nothing
 
@@ -59,6 +86,7 @@
         self._servers_by_name = by_name
         self._records_by_name = {name: self._record(name) for name in by_name}
         self.candidates = frozenset(by_name)
+        self.limiter.keep_only(by_name)
         self._started_at_s_by_group = _started_at_s_by_group(by_name)
 
     def forget(self, name: str) -> None:
@@ -73,6 +101,7 @@
 
     def opened(self, name: str) -> None:
         """Record that this daemon opened a stream on a server."""
+        self.limiter.record_request(name)
         self._update_use(name, self._record(name).opened())
 
     def memory_changed(self, name: str, tokens: int) -> None:
@@ -212,7 +241,7 @@
         return tuple(
             self._view(name, now_s, use_by_server.get(name))
             for name in self._servers_by_name
-            if name in self.candidates
+            if name in self.candidates and not self.limiter.wait_s(name)
         )
 
     def service_views(self, service: str, now_s: float) -> list[ServerView]:
@@ -220,7 +249,7 @@
         return [
             self._view(name, now_s, None)
             for name, server in self._servers_by_name.items()
-            if server.service == service
+            if server.service == service and not self.limiter.wait_s(name)
         ]
 
     def _record(self, name: str) -> ServerRecord:
