Log on what evidence a move changes its share or ends

Cause: no line told why a stage of a roll-out was passed or a move committed. Change: move_decided, with requests that ended and the sums of each test by route.

--- a/bronzesill/moves/comparison.py
+++ b/bronzesill/moves/comparison.py
@@ -222,6 +222,17 @@
             if self._is_rejected(sums)
         )
 
+    def summarize(self) -> dict[str, str]:
+        """Return requests counted, and total and CUSUM by kind, for a log."""
+        requests = sum(self.requests_by_server.values())
+        servers = len(self.requests_by_server)
+        sums_by_kind = {
+            kind: f'total {sums.total:.1f}, CUSUM {sums.cusum:.1f}'
+            for kind, sums in self.sums_by_kind.items()
+        }
+        counted = f'{requests} by {servers} servers'
+        return {'ended': counted, **sums_by_kind}
+
     def _failing_servers(self, sums: LogLikelihoodSums) -> frozenset[str]:
         return frozenset(
             name
--- a/bronzesill/moves/driver.py
+++ b/bronzesill/moves/driver.py
@@ -80,10 +80,12 @@
             decision.progress, share_since_s=record.changed_at_s
         )
         if move.is_taken_back or decision.action is MoveAction.ROLL_BACK:
+            _log_decision(record, decision)
             await self.roll_back(
                 record.move_id, self._daemon_name, decision.reason
             )
         elif is_primary and decision.action is not MoveAction.HOLD:
+            _log_decision(record, decision)
             await self._advance(record, decision)
 
     async def roll_back(
@@ -159,6 +161,23 @@
         self._publish_fact(fact_of(changed))
 
 
+def _log_decision(record: MoveRecord, decision: MoveDecision) -> None:
+    progress = decision.progress
+    comparisons = progress.comparisons_by_route
+    _log.event(
+        'move_decided',
+        move=record.move_id,
+        action=decision.action.value,
+        share=decision.share,
+        reason=decision.reason,
+        remaining_s=round(record.deadline_at_s - time.time(), 2),
+        evidence={
+            route or 'all': comparison.summarize()
+            for route, comparison in comparisons.items()
+        },
+    )
+
+
 def _is_store_reply(error: BaseException) -> bool:
     return isinstance(error, BronzesillError) and error.code in {
         ResultCode.MOVE_UNKNOWN,
