Take an answer that ends with its connection before any event for a loss

Cause: a stream with neither length nor chunks whose engine crashes between its head and its first event was delivered as a whole answer of no events. Class: an answer broken off looks complete. Change: such an end is a lost connection, which is tried elsewhere and counts against the prompt's parts. A resumed stream may still end with nothing more.

--- a/bronzesill/generations/forward_client.py
+++ b/bronzesill/generations/forward_client.py
@@ -9,6 +9,7 @@
     AnswerError,
     AnswerHead,
     ConnectionLease,
+    ConnectionLost,
     ConnectionPool,
     Dialect,
     ForwardRequest,
@@ -93,6 +94,8 @@
             head = await self._send(lease, opening, forward)
             yield HeadArrived(opening.attempt, head)
             async for message in self._read_events(lease, opening, forward):
+                if isinstance(message, EndArrived):
+                    _check_end(message, head, forward)
                 yield message
         finally:
             lease.release()
@@ -177,6 +180,19 @@
     return forward
 
 
+def _check_end(
+    end: EndArrived, head: AnswerHead, forward: ForwardRequest
+) -> None:
+    """
+    Reject an answer without any event that ended with its connection.
+
+    :raises ConnectionLost: nothing tells such an end from a crash.
+    """
+    is_empty = not end.total and not forward.caller.events_received
+    if is_empty and not head.has_length:
+        raise ConnectionLost('connection ended before the first event')
+
+
 def _build_send_plan(
     opening: StreamOpening, forward: ForwardRequest
 ) -> SendPlan:
