--- a/bronzesill/cli/main.py
+++ b/bronzesill/cli/main.py
@@ -19,6 +19,7 @@
     move_commands,
     offline_commands,
     order_commands,
+    quarantine_commands,
 )
 from .context import open_context
 from .output import OUTPUT_FORMATS
@@ -224,6 +225,15 @@
     verb = verbs.add_parser('show', help=hosted_commands.show_roll_out.__doc__)
     verb.set_defaults(run=hosted_commands.show_roll_out)
     verb.add_argument('service', help='Service whose traffic moves.')
+    parser = nouns.add_parser(
+        'prompt-part', help='Show and lift blocks of prompts.'
+    )
+    verbs = parser.add_subparsers(dest='verb', required=True)
+    verb = verbs.add_parser('list', help=quarantine_commands.list_parts.__doc__)
+    verb.set_defaults(run=quarantine_commands.list_parts)
+    verb = verbs.add_parser('lift', help=quarantine_commands.lift_part.__doc__)
+    verb.set_defaults(run=quarantine_commands.lift_part)
+    verb.add_argument('part', help='Id of the part.')
 
 
 def make_parser() -> argparse.ArgumentParser:
--- a/bronzesill/cli/tests/test_hosted_commands.py
+++ b/bronzesill/cli/tests/test_hosted_commands.py
@@ -4,6 +4,7 @@
 import contextlib
 import io
 import json
+import time
 import unittest
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -14,6 +15,7 @@
 
 from ...platform.rollouts import ORDER_PREFIX
 from ...platform.store import PlatformStore
+from ...quarantine import PartRecord
 from ...standins.hosted_fleet import HostedFleet, HostedPlan
 from ...store import Mutation
 from ...utils import ResultCode
@@ -77,3 +79,20 @@
         self.assertEqual(row['window_s'], 30)
         code, _ = await self.run_tool('roll-out', 'show', 'none')
         self.assertEqual(code, ResultCode.MOVE_UNKNOWN)
+
+    async def test_blocked_prompt_part_is_listed_and_lifted(self) -> None:
+        record = PartRecord(
+            'bad5', 1, is_blocked=True, changed_at_s=time.time()
+        )
+        with contextlib.closing(
+            PlatformStore(self.fleet.store.address)
+        ) as store:
+            await store.compare_and_swap(record.key, 0, (record.to_mutation(),))
+        _, rows = await self.run_tool('prompt-part', 'list')
+        self.assertEqual([row['state'] for row in rows], ['refused'])
+        code, _ = await self.run_tool('prompt-part', 'lift', 'bad5')
+        self.assertEqual(code, ResultCode.DONE)
+        _, rows = await self.run_tool('prompt-part', 'list')
+        self.assertEqual([row['state'] for row in rows], ['allowed'])
+        code, _ = await self.run_tool('prompt-part', 'lift', 'none')
+        self.assertEqual(code, ResultCode.REQUEST_UNKNOWN)
