--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -157,7 +157,7 @@
                 self._usage_exchange,
                 self._quarantine,
                 self._fleet,
-                self._store.calls_by_kind,
+                self._store,
             )
         )
         self._caller_server = HttpServer(
--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Mapping
 from random import Random
 from typing import Any
 
@@ -32,6 +31,7 @@
 from ..limits import FleetRetryAllowance, RetryBounds
 from ..platform.headers import PlatformDialect
 from ..platform.prompts import fetch_held_parts
+from ..platform.store import PlatformStore
 from ..routing import LoadReport, ServerTracker
 from ..upstream import AnswerHead, ConnectionPool
 from ..utils import PrometheusMetrics
@@ -63,7 +63,7 @@
     :param usage_exchange: engine use of the other daemons.
     :param quarantine: parts of prompts that are refused.
     :param fleet: the live daemons.
-    :param store_calls_by_kind: number of calls to the store, for metrics.
+    :param store: client of the store, for metrics.
     """
 
     settings: HostedSettings
@@ -78,7 +78,7 @@
     usage_exchange: UsageExchange
     quarantine: PromptQuarantine
     fleet: HostedFleet
-    store_calls_by_kind: Mapping[str, int]
+    store: PlatformStore
 
 
 class HostedRequests:
@@ -173,8 +173,9 @@
         context.traffic.record_call(result)
         outcome = 'failed' if result.is_failed else 'good'
         context.metrics.incr(f'sends.{outcome}')
-        for kind, count in context.store_calls_by_kind.items():
+        for kind, count in context.store.calls_by_kind.items():
             context.metrics.gauge(f'store.{kind}', count)
+        context.metrics.gauge('store.era', context.store.era)
 
     def _process_answer_head(self, server: str, head: AnswerHead) -> None:
         context = self._context
--- a/bronzesill/daemon/hosted_store_state.py
+++ b/bronzesill/daemon/hosted_store_state.py
@@ -112,6 +112,8 @@
                 self._refresh_servers()
 
     def _apply_merge(self, merged: MergeResult) -> None:
+        if merged.ignored_entries:
+            _log_ignored(merged)
         self.replica = merged.replica
         if not merged.newer_entries:
             return
@@ -175,6 +177,16 @@
             self._tracker.set_leaving(name, is_leaving=listed.is_leaving)
 
 
+def _log_ignored(merged: MergeResult) -> None:
+    _log.event(
+        'entries_ignored',
+        count=len(merged.ignored_entries),
+        first_key=merged.ignored_entries[0].key,
+        revision=merged.ignored_entries[-1].mod_revision,
+        known_revision=merged.replica.last_revision,
+    )
+
+
 def _is_new_start(
     previous: RegisteredServer | None, listed: RegisteredServer | None
 ) -> bool:
--- a/bronzesill/platform/store.py
+++ b/bronzesill/platform/store.py
@@ -17,7 +17,7 @@
     RequestNotSent,
     ServiceClient,
 )
-from ..utils import Address, BronzesillError, ResultCode
+from ..utils import Address, BronzesillError, PartLogger, ResultCode
 
 __all__ = ['ALL_KEYS', 'PlatformStore']
 
@@ -35,9 +35,15 @@
 _GONE = 410
 _PRECONDITION_FAILED = 412
 
+#: Header of all answers; its number rises by one each time the service comes
+#: back from an older copy.
+_ERA_HEADER = b'store-era'
+
 #: Statuses with which the service states that it did not execute the call.
 _NOT_EXECUTED_STATUSES = frozenset((429, 503))
 
+_log = PartLogger('store')
+
 
 class PlatformStore:
     """
@@ -55,6 +61,8 @@
         self._client = ServiceClient(address, _CONNECT_TIMEOUT_S)
         #: Number of calls by the first segment of their path, for metrics.
         self.calls_by_kind: dict[str, int] = {}
+        #: Highest era that an answer named, 0 if none did.
+        self.era = 0
 
     async def get(self, key: str) -> StoredEntry | None:
         """Read one key; return none if it does not exist."""
@@ -228,8 +236,15 @@
                 ResultCode.STORE_ANSWER_LOST,
                 f'no response from the key-value store: {error!r}',
             ) from error
+        self._note_era(answer)
         return _Response(answer)
 
+    def _note_era(self, answer: HttpAnswer) -> None:
+        era = _decode_era(answer)
+        if era > self.era:
+            _log.event('store_era', before=self.era, after=era)
+            self.era = era
+
 
 class _Response:
     """
@@ -262,6 +277,11 @@
             raise _unavailable('response body is not JSON') from error
 
 
+def _decode_era(answer: HttpAnswer) -> int:
+    text = answer.head.find(_ERA_HEADER) or b''
+    return int(text) if text.isdigit() else 0
+
+
 def _unavailable(detail: str) -> BronzesillError:
     return BronzesillError(
         ResultCode.STORE_UNAVAILABLE, f'key-value store unavailable: {detail}'
--- a/bronzesill/replica/state.py
+++ b/bronzesill/replica/state.py
@@ -55,10 +55,13 @@
     :param replica: new replica.
     :param newer_entries: merged entries, in order of revision; those that
         were not newer than the replica are left out.
+    :param ignored_entries: entries that say something else than the replica,
+        but at a lower revision.
     """
 
     replica: Replica
     newer_entries: tuple[StoredEntry, ...]
+    ignored_entries: tuple[StoredEntry, ...] = ()
 
 
 def merge(replica: Replica, incoming: tuple[StoredEntry, ...]) -> MergeResult:
@@ -72,14 +75,24 @@
     """
     entries = dict(replica.entries_by_key)
     newer: list[StoredEntry] = []
+    ignored: list[StoredEntry] = []
     for entry in sorted(incoming, key=lambda entry: entry.mod_revision):
         current = entries.get(entry.key)
         if current is None or entry.mod_revision > current.mod_revision:
             entries[entry.key] = entry
             newer.append(entry)
+        elif _differs(entry, current):
+            ignored.append(entry)
     if not newer:
-        return MergeResult(replica, ())
-    return MergeResult(Replica(entries), tuple(newer))
+        return MergeResult(replica, (), tuple(ignored))
+    return MergeResult(Replica(entries), tuple(newer), tuple(ignored))
+
+
+def _differs(entry: StoredEntry, other: StoredEntry) -> bool:
+    return (entry.payload, entry.is_removed) != (
+        other.payload,
+        other.is_removed,
+    )
 
 
 def merge_snapshot(
--- a/bronzesill/upstream/client.py
+++ b/bronzesill/upstream/client.py
@@ -6,7 +6,7 @@
 import dataclasses
 
 from ..utils import Address
-from .answer import AnswerError, RequestNotSent
+from .answer import AnswerError, AnswerHead, RequestNotSent
 from .pool import ConnectionLease, ConnectionPool, Target
 
 __all__ = ['HttpAnswer', 'HttpCall', 'ServiceClient']
@@ -51,13 +51,18 @@
     """
     Whole answer of a service.
 
-    :param status: HTTP status.
+    :param head: status and headers.
     :param body: bytes of the body.
     """
 
-    status: int
+    head: AnswerHead
     body: bytes
 
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+        return self.head.status
+
 
 class ServiceClient:
     """
@@ -109,6 +114,6 @@
         try:
             head = await lease.send(call.encode(self._target.address))
             body = await lease.read_all(_MAX_BODY_BYTES)
-            return HttpAnswer(head.status, body)
+            return HttpAnswer(head, body)
         finally:
             lease.release()
