--- a/bronzesill/standins/store.py
+++ b/bronzesill/standins/store.py
@@ -13,7 +13,7 @@
 
 from ..utils import Address
 from .http_standin import HttpStandIn
-from .store_state import Item, Lease, StoreFaults, StoreState
+from .store_state import Item, Lease, StoreCopy, StoreFaults, StoreState
 
 __all__ = ['StoreStandIn']
 
@@ -93,14 +93,16 @@
         Return the changes below a prefix after a revision (long polling).
 
         Waits up to ``waitMs`` for the first change.  The status is 410 if
-        the history after the revision has been compacted.
+        the history after the revision has been compacted, or the revision
+        has not been reached.
         """
         await self._admit()
         self.state.reads += 1
         prefix = request.get_param('prefix') or ''
         after = request.get_param_as_int('after') or 0
         wait_s = (request.get_param_as_int('waitMs') or 0) / _MS_PER_S
-        if after < self.state.compacted_revision:
+        is_unknown = after > self.state.revision
+        if is_unknown or after < self.state.compacted_revision:
             response.status = _HISTORY_GONE
             return
         with contextlib.suppress(TimeoutError):
@@ -182,6 +184,15 @@
         await self._notify_watchers()
         response.media = {}
 
+    async def restore(self, copy: StoreCopy) -> None:
+        """Come back from an older copy; waiting watches are cut."""
+        self.state.faults.down = True
+        await self._notify_watchers()
+        # The cut watches answer before the store is back.
+        await asyncio.sleep(_EXPIRY_INTERVAL_S)
+        self.state.restore(copy)
+        self.state.faults.down = False
+
     async def on_post_faults(
         self, request: asgi.Request, response: asgi.Response
     ) -> None:
@@ -237,7 +248,7 @@
         return [_item_document(item) for item in items if item is not None]
 
     def _make_app(self) -> asgi.App[Any, Any]:
-        app: asgi.App[Any, Any] = asgi.App()
+        app: asgi.App[Any, Any] = asgi.App(middleware=[_EraHeader(self.state)])
         app.add_route('/v1/kv-key', self, suffix='key')
         app.add_route('/v1/kv-range', self, suffix='range')
         app.add_route('/v1/kv-watch', self, suffix='watch')
@@ -249,6 +260,27 @@
         return app
 
 
+class _EraHeader:
+    """
+    Adds the header ``Store-Era`` to all answers.
+
+    :param state: state of the store.
+    """
+
+    def __init__(self, state: StoreState) -> None:
+        self._state = state
+
+    async def process_response(
+        self,
+        req: asgi.Request,
+        resp: asgi.Response,
+        resource: object,
+        req_succeeded: bool,
+    ) -> None:
+        """Name the era in one answer."""
+        resp.set_header('Store-Era', str(self._state.era))
+
+
 async def _read_body(request: asgi.Request) -> Any:
     return orjson.loads(await request.stream.read())
 
--- a/bronzesill/standins/store_state.py
+++ b/bronzesill/standins/store_state.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Mapping
 
-__all__ = ['Item', 'Lease', 'StoreFaults', 'StoreState']
+__all__ = ['Item', 'Lease', 'StoreCopy', 'StoreFaults', 'StoreState']
 
 
 @dataclasses.dataclass
@@ -59,10 +60,29 @@
     expires_at_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreCopy:
+    """
+    Copy of the store's contents at one moment.
+
+    :param items_by_key: existing keys.
+    :param history: changes that the store still knew.
+    :param leases_by_id: leases that had not ended.
+    :param revision: revision of the store.
+    """
+
+    items_by_key: Mapping[str, Item]
+    history: tuple[Item, ...]
+    leases_by_id: Mapping[int, Lease]
+    revision: int
+
+
 class StoreState:
     """In-memory state of the store."""
 
     def __init__(self) -> None:
+        #: Number of the store's contents; rises with each return of a copy.
+        self.era = 1
         self.faults = StoreFaults()
         self.items_by_key: dict[str, Item] = {}
         self.history: list[Item] = []
@@ -106,6 +126,23 @@
                 Item(key, None, self.revision, existing.created_revision)
             )
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the contents, to which the store can go back."""
+        return StoreCopy(
+            dict(self.items_by_key),
+            tuple(self.history),
+            dict(self.leases_by_id),
+            self.revision,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy; what was written since is gone."""
+        self.era += 1
+        self.items_by_key = dict(copy.items_by_key)
+        self.history = list(copy.history)
+        self.leases_by_id = dict(copy.leases_by_id)
+        self.revision = copy.revision
+
     def compact(self) -> None:
         """Discard the history of changes up to the current revision."""
         self.history.clear()
--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -283,10 +283,13 @@
             lease_id = await store.grant_lease(_LEASE_TTL_S)
         key = f'{SERVER_PREFIX}{self.plan.name}'
         existing = await store.get(key)
-        revision = existing.mod_revision if existing else 0
-        entry = orjson.dumps(self._registration(sequence))
+        registration = self._registration(sequence)
+        if existing and _says_the_same(existing.payload, registration):
+            return lease_id
         await store.compare_and_swap(
-            key, revision, (Mutation(key, entry, lease_id),)
+            key,
+            existing.mod_revision if existing else 0,
+            (Mutation(key, orjson.dumps(registration), lease_id),),
         )
         return lease_id
 
@@ -316,6 +319,11 @@
     """Ignore a crash; the default callback."""
 
 
+def _says_the_same(payload: bytes, registration: dict[str, Any]) -> bool:
+    stored = orjson.loads(payload)
+    return {**stored, 'sequence': 0} == {**registration, 'sequence': 0}
+
+
 def _event(body: bytes, number: int) -> bytes:
     token = stable_hash(body.decode('latin-1'), str(number))
     return b'id: %d\ndata: %x\n\n' % (number, token)
