Merge the result codes with their error, and the choice of drivers with them

The stream of the log has a close(), which the logging module calls at exit: each planned stop printed a traceback.

--- a/bronzesill/daemon/hosted_moves.py
+++ b/bronzesill/daemon/hosted_moves.py
@@ -16,6 +16,7 @@
     MoveRecord,
     MovesController,
     fact_of,
+    find_drivers,
     record_from_entry,
     should_publish_status,
     status_of,
@@ -32,7 +33,6 @@
 from ..store import KeyValueStore, StoredEntry
 from ..utils import BronzesillError, PartLogger
 from ..wire import PeerClient
-from .move_drivers import find_drivers
 from .traffic import TrafficController
 
 __all__ = ['HostedMoves', 'HostedTraffic']
--- a/bronzesill/daemon/roles.py
+++ b/bronzesill/daemon/roles.py
@@ -11,9 +11,8 @@
     choose_replicas,
     is_watcher,
 )
-from ..moves import Driver
+from ..moves import Driver, find_drivers
 from ..utils import Address
-from .move_drivers import find_drivers
 
 __all__ = ['RoleFinder']
 
--- a/bronzesill/moves/__init__.py
+++ b/bronzesill/moves/__init__.py
@@ -5,7 +5,7 @@
     ComparisonPolicy,
     SequentialComparison,
 )
-from .controller import Driver, MovesController
+from .controller import Driver, MovesController, find_drivers
 from .evidence import Evidence, ServerEvidence, bucket_of_s
 from .exposure import ExposureLimit
 from .facts import fact_of
@@ -59,6 +59,7 @@
     'decide',
     'effective_share',
     'fact_of',
+    'find_drivers',
     'has_ended',
     'record_from_entry',
     'should_publish_status',
--- a/bronzesill/moves/controller.py
+++ b/bronzesill/moves/controller.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import TypeAlias
 
-from ..membership import Fact
+from ..membership import Fact, FleetView, choose_replicas
 from ..store import KeyValueStore
 from ..utils import Address, BronzesillError, PartLogger, ResultCode
 from ..wire import PeerClient
@@ -22,7 +22,7 @@
 from .repository import MoveRepository
 from .split import KnownMove
 
-__all__ = ['Driver', 'FindDrivers', 'MovesController']
+__all__ = ['Driver', 'FindDrivers', 'MovesController', 'find_drivers']
 
 _TICK_S = 0.5
 _REPORT_TIMEOUT_S = 0.5
@@ -47,6 +47,17 @@
 FindDrivers: TypeAlias = Callable[[str], tuple[Driver, ...]]
 
 
+def find_drivers(view: FleetView, move_id: str) -> tuple[Driver, ...]:
+    """
+    Return the daemons that drive a move, first choice first.
+
+    :param view: a daemon's view of the fleet.
+    :param move_id: identifier of the move.
+    """
+    chosen = choose_replicas(view, f'move/{move_id}')
+    return tuple(Driver(member.name, member.peers) for member in chosen)
+
+
 class MovesController:
     """
     Reports evidence on all moves and drives those assigned to this daemon.
--- a/bronzesill/utils/__init__.py
+++ b/bronzesill/utils/__init__.py
@@ -1,7 +1,6 @@
 """Utilities shared by the other subpackages."""
 
 from .addresses import Address
-from .codes import ResultCode
 from .converter import (
     DocumentInvalid,
     structure,
@@ -10,7 +9,7 @@
     unstructure,
     unstructure_fields,
 )
-from .errors import BronzesillError
+from .errors import BronzesillError, ResultCode
 from .hashing import (
     chain_digest,
     hash_secret,
--- a/bronzesill/utils/converter.py
+++ b/bronzesill/utils/converter.py
@@ -10,8 +10,7 @@
 from cattrs.preconf.json import make_converter
 
 from .addresses import Address
-from .codes import ResultCode
-from .errors import BronzesillError
+from .errors import BronzesillError, ResultCode
 
 __all__ = [
     'DocumentInvalid',
--- a/bronzesill/utils/logs.py
+++ b/bronzesill/utils/logs.py
@@ -118,6 +118,9 @@
     def flush(self) -> None:
         """Do nothing, because lines are written without buffering."""
 
+    def close(self) -> None:
+        """Do nothing; the descriptor belongs to the process."""
+
 
 def configure_logging(level: str, *, is_json: bool = False) -> None:
     """
--- a/bronzesill/utils/tests/test_codes.py
+++ b/bronzesill/utils/tests/test_codes.py
@@ -3,7 +3,7 @@
 import unittest
 from pathlib import Path
 
-from ..codes import HTTP_STATUS_BY_CODE, ResultCode
+from ..errors import HTTP_STATUS_BY_CODE, ResultCode
 
 _TABLE = Path(__file__).parents[3] / 'docs' / 'result_codes.rst'
 
