Order what the store says by era, then by revision

Cause: for each key the entry of the highest revision won, and hosts hand on entries by revision alone. The store gives revisions out again after its return, so each new write below the highest one that a host had read was dropped. Class: a number of the store taken as order after the store itself went back.

Change: StoreRevision is the pair of era and number and compares with nothing else; all reads and writes of the store carry it.

--- a/bronzesill/audit/trail.py
+++ b/bronzesill/audit/trail.py
@@ -78,7 +78,7 @@
     if surplus:
         deletions = tuple(Mutation(entry.key, None) for entry in surplus)
         await store.compare_and_swap(
-            surplus[0].key, surplus[0].mod_revision, deletions
+            surplus[0].key, surplus[0].revision, deletions
         )
     return len(surplus)
 
--- a/bronzesill/calls/segments.py
+++ b/bronzesill/calls/segments.py
@@ -7,7 +7,7 @@
 
 import msgpack
 
-from ..store import Mutation, StoredEntry
+from ..store import Mutation, StoredEntry, StoreRevision
 from ..utils import (
     BronzesillError,
     ResultCode,
@@ -86,14 +86,14 @@
     Contents of one partition in the store.
 
     :param partition: number of the partition.
-    :param head_revision: store revision of the head key, 0 before the first
-        write.
+    :param head_revision: store revision of the head key, none before the
+        first write.
     :param next_number: number of the next segment.
     :param segments: all segments, oldest first.
     """
 
     partition: int
-    head_revision: int = 0
+    head_revision: StoreRevision | None = None
     next_number: int = 0
     segments: tuple[Segment, ...] = ()
 
@@ -108,7 +108,7 @@
             return layout
         return cls(
             partition=partition,
-            head_revision=heads[0].mod_revision,
+            head_revision=heads[0].revision,
             next_number=int(heads[0].payload),
             segments=tuple(
                 Segment.from_entry(entry)
--- a/bronzesill/cli/hosted_commands.py
+++ b/bronzesill/cli/hosted_commands.py
@@ -110,7 +110,7 @@
 
 
 def _describe_revision(entry: StoredEntry) -> str:
-    return f'revision {entry.mod_revision}'
+    return f'revision {entry.revision}'
 
 
 async def _server_rows(
--- a/bronzesill/cli/quarantine_commands.py
+++ b/bronzesill/cli/quarantine_commands.py
@@ -50,6 +50,6 @@
         return ResultCode.REQUEST_UNKNOWN
     lifted = record.lifted(time.time())
     revision = await context.store.compare_and_swap(
-        key, entry.mod_revision, (lifted.to_mutation(),)
+        key, entry.revision, (lifted.to_mutation(),)
     )
     return ResultCode.REVISION_CONFLICT if revision is None else ResultCode.DONE
--- a/bronzesill/cli/tests/test_hosted_commands.py
+++ b/bronzesill/cli/tests/test_hosted_commands.py
@@ -69,7 +69,7 @@
             PlatformStore(self.fleet.store.address)
         ) as store:
             await store.compare_and_swap(
-                key, 0, (Mutation(key, orjson.dumps(order)),)
+                key, None, (Mutation(key, orjson.dumps(order)),)
             )
         code, rows = await self.run_tool('roll-out', 'list')
         self.assertEqual(code, ResultCode.DONE)
@@ -87,7 +87,9 @@
         with contextlib.closing(
             PlatformStore(self.fleet.store.address)
         ) as store:
-            await store.compare_and_swap(record.key, 0, (record.to_mutation(),))
+            await store.compare_and_swap(
+                record.key, None, (record.to_mutation(),)
+            )
         _, rows = await self.run_tool('prompt-part', 'list')
         self.assertEqual([row['state'] for row in rows], ['refused'])
         code, _ = await self.run_tool('prompt-part', 'lift', 'bad5')
--- a/bronzesill/config/repository.py
+++ b/bronzesill/config/repository.py
@@ -7,7 +7,7 @@
 import orjson
 
 from ..audit import AuditEntry, audit_mutation
-from ..store import KeyValueStore, Mutation
+from ..store import KeyValueStore, Mutation, StoreRevision
 from ..utils import BronzesillError, ResultCode, structure_json, unstructure
 from .revision import StoredConfig
 
@@ -30,12 +30,12 @@
     A configuration with the store revision at which it was read.
 
     :param config: stored configuration.
-    :param mod_revision: modification revision of its key, expected by the
-        compare-and-swap of the next change.
+    :param revision: revision of its key, expected by the compare-and-swap of
+        the next change.
     """
 
     config: StoredConfig
-    mod_revision: int
+    revision: StoreRevision
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,7 +72,7 @@
         entry = await self._store.get(CONFIG_KEY)
         if entry is None:
             return None
-        return VersionedConfig(parse_stored(entry.payload), entry.mod_revision)
+        return VersionedConfig(parse_stored(entry.payload), entry.revision)
 
     async def history(self) -> tuple[StoredConfig, ...]:
         """Read the retained configurations, at most 100, by revision number."""
@@ -126,7 +126,7 @@
             Mutation(f'{_HISTORY_PREFIX}{slot:04d}', payload),
             audit_mutation(_audit_entry(current, config)),
         )
-        expected = current.mod_revision if current else 0
+        expected = current.revision if current else None
         try:
             revision = await self._store.compare_and_swap(
                 CONFIG_KEY, expected, mutations
--- a/bronzesill/daemon/hosted_fleet.py
+++ b/bronzesill/daemon/hosted_fleet.py
@@ -205,7 +205,7 @@
         stored = await self._store.get(key)
         await self._store.compare_and_swap(
             key,
-            stored.mod_revision if stored else 0,
+            stored.revision if stored else None,
             (Mutation(key, payload, self._lease_id),),
         )
 
--- a/bronzesill/daemon/hosted_moves.py
+++ b/bronzesill/daemon/hosted_moves.py
@@ -180,15 +180,16 @@
         key = status_key(order.subject)
         stored = self._replica.entries_by_key.get(key)
         published = decode_status(stored.payload) if stored else None
-        revision = stored.mod_revision if stored else 0
-        is_from_earlier_order = revision < order.mod_revision
+        is_from_earlier_order = (
+            stored is not None and stored.revision < order.revision
+        )
         if not should_publish_status(
             published, status, is_from_earlier_order=is_from_earlier_order
         ):
             return
         written = await self._store.compare_and_swap(
             key,
-            0 if stored is None or stored.is_removed else revision,
+            None if stored is None or stored.is_removed else stored.revision,
             (status_mutation(status),),
         )
         _log.event(
@@ -237,7 +238,7 @@
 
     def _has_final_status(self, order: MoveOrder) -> bool:
         stored = self._replica.entries_by_key.get(status_key(order.subject))
-        if stored is None or stored.mod_revision < order.mod_revision:
+        if stored is None or stored.revision < order.revision:
             return False
         published = decode_status(stored.payload)
         return published is not None and published.is_final
--- a/bronzesill/daemon/hosted_store_state.py
+++ b/bronzesill/daemon/hosted_store_state.py
@@ -10,9 +10,16 @@
 from ..gateway import GatewayState
 from ..platform.documents import CONFIGURATION_KEY, decode_document
 from ..platform.servers import SERVER_PREFIX, decode_server, server_name
-from ..replica import MergeResult, Replica, merge, merge_snapshot
+from ..replica import (
+    MergeResult,
+    Replica,
+    ReplicaAnswer,
+    merge,
+    merge_answer,
+    merge_snapshot,
+)
 from ..routing import ServerListing, ServerRestart, ServerTracker
-from ..store import Snapshot, StoredEntry
+from ..store import Snapshot, StoredEntry, StoreRevision
 from ..utils import DocumentInvalid, PartLogger
 
 __all__ = ['HostedStoreState']
@@ -51,14 +58,22 @@
         has_servers = bool(self.listing.listed_by_name)
         return self._state.document is not None and has_servers
 
-    def apply_snapshot(self, prefix: str, snapshot: Snapshot) -> None:
-        """Replace all keys below a prefix by those of a snapshot."""
-        self._apply_merge(merge_snapshot(self.replica, prefix, snapshot))
+    def apply_snapshot(self, snapshot: Snapshot) -> None:
+        """Replace all keys by those of a snapshot."""
+        self._apply_merge(merge_snapshot(self.replica, snapshot))
 
     def apply_entries(self, entries: tuple[StoredEntry, ...]) -> None:
         """Merge changed entries into the replica."""
         self._apply_merge(merge(self.replica, entries))
 
+    def apply_answer(self, answer: ReplicaAnswer) -> None:
+        """
+        Merge the answer of a peer into the replica.
+
+        :raises zlib.error: an entry cannot be decompressed.
+        """
+        self._apply_merge(merge_answer(self.replica, answer))
+
     def set_store_reachable(self, is_reachable: bool) -> None:
         """Record whether the store answers."""
         self.listing = self.listing.with_store_state(
@@ -97,7 +112,7 @@
         entry = document.services.get(service) if document else None
         return entry.health_path if entry else ''
 
-    async def wait_for_change_after(self, revision: int) -> None:
+    async def wait_for_change_after(self, revision: StoreRevision) -> None:
         """Wait until the replica holds a revision above the given one."""
         while self.replica.last_revision <= revision:
             await self._changed.wait()
@@ -141,10 +156,10 @@
         try:
             document = decode_document(entry.payload)
         except DocumentInvalid as error:
-            _log.error('revision %s rejected: %s', entry.mod_revision, error)
+            _log.error('revision %s rejected: %s', entry.revision, error)
             return
         self._state.document = document
-        _log.info('configuration of revision %s in force', entry.mod_revision)
+        _log.info('configuration of revision %s in force', entry.revision)
         self._refresh_servers()
 
     def _update_server(self, name: str, entry: StoredEntry) -> None:
@@ -182,8 +197,8 @@
         'entries_ignored',
         count=len(merged.ignored_entries),
         first_key=merged.ignored_entries[0].key,
-        revision=merged.ignored_entries[-1].mod_revision,
-        known_revision=merged.replica.last_revision,
+        revision=str(merged.ignored_entries[-1].revision),
+        known_revision=str(merged.replica.last_revision),
     )
 
 
--- a/bronzesill/daemon/peer_replication.py
+++ b/bronzesill/daemon/peer_replication.py
@@ -9,7 +9,7 @@
 from random import Random
 
 from ..membership import Member
-from ..replica import FetchReplica, ReplicaAnswer, ReplicaEntry
+from ..replica import FetchReplica, ReplicaAnswer, answer_fetch
 from ..utils import BronzesillError, PartLogger
 from ..wire import PeerClient
 from .hosted_store_state import HostedStoreState
@@ -80,19 +80,12 @@
         """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(min(request.wait_s, _LONG_POLL_S)):
-                await self._store_state.wait_for_change_after(
-                    request.after_revision
-                )
-        return ReplicaAnswer(
-            tuple(
-                ReplicaEntry.from_stored(entry)
-                for entry in self._store_state.replica.changed_since(
-                    request.after_revision
-                )
-            ),
-            is_store_reachable=not (
-                self._store_state.listing.is_store_unreachable
-            ),
+                await self._store_state.wait_for_change_after(request.after)
+        is_unreachable = self._store_state.listing.is_store_unreachable
+        return answer_fetch(
+            self._store_state.replica,
+            request,
+            is_store_reachable=not is_unreachable,
         )
 
     async def _poll_peers_when_stale(self) -> None:
@@ -144,19 +137,17 @@
             return None
         if not isinstance(reply, ReplicaAnswer):
             return None
-        if reply.entries:
+        if reply.entries or reply.is_snapshot:
             self._apply(reply)
         return reply
 
     def _apply(self, reply: ReplicaAnswer) -> None:
         try:
-            entries = tuple(entry.to_stored() for entry in reply.entries)
+            self._store_state.apply_answer(reply)
         except zlib.error as error:
             _log.warning(
                 'store entries from a peer cannot be decompressed: %s', error
             )
-            return
-        self._store_state.apply_entries(entries)
 
 
 def _now_s() -> float:
--- a/bronzesill/daemon/prompt_quarantine.py
+++ b/bronzesill/daemon/prompt_quarantine.py
@@ -225,9 +225,9 @@
         known = record_from_entry(stored) if stored else None
         if known is not None and known.sequence >= record.sequence:
             return True
-        revision = stored.mod_revision if stored else 0
+        expected = stored.revision if stored else None
         await self._store.compare_and_swap(
-            record.key, revision, (record.to_mutation(),)
+            record.key, expected, (record.to_mutation(),)
         )
         return False
 
--- a/bronzesill/daemon/tests/test_hosted_moves.py
+++ b/bronzesill/daemon/tests/test_hosted_moves.py
@@ -66,7 +66,7 @@
             PlatformStore(self.fleet.store.address)
         ) as store:
             await store.compare_and_swap(
-                key, 0, (Mutation(key, orjson.dumps(order)),)
+                key, None, (Mutation(key, orjson.dumps(order)),)
             )
 
     async def read_status(self) -> OrderStatus | None:
--- a/bronzesill/moves/order.py
+++ b/bronzesill/moves/order.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from ..store import StoreRevision
 from .record import MoveState
 from .split import KnownMove
 
@@ -24,18 +25,18 @@
     :param subject: model or plain service whose traffic is to be moved.
     :param new_version: version that is to serve the traffic.
     :param window_s: seconds from the order to the deadline of its move.
-    :param mod_revision: store revision of the order.
+    :param revision: store revision of the order.
     """
 
     subject: str
     new_version: str
     window_s: float
-    mod_revision: int
+    revision: StoreRevision
 
     @property
     def move_id(self) -> str:
         """Identifier of the move that executes the order."""
-        return f'{self.subject}-{self.mod_revision}'
+        return f'{self.subject}-{self.revision.number}'
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/moves/repository.py
+++ b/bronzesill/moves/repository.py
@@ -7,7 +7,7 @@
 import orjson
 
 from ..audit import AuditEntry, audit_mutation
-from ..store import KeyValueStore, Mutation, StoredEntry
+from ..store import KeyValueStore, Mutation, StoredEntry, StoreRevision
 from ..utils import (
     BronzesillError,
     DocumentInvalid,
@@ -29,11 +29,11 @@
     A record with the store revision at which it was read.
 
     :param record: record of the move.
-    :param mod_revision: revision that a change of the record has to match.
+    :param revision: revision that a change of the record has to match.
     """
 
     record: MoveRecord
-    mod_revision: int
+    revision: StoreRevision
 
     @classmethod
     def from_entry(cls, entry: StoredEntry) -> StoredMove:
@@ -44,7 +44,7 @@
         :raises BronzesillError: the payload is not a record.
         """
         record = structure_json(entry.payload, MoveRecord)
-        return cls(record, entry.mod_revision)
+        return cls(record, entry.revision)
 
 
 class MoveRepository:
@@ -92,7 +92,7 @@
                     f'move {stored.record.move_id} of {record.subject} by '
                     f'{stored.record.operator} has not ended',
                 )
-        if not await self._write(None, record, 0):
+        if not await self._write(None, record, None):
             raise BronzesillError(
                 ResultCode.MOVE_CONFLICT,
                 'another move was created with the same identifier',
@@ -115,13 +115,16 @@
                 f'move {record.move_id} is {stored.record.state.value}, '
                 f'by {stored.record.changed_by}',
             )
-        if not await self._write(stored.record, record, stored.mod_revision):
+        if not await self._write(stored.record, record, stored.revision):
             raise BronzesillError(
                 ResultCode.MOVE_CONFLICT, 'another change was stored first'
             )
 
     async def _write(
-        self, before: MoveRecord | None, after: MoveRecord, revision: int
+        self,
+        before: MoveRecord | None,
+        after: MoveRecord,
+        expected: StoreRevision | None,
     ) -> bool:
         key = f'{MOVE_PREFIX}{after.move_id}'
         mutations = (
@@ -130,7 +133,7 @@
         )
         try:
             written = await self._store.compare_and_swap(
-                key, revision, mutations
+                key, expected, mutations
             )
         except BronzesillError as error:
             if error.code is not ResultCode.STORE_ANSWER_LOST:
--- a/bronzesill/moves/tests/test_short_moves.py
+++ b/bronzesill/moves/tests/test_short_moves.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+from ...store import StoreRevision
 from ..comparison import ComparisonOutcome
 from ..evidence import Evidence, ServerEvidence, bucket_of_s
 from ..order import (
@@ -137,7 +138,7 @@
 class OrderStatusTest(unittest.TestCase):
     """A final status is published once, when operators may act on it."""
 
-    order = MoveOrder('shop', 'v2', _WINDOW_S, 7)
+    order = MoveOrder('shop', 'v2', _WINDOW_S, StoreRevision(1, 7))
 
     def test_done_is_published_after_the_drain_period(self) -> None:
         done = _record().changed(
--- a/bronzesill/orders/repository.py
+++ b/bronzesill/orders/repository.py
@@ -7,7 +7,7 @@
 import orjson
 
 from ..audit import AuditEntry, audit_mutation
-from ..store import KeyValueStore, Mutation, StoredEntry
+from ..store import KeyValueStore, Mutation, StoredEntry, StoreRevision
 from ..utils import BronzesillError, ResultCode, structure_json, unstructure
 from .load_slots import LoadSlot, LoadSlots
 from .record import OrderRecord, has_ended
@@ -24,11 +24,11 @@
     An order with the store revision at which it was read.
 
     :param record: the order, with its fencing number.
-    :param mod_revision: revision that a change of the order has to match.
+    :param revision: revision that a change of the order has to match.
     """
 
     record: OrderRecord
-    mod_revision: int
+    revision: StoreRevision
 
     @classmethod
     def from_entry(cls, entry: StoredEntry) -> StoredOrder:
@@ -43,8 +43,9 @@
         """
         record = structure_json(entry.payload, OrderRecord)
         if not record.fencing:
-            record = dataclasses.replace(record, fencing=entry.mod_revision)
-        return cls(record, entry.mod_revision)
+            fencing = entry.revision.number
+            record = dataclasses.replace(record, fencing=fencing)
+        return cls(record, entry.revision)
 
 
 class OrderRepository:
@@ -72,7 +73,7 @@
         """
         key = f'{_PREFIX}{record.server}'
         entry = await self._store.get(key)
-        expected = entry.mod_revision if entry else 0
+        expected = entry.revision if entry else None
         if entry and not has_ended(StoredOrder.from_entry(entry).record):
             raise _conflict(f'{record.server} has an order that has not ended')
         mutations = (
@@ -82,7 +83,7 @@
         revision = await self._store.compare_and_swap(key, expected, mutations)
         if revision is None:
             raise _conflict('another order of the server was stored first')
-        return dataclasses.replace(record, fencing=revision)
+        return dataclasses.replace(record, fencing=revision.number)
 
     async def change(
         self, stored: StoredOrder, record: OrderRecord
@@ -99,7 +100,7 @@
         key = f'{_PREFIX}{record.server}'
         payload = orjson.dumps(unstructure(record))
         revision = await self._store.compare_and_swap(
-            key, stored.mod_revision, (Mutation(key, payload),)
+            key, stored.revision, (Mutation(key, payload),)
         )
         if revision is None:
             raise _conflict('another change was stored first')
@@ -131,7 +132,7 @@
         self, entry: StoredEntry | None, slots: LoadSlots
     ) -> bool:
         payload = orjson.dumps(unstructure(slots))
-        expected = entry.mod_revision if entry else 0
+        expected = entry.revision if entry else None
         revision = await self._store.compare_and_swap(
             _SLOTS_KEY, expected, (Mutation(_SLOTS_KEY, payload),)
         )
--- a/bronzesill/platform/rollouts.py
+++ b/bronzesill/platform/rollouts.py
@@ -41,7 +41,7 @@
             # `target` is the version to move to.
             new_version=str(raw['target']),
             window_s=float(raw['durationS']),
-            mod_revision=entry.mod_revision,
+            revision=entry.revision,
         )
     except (ValueError, TypeError, KeyError):
         return None
--- a/bronzesill/platform/store.py
+++ b/bronzesill/platform/store.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from ..store import Changes, Mutation, Snapshot, StoredEntry
+from ..store import Changes, Mutation, Snapshot, StoredEntry, StoreRevision
 from ..upstream import (
     AnswerError,
     HttpAnswer,
@@ -69,7 +69,7 @@
         response = await self._call('GET', 'kv-key', query={'key': key})
         if response.status == _NOT_FOUND:
             return None
-        return _decode_entry(response.require(_OK))
+        return _decode_entry(response.require(_OK), response.era)
 
     async def list(self, prefix: str) -> tuple[StoredEntry, ...]:
         """Read all keys below a prefix, in key order."""
@@ -83,68 +83,82 @@
         :param prefix: beginning of the keys.
         :param may_be_stale: whether the response may be seconds old.
         :returns: the keys with the revision of the first page.
+        :raises BronzesillError: ``STORE_UNAVAILABLE`` also if the pages are
+            of different eras.
         """
         query = {'prefix': prefix}
         if may_be_stale:
             query['staleRead'] = '1'
         entries: list[StoredEntry] = []
-        first_revision = 0
+        first: StoreRevision | None = None
         while True:
             response = await self._call('GET', 'kv-range', query=query)
             page = response.require(_OK)
-            entries.extend(_decode_entry(raw) for raw in page['entries'])
+            entries.extend(
+                _decode_entry(raw, response.era) for raw in page['entries']
+            )
             # Later pages may contain newer writes: following changes from the
             # revision of the first page misses none of them.
-            first_revision = first_revision or int(page['atRevision'])
+            first = first or StoreRevision(
+                response.era, int(page['atRevision'])
+            )
+            if response.era != first.era:
+                raise _unavailable('a new era began between two pages')
             if not page['hasMore']:
-                return Snapshot(tuple(entries), first_revision)
+                return Snapshot(tuple(entries), first)
             query['after'] = entries[-1].key
 
     async def changes(
-        self, prefix: str, after_revision: int, wait_s: float
+        self, prefix: str, after: StoreRevision, wait_s: float
     ) -> Changes:
         """
         Wait for writes below a prefix.
 
         :param prefix: beginning of the keys.
-        :param after_revision: revision up to which writes are known.
+        :param after: revision up to which writes are known.
         :param wait_s: seconds to wait if there are none.
         :returns: the writes; ``has_gap`` is set if the service no longer keeps
-            all writes since ``after_revision``.
+            all writes since ``after``, or answers in another era.
         """
         response = await self._call(
             'GET',
             'kv-watch',
             query={
                 'prefix': prefix,
-                'after': str(after_revision),
+                'after': str(after.number),
                 'waitMs': str(int(wait_s * _MS_PER_S)),
             },
             wait_s=wait_s,
         )
-        if response.status == _GONE:
-            return Changes((), after_revision, has_gap=True)
+        if response.status == _GONE or response.era != after.era:
+            return Changes((), after, has_gap=True)
         body = response.require(_OK)
-        entries = tuple(_decode_entry(raw) for raw in body['events'])
-        return Changes(entries, int(body['atRevision']))
+        entries = tuple(
+            _decode_entry(raw, response.era) for raw in body['events']
+        )
+        at_revision = StoreRevision(response.era, int(body['atRevision']))
+        return Changes(entries, at_revision)
 
     async def compare_and_swap(
         self,
         key: str,
-        expected_mod_revision: int,
+        expected: StoreRevision | None,
         mutations: tuple[Mutation, ...],
-    ) -> int | None:
+    ) -> StoreRevision | None:
         """
         Apply all mutations atomically if ``key`` is at the expected revision.
 
         :param key: key whose revision is compared.
-        :param expected_mod_revision: revision of its last write, 0 if the key
-            must not exist.
+        :param expected: revision of its last write, none if the key must not
+            exist.
         :param mutations: keys to write or remove.
         :returns: store revision of the write, none if the condition failed or
             the lease of a mutation does not exist.
         """
-        condition = {'key': key, 'revision': expected_mod_revision}
+        condition = {
+            'key': key,
+            'revision': expected.number if expected else 0,
+        }
         body = {
             'expectedRevision': [condition],
             'write': [
@@ -161,7 +175,8 @@
         response = await self._call('POST', 'kv-txn', body=body)
         if response.status in {_PRECONDITION_FAILED, _NOT_FOUND}:
             return None
-        return int(response.require(_OK)['revision'])
+        number = int(response.require(_OK)['revision'])
+        return StoreRevision(response.era, number)
 
     async def grant_lease(self, ttl_s: float) -> int:
         """
@@ -236,14 +251,11 @@
                 ResultCode.STORE_ANSWER_LOST,
                 f'no response from the key-value store: {error!r}',
             ) from error
-        self._note_era(answer)
-        return _Response(answer)
-
-    def _note_era(self, answer: HttpAnswer) -> None:
-        era = _decode_era(answer)
+        era = _decode_era(answer) or self.era
         if era > self.era:
             _log.event('store_era', before=self.era, after=era)
             self.era = era
+        return _Response(answer, era)
 
 
 class _Response:
@@ -251,12 +263,14 @@
     Response of the service.
 
     :param answer: status and body.
+    :param era: era of the store in which it answered.
     :raises BronzesillError: ``STORE_UNAVAILABLE`` if the service did not
         execute the call.
     """
 
-    def __init__(self, answer: HttpAnswer) -> None:
+    def __init__(self, answer: HttpAnswer, era: int) -> None:
         self.status = answer.status
+        self.era = era
         self._payload = answer.body
         if answer.status in _NOT_EXECUTED_STATUSES:
             raise _unavailable(f'HTTP status {answer.status}')
@@ -299,11 +313,11 @@
     return write
 
 
-def _decode_entry(raw: Mapping[str, Any]) -> StoredEntry:
+def _decode_entry(raw: Mapping[str, Any], era: int) -> StoredEntry:
     # `compacted` in a watch event means that the key was removed.
     return StoredEntry(
         key=raw['key'],
         payload=base64.b64decode(raw.get('value', '')),
-        mod_revision=int(raw['revision']),
+        revision=StoreRevision(era, int(raw['revision'])),
         is_removed=bool(raw.get('compacted', False)),
     )
--- a/bronzesill/platform/tests/test_orders_and_reports.py
+++ b/bronzesill/platform/tests/test_orders_and_reports.py
@@ -5,7 +5,7 @@
 import orjson
 
 from ...moves import MoveOrder, OrderStatus
-from ...store import StoredEntry
+from ...store import StoredEntry, StoreRevision
 from ..reports import decode_cache_events, decode_engine_report
 from ..rollouts import (
     ORDER_PREFIX,
@@ -30,9 +30,11 @@
     'runs': [['9c41', 1460, 12, 5]],
 }
 
+_REVISION = StoreRevision(1, 7)
+
 
 def _entry(payload: bytes, *, is_removed: bool = False) -> StoredEntry:
-    return StoredEntry(f'{ORDER_PREFIX}shop', payload, 7, is_removed)
+    return StoredEntry(f'{ORDER_PREFIX}shop', payload, _REVISION, is_removed)
 
 
 class OrderTest(unittest.TestCase):
@@ -41,7 +43,7 @@
     def test_order_is_decoded(self) -> None:
         payload = b'{"service":"shop","target":"v2","durationS":12}'
         order = decode_order(_entry(payload))
-        self.assertEqual(order, MoveOrder('shop', 'v2', 12, 7))
+        self.assertEqual(order, MoveOrder('shop', 'v2', 12, _REVISION))
         self.assertIsNone(decode_order(_entry(payload, is_removed=True)))
 
     def test_malformed_order_is_ignored(self) -> None:
--- a/bronzesill/quarantine/tests/test_evidence.py
+++ b/bronzesill/quarantine/tests/test_evidence.py
@@ -9,7 +9,7 @@
 import unittest
 from random import Random
 
-from ...store import StoredEntry
+from ...store import StoredEntry, StoreRevision
 from ..evidence import EvidenceTable, PartEvidence, PromptCrash
 from ..record import (
     BlockedParts,
@@ -153,7 +153,8 @@
         record = _block('bad', 'first')
         self.assertEqual(record_from_fact(fact_of(record)), record)
         mutation = record.to_mutation()
-        entry = StoredEntry(mutation.key, mutation.payload or b'', 9)
+        revision = StoreRevision(1, 9)
+        entry = StoredEntry(mutation.key, mutation.payload or b'', revision)
         self.assertEqual(record_from_entry(entry), record)
-        broken = StoredEntry(mutation.key, b'{"part": 3', 9)
+        broken = StoredEntry(mutation.key, b'{"part": 3', revision)
         self.assertIsNone(record_from_entry(broken))
--- a/bronzesill/replica/follower.py
+++ b/bronzesill/replica/follower.py
@@ -8,7 +8,7 @@
 from random import Random
 from typing import TypeAlias
 
-from ..store import KeyValueStore, Snapshot, StoredEntry
+from ..store import KeyValueStore, Snapshot, StoredEntry, StoreRevision
 from ..utils import BronzesillError, PartLogger
 
 __all__ = ['FollowPolicy', 'StoreFollower']
@@ -24,7 +24,7 @@
 
 _log = PartLogger('replica')
 
-OnSnapshot: TypeAlias = Callable[[str, Snapshot], None]
+OnSnapshot: TypeAlias = Callable[[Snapshot], None]
 OnEntries: TypeAlias = Callable[[tuple[StoredEntry, ...]], None]
 OnReachability: TypeAlias = Callable[[bool], None]
 
@@ -54,7 +54,7 @@
     :param store: the key-value service.
     :param prefix: prefix of the keys.
     :param policy: timing of the polls.
-    :param on_snapshot: called with the prefix and all its keys.
+    :param on_snapshot: called with all keys below the prefix.
     :param on_entries: called with changed entries.
     :param on_reachability: called with whether the service answers.
     :param random: random generator for the jitter of retries.
@@ -81,7 +81,7 @@
         self._on_reachability = on_reachability
         self._random = random
         self._should_follow = should_follow
-        self._revision: int | None = None
+        self._revision: StoreRevision | None = None
         self._is_reached = True
         self._backoff_s = _INITIAL_BACKOFF_S
 
@@ -112,7 +112,7 @@
                 self._prefix, may_be_stale=False
             )
             self._revision = snapshot.revision
-            self._on_snapshot(self._prefix, snapshot)
+            self._on_snapshot(snapshot)
             return
         # While the store does not answer, polls do not wait for changes: one
         # that is sent just before its return must not hang long beyond it.
--- a/bronzesill/replica/messages.py
+++ b/bronzesill/replica/messages.py
@@ -3,7 +3,7 @@
 import dataclasses
 import zlib
 
-from ..store import StoredEntry
+from ..store import StoredEntry, StoreRevision
 
 __all__ = ['FetchReplica', 'ReplicaAnswer', 'ReplicaEntry']
 
@@ -27,14 +27,14 @@
 
     key: str
     payload: bytes
-    revision: int
+    revision: StoreRevision
     is_removed: bool
 
     @classmethod
     def from_stored(cls, entry: StoredEntry) -> 'ReplicaEntry':
         """Return the message for an entry, with a compressed payload."""
         compressed = zlib.compress(entry.payload, _COMPRESSION_LEVEL)
-        return cls(entry.key, compressed, entry.mod_revision, entry.is_removed)
+        return cls(entry.key, compressed, entry.revision, entry.is_removed)
 
     def to_stored(self) -> StoredEntry:
         """
@@ -55,11 +55,11 @@
     """
     Request for changed keys, from a daemon that does not follow the store.
 
-    :param after_revision: last revision that the requesting daemon has.
+    :param after: last revision that the requesting daemon has.
     :param wait_s: seconds to wait for a change if there is none yet.
     """
 
-    after_revision: int
+    after: StoreRevision
     wait_s: float = 0
 
 
@@ -68,9 +68,15 @@
     """
     Answer to :class:`FetchReplica`.
 
-    :param entries: changed keys, each with its newest entry.
+    :param entries: changed keys, each with its newest entry; or all existing
+        keys.
+    :param revision: last revision that the answering daemon has.
+    :param is_snapshot: whether the entries are all existing keys, because the
+        changes since the requested revision are not known completely.
     :param is_store_reachable: whether the answering daemon can reach the store.
     """
 
     entries: tuple[ReplicaEntry, ...]
+    revision: StoreRevision
+    is_snapshot: bool = False
     is_store_reachable: bool = False
--- a/bronzesill/replica/state.py
+++ b/bronzesill/replica/state.py
@@ -5,46 +5,58 @@
 import dataclasses
 from collections.abc import Mapping
 
-from ..store import Snapshot, StoredEntry
+from ..store import Snapshot, StoredEntry, StoreRevision
 
 __all__ = ['MergeResult', 'Replica', 'merge', 'merge_snapshot']
 
+_NO_REVISION = StoreRevision()
+
 
 @dataclasses.dataclass(frozen=True)
 class Replica:
     """
-    Immutable replica of the store's keys.
+    Immutable replica of all keys of the store, as of one era.
 
     A removed key keeps an entry with the revision of its removal, so that
     an older entry cannot restore it.
 
     :param entries_by_key: newest known entry of each key.
+    :param complete_from: revision of the last snapshot.  Keys that were
+        removed before it may lack their entry.
     """
 
     entries_by_key: Mapping[str, StoredEntry] = dataclasses.field(
         default_factory=dict
     )
+    complete_from: StoreRevision = _NO_REVISION
 
     @property
-    def last_revision(self) -> int:
-        """Highest revision of all entries, 0 if there is none."""
-        return max(
-            (entry.mod_revision for entry in self.entries_by_key.values()),
-            default=0,
-        )
+    def era(self) -> int:
+        """Era of the store that the replica shows."""
+        return self.complete_from.era
+
+    @property
+    def last_revision(self) -> StoreRevision:
+        """Highest revision of the last snapshot and all entries."""
+        revisions = (entry.revision for entry in self.entries_by_key.values())
+        return max((self.complete_from, *revisions))
 
-    def changed_since(self, revision: int) -> tuple[StoredEntry, ...]:
+    def changed_since(self, revision: StoreRevision) -> tuple[StoredEntry, ...]:
         """Return the entries that were written after a revision."""
         return tuple(
             entry
             for entry in self.entries_by_key.values()
-            if entry.mod_revision > revision
+            if entry.revision > revision
         )
 
-    def revision(self, key: str) -> int:
-        """Return the known revision of a key, 0 if the key is unknown."""
-        entry = self.entries_by_key.get(key)
-        return entry.mod_revision if entry else 0
+    def to_snapshot(self) -> Snapshot:
+        """Return the existing keys."""
+        entries = (
+            entry
+            for entry in self.entries_by_key.values()
+            if not entry.is_removed
+        )
+        return Snapshot(tuple(entries), self.last_revision)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -56,7 +68,7 @@
     :param newer_entries: merged entries, in order of revision; those that
         were not newer than the replica are left out.
     :param ignored_entries: entries that say something else than the replica,
-        but at a lower revision.
+        but at a lower revision or in another era.
     """
 
     replica: Replica
@@ -68,52 +80,77 @@
     """
     Merge entries that were read from the store or from a peer.
 
-    For each key the entry of the highest revision is kept.
+    For each key the entry of the highest revision is kept.  Entries of
+    another era are left out: those of an earlier one come late, and those of
+    a later one say nothing of the keys that it lacks.
+
+    :param replica: replica before the merge.
+    :param incoming: entries in any order.
+    """
+    return _merge_after(replica, incoming, replica.complete_from)
+
+
+def _merge_after(
+    replica: Replica,
+    incoming: tuple[StoredEntry, ...],
+    complete_from: StoreRevision,
+) -> MergeResult:
+    """
+    Merge entries; those of unknown keys only if they are new enough.
 
     :param replica: replica before the merge.
     :param incoming: entries in any order.
+    :param complete_from: revision up to which an unknown key is known not to
+        exist.
     """
     entries = dict(replica.entries_by_key)
     newer: list[StoredEntry] = []
     ignored: list[StoredEntry] = []
-    for entry in sorted(incoming, key=lambda entry: entry.mod_revision):
+    for entry in sorted(incoming, key=lambda entry: entry.revision):
         current = entries.get(entry.key)
-        if current is None or entry.mod_revision > current.mod_revision:
+        known_from = current.revision if current else complete_from
+        if entry.revision.era == replica.era and entry.revision > known_from:
             entries[entry.key] = entry
             newer.append(entry)
-        elif _differs(entry, current):
+        else:
             ignored.append(entry)
-    if not newer:
-        return MergeResult(replica, (), tuple(ignored))
-    return MergeResult(Replica(entries), tuple(newer), tuple(ignored))
-
+    if newer:
+        replica = dataclasses.replace(replica, entries_by_key=entries)
+    differing = (entry for entry in ignored if _differs(entry, entries))
+    return MergeResult(replica, tuple(newer), tuple(differing))
 
-def _differs(entry: StoredEntry, other: StoredEntry) -> bool:
-    return (entry.payload, entry.is_removed) != (
-        other.payload,
-        other.is_removed,
-    )
 
-
-def merge_snapshot(
-    replica: Replica, prefix: str, snapshot: Snapshot
-) -> MergeResult:
+def merge_snapshot(replica: Replica, snapshot: Snapshot) -> MergeResult:
     """
-    Merge a complete snapshot of a prefix.
+    Merge a snapshot of all keys.
 
-    Keys below the prefix that are not in the snapshot are marked as removed
-    at its revision.
+    Keys that are not in the snapshot are marked as removed at its revision.
+    A snapshot of an earlier era is left out, one of a later era replaces all
+    entries.
 
     :param replica: replica before the merge.
-    :param prefix: prefix of the keys in the snapshot.
-    :param snapshot: all existing keys below the prefix.
+    :param snapshot: all existing keys.
     """
+    if snapshot.revision.era < replica.era:
+        return MergeResult(replica, (), snapshot.entries)
     present = {entry.key for entry in snapshot.entries}
     removed = tuple(
         StoredEntry(key, b'', snapshot.revision, is_removed=True)
         for key, entry in replica.entries_by_key.items()
-        if key.startswith(prefix)
-        and key not in present
-        and not entry.is_removed
+        if key not in present and not entry.is_removed
+    )
+    complete_from = max(replica.complete_from, snapshot.revision)
+    renewed = dataclasses.replace(replica, complete_from=complete_from)
+    return _merge_after(
+        renewed, (*snapshot.entries, *removed), replica.complete_from
     )
-    return merge(replica, (*snapshot.entries, *removed))
+
+
+def _differs(
+    entry: StoredEntry, entries_by_key: Mapping[str, StoredEntry]
+) -> bool:
+    known = entries_by_key.get(entry.key)
+    if known is None:
+        return True
+    said = (entry.payload, entry.is_removed)
+    return said != (known.payload, known.is_removed)
--- a/bronzesill/replica/tests/test_follower.py
+++ b/bronzesill/replica/tests/test_follower.py
@@ -12,11 +12,13 @@
 from random import Random
 
 from ...standins.virtual_time import run_in_virtual_time
-from ...store import Changes, Mutation, Snapshot, StoredEntry
+from ...store import Changes, Mutation, Snapshot, StoredEntry, StoreRevision
 from ...utils import BronzesillError, ResultCode
 from ..follower import FollowPolicy, StoreFollower
 
 _KEY = 'op/config'
+_FIRST = StoreRevision(1, 1)
+_SECOND = StoreRevision(1, 2)
 _SILENT_FROM_S = 4.0
 _SILENT_FOR_S = 8.0
 #: Time at which the store acknowledges the change after its return.
@@ -41,9 +43,9 @@
     async def compare_and_swap(
         self,
         key: str,
-        expected_mod_revision: int,
+        expected: StoreRevision | None,
         mutations: tuple[Mutation, ...],
-    ) -> int | None:
+    ) -> StoreRevision | None:
         raise NotImplementedError
 
     async def grant_lease(self, ttl_s: float) -> int:
@@ -59,10 +61,10 @@
         raise NotImplementedError
 
     async def snapshot(self, prefix: str, *, may_be_stale: bool) -> Snapshot:
-        return Snapshot((), 1)
+        return Snapshot((), _FIRST)
 
     async def changes(
-        self, prefix: str, after_revision: int, wait_s: float
+        self, prefix: str, after: StoreRevision, wait_s: float
     ) -> Changes:
         loop = asyncio.get_running_loop()
         began_s = loop.time()
@@ -74,9 +76,9 @@
             fails_at_s = began_s + wait_s + _CLIENT_TIMEOUT_S
             await asyncio.sleep(fails_at_s - loop.time())
             raise BronzesillError(ResultCode.STORE_ANSWER_LOST, 'no response')
-        if loop.time() >= _CHANGED_AT_S and after_revision < 2:
-            return Changes((StoredEntry(_KEY, b'new', 2),), 2)
-        return Changes((), after_revision)
+        if loop.time() >= _CHANGED_AT_S and after < _SECOND:
+            return Changes((StoredEntry(_KEY, b'new', _SECOND),), _SECOND)
+        return Changes((), after)
 
     def _is_silent(self, now_s: float) -> bool:
         return 0 <= now_s - _SILENT_FROM_S < _SILENT_FOR_S
@@ -93,7 +95,7 @@
         _SilentStore(),
         '',
         FollowPolicy(wait_s=1, pause_s=0.4),
-        lambda prefix, snapshot: None,
+        lambda snapshot: None,
         adopt,
         lambda is_reachable: None,
         Random(seed),
--- a/bronzesill/standins/hosted_fleet.py
+++ b/bronzesill/standins/hosted_fleet.py
@@ -184,7 +184,7 @@
             existing = await store.get(CONFIGURATION_KEY)
             await store.compare_and_swap(
                 CONFIGURATION_KEY,
-                existing.mod_revision if existing else 0,
+                existing.revision if existing else None,
                 (Mutation(CONFIGURATION_KEY, orjson.dumps(document)),),
             )
 
--- a/bronzesill/standins/tests/test_standins.py
+++ b/bronzesill/standins/tests/test_standins.py
@@ -71,20 +71,20 @@
 
     async def test_only_one_of_two_writers_wins(self) -> None:
         first = await self.store.compare_and_swap(
-            '/k', 0, (Mutation('/k', b'1'),)
+            '/k', None, (Mutation('/k', b'1'),)
         )
         second = await self.store.compare_and_swap(
-            '/k', 0, (Mutation('/k', b'2'),)
+            '/k', None, (Mutation('/k', b'2'),)
         )
         entry = await self.store.get('/k')
         assert entry is not None
         self.assertEqual((entry.payload, second), (b'1', None))
-        self.assertEqual(entry.mod_revision, first)
+        self.assertEqual(entry.revision, first)
 
     async def test_expired_lease_removes_its_keys(self) -> None:
         lease = await self.store.grant_lease(1)
         mutation = Mutation('/l', b'x', lease)
-        await self.store.compare_and_swap('/l', 0, (mutation,))
+        await self.store.compare_and_swap('/l', None, (mutation,))
         self.assertTrue(await self.store.renew_lease(lease))
         await asyncio.sleep(1.2)
         self.assertIsNone(await self.store.get('/l'))
@@ -95,7 +95,7 @@
         waiting = asyncio.ensure_future(anext(watch))
         await asyncio.sleep(0.2)
         await self.store.compare_and_swap(
-            '/w/a', 0, (Mutation('/w/a', b'new'),)
+            '/w/a', None, (Mutation('/w/a', b'new'),)
         )
         async with asyncio.timeout(3):
             entry = await waiting
--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -288,7 +288,7 @@
             return lease_id
         await store.compare_and_swap(
             key,
-            existing.mod_revision if existing else 0,
+            existing.revision if existing else None,
             (Mutation(key, orjson.dumps(registration), lease_id),),
         )
         return lease_id
--- a/bronzesill/store/__init__.py
+++ b/bronzesill/store/__init__.py
@@ -9,6 +9,7 @@
     Snapshot,
     StoredEntry,
 )
+from .revision import StoreRevision
 
 __all__ = [
     'Changes',
@@ -17,5 +18,6 @@
     'ListedHost',
     'Mutation',
     'Snapshot',
+    'StoreRevision',
     'StoredEntry',
 ]
--- a/bronzesill/store/interfaces.py
+++ b/bronzesill/store/interfaces.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from ..utils import Address
+from .revision import StoreRevision
 
 __all__ = [
     'Changes',
@@ -26,14 +27,13 @@
 
     :param key: the key.
     :param payload: value of the key.
-    :param mod_revision: store revision of the last write to the key, 0 if
-        the key does not exist.
+    :param revision: store revision of the last write to the key.
     :param is_removed: whether the last write removed the key.
     """
 
     key: str
     payload: bytes
-    mod_revision: int
+    revision: StoreRevision
     is_removed: bool = False
 
 
@@ -48,7 +48,7 @@
     """
 
     entries: tuple[StoredEntry, ...]
-    revision: int
+    revision: StoreRevision
 
 
 @dataclasses.dataclass(frozen=True)
@@ -58,12 +58,12 @@
 
     :param entries: the writes, oldest first.
     :param revision: store revision up to which the writes are complete.
-    :param has_gap: whether the store no longer has some of the writes, so
-        that the caller has to take a new snapshot.
+    :param has_gap: whether the store no longer has some of the writes, or has
+        begun a new era, so that the caller has to take a new snapshot.
     """
 
     entries: tuple[StoredEntry, ...]
-    revision: int
+    revision: StoreRevision
     has_gap: bool = False
 
 
@@ -100,15 +100,15 @@
     async def compare_and_swap(
         self,
         key: str,
-        expected_mod_revision: int,
+        expected: StoreRevision | None,
         mutations: tuple[Mutation, ...],
-    ) -> int | None:
+    ) -> StoreRevision | None:
         """
         Apply all mutations atomically if a key is at an expected revision.
 
         :param key: the key whose revision is compared.
-        :param expected_mod_revision: revision of its last write, 0 if it
-            must not exist.
+        :param expected: revision of its last write, none if it must not
+            exist.
         :param mutations: the writes to apply.
         :returns: store revision of the write, none if the comparison failed.
         """
@@ -131,13 +131,13 @@
         """
 
     async def changes(
-        self, prefix: str, after_revision: int, wait_s: float
+        self, prefix: str, after: StoreRevision, wait_s: float
     ) -> Changes:
         """
         Return writes below a prefix, waiting if there are none yet.
 
         :param prefix: prefix of the keys.
-        :param after_revision: store revision after which writes are returned.
+        :param after: store revision after which writes are returned.
         :param wait_s: seconds to wait if there are none.
         """
 
