Keep the configuration in force while the store shows an older one

What callers would see: between the return of the store from an older copy and the operator's writing again, all hosts go back to an older configuration, and a host that starts in this moment begins with it (CONFIG).

Cause: a configuration was ordered by the store's revision. Its own version never goes back, whatever the store says.

Change: a configuration of a lower version than the one in force is left out (log line configuration_kept); the host then tells all others by gossip which version is in force. A host that has not heard of a peer since its start or since the new era, or that knows less than was told, asks peers, who hand on what is in force beside what the store says.

Stand-in servers write their entry again under a new lease.

--- a/bronzesill/config/__init__.py
+++ b/bronzesill/config/__init__.py
@@ -13,7 +13,7 @@
     Route,
     Service,
 )
-from .hosted import FleetBounds, HostedSettings
+from .hosted import FleetBounds, HostedSettings, VersionedDocument
 
 __all__ = [
     'BackendServer',
@@ -29,4 +29,5 @@
     'RegisteredServer',
     'Route',
     'Service',
+    'VersionedDocument',
 ]
--- a/bronzesill/config/hosted.py
+++ b/bronzesill/config/hosted.py
@@ -5,8 +5,9 @@
 import dataclasses
 
 from ..utils import Address
+from .document import Document
 
-__all__ = ['FleetBounds', 'HostedSettings']
+__all__ = ['FleetBounds', 'HostedSettings', 'VersionedDocument']
 
 
 @dataclasses.dataclass(frozen=True)
@@ -78,3 +79,17 @@
     bounds: FleetBounds = dataclasses.field(default_factory=FleetBounds)
     seeds: tuple[Address, ...] = ()
     link_mbps: float = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class VersionedDocument:
+    """
+    A configuration as operators wrote it to the key-value service.
+
+    :param version: number that increases with each configuration, 0 if it is
+        not stated.
+    :param document: the configuration.
+    """
+
+    version: int
+    document: Document
--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -112,8 +112,12 @@
             self._peers.client,
             self._fleet.live_peers,
             self._fleet.watchers,
+            self._fleet.newest_configuration,
             self._random,
         )
+        self._store_state.on_older_configuration = (
+            self._fleet.publish_configuration
+        )
         self._moves = HostedMoves(
             self._store,
             self._peers.membership,
--- a/bronzesill/daemon/hosted_fleet.py
+++ b/bronzesill/daemon/hosted_fleet.py
@@ -36,6 +36,7 @@
 _DISCOVERY_INTERVAL_S = 0.4
 _JOINED_DISCOVERY_INTERVAL_S = 8.0
 _REJOIN_INTERVAL_S = 0.7
+_CONFIGURATION_FACT = 'hosted'
 
 _log = PartLogger('fleet')
 
@@ -126,6 +127,18 @@
             Fact(FactKind.HOST_LEAVING, own.name, own.incarnation)
         )
 
+    def publish_configuration(self, version: int) -> None:
+        """Publish the version in force here, which the store has lost."""
+        self._membership.publish_fact(
+            Fact(FactKind.CONFIG_REVISION, _CONFIGURATION_FACT, version)
+        )
+
+    def newest_configuration(self) -> int:
+        """Return the highest version that a daemon published, 0 for none."""
+        name = Fact(FactKind.CONFIG_REVISION, _CONFIGURATION_FACT, 0).name
+        fact = self._membership.view.facts_by_name.get(name)
+        return fact.rank if fact else 0
+
     def watchers(self) -> tuple[Member, ...]:
         """
         Return the daemons of this failure domain that watch the store.
--- a/bronzesill/daemon/hosted_store_state.py
+++ b/bronzesill/daemon/hosted_store_state.py
@@ -6,7 +6,12 @@
 import dataclasses
 from collections.abc import Callable
 
-from ..config import BackendServer, Document, RegisteredServer
+from ..config import (
+    BackendServer,
+    Document,
+    RegisteredServer,
+    VersionedDocument,
+)
 from ..gateway import GatewayState
 from ..platform.documents import CONFIGURATION_KEY, decode_document
 from ..platform.servers import SERVER_PREFIX, decode_server, server_name
@@ -14,6 +19,7 @@
     MergeResult,
     Replica,
     ReplicaAnswer,
+    ReplicaEntry,
     merge,
     merge_answer,
     merge_snapshot,
@@ -51,6 +57,9 @@
         self._tracker = tracker
         self._on_new_entries = on_new_entries
         self._changed = asyncio.Event()
+        #: Called with the version in force when the store shows an older one.
+        self.on_older_configuration: Callable[[int], None] = _ignore
+        self._configuration: _ConfigurationInForce | None = None
 
     @property
     def is_complete(self) -> bool:
@@ -58,6 +67,17 @@
         has_servers = bool(self.listing.listed_by_name)
         return self._state.document is not None and has_servers
 
+    @property
+    def configuration_version(self) -> int:
+        """Version of the configuration in force, 0 for none."""
+        return self._configuration.version if self._configuration else 0
+
+    def configuration_newer_than(self, version: int) -> ReplicaEntry | None:
+        """Return the configuration in force if its version is higher."""
+        if self._configuration is None or self.configuration_version <= version:
+            return None
+        return ReplicaEntry.from_stored(self._configuration.entry)
+
     def apply_snapshot(self, snapshot: Snapshot) -> None:
         """Replace all keys by those of a snapshot."""
         self._apply_merge(merge_snapshot(self.replica, snapshot))
@@ -73,6 +93,8 @@
         :raises zlib.error: an entry cannot be decompressed.
         """
         self._apply_merge(merge_answer(self.replica, answer))
+        if answer.configuration is not None:
+            self._adopt_document(answer.configuration.to_stored())
 
     def set_store_reachable(self, is_reachable: bool) -> None:
         """Record whether the store answers."""
@@ -154,14 +176,33 @@
             )
             return
         try:
-            document = decode_document(entry.payload)
+            versioned = decode_document(entry.payload)
         except DocumentInvalid as error:
             _log.error('revision %s rejected: %s', entry.revision, error)
             return
-        self._state.document = document
-        _log.info('configuration of revision %s in force', entry.revision)
+        if versioned.version < self.configuration_version:
+            self._keep_configuration(entry, versioned)
+            return
+        self._configuration = _ConfigurationInForce(versioned.version, entry)
+        self._state.document = versioned.document
+        _log.info(
+            'configuration of revision %s in force, version %s',
+            entry.revision,
+            versioned.version,
+        )
         self._refresh_servers()
 
+    def _keep_configuration(
+        self, entry: StoredEntry, older: VersionedDocument
+    ) -> None:
+        _log.event(
+            'configuration_kept',
+            revision=str(entry.revision),
+            version=older.version,
+            in_force=self.configuration_version,
+        )
+        self.on_older_configuration(self.configuration_version)
+
     def _update_server(self, name: str, entry: StoredEntry) -> None:
         if entry.is_removed:
             self.listing = self.listing.without_entry(name, _now_s())
@@ -192,6 +233,23 @@
             self._tracker.set_leaving(name, is_leaving=listed.is_leaving)
 
 
+@dataclasses.dataclass(frozen=True)
+class _ConfigurationInForce:
+    """
+    Configuration in force with the entry that it was read from.
+
+    :param version: version of the configuration.
+    :param entry: entry of the store, possibly of an earlier era.
+    """
+
+    version: int
+    entry: StoredEntry
+
+
+def _ignore(version: int) -> None:
+    """Ignore an older configuration; the default callback."""
+
+
 def _log_ignored(merged: MergeResult) -> None:
     _log.event(
         'entries_ignored',
--- a/bronzesill/daemon/peer_replication.py
+++ b/bronzesill/daemon/peer_replication.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import zlib
 from collections.abc import Callable
 from random import Random
@@ -40,6 +41,8 @@
     :param list_peers: returns the other live daemons.
     :param list_watchers: returns the daemons that watch the store; empty if
         this daemon is to watch it.
+    :param find_newest_version: returns the highest version of the
+        configuration that a daemon told of, 0 for none.
     :param random: generator for the choice of peers and for jitter.
     """
 
@@ -49,15 +52,19 @@
         client: PeerClient,
         list_peers: Callable[[], tuple[Member, ...]],
         list_watchers: Callable[[], tuple[Member, ...]],
+        find_newest_version: Callable[[], int],
         random: Random,
     ) -> None:
         self._store_state = store_state
         self._client = client
         self._list_peers = list_peers
         self._list_watchers = list_watchers
+        self._find_newest_version = find_newest_version
         self._random = random
         self._last_update_s = -_MAX_UPDATE_AGE_S
         self._watcher: Member | None = None
+        #: Era in which a peer last answered, none before the first answer.
+        self._answered_era: int | None = None
 
     def should_watch(self) -> bool:
         """Return whether this daemon has to follow the store directly."""
@@ -82,11 +89,15 @@
             async with asyncio.timeout(min(request.wait_s, _LONG_POLL_S)):
                 await self._store_state.wait_for_change_after(request.after)
         is_unreachable = self._store_state.listing.is_store_unreachable
-        return answer_fetch(
+        answer = answer_fetch(
             self._store_state.replica,
             request,
             is_store_reachable=not is_unreachable,
         )
+        configuration = self._store_state.configuration_newer_than(
+            request.configuration_version
+        )
+        return dataclasses.replace(answer, configuration=configuration)
 
     async def _poll_peers_when_stale(self) -> None:
         while True:
@@ -121,13 +132,21 @@
 
     def _is_fallback_needed(self) -> bool:
         store_state = self._store_state
-        return (
-            store_state.listing.is_store_unreachable
-            or not store_state.is_complete
-        )
+        if store_state.listing.is_store_unreachable:
+            return True
+        # After a start or a return of the store from an older copy, the peers
+        # may know a newer configuration than the store.
+        is_unheard = self._answered_era != store_state.replica.era
+        version = store_state.configuration_version
+        is_outdated = version < self._find_newest_version()
+        return is_unheard or is_outdated or not store_state.is_complete
 
     async def _fetch(self, peer: Member, wait_s: float) -> ReplicaAnswer | None:
-        request = FetchReplica(self._store_state.replica.last_revision, wait_s)
+        request = FetchReplica(
+            self._store_state.replica.last_revision,
+            wait_s,
+            self._store_state.configuration_version,
+        )
         try:
             reply = await self._client.request(
                 peer.peers, request, wait_s + _TRANSFER_TIMEOUT_S
@@ -137,8 +156,8 @@
             return None
         if not isinstance(reply, ReplicaAnswer):
             return None
-        if reply.entries or reply.is_snapshot:
-            self._apply(reply)
+        self._apply(reply)
+        self._answered_era = self._store_state.replica.era
         return reply
 
     def _apply(self, reply: ReplicaAnswer) -> None:
--- a/bronzesill/daemon/tests/test_restored_store.py
+++ b/bronzesill/daemon/tests/test_restored_store.py
@@ -70,3 +70,18 @@
         await asyncio.sleep(_APPLY_S)
         self.assertEqual(await self.statuses('newest'), {200})
         self.assertEqual(await self.statuses('more'), {404})
+
+    # Guards against hosts that go back to an older configuration, and hosts
+    # that start with it, until the operator has written again.
+    async def test_configuration_in_force_is_kept(self) -> None:
+        copy = self.fleet.store.state.copy()
+        await self.fleet.configure(_configuration(3, 'added'))
+        await asyncio.sleep(_APPLY_S)
+        await self.fleet.store.restore(copy)
+        started = self.fleet.add_daemon((self.fleet.daemons[0].settings.peers,))
+        for _ in range(4):
+            await asyncio.sleep(_APPLY_S / 4)
+            self.fleet.daemons.remove(started)
+            self.assertEqual(await self.statuses('added'), {200})
+            self.fleet.daemons.append(started)
+        self.assertEqual(await self.statuses('added'), {200})
--- a/bronzesill/platform/documents.py
+++ b/bronzesill/platform/documents.py
@@ -15,6 +15,7 @@
     Limits,
     Route,
     Service,
+    VersionedDocument,
 )
 from ..utils import DocumentInvalid, hash_secret
 
@@ -32,7 +33,7 @@
 _DECODE_ERRORS = (ValueError, TypeError, LookupError, AttributeError)
 
 
-def decode_document(payload: bytes) -> Document:
+def decode_document(payload: bytes) -> VersionedDocument:
     """
     Decode a configuration.
 
@@ -42,7 +43,7 @@
     """
     try:
         raw = orjson.loads(payload)
-        return Document(
+        document = Document(
             accounts=_decode_accounts(raw.get('tenants', ())),
             models={},
             servers={},
@@ -51,6 +52,7 @@
             limits=_decode_limits(raw.get('limits', {})),
             has_accounts='tenants' in raw,
         )
+        return VersionedDocument(int(raw.get('version', 0)), document)
     except _DECODE_ERRORS as error:
         fault = f'invalid configuration: {error!r}'
         raise DocumentInvalid((fault,)) from error
--- a/bronzesill/platform/tests/test_decoding.py
+++ b/bronzesill/platform/tests/test_decoding.py
@@ -78,7 +78,8 @@
     """Configuration written by operators."""
 
     def setUp(self) -> None:
-        self.document = decode_document(orjson.dumps(_CONFIGURATION))
+        self.versioned = decode_document(orjson.dumps(_CONFIGURATION))
+        self.document = self.versioned.document
 
     def test_longest_prefix_selects_the_route(self) -> None:
         find = self.document.find_route
@@ -97,7 +98,7 @@
     def test_stream_that_is_not_resumable_is_not_idempotent(self) -> None:
         route = {**_CONFIGURATION['routes'][0], 'resumable': False}
         raw = {**_CONFIGURATION, 'routes': [route]}
-        document = decode_document(orjson.dumps(raw))
+        document = decode_document(orjson.dumps(raw)).document
         self.assertFalse(document.routes['guides'].idempotent)
 
     def test_every_key_of_an_account_identifies_it(self) -> None:
@@ -109,7 +110,9 @@
         raw = {**_CONFIGURATION}
         raw.pop('tenants')
         self.assertTrue(self.document.has_accounts)
-        self.assertFalse(decode_document(orjson.dumps(raw)).has_accounts)
+        self.assertFalse(
+            decode_document(orjson.dumps(raw)).document.has_accounts
+        )
 
     def test_malformed_configuration_is_rejected(self) -> None:
         for payload in (b'', b'[]', b'{"routes": [1]}', b'{"tenants": 3}'):
--- a/bronzesill/replica/messages.py
+++ b/bronzesill/replica/messages.py
@@ -57,10 +57,13 @@
 
     :param after: last revision that the requesting daemon has.
     :param wait_s: seconds to wait for a change if there is none yet.
+    :param configuration_version: version of the configuration in force on the
+        requesting daemon, 0 for none.
     """
 
     after: StoreRevision
     wait_s: float = 0
+    configuration_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,9 +77,13 @@
     :param is_snapshot: whether the entries are all existing keys, because the
         changes since the requested revision are not known completely.
     :param is_store_reachable: whether the answering daemon can reach the store.
+    :param configuration: configuration in force on the answering daemon, if
+        it has a higher version than the requesting daemon's.  It may be of an
+        earlier era than the other entries.
     """
 
     entries: tuple[ReplicaEntry, ...]
     revision: StoreRevision
     is_snapshot: bool = False
     is_store_reachable: bool = False
+    configuration: ReplicaEntry | None = None
--- a/bronzesill/replica/state.py
+++ b/bronzesill/replica/state.py
@@ -116,8 +116,8 @@
             ignored.append(entry)
     if newer:
         replica = dataclasses.replace(replica, entries_by_key=entries)
-    differing = (entry for entry in ignored if _differs(entry, entries))
-    return MergeResult(replica, tuple(newer), tuple(differing))
+    differing = tuple(left for left in ignored if _differs(left, entries))
+    return MergeResult(replica, tuple(newer), differing)
 
 
 def merge_snapshot(replica: Replica, snapshot: Snapshot) -> MergeResult:
--- a/bronzesill/replica/tests/test_eras.py
+++ b/bronzesill/replica/tests/test_eras.py
@@ -72,7 +72,7 @@
     @rule(age=st.integers(1, 3))
     def come_back_older(self, age: int) -> None:
         copy = self.copies[-min(age, len(self.copies))]
-        self.store.restore(copy)
+        self.store.restore(copy, 0)
         self.copies = [copy]
 
     @rule()
--- a/bronzesill/standins/store.py
+++ b/bronzesill/standins/store.py
@@ -190,7 +190,7 @@
         await self._notify_watchers()
         # The cut watches answer before the store is back.
         await asyncio.sleep(_EXPIRY_INTERVAL_S)
-        self.state.restore(copy)
+        self.state.restore(copy, _now_s())
         self.state.faults.down = False
 
     async def on_post_faults(
--- a/bronzesill/standins/store_state.py
+++ b/bronzesill/standins/store_state.py
@@ -135,12 +135,15 @@
             self.revision,
         )
 
-    def restore(self, copy: StoreCopy) -> None:
+    def restore(self, copy: StoreCopy, now_s: float) -> None:
         """Go back to a copy; what was written since is gone."""
         self.era += 1
         self.items_by_key = dict(copy.items_by_key)
         self.history = list(copy.history)
-        self.leases_by_id = dict(copy.leases_by_id)
+        self.leases_by_id = {
+            lease_id: Lease(lease.ttl_s, now_s + lease.ttl_s)
+            for lease_id, lease in copy.leases_by_id.items()
+        }
         self.revision = copy.revision
 
     def compact(self) -> None:
--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -103,6 +103,8 @@
         self.has_crashed = False
         self.cancelled = 0
         self.is_leaving = False
+        #: Whether the worker has stopped to write to the store.
+        self.is_silent = False
         self._store_address = store
         self._started_at_ms = int(time.time() * _MS_PER_S)
         self._remaining_failures = plan.failures
@@ -267,6 +269,9 @@
             lease_id = 0
             sequence = 0
             while True:
+                if self.is_silent:
+                    await asyncio.sleep(_HEARTBEAT_INTERVAL_S)
+                    continue
                 sequence += 1
                 try:
                     lease_id = await self._renew_registration(
@@ -279,12 +284,14 @@
     async def _renew_registration(
         self, store: PlatformStore, lease_id: int, sequence: int
     ) -> int:
-        if not lease_id or not await store.renew_lease(lease_id):
+        is_kept = bool(lease_id) and await store.renew_lease(lease_id)
+        if not is_kept:
             lease_id = await store.grant_lease(_LEASE_TTL_S)
         key = f'{SERVER_PREFIX}{self.plan.name}'
         existing = await store.get(key)
         registration = self._registration(sequence)
-        if existing and _says_the_same(existing.payload, registration):
+        is_known = existing and _says_the_same(existing.payload, registration)
+        if is_kept and is_known:
             return lease_id
         await store.compare_and_swap(
             key,
