Keep what is known of servers that left or ended before the store's return

What would happen: a server that has said that it leaves, and one that has ended, are shown ready by the older copy until they write again or their lease ends, and get requests (DRAIN); a server that the copy lacks was dropped at once by a host that had not noticed the outage; an old server took the place of the one that has its address now.

Cause: the entries of the copy were taken as news. Servers number what they register from their start on, and that order survives the store.

Change: after a return a state that is not later than the known one, by the server's start and its own sequence, changes nothing: leaving stays leaving, ended stays ended, until a later state is written or the entry has outlived its lease (6 s). Log line store_returned.

--- a/bronzesill/config/document.py
+++ b/bronzesill/config/document.py
@@ -137,10 +137,18 @@
     :param server: description of the server.
     :param is_leaving: whether it is shutting down and accepts no new
         requests.
+    :param sequence: number of its reports when it registered this, counted
+        from its start.
     """
 
     server: BackendServer
     is_leaving: bool = False
+    sequence: int = 0
+
+    def is_later_than(self, other: RegisteredServer) -> bool:
+        """Return whether the server registered this after another state."""
+        mine = (self.server.started_at_s, self.sequence)
+        return mine > (other.server.started_at_s, other.sequence)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/daemon/hosted_store_state.py
+++ b/bronzesill/daemon/hosted_store_state.py
@@ -143,31 +143,37 @@
         """Periodically drop servers whose missing entry has not reappeared."""
         while True:
             await asyncio.sleep(_EXPIRY_CHECK_INTERVAL_S)
-            unexpired = self.listing.without_expired(_now_s())
-            if unexpired is not self.listing:
-                self.listing = unexpired
+            old_listing = self.listing
+            self.listing = self.listing.without_expired(_now_s())
+            for name in self.listing.released_names(_now_s()):
+                self._release_entry(name)
+            if self.listing is not old_listing:
                 self._refresh_servers()
 
     def _apply_merge(self, merged: MergeResult) -> None:
         if merged.ignored_entries:
             _log_ignored(merged)
+        has_returned = 0 < self.replica.era < merged.replica.era
         self.replica = merged.replica
         if not merged.newer_entries:
             return
         old_listing = self.listing
+        if has_returned:
+            _log_return(merged)
+            self.listing = self.listing.with_store_returned(_now_s())
         for entry in merged.newer_entries:
-            self._apply_entry(entry)
+            self._apply_entry(entry, may_be_older=has_returned)
         if self.listing is not old_listing:
             self._refresh_servers()
         self._changed.set()
         self._changed = asyncio.Event()
         self._on_new_entries(merged.newer_entries)
 
-    def _apply_entry(self, entry: StoredEntry) -> None:
+    def _apply_entry(self, entry: StoredEntry, *, may_be_older: bool) -> None:
         if entry.key == CONFIGURATION_KEY:
             self._adopt_document(entry)
         elif entry.key.startswith(SERVER_PREFIX):
-            self._update_server(server_name(entry.key), entry)
+            self._update_server(entry, may_be_older=may_be_older)
 
     def _adopt_document(self, entry: StoredEntry) -> None:
         if entry.is_removed:
@@ -203,18 +209,31 @@
         )
         self.on_older_configuration(self.configuration_version)
 
-    def _update_server(self, name: str, entry: StoredEntry) -> None:
+    def _update_server(self, entry: StoredEntry, *, may_be_older: bool) -> None:
+        name = server_name(entry.key)
         if entry.is_removed:
             self.listing = self.listing.without_entry(name, _now_s())
             return
         listed = decode_server(entry.payload)
         previous = self.listing.listed_by_name.get(name)
-        if listed == previous and name not in self.listing.missing:
-            return
         is_confirmed = name in self.listing.missing
-        if _is_new_start(previous, listed) and not is_confirmed:
+        if listed == previous and not is_confirmed:
+            return
+        self.listing = (
+            self.listing.with_returned_entry(name, listed, _now_s())
+            if may_be_older
+            else self.listing.with_entry(name, listed)
+        )
+        renewed = self.listing.listed_by_name.get(name)
+        if _is_new_start(previous, renewed) and not is_confirmed:
             self._tracker.forget(name)
-        self.listing = self.listing.with_entry(name, listed)
+
+    def _release_entry(self, name: str) -> None:
+        """Take the entry of a server as it is, as it outlived its lease."""
+        self.listing = self.listing.without_hold(name)
+        entry = self.replica.entries_by_key.get(f'{SERVER_PREFIX}{name}')
+        if entry is not None and not entry.is_removed:
+            self._update_server(entry, may_be_older=False)
 
     def _refresh_servers(self) -> None:
         listed_by_name = self.listing.listed_by_name
@@ -250,6 +269,16 @@
     """Ignore an older configuration; the default callback."""
 
 
+def _log_return(merged: MergeResult) -> None:
+    _log.event(
+        'store_returned',
+        era=merged.replica.era,
+        revision=str(merged.replica.last_revision),
+        entries=len(merged.newer_entries),
+        removed=sum(entry.is_removed for entry in merged.newer_entries),
+    )
+
+
 def _log_ignored(merged: MergeResult) -> None:
     _log.event(
         'entries_ignored',
--- a/bronzesill/daemon/tests/test_restored_store.py
+++ b/bronzesill/daemon/tests/test_restored_store.py
@@ -85,3 +85,18 @@
             self.assertEqual(await self.statuses('added'), {200})
             self.fleet.daemons.append(started)
         self.assertEqual(await self.statuses('added'), {200})
+
+    # Guards against requests to a server that has said that it leaves, which
+    # the older copy shows as ready.
+    async def test_leaving_server_stays_so(self) -> None:
+        copy = self.fleet.store.state.copy()
+        leaving = self.fleet.workers_by_name['shop-a']
+        leaving.is_leaving = True
+        await asyncio.sleep(_APPLY_S)
+        leaving.is_silent = True
+        await self.fleet.store.restore(copy)
+        arrived = len(leaving.arrivals_s)
+        for _ in range(4):
+            await asyncio.sleep(_APPLY_S / 4)
+            self.assertEqual(await self.statuses('lookups'), {200})
+        self.assertEqual(len(leaving.arrivals_s), arrived)
--- a/bronzesill/platform/servers.py
+++ b/bronzesill/platform/servers.py
@@ -69,4 +69,5 @@
             started_at_s=int(raw.get('born') or 0) / _MS_PER_S,
         ),
         is_leaving=state == _DRAINING,
+        sequence=int(raw.get('sequence') or 0),
     )
--- a/bronzesill/routing/listing.py
+++ b/bronzesill/routing/listing.py
@@ -1,19 +1,31 @@
-"""Listed backend servers and the retention of servers without an entry."""
+"""
+Listed backend servers and the retention of servers without an entry.
+
+The store may come back from an older copy.  It then shows servers that have
+left or ended since as they were, until they write again or their leases end.
+"""
 
 from __future__ import annotations
 
 import dataclasses
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, TypeVar
 
 from ..config import RegisteredServer
 from .use_reports import ServerRestart
 
 __all__ = ['ServerListing']
 
+T = TypeVar('T')
+
 #: Time after a store recovery by which servers whose entries expired during
 #: the outage have registered again.
 _REREGISTRATION_S = 2.2
+#: Time after a return of the store in which the entries of servers that had
+#: ended before it expire.
+_OLD_ENTRIES_EXPIRE_S = 6.0
+#: Servers that ended and are remembered.
+_MAX_ENDED = 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,6 +41,10 @@
         reachable again, ``None`` if there was no outage.
     :param expected_at_s_by_name: time in seconds by which a restarted server
         is expected to have an entry.
+    :param ended_by_name: last state of servers that are no longer listed, the
+        last one that ended last.
+    :param held_until_s_by_name: time in seconds at which entries that an older
+        copy of the store shows are taken as they are.
     """
 
     listed_by_name: Mapping[str, RegisteredServer] = dataclasses.field(
@@ -40,6 +56,12 @@
     expected_at_s_by_name: Mapping[str, float] = dataclasses.field(
         default_factory=dict
     )
+    ended_by_name: Mapping[str, RegisteredServer] = dataclasses.field(
+        default_factory=dict
+    )
+    held_until_s_by_name: Mapping[str, float] = dataclasses.field(
+        default_factory=dict
+    )
 
     def with_entry(
         self, name: str, listed: RegisteredServer | None
@@ -53,17 +75,66 @@
         """
         if listed is None:
             return self._without(name)
-        remaining = {
-            entry_name: other
-            for entry_name, other in self.listed_by_name.items()
-            if other.server.address != listed.server.address
-        }
         # A newer server instance at the same address replaces the older one.
-        return self._changed(
-            listed_by_name={**remaining, name: listed},
-            missing=self.missing & remaining.keys() - {name},
+        replaced = tuple(
+            entry_name
+            for entry_name, other in self.listed_by_name.items()
+            if other.server.address == listed.server.address
+            and entry_name != name
+        )
+        remaining = self._without_all(replaced)
+        return remaining._changed(
+            listed_by_name={**remaining.listed_by_name, name: listed},
+            missing=remaining.missing - {name},
+            ended_by_name=_without_key(remaining.ended_by_name, name),
+            held_until_s_by_name=_without_key(self.held_until_s_by_name, name),
+        )
+
+    def with_returned_entry(
+        self, name: str, listed: RegisteredServer | None, now_s: float
+    ) -> ServerListing:
+        """
+        Return a copy that includes an entry of a store that has come back.
+
+        The store may show an older state than this one: a server that leaves
+        or has ended stays so until it writes again, or until its entry has
+        outlived the lease that it had.
+
+        :param name: name of the server.
+        :param listed: the server as the store shows it, ``None`` if the entry
+            describes no server.
+        :param now_s: current time in seconds.
+        """
+        known = self.listed_by_name.get(name)
+        if listed is None:
+            return self.without_entry(name, now_s)
+        if known is not None and not listed.is_later_than(known):
+            return self.with_entry(name, known)
+        if self._is_superseded(name, listed):
+            until_s = now_s + _OLD_ENTRIES_EXPIRE_S
+            held = {**self.held_until_s_by_name, name: until_s}
+            return self._changed(held_until_s_by_name=held)
+        return self.with_entry(name, listed)
+
+    def without_hold(self, name: str) -> ServerListing:
+        """Return a copy in which the entry of a server is no longer held."""
+        if name not in self.held_until_s_by_name:
+            return self
+        held = _without_key(self.held_until_s_by_name, name)
+        return self._changed(held_until_s_by_name=held)
+
+    def released_names(self, now_s: float) -> tuple[str, ...]:
+        """Return the servers whose entries are now taken as they are."""
+        return tuple(
+            name
+            for name, until_s in self.held_until_s_by_name.items()
+            if now_s >= until_s
         )
 
+    def with_store_returned(self, now_s: float) -> ServerListing:
+        """Return a copy that reflects a return of the store at this time."""
+        return self._changed(store_recovered_at_s=now_s)
+
     def with_restart(
         self, restart: ServerRestart, now_s: float
     ) -> ServerListing:
@@ -102,7 +173,7 @@
         :param now_s: current time in seconds.
         """
         if name not in self.listed_by_name:
-            return self
+            return self.without_hold(name)
         if self._may_reappear(now_s):
             return self._changed(missing=self.missing | {name})
         return self._without(name)
@@ -137,22 +208,44 @@
             and now_s < self.store_recovered_at_s + _REREGISTRATION_S
         )
 
+    def _is_superseded(self, name: str, listed: RegisteredServer) -> bool:
+        """Return whether a server ended, or another one has its address."""
+        ended = self.ended_by_name.get(name)
+        if ended is not None and not listed.is_later_than(ended):
+            return True
+        return any(
+            other.server.address == listed.server.address
+            and other.server.started_at_s > listed.server.started_at_s
+            for other in self.listed_by_name.values()
+        )
+
+    def _without_all(self, names: tuple[str, ...]) -> ServerListing:
+        remaining = self
+        for name in names:
+            remaining = remaining._without(name)
+        return remaining
+
     def _without(self, name: str) -> ServerListing:
-        remaining = {
-            entry_name: listed
-            for entry_name, listed in self.listed_by_name.items()
-            if entry_name != name
-        }
-        expected = {
-            entry_name: at_s
-            for entry_name, at_s in self.expected_at_s_by_name.items()
-            if entry_name != name
-        }
+        listed = self.listed_by_name.get(name)
+        ended = _without_key(self.ended_by_name, name)
+        if listed is not None:
+            ended = {**ended, name: listed}
+        if len(ended) > _MAX_ENDED:
+            ended = _without_key(ended, next(iter(ended)))
         return self._changed(
-            listed_by_name=remaining,
+            listed_by_name=_without_key(self.listed_by_name, name),
             missing=self.missing - {name},
-            expected_at_s_by_name=expected,
+            expected_at_s_by_name=_without_key(
+                self.expected_at_s_by_name, name
+            ),
+            ended_by_name=ended,
         )
 
     def _changed(self, **changes: Any) -> ServerListing:
         return dataclasses.replace(self, **changes)
+
+
+def _without_key(mapping: Mapping[str, T], key: str) -> Mapping[str, T]:
+    return {
+        known: content for known, content in mapping.items() if known != key
+    }
--- a/bronzesill/routing/tests/test_hosted.py
+++ b/bronzesill/routing/tests/test_hosted.py
@@ -1,5 +1,6 @@
 """Tests of server listing, domain failures, use reports and copies."""
 
+import dataclasses
 import unittest
 from random import Random
 
@@ -27,8 +28,11 @@
     )
 
 
-def _listed(port: int) -> RegisteredServer:
-    return RegisteredServer(_server(port))
+def _listed(
+    port: int, born_s: float = 0, sequence: int = 0
+) -> RegisteredServer:
+    server = dataclasses.replace(_server(port), started_at_s=born_s)
+    return RegisteredServer(server, sequence=sequence)
 
 
 class ListingTest(unittest.TestCase):
@@ -69,6 +73,67 @@
         self.assertEqual(self.names(listing), ['s2'])
 
 
+class ReturnedStoreTest(unittest.TestCase):
+    """
+    The store comes back from an older copy.
+
+    Pattern: servers that left, ended, or were replaced since the copy was
+    made; servers write again what they wrote, some seconds later.
+    """
+
+    def setUp(self) -> None:
+        self.ready = _listed(1, born_s=100, sequence=1)
+        self.leaving = dataclasses.replace(
+            self.ready, is_leaving=True, sequence=9
+        )
+        self.listing = (
+            ServerListing()
+            .with_entry('s1', self.leaving)
+            .with_entry('s2', _listed(2))
+            .with_store_returned(20)
+        )
+
+    # Guards against new requests to a server that leaves, as the older copy
+    # shows it ready.
+    def test_leaving_server_stays_so(self) -> None:
+        listing = self.listing.with_returned_entry('s1', self.ready, 20)
+        self.assertTrue(listing.listed_by_name['s1'].is_leaving)
+
+    # Guards against requests to a server that ended after the copy was made.
+    def test_ended_server_stays_so_until_its_lease_has_ended(self) -> None:
+        ended = self.listing.with_entry('s1', None)
+        listing = ended.with_returned_entry('s1', self.leaving, 20)
+        self.assertNotIn('s1', listing.listed_by_name)
+        self.assertEqual(listing.released_names(24), ())
+        expired = listing.without_entry('s1', 24)
+        self.assertEqual(expired.released_names(30), ())
+        self.assertEqual(listing.released_names(30), ('s1',))
+
+    def test_later_state_is_taken(self) -> None:
+        later = dataclasses.replace(self.ready, sequence=10)
+        listing = self.listing.with_returned_entry('s1', later, 20)
+        self.assertFalse(listing.listed_by_name['s1'].is_leaving)
+        restarted = _listed(1, born_s=101, sequence=1)
+        ended = self.listing.with_entry('s1', None)
+        listing = ended.with_returned_entry('s1', restarted, 20)
+        self.assertIn('s1', listing.listed_by_name)
+
+    # Guards against servers that are taken for gone as the copy lacks them.
+    def test_server_that_the_copy_lacks_may_write_again(self) -> None:
+        listing = self.listing.without_entry('s2', 20)
+        self.assertIn('s2', listing.without_expired(22).listed_by_name)
+        self.assertNotIn('s2', listing.without_expired(22.3).listed_by_name)
+
+    # Guards against an old server that takes the place of the one which has
+    # its address now.
+    def test_new_server_at_an_old_address_is_kept(self) -> None:
+        renewed = self.listing.with_entry('s3', _listed(1, born_s=110))
+        listing = renewed.without_entry('s3', 20)
+        listing = listing.with_returned_entry('s1', self.ready, 20)
+        self.assertIn('s3', listing.listed_by_name)
+        self.assertNotIn('s1', listing.listed_by_name)
+
+
 class DomainTest(unittest.TestCase):
     """
     Correlated failures of a failure domain.
