Take an order that is written again after the store's return for the same move

What would happen: a version that had been taken back gets traffic a second time when the store has lost the order and the operator writes it again (EXPOSURE), a move under way starts anew or stands still until its deadline, and a status that operators had seen as reverted or completed says in_progress.

Cause: a move's identity was the revision of its order, which is another one after the return; the driver took the older record of the store for the truth.

Change: within 10 s of a return an order with subject, version and window of a known move is that move (the newest one), unless a move was begun for this very revision. Moves of later eras have the era in their identifier, as revisions are given out again. A driver that reads an older record than it knows, or none, writes it again first (move_restored); after a return each known record is, by its driver. The native interface does the same when it compares its moves with the store.

--- a/bronzesill/cli/hosted_commands.py
+++ b/bronzesill/cli/hosted_commands.py
@@ -7,7 +7,12 @@
 import time
 
 from ..config import RegisteredServer
-from ..moves import MOVE_PREFIX, MoveRecord, record_from_entry
+from ..moves import (
+    MOVE_PREFIX,
+    MoveRecord,
+    find_move_id,
+    record_from_entry,
+)
 from ..platform.documents import CONFIGURATION_KEY
 from ..platform.reports import fetch_engine_report
 from ..platform.rollouts import (
@@ -159,23 +164,33 @@
     store = context.store
     snapshot = await store.snapshot(ALL_KEYS, may_be_stale=False)
     entries_by_key = {entry.key: entry for entry in snapshot.entries}
+    records = tuple(
+        record
+        for entry in snapshot.entries
+        if entry.key.startswith(MOVE_PREFIX)
+        and (record := record_from_entry(entry)) is not None
+    )
     return [
-        _roll_out_row(entry, entries_by_key)
+        _roll_out_row(entry, entries_by_key, records)
         for entry in snapshot.entries
         if entry.key.startswith(ORDER_PREFIX)
     ]
 
 
 def _roll_out_row(
-    entry: StoredEntry, entries_by_key: dict[str, StoredEntry]
+    entry: StoredEntry,
+    entries_by_key: dict[str, StoredEntry],
+    records: tuple[MoveRecord, ...],
 ) -> _RollOutRow:
-    order = decode_order(entry)
+    order = decode_order(entry, may_be_repeated=True)
     if order is None:
         service = entry.key.removeprefix(ORDER_PREFIX)
         return _RollOutRow(service, _UNKNOWN, 0, 'not readable', '', '', '')
     status_entry = entries_by_key.get(status_key(order.subject))
-    record_entry = entries_by_key.get(f'{MOVE_PREFIX}{order.move_id}')
-    record = record_from_entry(record_entry) if record_entry else None
+    move_id = find_move_id(order, records)
+    record = next(
+        (known for known in records if known.move_id == move_id), None
+    )
     return _RollOutRow(
         service=order.subject,
         target=order.new_version,
--- a/bronzesill/daemon/hosted_moves.py
+++ b/bronzesill/daemon/hosted_moves.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import math
 import time
 
 from ..membership import MembershipController, ViewUpdated
@@ -17,6 +18,7 @@
     MovesController,
     fact_of,
     find_drivers,
+    find_move_id,
     record_from_entry,
     should_publish_status,
     status_of,
@@ -39,6 +41,11 @@
 
 _ORDER_INTERVAL_S = 0.3
 _OPERATOR = 'operator'
+#: Time after a return of the store in which operators write again what it has
+#: lost.
+_REPEATED_ORDERS_S = 10.0
+#: Era before the first return of the store.
+_FIRST_ERA = 1
 
 _log = PartLogger('moves')
 
@@ -67,6 +74,10 @@
         self._tracker = tracker
         self._orders_by_subject: dict[str, MoveOrder] = {}
         self._replica = Replica()
+        #: Loop time at which this daemon saw that the store had come back from
+        #: an older copy.
+        self._returned_at_s = -math.inf
+        self._lost_move_ids: frozenset[str] = frozenset()
         self.controller = MovesController(
             membership.own.name,
             store,
@@ -87,6 +98,8 @@
         :param entries: the changed entries.
         :param replica: the replica of the store that contains them.
         """
+        if replica.era != self._replica.era:
+            self._begin_era(replica.era)
         self._replica = replica
         for entry in entries:
             if entry.key.startswith(ORDER_PREFIX):
@@ -133,6 +146,21 @@
             for order in tuple(self._orders_by_subject.values()):
                 if self._is_driver(order):
                     await self._execute(order)
+            for move_id in self._lost_move_ids:
+                await self._restore(move_id)
+
+    async def _restore(self, move_id: str) -> None:
+        """Have a record written again that a returned store shows older."""
+        entry = self._replica.entries_by_key.get(f'{MOVE_PREFIX}{move_id}')
+        stored = record_from_entry(entry) if entry else None
+        known = self.controller.move_table.sequence(move_id)
+        if stored is not None and stored.sequence >= known:
+            self._lost_move_ids -= {move_id}
+            return
+        try:
+            await self.controller.restore(move_id)
+        except BronzesillError as error:
+            _log.warning('move %s not written again: %s', move_id, error)
 
     async def _execute(self, order: MoveOrder) -> None:
         try:
@@ -150,7 +178,7 @@
                 await self._roll_back_replaced(open_move)
         now_s = time.time()
         record = MoveRecord(
-            move_id=order.move_id,
+            move_id=self._move_id(order),
             subject=order.subject,
             old_version=self._most_common_version(order),
             new_version=order.new_version,
@@ -164,7 +192,7 @@
         await self.controller.create(record)
         _log.event(
             'move_begun',
-            move=order.move_id,
+            move=record.move_id,
             old_version=record.old_version,
             new_version=record.new_version,
             window_s=order.window_s,
@@ -194,20 +222,30 @@
         )
         _log.event(
             'move_told',
-            move=order.move_id,
+            move=self._move_id(order),
             is_done=status.is_done,
             is_taken_back=status.is_taken_back,
             is_written=written is not None,
         )
 
+    def _begin_era(self, era: int) -> None:
+        has_returned = era > _FIRST_ERA or self._replica.era > 0
+        self._returned_at_s = _now_s() if has_returned else -math.inf
+        records = self.controller.move_table.records()
+        self._lost_move_ids = frozenset(record.move_id for record in records)
+
     def _apply_order(self, entry: StoredEntry) -> None:
-        order = decode_order(entry)
+        elapsed_s = _now_s() - self._returned_at_s
+        order = decode_order(
+            entry, may_be_repeated=elapsed_s < _REPEATED_ORDERS_S
+        )
         if order is None:
             _log.warning('order %s was removed or cannot be decoded', entry.key)
             return
         _log.event(
             'move_ordered',
-            move=order.move_id,
+            move=self._move_id(order),
+            revision=str(order.revision),
             new_version=order.new_version,
             window_s=order.window_s,
         )
@@ -230,11 +268,14 @@
         return find_drivers(self._membership.view, move_id)
 
     def _is_driver(self, order: MoveOrder) -> bool:
-        drivers = self._find_drivers(order.move_id)
+        drivers = self._find_drivers(self._move_id(order))
         return bool(drivers) and drivers[0].name == self._membership.own.name
 
+    def _move_id(self, order: MoveOrder) -> str:
+        return find_move_id(order, self.controller.move_table.records())
+
     def _find_move(self, order: MoveOrder) -> KnownMove | None:
-        return self.controller.move_table.find(order.move_id)
+        return self.controller.move_table.find(self._move_id(order))
 
     def _has_final_status(self, order: MoveOrder) -> bool:
         stored = self._replica.entries_by_key.get(status_key(order.subject))
@@ -314,5 +355,9 @@
         return self.model_split(model).old_version
 
 
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def _never_reconcile() -> bool:
     return False
--- a/bronzesill/daemon/tests/test_hosted_moves.py
+++ b/bronzesill/daemon/tests/test_hosted_moves.py
@@ -9,7 +9,11 @@
 from ...moves import OrderStatus
 from ...platform.rollouts import ORDER_PREFIX, decode_status, status_key
 from ...platform.store import PlatformStore
-from ...standins.hosted_fleet import HostedFleet, HostedPlan
+from ...standins.hosted_fleet import (
+    HostedFleet,
+    HostedPlan,
+    make_configuration,
+)
 from ...standins.worker import WorkerPlan
 from ...store import Mutation
 from .hosted_caller import HostedCaller
@@ -24,6 +28,8 @@
 _ALWAYS_FAILS = 1_000_000
 #: Time from the failure of a worker until its store entry has expired.
 _LEASE_EXPIRY_S = 2.5
+#: Writes that the copy of a returned store lacks.
+_LOST_WRITES = 40
 
 
 def _plan(failures: int) -> HostedPlan:
@@ -43,6 +49,8 @@
         self.fleet = HostedFleet(plan)
         # The order is written before workers of the new version start.
         await self.fleet.store.start()
+        self.copy = self.fleet.store.state.copy()
+        self.prepare_store()
         await self.submit_order()
         await self.fleet.__aenter__()
         self.caller = HostedCaller()
@@ -69,6 +77,9 @@
                 key, None, (Mutation(key, orjson.dumps(order)),)
             )
 
+    def prepare_store(self) -> None:
+        """Prepare the store before the order is written."""
+
     async def read_status(self) -> OrderStatus | None:
         with contextlib.closing(
             PlatformStore(self.fleet.store.address)
@@ -145,3 +156,50 @@
         self.assertEqual(self.runs(_NEW), exposed)
         self.fleet.store.state.faults.down = False
         self.assertTrue((await self.wait_until_final()).is_taken_back)
+
+
+class _ReturnedStoreCase(_OrderCase):
+    """The store comes back from a copy that was made before the order."""
+
+    def prepare_store(self) -> None:
+        # The revisions up to the order's are given out again.
+        self.fleet.store.state.revision += _LOST_WRITES
+
+    async def come_back_older(self) -> None:
+        """Restore the store; the operator writes the order again."""
+        await self.fleet.store.restore(self.copy)
+        await self.fleet.configure(make_configuration())
+        await self.submit_order()
+
+
+class ReturnedBadVersionTest(_ReturnedStoreCase):
+    """A version that was rolled back is not tried again."""
+
+    failures = _ALWAYS_FAILS
+
+    # Guards against an order that is carried out a second time, as it has
+    # another revision after the return, and against a status that is lost.
+    async def test_order_written_again_is_not_executed_again(self) -> None:
+        self.assertTrue((await self.wait_until_final()).is_taken_back)
+        exposed = self.runs(_NEW)
+        await self.come_back_older()
+        await asyncio.sleep(_WINDOW_S / 2)
+        status = await self.read_status()
+        self.assertIsNotNone(status)
+        assert status is not None
+        self.assertTrue(status.is_taken_back)
+        self.assertEqual(self.runs(_NEW), exposed)
+
+
+class ReturnedRunningMoveTest(_ReturnedStoreCase):
+    """A move that is under way goes on."""
+
+    # Guards against a move that stands still as the store has lost its record,
+    # and ends at its deadline.
+    async def test_running_move_is_completed(self) -> None:
+        while not self.runs(_NEW):
+            await asyncio.sleep(0.02)
+        began = self.runs(_NEW)
+        await self.come_back_older()
+        self.assertTrue((await self.wait_until_final()).is_done)
+        self.assertGreater(self.runs(_NEW), began)
--- a/bronzesill/moves/__init__.py
+++ b/bronzesill/moves/__init__.py
@@ -13,6 +13,7 @@
 from .order import (
     MoveOrder,
     OrderStatus,
+    find_move_id,
     should_publish_status,
     status_of,
 )
@@ -60,6 +61,7 @@
     'effective_share',
     'fact_of',
     'find_drivers',
+    'find_move_id',
     'has_ended',
     'record_from_entry',
     'should_publish_status',
--- a/bronzesill/moves/controller.py
+++ b/bronzesill/moves/controller.py
@@ -141,6 +141,9 @@
         :raises BronzesillError: another move of the subject has not ended,
             the identifier is in use, or the store did not answer.
         """
+        for known in self.move_table.records():
+            if known.subject == record.subject:
+                await self._driver.read(known.move_id)
         await self._repository.create(record)
         self._publish_fact(fact_of(record))
         return record
@@ -166,7 +169,7 @@
             raise BronzesillError(
                 ResultCode.MOVE_ENDED, f'move {move_id} was rolled back'
             )
-        stored = await self._repository.read(move_id)
+        stored = await self._driver.read(move_id)
         is_done = state is MoveState.DONE
         latest_s = MovePlan().latest_commit_s(stored.record)
         if is_done and time.time() > latest_s:
@@ -209,15 +212,36 @@
             )
         return record
 
+    async def restore(self, move_id: str) -> None:
+        """
+        Write a record again that the store has lost, if this daemon drives it.
+
+        :raises BronzesillError: another change was stored first, or the store
+            did not answer.
+        """
+        drivers = self._find_drivers(move_id)
+        if drivers and drivers[0].name == self._daemon_name:
+            await self._driver.read(move_id)
+
     async def _reconcile(self) -> None:
         try:
             records = await self.list_records()
         except BronzesillError as error:
             _log.warning('cannot read the records of moves: %s', error)
             return
+        stored_by_id = {record.move_id: record.sequence for record in records}
         for record in records:
             if self.move_table.sequence(record.move_id) < record.sequence:
                 self._publish_fact(fact_of(record))
+        for known in self.move_table.records():
+            if stored_by_id.get(known.move_id, 0) < known.sequence:
+                await self._restore_lost(known.move_id)
+
+    async def _restore_lost(self, move_id: str) -> None:
+        try:
+            await self.restore(move_id)
+        except BronzesillError as error:
+            _log.warning('move %s not written again: %s', move_id, error)
 
     async def _report_all(self) -> None:
         for move in self.move_table.open_moves():
--- a/bronzesill/moves/driver.py
+++ b/bronzesill/moves/driver.py
@@ -16,7 +16,7 @@
 from .policy import MoveAction, MoveDecision, MoveProgress, decide
 from .record import MoveRecord, MoveState, has_ended
 from .reports import MoveReport, evidence_of
-from .repository import MoveRepository
+from .repository import MoveRepository, StoredMove
 from .split import KnownMove
 
 __all__ = ['MoveDriver']
@@ -88,6 +88,18 @@
             _log_decision(record, decision)
             await self._advance(record, decision)
 
+    async def read(self, move_id: str) -> StoredMove:
+        """
+        Return the record of a move; what the store has lost is written again.
+
+        :raises BronzesillError: the move is unknown, another change was
+            stored first, or the store did not answer.
+        """
+        known = self._move_table.find(move_id)
+        if known is None:
+            return await self._repository.read(move_id)
+        return await self._repository.read_current(known.record)
+
     async def roll_back(
         self, move_id: str, by: str, reason: str
     ) -> MoveRecord | None:
@@ -122,7 +134,7 @@
     async def _record_rollback(
         self, move_id: str, by: str, reason: str
     ) -> MoveRecord:
-        stored = await self._repository.read(move_id)
+        stored = await self.read(move_id)
         is_rollback_announced = self._move_table.is_taken_back(move_id)
         state = stored.record.state
         if has_ended(stored.record) and not (
@@ -145,7 +157,7 @@
     async def _advance(
         self, record: MoveRecord, decision: MoveDecision
     ) -> None:
-        stored = await self._repository.read(record.move_id)
+        stored = await self.read(record.move_id)
         if stored.record.sequence != record.sequence:
             self._publish_fact(fact_of(stored.record))
             return
--- a/bronzesill/moves/move_table.py
+++ b/bronzesill/moves/move_table.py
@@ -6,7 +6,7 @@
 from ..routing import TrafficSplit
 from ..utils import PartLogger
 from .facts import record_from_fact
-from .record import has_ended
+from .record import MoveRecord, has_ended
 from .split import KnownMove, split_of
 
 __all__ = ['MoveTable']
@@ -69,6 +69,10 @@
         records.sort(key=lambda record: record.created_at_s)
         return records[0].old_version if records else ''
 
+    def records(self) -> tuple[MoveRecord, ...]:
+        """Return the newest known records of all moves."""
+        return tuple(move.record for move in self._moves_by_id.values())
+
     def open_moves(self) -> list[KnownMove]:
         """Return the moves whose known record has not ended."""
         return [
--- a/bronzesill/moves/order.py
+++ b/bronzesill/moves/order.py
@@ -3,18 +3,29 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Iterable
 
 from ..store import StoreRevision
-from .record import MoveState
+from .record import MoveRecord, MoveState
 from .split import KnownMove
 
-__all__ = ['MoveOrder', 'OrderStatus', 'should_publish_status', 'status_of']
+__all__ = [
+    'MoveOrder',
+    'OrderStatus',
+    'find_move_id',
+    'should_publish_status',
+    'status_of',
+]
 
 #: Time window of a move divided by the drain period.  Operators stop the old
 #: version as soon as an order is reported as done, so the report is delayed
 #: by this period to let running requests finish.
 _DRAIN_WINDOW_DIVISOR = 6
 _MAX_DRAIN_S = 8.0
+#: Era whose revisions have been given out once.
+_FIRST_ERA = 1
+#: Rounding of the times in a record.
+_WINDOW_TOLERANCE_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -26,17 +37,33 @@
     :param new_version: version that is to serve the traffic.
     :param window_s: seconds from the order to the deadline of its move.
     :param revision: store revision of the order.
+    :param may_be_repeated: whether it may have been read or written again
+        because the store came back from an older copy.
     """
 
     subject: str
     new_version: str
     window_s: float
     revision: StoreRevision
+    may_be_repeated: bool = False
 
     @property
-    def move_id(self) -> str:
-        """Identifier of the move that executes the order."""
-        return f'{self.subject}-{self.revision.number}'
+    def own_move_id(self) -> str:
+        """Identifier of a move that is begun for this order."""
+        era = self.revision.era
+        number = self.revision.number
+        if era <= _FIRST_ERA:
+            return f'{self.subject}-{number}'
+        return f'{self.subject}-{era}.{number}'
+
+    def is_executed_by(self, record: MoveRecord) -> bool:
+        """Return whether a move has the subject, version and window."""
+        window_s = record.deadline_at_s - record.created_at_s
+        return (
+            record.subject == self.subject
+            and record.new_version == self.new_version
+            and abs(window_s - self.window_s) < _WINDOW_TOLERANCE_S
+        )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -62,6 +89,26 @@
         return self.is_done or self.is_taken_back
 
 
+def find_move_id(order: MoveOrder, records: Iterable[MoveRecord]) -> str:
+    """
+    Return the identifier of the move that executes an order.
+
+    After a return of the store from an older copy the order of a known move
+    has another revision; it is the same order.
+
+    :param order: the order.
+    :param records: records of all known moves.
+    """
+    known = tuple(records)
+    own_id = order.own_move_id
+    is_begun = any(record.move_id == own_id for record in known)
+    if is_begun or not order.may_be_repeated:
+        return own_id
+    earlier = [record for record in known if order.is_executed_by(record)]
+    earlier.sort(key=lambda record: record.created_at_s)
+    return earlier[-1].move_id if earlier else own_id
+
+
 def status_of(
     order: MoveOrder, move: KnownMove | None, now_s: float
 ) -> OrderStatus:
--- a/bronzesill/moves/repository.py
+++ b/bronzesill/moves/repository.py
@@ -11,6 +11,7 @@
 from ..utils import (
     BronzesillError,
     DocumentInvalid,
+    PartLogger,
     ResultCode,
     structure_json,
     unstructure,
@@ -22,6 +23,8 @@
 #: Prefix of the keys of move records.
 MOVE_PREFIX = '/bronzesill/moves/'
 
+_log = PartLogger('moves')
+
 
 @dataclasses.dataclass(frozen=True)
 class StoredMove:
@@ -98,6 +101,35 @@
                 'another move was created with the same identifier',
             )
 
+    async def read_current(self, known: MoveRecord) -> StoredMove:
+        """
+        Return the record of a move, at least as new as a known one.
+
+        A store that came back from an older copy has lost changes of it;
+        they are written again.
+
+        :param known: newest record that this daemon knows.
+        :raises BronzesillError: ``MOVE_CONFLICT`` if another change was
+            stored first.
+        """
+        key = f'{MOVE_PREFIX}{known.move_id}'
+        entry = await self._store.get(key)
+        stored = StoredMove.from_entry(entry) if entry else None
+        if stored is not None and stored.record.sequence >= known.sequence:
+            return stored
+        renewed = _restored(stored.record if stored else None, known)
+        written = await self._store.compare_and_swap(
+            key,
+            stored.revision if stored else None,
+            (Mutation(key, orjson.dumps(unstructure(renewed))),),
+        )
+        if written is None:
+            raise BronzesillError(
+                ResultCode.MOVE_CONFLICT, 'another change was stored first'
+            )
+        _log.event('move_restored', move=known.move_id, record=renewed.sequence)
+        return StoredMove(renewed, written)
+
     async def change(self, stored: StoredMove, record: MoveRecord) -> None:
         """
         Replace a record if it has not changed since it was read.
@@ -145,6 +177,15 @@
         return written is not None
 
 
+def _restored(stored: MoveRecord | None, known: MoveRecord) -> MoveRecord:
+    """Return a known record; gossip leaves out who ordered it, and why."""
+    if stored is None or known.operator:
+        return known
+    return dataclasses.replace(
+        known, operator=stored.operator, reason=stored.reason
+    )
+
+
 def record_from_entry(entry: StoredEntry) -> MoveRecord | None:
     """Return the record in a store entry, none if it cannot be parsed."""
     try:
--- a/bronzesill/platform/rollouts.py
+++ b/bronzesill/platform/rollouts.py
@@ -25,11 +25,15 @@
 _REVERTED = 'reverted'
 
 
-def decode_order(entry: StoredEntry) -> MoveOrder | None:
+def decode_order(
+    entry: StoredEntry, *, may_be_repeated: bool
+) -> MoveOrder | None:
     """
     Decode an order to move the traffic of a service to another version.
 
     :param entry: entry of the order in the key-value store.
+    :param may_be_repeated: whether the order may have been read or written
+        again because the store came back from an older copy.
     :returns: the order, none if it is removed or malformed.
     """
     if entry.is_removed:
@@ -42,6 +46,7 @@
             new_version=str(raw['target']),
             window_s=float(raw['durationS']),
             revision=entry.revision,
+            may_be_repeated=may_be_repeated,
         )
     except (ValueError, TypeError, KeyError):
         return None
--- a/bronzesill/platform/tests/test_orders_and_reports.py
+++ b/bronzesill/platform/tests/test_orders_and_reports.py
@@ -42,13 +42,19 @@
 
     def test_order_is_decoded(self) -> None:
         payload = b'{"service":"shop","target":"v2","durationS":12}'
-        order = decode_order(_entry(payload))
+        order = decode_order(_entry(payload), may_be_repeated=False)
         self.assertEqual(order, MoveOrder('shop', 'v2', 12, _REVISION))
-        self.assertIsNone(decode_order(_entry(payload, is_removed=True)))
+        self.assertIsNone(
+            decode_order(
+                _entry(payload, is_removed=True), may_be_repeated=False
+            )
+        )
 
     def test_malformed_order_is_ignored(self) -> None:
         for payload in (b'', b'[]', b'{}', b'\xff', b'{"service":"shop"}'):
-            self.assertIsNone(decode_order(_entry(payload)))
+            self.assertIsNone(
+                decode_order(_entry(payload), may_be_repeated=False)
+            )
 
     def test_status_round_trip(self) -> None:
         for status in (
