Bind conditional writes and leases to the era of the store they rest on

What would happen: the store gives revisions and lease numbers out again after its return from an older copy. A write on the condition of a revision read before may then replace a content that its writer has never seen, also when the store executes it late; renewing or ending a lease may hit somebody else's; a host stays unlisted until its next renewal.

Class: a number of the store taken as identity after the store itself went back.

Change: GuardedStore, between both interfaces and the client. Daemons mark each era by a key before they read in it what they act on, and each write requires that the era after its own is not marked. A write that the store executed in a later era counts as one whose answer was lost, so its writer reads back. Leases know their era. Hosts register anew within 1.5 s of a return, each at another time. Weighed and left: content in the condition (the platform compares revisions only), one key that each write changes (all writers would collide).

Evidence: models/eras.pml found that two late writes of one era may still collide after the return when writers mark before they write instead of before they read; that order is a seeded mistake now (MARK_LATE), with NO_GUARD and NUMBER_ONLY, all found.

--- a/bronzesill/cli/context.py
+++ b/bronzesill/cli/context.py
@@ -14,6 +14,7 @@
 
 from ..config.repository import ConfigRepository
 from ..platform.store import PlatformStore
+from ..store import GuardedStore
 from ..utils import Address, DocumentInvalid, structure
 
 __all__ = ['Context', 'ToolSettings', 'open_context']
@@ -67,7 +68,7 @@
     options: argparse.Namespace
     settings: ToolSettings
     session: aiohttp.ClientSession
-    store: PlatformStore
+    store: GuardedStore
 
     @property
     def repository(self) -> ConfigRepository:
@@ -117,7 +118,7 @@
     :raises OSError: the settings file cannot be read.
     """
     settings = ToolSettings.from_file(options.settings)
-    store = PlatformStore(settings.store)
+    store = GuardedStore(PlatformStore(settings.store))
     try:
         async with aiohttp.ClientSession() as session:
             yield Context(options, settings, session, store)
--- a/bronzesill/daemon/components.py
+++ b/bronzesill/daemon/components.py
@@ -33,6 +33,7 @@
 from ..platform.hosts import HttpHostList
 from ..platform.store import PlatformStore
 from ..routing import ServerTracker
+from ..store import GuardedStore
 from ..utils import Address
 from ..utils.statsd_metrics import connect_metrics
 from ..wire import DatagramSocket, PeerClient, PeerServer, WireCounters
@@ -90,7 +91,7 @@
     fleet: FleetController
     ledger: Ledger
     moves: MovesController
-    store: PlatformStore
+    store: GuardedStore
     traffic: TrafficController
     orders: OrdersController
     quotas: QuotaController
@@ -119,7 +120,7 @@
         client = PeerClient(registry, counters)
         membership_queue: MembershipQueue = asyncio.Queue()
         socket = DatagramSocket(registry, counters, membership_queue)
-        store = PlatformStore(settings.store)
+        store = GuardedStore(PlatformStore(settings.store))
         tracker = ServerTracker()
         locations = LocationTable()
         membership = MembershipController(
--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -20,7 +20,7 @@
     StoreFollower,
 )
 from ..routing import FetchUse, ServerTracker, UseReport
-from ..store import StoredEntry
+from ..store import GuardedStore, StoredEntry
 from ..upstream import ConnectionPool
 from ..utils import (
     HttpServer,
@@ -73,7 +73,8 @@
         self._state = GatewayState()
         self._tracker = ServerTracker()
         self._pool = ConnectionPool()
-        self._store = PlatformStore(settings.store)
+        self._client = PlatformStore(settings.store)
+        self._store = GuardedStore(self._client)
         self._dialect = PlatformDialect()
         self._peers = HostedPeers(settings, self._random, listeners)
         self._fleet = HostedFleet(
@@ -118,6 +119,7 @@
         self._store_state.on_older_configuration = (
             self._fleet.publish_configuration
         )
+        self._store_state.on_return = self._fleet.note_store_returned
         self._moves = HostedMoves(
             self._store,
             self._peers.membership,
@@ -161,7 +163,7 @@
                 self._usage_exchange,
                 self._quarantine,
                 self._fleet,
-                self._store,
+                self._client,
             )
         )
         self._caller_server = HttpServer(
@@ -185,7 +187,7 @@
     @property
     def store_calls(self) -> int:
         """Number of calls made to the store so far."""
-        return sum(self._store.calls_by_kind.values())
+        return sum(self._client.calls_by_kind.values())
 
     @property
     def is_watching(self) -> bool:
--- a/bronzesill/daemon/hosted_fleet.py
+++ b/bronzesill/daemon/hosted_fleet.py
@@ -16,7 +16,7 @@
     choose_watchers,
 )
 from ..platform.servers import HOST_PREFIX
-from ..store import KeyValueStore, Mutation, StoredEntry
+from ..store import KeyValueStore, Lease, Mutation, StoredEntry
 from ..utils import (
     Address,
     BronzesillError,
@@ -32,6 +32,8 @@
 _RENEW_INTERVAL_S = 3.0
 _RETRY_S = 0.5
 _REGISTRATION_DELAY_S = 1.0
+#: Time over which hosts register anew after a return of the store.
+_RETURN_SPREAD_S = 1.5
 _MAX_SEEDS = 4
 _DISCOVERY_INTERVAL_S = 0.4
 _JOINED_DISCOVERY_INTERVAL_S = 8.0
@@ -62,7 +64,8 @@
         self._membership = membership
         self._seeds = seeds
         self._random = random
-        self._lease_id = 0
+        self._lease: Lease | None = None
+        self._has_returned = asyncio.Event()
 
     async def maintain_registration(self) -> None:
         """Keep this daemon registered while it has to watch the store."""
@@ -76,7 +79,11 @@
             except BronzesillError as error:
                 _log.warning('registration in the store failed: %s', error)
                 pause_s = _RETRY_S
-            await asyncio.sleep(pause_s * (0.5 + self._random.random()))
+            await self._pause(pause_s * (0.5 + self._random.random()))
+
+    def note_store_returned(self) -> None:
+        """Note that the store came back from a copy, without our leases."""
+        self._has_returned.set()
 
     async def discover_peers(self) -> None:
         """
@@ -112,9 +119,11 @@
 
     async def deregister(self) -> None:
         """Remove this daemon's entry from the store."""
-        if self._lease_id:
+        if self._lease is not None:
             try:
-                await self._store.revoke_lease(self._lease_id)
+                # The answer tells whether the lease is of this era.
+                await self._store.get(self._key)
+                await self._store.revoke_lease(self._lease)
             except BronzesillError as error:
                 _log.info(
                     'entry not removed, it expires with its lease: %s', error
@@ -201,26 +210,39 @@
             return unreachable
         return (*self._seeds, *unreachable)
 
+    @property
+    def _key(self) -> str:
+        return f'{HOST_PREFIX}{self._membership.own.name}'
+
+    async def _pause(self, pause_s: float) -> None:
+        """Pause, but not long after a return of the store."""
+        try:
+            async with asyncio.timeout(pause_s):
+                await self._has_returned.wait()
+        except TimeoutError:
+            return
+        self._has_returned.clear()
+        await asyncio.sleep(_RETURN_SPREAD_S * self._random.random())
+
     async def _update_registration(self) -> None:
         if not self.watchers():
             await self._renew_registration()
-        elif self._lease_id:
-            await self._store.revoke_lease(self._lease_id)
-            self._lease_id = 0
+        elif self._lease is not None:
+            await self._store.revoke_lease(self._lease)
+            self._lease = None
 
     async def _renew_registration(self) -> None:
-        if self._lease_id and await self._store.renew_lease(self._lease_id):
+        if self._lease and await self._store.renew_lease(self._lease):
             return
-        self._lease_id = await self._store.grant_lease(_LEASE_S)
-        own = self._membership.own
-        key = f'{HOST_PREFIX}{own.name}'
-        payload = orjson.dumps(unstructure(own))
-        stored = await self._store.get(key)
-        await self._store.compare_and_swap(
-            key,
+        stored = await self._store.get(self._key)
+        lease = await self._store.grant_lease(_LEASE_S)
+        payload = orjson.dumps(unstructure(self._membership.own))
+        written = await self._store.compare_and_swap(
+            self._key,
             stored.revision if stored else None,
-            (Mutation(key, payload, self._lease_id),),
+            (Mutation(self._key, payload, lease),),
         )
+        self._lease = lease if written else None
 
     async def _join_registered(self) -> None:
         listed = await self._store.snapshot(HOST_PREFIX, may_be_stale=True)
--- a/bronzesill/daemon/hosted_store_state.py
+++ b/bronzesill/daemon/hosted_store_state.py
@@ -59,6 +59,8 @@
         self._changed = asyncio.Event()
         #: Called with the version in force when the store shows an older one.
         self.on_older_configuration: Callable[[int], None] = _ignore
+        #: Called when the store has come back from an older copy.
+        self.on_return: Callable[[], None] = _ignore
         self._configuration: _ConfigurationInForce | None = None
 
     @property
@@ -160,6 +162,7 @@
         old_listing = self.listing
         if has_returned:
             _log_return(merged)
+            self.on_return()
             self.listing = self.listing.with_store_returned(_now_s())
         for entry in merged.newer_entries:
             self._apply_entry(entry, may_be_older=has_returned)
@@ -265,8 +268,8 @@
     entry: StoredEntry
 
 
-def _ignore(version: int) -> None:
-    """Ignore an older configuration; the default callback."""
+def _ignore(*_: object) -> None:
+    """Ignore an event; the default callback."""
 
 
 def _log_return(merged: MergeResult) -> None:
--- a/bronzesill/platform/store.py
+++ b/bronzesill/platform/store.py
@@ -9,7 +9,15 @@
 
 import orjson
 
-from ..store import Changes, Mutation, Snapshot, StoredEntry, StoreRevision
+from ..store import (
+    Changes,
+    Condition,
+    Lease,
+    Mutation,
+    Snapshot,
+    StoredEntry,
+    StoreRevision,
+)
 from ..upstream import (
     AnswerError,
     HttpAnswer,
@@ -155,12 +163,31 @@
         :returns: store revision of the write, none if the condition failed or
             the lease of a mutation does not exist.
         """
-        condition = {
-            'key': key,
-            'revision': expected.number if expected else 0,
-        }
+        return await self.transact((Condition(key, expected),), mutations)
+
+    async def transact(
+        self,
+        conditions: tuple[Condition, ...],
+        mutations: tuple[Mutation, ...],
+    ) -> StoreRevision | None:
+        """
+        Apply all mutations atomically if all conditions hold.
+
+        :param conditions: keys with the revisions that they must have.
+        :param mutations: keys to write or remove, 32 rows with the conditions.
+        :returns: store revision of the write, none if a condition failed or
+            the lease of a mutation does not exist.
+        """
         body = {
-            'expectedRevision': [condition],
+            'expectedRevision': [
+                {
+                    'key': condition.key,
+                    'revision': (
+                        condition.expected.number if condition.expected else 0
+                    ),
+                }
+                for condition in conditions
+            ],
             'write': [
                 _encode_write(mutation, mutation.payload)
                 for mutation in mutations
@@ -178,27 +205,27 @@
         number = int(response.require(_OK)['revision'])
         return StoreRevision(response.era, number)
 
-    async def grant_lease(self, ttl_s: float) -> int:
+    async def grant_lease(self, ttl_s: float) -> Lease:
         """
-        Create a lease and return its identifier.
+        Create a lease.
 
         :param ttl_s: seconds until the lease expires if it is not renewed.
         """
         ttl_ms = int(ttl_s * _MS_PER_S)
         response = await self._call('POST', 'kv-lease', body={'ttlMs': ttl_ms})
-        return int(response.require(_OK)['leaseId'])
+        return Lease(int(response.require(_OK)['leaseId']), response.era)
 
-    async def renew_lease(self, lease_id: int) -> bool:
+    async def renew_lease(self, lease: Lease) -> bool:
         """Renew a lease; return false if it has expired."""
-        response = await self._call('POST', f'kv-keep/{lease_id}')
+        response = await self._call('POST', f'kv-keep/{lease.lease_id}')
         if response.status == _NOT_FOUND:
             return False
         response.require(_OK)
         return True
 
-    async def revoke_lease(self, lease_id: int) -> None:
+    async def revoke_lease(self, lease: Lease) -> None:
         """Revoke a lease, which removes the keys bound to it."""
-        await self._call('DELETE', f'kv-lease-end/{lease_id}')
+        await self._call('DELETE', f'kv-lease-end/{lease.lease_id}')
 
     async def watch(self, prefix: str) -> AsyncIterator[StoredEntry]:
         """
@@ -308,8 +335,8 @@
         'key': mutation.key,
         'value': base64.b64encode(payload).decode(),
     }
-    if mutation.lease_id:
-        write['leaseId'] = mutation.lease_id
+    if mutation.lease is not None:
+        write['leaseId'] = mutation.lease.lease_id
     return write
 
 
--- a/bronzesill/replica/tests/test_follower.py
+++ b/bronzesill/replica/tests/test_follower.py
@@ -12,7 +12,14 @@
 from random import Random
 
 from ...standins.virtual_time import run_in_virtual_time
-from ...store import Changes, Mutation, Snapshot, StoredEntry, StoreRevision
+from ...store import (
+    Changes,
+    Lease,
+    Mutation,
+    Snapshot,
+    StoredEntry,
+    StoreRevision,
+)
 from ...utils import BronzesillError, ResultCode
 from ..follower import FollowPolicy, StoreFollower
 
@@ -48,13 +55,13 @@
     ) -> StoreRevision | None:
         raise NotImplementedError
 
-    async def grant_lease(self, ttl_s: float) -> int:
+    async def grant_lease(self, ttl_s: float) -> Lease:
         raise NotImplementedError
 
-    async def renew_lease(self, lease_id: int) -> bool:
+    async def renew_lease(self, lease: Lease) -> bool:
         raise NotImplementedError
 
-    async def revoke_lease(self, lease_id: int) -> None:
+    async def revoke_lease(self, lease: Lease) -> None:
         raise NotImplementedError
 
     def watch(self, prefix: str) -> AsyncIterator[StoredEntry]:
--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -18,7 +18,7 @@
 from ..gateway import ReceiveBufferMiddleware, read_body, watch_disconnect
 from ..platform.servers import SERVER_PREFIX
 from ..platform.store import PlatformStore
-from ..store import Mutation
+from ..store import Lease, Mutation
 from ..utils import Address, BronzesillError, stable_hash
 from .http_standin import HttpStandIn
 
@@ -266,7 +266,7 @@
 
     async def _maintain_registration(self) -> None:
         with contextlib.closing(PlatformStore(self._store_address)) as store:
-            lease_id = 0
+            lease: Lease | None = None
             sequence = 0
             while True:
                 if self.is_silent:
@@ -274,31 +274,31 @@
                     continue
                 sequence += 1
                 try:
-                    lease_id = await self._renew_registration(
-                        store, lease_id, sequence
+                    lease = await self._renew_registration(
+                        store, lease, sequence
                     )
                 except BronzesillError:
-                    lease_id = 0
+                    lease = None
                 await asyncio.sleep(_HEARTBEAT_INTERVAL_S)
 
     async def _renew_registration(
-        self, store: PlatformStore, lease_id: int, sequence: int
-    ) -> int:
-        is_kept = bool(lease_id) and await store.renew_lease(lease_id)
-        if not is_kept:
-            lease_id = await store.grant_lease(_LEASE_TTL_S)
+        self, store: PlatformStore, lease: Lease | None, sequence: int
+    ) -> Lease:
+        is_kept = lease is not None and await store.renew_lease(lease)
+        if lease is None or not is_kept:
+            lease = await store.grant_lease(_LEASE_TTL_S)
         key = f'{SERVER_PREFIX}{self.plan.name}'
         existing = await store.get(key)
         registration = self._registration(sequence)
         is_known = existing and _says_the_same(existing.payload, registration)
         if is_kept and is_known:
-            return lease_id
+            return lease
         await store.compare_and_swap(
             key,
             existing.revision if existing else None,
-            (Mutation(key, orjson.dumps(registration), lease_id),),
+            (Mutation(key, orjson.dumps(registration), lease),),
         )
-        return lease_id
+        return lease
 
     def _registration(self, sequence: int) -> dict[str, Any]:
         return {
--- a/bronzesill/store/interfaces.py
+++ b/bronzesill/store/interfaces.py
@@ -11,12 +11,15 @@
 
 __all__ = [
     'Changes',
+    'Condition',
     'HostList',
     'KeyValueStore',
+    'Lease',
     'ListedHost',
     'Mutation',
     'Snapshot',
     'StoredEntry',
+    'TransactionalStore',
 ]
 
 
@@ -67,19 +70,45 @@
     has_gap: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class Lease:
+    """
+    A lease, at whose end the keys bound to it are removed.
+
+    :param lease_id: ID, which the store may give out again in a later era.
+    :param era: era of the store in which the lease was granted.
+    """
+
+    lease_id: int
+    era: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Mutation:
     """
-    One write in a compare-and-swap transaction.
+    One write in a transaction.
 
     :param key: the key to write.
     :param payload: value to store, none to delete the key.
-    :param lease_id: ID of the lease to which the key is bound, 0 for none.
+    :param lease: lease to which the key is bound, none if it is kept.
     """
 
     key: str
     payload: bytes | None
-    lease_id: int = 0
+    lease: Lease | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Condition:
+    """
+    Condition of a transaction on one key.
+
+    :param key: the key whose revision is compared.
+    :param expected: revision of its last write, none if it must not exist.
+    """
+
+    key: str
+    expected: StoreRevision | None
 
 
 class KeyValueStore(Protocol):
@@ -113,13 +142,13 @@
         :returns: store revision of the write, none if the comparison failed.
         """
 
-    async def grant_lease(self, ttl_s: float) -> int:
-        """Create a lease that expires after ``ttl_s`` and return its ID."""
+    async def grant_lease(self, ttl_s: float) -> Lease:
+        """Create a lease that expires after ``ttl_s``."""
 
-    async def renew_lease(self, lease_id: int) -> bool:
+    async def renew_lease(self, lease: Lease) -> bool:
         """Renew a lease; return false if it has expired."""
 
-    async def revoke_lease(self, lease_id: int) -> None:
+    async def revoke_lease(self, lease: Lease) -> None:
         """Revoke a lease, which removes the keys bound to it."""
 
     async def snapshot(self, prefix: str, *, may_be_stale: bool) -> Snapshot:
@@ -145,6 +174,28 @@
         """Yield writes below a prefix; end when some may have been missed."""
 
 
+class TransactionalStore(KeyValueStore, Protocol):
+    """Key-value service that compares several keys in one transaction."""
+
+    @property
+    def era(self) -> int:
+        """Highest era that an answer named, 0 if none did."""
+
+    async def transact(
+        self,
+        conditions: tuple[Condition, ...],
+        mutations: tuple[Mutation, ...],
+    ) -> StoreRevision | None:
+        """
+        Apply all mutations atomically if all conditions hold.
+
+        :returns: store revision of the write, none if a condition failed.
+        """
+
+    def close(self) -> None:
+        """Close the connections to the service."""
+
+
 @dataclasses.dataclass(frozen=True)
 class ListedHost:
     """
--- /dev/null
+++ b/bronzesill/store/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of writes to the store."""
--- a/bronzesill/utils/tests/test_logs.py
+++ b/bronzesill/utils/tests/test_logs.py
@@ -4,8 +4,7 @@
 import time
 import unittest
 
-from ..line_rate_limiter import LineRateLimiter
-from ..logs import DroppingStream
+from ..logs import DroppingStream, LineRateLimiter
 
 
 class LineRateLimiterTest(unittest.TestCase):
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -33,6 +33,9 @@
 check 'model of moves' bash scripts/model_check.sh moves NO_COMPARE \
   COMMIT_LATE WORD_FORGOTTEN
 
+check 'model of eras' bash scripts/model_check.sh eras NO_GUARD MARK_LATE \
+  NUMBER_ONLY
+
 counts=$(mktemp)
 "$bin/python" -m scripts.run_tests --counts "$counts"
 read -r test_passed test_failed <"$counts" || { test_passed=0; test_failed=1; }
