Never run a keyed call again whose record the store has lost

What would happen: the store comes back from an older copy without the claim of an order that ran; its repeat is granted as new and the order runs twice.

Class: what a daemon knows is thrown away for what a store says that went back.

Change: an owner of a partition that reads it in a new era keeps the records that only it knows and writes them again with its next write (ledger_records_kept). A key from before the return, or from the two minutes by which a caller's clock may be ahead, of which no record is left, is answered outcome unknown. The mark of an era tells when daemons saw it first.

--- a/bronzesill/calls/keys.py
+++ b/bronzesill/calls/keys.py
@@ -5,7 +5,10 @@
 import re
 import uuid
 
-__all__ = ['issued_at_s']
+__all__ = ['MAX_CLOCK_SKEW_S', 'issued_at_s']
+
+#: Time by which the clock of a caller may be ahead.
+MAX_CLOCK_SKEW_S = 120.0
 
 _MS_PER_S = 1000
 _UUID7_TIME_SHIFT = 80
--- a/bronzesill/calls/ledger.py
+++ b/bronzesill/calls/ledger.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 __all__ = [
     'CallClaim',
@@ -120,10 +121,15 @@
 
     :param window_s: retention period of a key in seconds, counted from when
         it was issued.
+    :param forgotten_until_s: keys issued up to this time, in seconds since the
+        epoch, may have been claimed although no record of them is left.
     """
 
-    def __init__(self, window_s: float) -> None:
+    def __init__(
+        self, window_s: float, forgotten_until_s: float = -math.inf
+    ) -> None:
         self.window_s = window_s
+        self.forgotten_until_s = forgotten_until_s
         self._records_by_key: dict[str, LedgerRecord] = {}
 
     def __len__(self) -> int:
@@ -141,11 +147,7 @@
         """
         record = self._records_by_key.get(claim.key)
         if record is None:
-            is_expired = now_s - claim.issued_at_s > self.window_s
-            verdict = (
-                ClaimVerdict.KEY_EXPIRED if is_expired else ClaimVerdict.GRANTED
-            )
-            return ClaimAnswer(verdict)
+            return ClaimAnswer(self._evaluate_unknown(claim, now_s))
         if record.fingerprint != claim.fingerprint:
             return ClaimAnswer(ClaimVerdict.KEY_REUSED)
         if record.kind == RecordKind.OUTCOME:
@@ -165,6 +167,21 @@
         record = self._records_by_key.get(claim.key)
         return record is not None and record.claim_id == claim.claim_id
 
+    def records_missing_in(
+        self, other: 'LedgerIndex'
+    ) -> tuple[LedgerRecord, ...]:
+        """Return the records that another index lacks, or has older."""
+        return tuple(
+            record
+            for record in self._records_by_key.values()
+            if not other.is_known(record)
+        )
+
+    def is_known(self, record: LedgerRecord) -> bool:
+        """Return whether a key has this record or a later one."""
+        current = self._records_by_key.get(record.key)
+        return current is not None and current.kind >= record.kind
+
     def is_redundant(self, record: LedgerRecord) -> bool:
         """Return whether applying a record would have no effect."""
         current = self._records_by_key.get(record.key)
@@ -186,6 +203,10 @@
         elif current.kind == RecordKind.CLAIM:
             self._records_by_key.pop(record.key)
 
+    def restore(self, record: LedgerRecord) -> None:
+        """Add a record that the store has lost."""
+        self._records_by_key[record.key] = record
+
     def expire(self, now_s: float) -> None:
         """
         Remove the records of keys that are past the retention period.
@@ -201,3 +222,10 @@
             for key, record in self._records_by_key.items()
             if record.at_s > cutoff_s
         }
+
+    def _evaluate_unknown(self, claim: CallClaim, now_s: float) -> ClaimVerdict:
+        if now_s - claim.issued_at_s > self.window_s:
+            return ClaimVerdict.KEY_EXPIRED
+        if claim.issued_at_s <= self.forgotten_until_s:
+            return ClaimVerdict.UNKNOWN
+        return ClaimVerdict.GRANTED
--- a/bronzesill/calls/ledger_client.py
+++ b/bronzesill/calls/ledger_client.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any, TypeAlias
 
-from ..store import KeyValueStore
+from ..store import GuardedStore
 from ..utils import Address, BronzesillError, stable_hash
 from ..wire import PeerClient
 from .ledger import CallClaim, CallOutcome, ClaimAnswer, ClaimVerdict
@@ -53,7 +53,7 @@
     def __init__(
         self,
         own_name: str,
-        store: KeyValueStore,
+        store: GuardedStore,
         client: PeerClient,
         find_owners: FindOwners,
     ) -> None:
--- a/bronzesill/calls/partition.py
+++ b/bronzesill/calls/partition.py
@@ -7,8 +7,9 @@
 import time
 from typing import TypeAlias
 
-from ..store import KeyValueStore
+from ..store import GuardedStore
 from ..utils import BronzesillError, PartLogger, ResultCode
+from .keys import MAX_CLOCK_SKEW_S
 from .ledger import (
     CallClaim,
     ClaimAnswer,
@@ -53,13 +54,15 @@
     """
 
     def __init__(
-        self, number: int, store: KeyValueStore, window_s: float
+        self, number: int, store: GuardedStore, window_s: float
     ) -> None:
         self.writes = 0
         self._number = number
         self._store = store
         self._window_s = window_s
         self._index = LedgerIndex(window_s)
+        self._index_era = 0
+        self._lost_records: tuple[LedgerRecord, ...] = ()
         self._layout: Layout | None = None
         self._queue: asyncio.Queue[_PendingRequest] = asyncio.Queue()
 
@@ -104,18 +107,37 @@
         prefix = Layout(self._number).prefix
         entries = await self._store.list(prefix)
         layout = Layout.from_entries(self._number, entries)
-        self._index = LedgerIndex(self._window_s)
+        returned_at_s = await self._store.returned_at_s()
+        index = LedgerIndex(self._window_s, returned_at_s + MAX_CLOCK_SKEW_S)
         for segment in layout.segments:
             for record in segment.records:
-                self._index.apply(record)
+                index.apply(record)
+        if self._index_era < self._store.era:
+            self._keep_lost_records(index)
+        self._index = index
+        self._index_era = self._store.era
         self._layout = layout
         return layout
 
+    def _keep_lost_records(self, index: LedgerIndex) -> None:
+        """Keep what only this daemon knows after a return of the store."""
+        self._lost_records = self._index.records_missing_in(index)
+        for record in self._lost_records:
+            index.restore(record)
+        if self._lost_records:
+            _log.event(
+                'ledger_records_kept',
+                partition=self._number,
+                era=self._store.era,
+                count=len(self._lost_records),
+            )
+
     async def _write(
         self, layout: Layout, records: tuple[LedgerRecord, ...], now_s: float
     ) -> bool:
         cutoff_s = now_s - self._window_s - _RETENTION_MARGIN_S
-        write_plan = plan_write(layout, records, cutoff_s)
+        lost = self._lost_records
+        write_plan = plan_write(layout, (*lost, *records), cutoff_s)
         self._layout = None
         self.writes += 1
         try:
@@ -133,6 +155,7 @@
         self._layout = dataclasses.replace(
             write_plan.layout, head_revision=revision
         )
+        self._lost_records = ()
         for record in records:
             self._index.apply(record)
         self._index.expire(now_s)
--- a/bronzesill/calls/runner.py
+++ b/bronzesill/calls/runner.py
@@ -13,7 +13,7 @@
 from .call_messages import CallAnswer
 from .idempotent import IdempotentCalls
 from .interfaces import CallSender, RoutedCall
-from .keys import issued_at_s
+from .keys import MAX_CLOCK_SKEW_S, issued_at_s
 from .ledger import CallClaim, CallOutcome, ClaimAnswer, ClaimVerdict
 from .ledger_client import Ledger
 from .servers import ServiceServers
@@ -23,7 +23,6 @@
 _MAX_STORED_BODY_BYTES = 32_768
 _POLL_INTERVAL_S = 0.2
 _MAX_RECORD_WAIT_S = 1.0
-_MAX_CLOCK_SKEW_S = 120.0
 
 _ERRORS_BY_VERDICT = (
     (
@@ -166,7 +165,7 @@
 
 def _make_claim(routed: RoutedCall) -> CallClaim:
     issued_s = issued_at_s(routed.key)
-    if issued_s is None or issued_s > time.time() + _MAX_CLOCK_SKEW_S:
+    if issued_s is None or issued_s > time.time() + MAX_CLOCK_SKEW_S:
         raise BronzesillError(
             ResultCode.FIELD_INVALID,
             'not run: Idempotency-Key must be a UUID of version 7, or a time '
--- a/bronzesill/calls/tests/test_ledger.py
+++ b/bronzesill/calls/tests/test_ledger.py
@@ -158,6 +158,24 @@
             self.evaluate_claim(late, 10_000), ClaimVerdict.KEY_EXPIRED
         )
 
+    # Guards against a call that runs twice as the store has lost its record.
+    def test_key_from_before_a_return_of_the_store_is_not_granted(self) -> None:
+        index = LedgerIndex(window_s=100, forgotten_until_s=50)
+        for at_s, verdict in (
+            (50, ClaimVerdict.UNKNOWN),
+            (51, ClaimVerdict.GRANTED),
+        ):
+            claim = _claim('c9', at_s=at_s)
+            answer = index.evaluate_claim(claim, 60)
+            self.assertEqual(answer.verdict, verdict)
+
+    def test_records_that_another_index_lacks(self) -> None:
+        other = LedgerIndex(window_s=100)
+        missing = self.index.records_missing_in(other)
+        self.assertEqual([record.claim_id for record in missing], ['c1'])
+        other.restore(missing[0])
+        self.assertEqual(self.index.records_missing_in(other), ())
+
     def test_release_of_another_claim_has_no_effect(self) -> None:
         other = _claim('c2')
         self.index.apply(_record(RecordKind.RELEASE, other, 1))
--- a/bronzesill/daemon/tests/test_calls.py
+++ b/bronzesill/daemon/tests/test_calls.py
@@ -130,6 +130,39 @@
         self.assertIn(reply['error']['code'], ('3002', '3003'))
         self.assertEqual(_runs(self.fleet, key), 1)
 
+    # Guards against an order that runs twice because the store, back from an
+    # older copy, has lost its record.
+    async def test_order_that_the_store_has_lost(self) -> None:
+        await _order(self.fleet, 0, _key('warm'))
+        copy = self.store.copy()
+        key = _key('lost')
+        status, first, _ = await _order(self.fleet, 0, key)
+        self.assertEqual(status, 200)
+        await self.fleet.store.restore(copy)
+        # Each owner of a partition reads it again when it writes.
+        await asyncio.gather(
+            *(_order(self.fleet, 0, _key(f'{number}')) for number in range(40))
+        )
+        status, again, _ = await _order(self.fleet, 1, key)
+        self.assertEqual((status, again), (200, first))
+        self.assertEqual(_runs(self.fleet, key), 1)
+
+    # Guards against the same where nobody is left who knows of the order.
+    async def test_order_that_all_have_lost(self) -> None:
+        await _order(self.fleet, 0, _key('warm'))
+        copy = self.store.copy()
+        key = _key('gone')
+        self.assertEqual((await _order(self.fleet, 0, key))[0], 200)
+        for daemon in tuple(self.fleet.daemons):
+            await self.fleet.kill_daemon(daemon)
+        await self.fleet.store.restore(copy)
+        for number in range(10, 13):
+            await self.fleet.add_daemon(number)
+        await self.fleet.wait_until_ready()
+        _, reply, _ = await _order(self.fleet, 1, key)
+        self.assertEqual(reply['error']['code'], '3002')
+        self.assertEqual(_runs(self.fleet, key), 1)
+
     async def test_reused_malformed_and_expired_keys(self) -> None:
         key = _key('i')
         await _order(self.fleet, 0, key)
--- a/bronzesill/store/guarded.py
+++ b/bronzesill/store/guarded.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import AsyncIterator
 
@@ -135,10 +136,27 @@
         """Close the connections to the service."""
         self._store.close()
 
+    async def returned_at_s(self) -> float:
+        """
+        Return when the store last came back from an older copy.
+
+        :returns: Unix time in seconds at which a daemon saw the present era
+            first; minus infinity if none has seen an earlier one.
+        """
+        if not self.era:
+            return -math.inf
+        await self._mark(self.era)
+        entry = await self._store.get(_marker(self.era))
+        mark = orjson.loads(entry.payload) if entry else {}
+        return -math.inf if mark.get('is_first') else mark.get('seen_at_s', 0)
+
     async def _mark(self, era: int) -> None:
         if self._marked_era >= era:
             return
-        payload = orjson.dumps({'seen_at_s': time.time()})
+        is_first = not self._marked_era and not await self._store.list(
+            ERA_PREFIX
+        )
+        payload = orjson.dumps({'seen_at_s': time.time(), 'is_first': is_first})
         first = max(era - _MARKED_ERAS + 1, 1)
         await self._store.transact(
             (Condition(_marker(era), None),),
