Write a configuration again that a returned store has lost

The native interface keeps a configuration in force whose number is higher than the store's, but nobody wrote it again: daemons that start when all others are gone begin with the older one. Daemons that watch the store do so now, on the condition that it still holds the older one (configuration_restored).

Evidence: test_lost_configuration_is_written_again timed out before and passes.

--- a/bronzesill/config/repository.py
+++ b/bronzesill/config/repository.py
@@ -116,6 +116,19 @@
             )
         return config
 
+    async def write_again(
+        self, current: VersionedConfig | None, lost: StoredConfig
+    ) -> bool:
+        """
+        Store an accepted configuration that the store has lost.
+
+        :param current: older configuration that the store has now, ``None``
+            if there is none.
+        :param lost: configuration that is in force.
+        :returns: whether it was stored; false if another change came first.
+        """
+        return await self._swap(current, lost)
+
     async def _swap(
         self, current: VersionedConfig | None, config: StoredConfig
     ) -> bool:
--- a/bronzesill/daemon/config_controller.py
+++ b/bronzesill/daemon/config_controller.py
@@ -97,6 +97,7 @@
             try:
                 await self.poll()
                 if is_watcher:
+                    await self._restore_lost()
                     await self._watch()
             except BronzesillError as error:
                 _log.warning('configuration could not be read: %s', error)
@@ -116,6 +117,21 @@
             return ConfigAnswer(None)
         return ConfigAnswer(self.stored)
 
+    async def _restore_lost(self) -> None:
+        """Write the configuration in force again if the store has lost it."""
+        lost = self.stored
+        current = await self._repository.read()
+        number = current.config.number if current else 0
+        if lost is None or number >= lost.number:
+            return
+        is_stored = await self._repository.write_again(current, lost)
+        _log.event(
+            'configuration_restored',
+            number=lost.number,
+            stored_before=number,
+            is_stored=is_stored,
+        )
+
     async def _watch(self) -> None:
         async for entry in self._store.watch(CONFIG_KEY):
             self.updates.put_nowait(parse_stored(entry.payload))
--- a/bronzesill/daemon/tests/test_configuration.py
+++ b/bronzesill/daemon/tests/test_configuration.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import base64
+import contextlib
 import unittest
 from typing import Any
 
+from ...config.repository import ConfigRepository
+from ...platform.store import PlatformStore
 from ...standins.fleet import Fleet, FleetPlan
 from .caller import ReceivedAnswer, send_request, stream
 
@@ -49,6 +52,24 @@
         await _wait_for_revision(self.fleet, number)
         self.assertEqual(new_daemon.status().revision, number)
 
+    # Guards against a configuration that is in force and that the store has
+    # lost for good, so that the next daemons would start with an older one.
+    async def test_lost_configuration_is_written_again(self) -> None:
+        copy = self.store.copy()
+        number = await self.fleet.apply(self.document(8))
+        await _wait_for_revision(self.fleet, number)
+        await self.fleet.store.restore(copy)
+        async with asyncio.timeout(8):
+            while await self.stored_number() != number:
+                await asyncio.sleep(0.05)
+
+    async def stored_number(self) -> int:
+        with contextlib.closing(
+            PlatformStore(self.fleet.store.address)
+        ) as store:
+            current = await ConfigRepository(store).read()
+        return current.config.number if current else 0
+
     async def test_daemon_started_with_the_store_down(self) -> None:
         number = await self.fleet.apply(self.document(9))
         await _wait_for_revision(self.fleet, number)
