Give out no fencing number twice when the store comes back older

What would happen: a fencing number is the revision of the store at an order's creation. After a return it is given out again, or is lower: a server that checks it refuses the new order or takes a late older one for newer. An order that was sent in the lost seconds is shown as pending and goes out again.

Change: the fencing number holds the era above the revision. A pending order from before a return counts as one that may have been sent: if its effect can be read back, it is done.

Where the effect can't be read back (a change of role) the order is sent again; all kinds of orders set a state, none adds to it.

--- a/bronzesill/orders/controller.py
+++ b/bronzesill/orders/controller.py
@@ -126,8 +126,13 @@
             server.checks_fencing,
             await self._client.is_in_effect(server.address, record),
         )
+        returned_at_s = await self._repository.returned_at_s()
         step = next_step(
-            record, observed, writer, self._takeover_delay_s, now_s
+            record.as_known_after(returned_at_s),
+            observed,
+            writer,
+            self._takeover_delay_s,
+            now_s,
         )
         if step is Step.ACQUIRE_SLOT:
             await self._acquire_slot(record, writer, now_s)
--- a/bronzesill/orders/record.py
+++ b/bronzesill/orders/record.py
@@ -29,8 +29,8 @@
     """
     Stored record of the last order of a backend server.
 
-    Its fencing number is the revision of the store at its creation, which
-    increases with every write to any key.
+    Its fencing number is the revision of the store at its creation with the
+    era, which together increase with every write to any key.
 
     :param server: name of the backend server.
     :param kind: operation to execute.
@@ -54,6 +54,21 @@
     fencing: int = 0
     note: str = ''
 
+    def as_known_after(self, returned_at_s: float) -> 'OrderRecord':
+        """
+        Return the record as it has to be understood.
+
+        An order from before a return of the store may have been sent,
+        although the older copy does not say so.
+
+        :param returned_at_s: time of the last return, in seconds since the
+            epoch.
+        """
+        is_older = self.created_at_s < returned_at_s
+        if self.state is OrderState.PENDING and is_older:
+            return dataclasses.replace(self, state=OrderState.SENT)
+        return self
+
 
 def has_ended(record: OrderRecord) -> bool:
     """Return whether an order is done or refused."""
--- a/bronzesill/orders/repository.py
+++ b/bronzesill/orders/repository.py
@@ -7,7 +7,7 @@
 import orjson
 
 from ..audit import AuditEntry, audit_mutation
-from ..store import KeyValueStore, Mutation, StoredEntry, StoreRevision
+from ..store import GuardedStore, Mutation, StoredEntry, StoreRevision
 from ..utils import BronzesillError, ResultCode, structure_json, unstructure
 from .load_slots import LoadSlot, LoadSlots
 from .record import OrderRecord, has_ended
@@ -43,7 +43,7 @@
         """
         record = structure_json(entry.payload, OrderRecord)
         if not record.fencing:
-            fencing = entry.revision.number
+            fencing = entry.revision.to_int()
             record = dataclasses.replace(record, fencing=fencing)
         return cls(record, entry.revision)
 
@@ -55,7 +55,7 @@
     :param store: the platform's key-value service.
     """
 
-    def __init__(self, store: KeyValueStore) -> None:
+    def __init__(self, store: GuardedStore) -> None:
         self._store = store
 
     async def list(self) -> tuple[StoredOrder, ...]:
@@ -63,6 +63,10 @@
         entries = await self._store.list(_PREFIX)
         return tuple(StoredOrder.from_entry(entry) for entry in entries)
 
+    async def returned_at_s(self) -> float:
+        """Return when the store last came back from an older copy."""
+        return await self._store.returned_at_s()
+
     async def create(self, record: OrderRecord) -> OrderRecord:
         """
         Store a new order and return it with its fencing number.
@@ -83,7 +87,7 @@
         revision = await self._store.compare_and_swap(key, expected, mutations)
         if revision is None:
             raise _conflict('another order of the server was stored first')
-        return dataclasses.replace(record, fencing=revision.number)
+        return dataclasses.replace(record, fencing=revision.to_int())
 
     async def change(
         self, stored: StoredOrder, record: OrderRecord
--- a/bronzesill/store/revision.py
+++ b/bronzesill/store/revision.py
@@ -5,6 +5,11 @@
 __all__ = ['StoreRevision']
 
 
+#: Bits of the number in an integer; with the era it fits the integers that
+#: JSON readers keep exact.
+_NUMBER_BITS = 44
+
+
 @dataclasses.dataclass(frozen=True, order=True)
 class StoreRevision:
     """
@@ -22,3 +27,7 @@
 
     def __str__(self) -> str:
         return f'{self.era}:{self.number}' if self.era else str(self.number)
+
+    def to_int(self) -> int:
+        """Return a number in the same order, the plain one without an era."""
+        return (self.era << _NUMBER_BITS) + self.number
