--- a/bronzesill/cli/hosted_commands.py
+++ b/bronzesill/cli/hosted_commands.py
@@ -6,6 +6,8 @@
 import dataclasses
 import time
 
+import orjson
+
 from ..config import RegisteredServer
 from ..moves import (
     MOVE_PREFIX,
@@ -28,7 +30,7 @@
     server_name,
 )
 from ..platform.store import ALL_KEYS
-from ..store import StoredEntry
+from ..store import ERA_PREFIX, StoredEntry
 from ..utils import ResultCode
 from .context import Context
 from .output import show, show_table
@@ -67,6 +69,7 @@
     """Show the configuration, hosts and backend servers in the store."""
     snapshot = await context.store.snapshot(ALL_KEYS, may_be_stale=True)
     rows = [
+        *_era_rows(snapshot.entries),
         *_configuration_rows(snapshot.entries),
         *_host_rows(snapshot.entries),
     ]
@@ -91,6 +94,19 @@
     return ResultCode.MOVE_UNKNOWN
 
 
+def _era_rows(entries: tuple[StoredEntry, ...]) -> list[_StatusRow]:
+    marks = [entry for entry in entries if entry.key.startswith(ERA_PREFIX)]
+    if not marks:
+        return []
+    latest = max(marks, key=lambda entry: entry.key)
+    name = latest.key.removeprefix(ERA_PREFIX)
+    seen_at_s = orjson.loads(latest.payload).get('seen_at_s', 0)
+    age_s = time.time() - seen_at_s
+    return [
+        _StatusRow('store', 'era', str(int(name)), f'known for {age_s:.0f} s')
+    ]
+
+
 def _configuration_rows(entries: tuple[StoredEntry, ...]) -> list[_StatusRow]:
     return [
         _StatusRow(
--- a/bronzesill/cli/tests/test_hosted_commands.py
+++ b/bronzesill/cli/tests/test_hosted_commands.py
@@ -57,6 +57,8 @@
         self.assertIn(('host', 'host-0'), names)
         self.assertIn(('server', 'engine-a'), names)
         self.assertIn(('configuration', 'op/config'), names)
+        store = next(row for row in rows if row['kind'] == 'store')
+        self.assertEqual((store['name'], store['state']), ('era', '1'))
         engine = next(row for row in rows if row['name'] == 'engine-a')
         self.assertIn(
             '0 running, 0 waiting, 0 of 88000 tokens', engine['detail']
