Merge modules of calls, moves and metrics that go together

Three modules less for each start of a host to load: messages of calls with their interfaces, facts of moves with their records, the metrics in text with their interface. Nothing else changes.

--- a/bronzesill/calls/__init__.py
+++ b/bronzesill/calls/__init__.py
@@ -1,10 +1,15 @@
 """Calls to plain services: with retries if idempotent, or at most once."""
 
 from .at_most_once import AtMostOnceCalls
-from .call_messages import CallAnswer, CallRequest
 from .forward_sender import ForwardSender
 from .idempotent import IdempotentCalls
-from .interfaces import CallRunner, CallSender, RoutedCall
+from .interfaces import (
+    CallAnswer,
+    CallRequest,
+    CallRunner,
+    CallSender,
+    RoutedCall,
+)
 from .servers import CallResult, ServiceServers
 
 __all__ = [
--- a/bronzesill/calls/at_most_once.py
+++ b/bronzesill/calls/at_most_once.py
@@ -5,8 +5,7 @@
 import asyncio
 
 from ..utils import BronzesillError, ResultCode
-from .call_messages import CallAnswer
-from .interfaces import CallSender, RoutedCall
+from .interfaces import CallAnswer, CallSender, RoutedCall
 from .servers import ServiceServers
 
 __all__ = ['AtMostOnceCalls']
--- a/bronzesill/calls/forward_sender.py
+++ b/bronzesill/calls/forward_sender.py
@@ -16,8 +16,7 @@
     Target,
 )
 from ..utils import BronzesillError, ResultCode
-from .call_messages import CallAnswer
-from .interfaces import RoutedCall
+from .interfaces import CallAnswer, RoutedCall
 from .servers import ServiceServers
 
 __all__ = ['ForwardSender']
--- a/bronzesill/calls/idempotent.py
+++ b/bronzesill/calls/idempotent.py
@@ -7,9 +7,8 @@
 
 from ..limits import LocalRetryAllowance, RetryAllowance
 from ..utils import BronzesillError, ResultCode
-from .call_messages import CallAnswer
 from .hedging import LatencyEstimate
-from .interfaces import CallSender, RoutedCall
+from .interfaces import CallAnswer, CallSender, RoutedCall
 from .servers import ServiceServers
 
 __all__ = ['IdempotentCalls']
--- a/bronzesill/calls/pass_through.py
+++ b/bronzesill/calls/pass_through.py
@@ -5,7 +5,7 @@
 import aiohttp
 
 from ..utils import Address, BronzesillError, ResultCode
-from .call_messages import CallAnswer, CallRequest
+from .interfaces import CallAnswer, CallRequest
 
 __all__ = ['send_call']
 
--- a/bronzesill/calls/runner.py
+++ b/bronzesill/calls/runner.py
@@ -10,9 +10,8 @@
 
 from ..utils import BronzesillError, PartLogger, ResultCode, stable_hash
 from .at_most_once import AtMostOnceCalls
-from .call_messages import CallAnswer
 from .idempotent import IdempotentCalls
-from .interfaces import CallSender, RoutedCall
+from .interfaces import CallAnswer, CallSender, RoutedCall
 from .keys import MAX_CLOCK_SKEW_S, issued_at_s
 from .ledger import CallClaim, CallOutcome, ClaimAnswer, ClaimVerdict
 from .ledger_client import Ledger
--- a/bronzesill/calls/servers.py
+++ b/bronzesill/calls/servers.py
@@ -10,8 +10,7 @@
 
 from ..routing import ServerTracker, ServerView, TrafficSplit, pick_version
 from ..utils import Address, BronzesillError, PartLogger, ResultCode
-from .call_messages import CallAnswer
-from .interfaces import RoutedCall
+from .interfaces import CallAnswer, RoutedCall
 
 __all__ = ['CallEnd', 'CallResult', 'ServiceServers']
 
--- a/bronzesill/calls/session_sender.py
+++ b/bronzesill/calls/session_sender.py
@@ -6,8 +6,7 @@
 
 import aiohttp
 
-from .call_messages import CallAnswer
-from .interfaces import RoutedCall
+from .interfaces import CallAnswer, RoutedCall
 from .pass_through import send_call
 from .servers import ServiceServers
 
--- a/bronzesill/calls/tests/test_order.py
+++ b/bronzesill/calls/tests/test_order.py
@@ -7,8 +7,7 @@
 from ...config import BackendServer, Route
 from ...routing import ServerTracker, TrafficSplit
 from ...utils import Address
-from ..call_messages import CallRequest
-from ..interfaces import RoutedCall
+from ..interfaces import CallRequest, RoutedCall
 from ..servers import ServiceServers
 
 _SEED_COUNT = 50
--- a/bronzesill/moves/__init__.py
+++ b/bronzesill/moves/__init__.py
@@ -8,7 +8,6 @@
 from .controller import Driver, MovesController, find_drivers
 from .evidence import Evidence, ServerEvidence, bucket_of_s
 from .exposure import ExposureLimit
-from .facts import fact_of
 from .move_table import MoveTable
 from .order import (
     MoveOrder,
@@ -26,7 +25,7 @@
     Stage,
     decide,
 )
-from .record import MoveRecord, MoveState, has_ended
+from .record import MoveRecord, MoveState, fact_of, has_ended
 from .reports import MoveReport, MoveReportReply, Observation
 from .repository import MOVE_PREFIX, record_from_entry
 from .split import KnownMove, effective_share, split_of
--- a/bronzesill/moves/controller.py
+++ b/bronzesill/moves/controller.py
@@ -14,10 +14,9 @@
 from ..wire import PeerClient
 from .driver import MoveDriver
 from .exposure import ExposureLimit
-from .facts import fact_of
 from .move_table import MoveTable
 from .policy import MovePlan
-from .record import MoveRecord, MoveState
+from .record import MoveRecord, MoveState, fact_of
 from .reports import MoveReport, MoveReportReply, ObservationLog
 from .repository import MoveRepository
 from .split import KnownMove
--- a/bronzesill/moves/driver.py
+++ b/bronzesill/moves/driver.py
@@ -11,10 +11,9 @@
 from ..utils import BronzesillError, PartLogger, ResultCode
 from .evidence import Evidence
 from .exposure import ExposureLimit
-from .facts import fact_of, rollback_fact
 from .move_table import MoveTable
 from .policy import MoveAction, MoveDecision, MoveProgress, decide
-from .record import MoveRecord, MoveState, has_ended
+from .record import MoveRecord, MoveState, fact_of, has_ended, rollback_fact
 from .reports import MoveReport, evidence_of
 from .repository import MoveRepository, StoredMove
 from .split import KnownMove
--- a/bronzesill/moves/move_table.py
+++ b/bronzesill/moves/move_table.py
@@ -5,8 +5,7 @@
 from ..membership import Fact, FactKind, GossipUpdates
 from ..routing import TrafficSplit
 from ..utils import PartLogger
-from .facts import record_from_fact
-from .record import MoveRecord, has_ended
+from .record import MoveRecord, has_ended, record_from_fact
 from .split import KnownMove, split_of
 
 __all__ = ['MoveTable']
--- a/bronzesill/moves/tests/test_policy.py
+++ b/bronzesill/moves/tests/test_policy.py
@@ -5,9 +5,14 @@
 
 from ..comparison import ComparisonOutcome, SequentialComparison
 from ..evidence import Evidence, ServerEvidence, bucket_of_s
-from ..facts import fact_of, record_from_fact, rollback_fact
 from ..policy import MoveAction, MoveProgress, decide
-from ..record import MoveRecord, MoveState
+from ..record import (
+    MoveRecord,
+    MoveState,
+    fact_of,
+    record_from_fact,
+    rollback_fact,
+)
 from ..split import KnownMove, effective_share, split_of
 
 _WINDOW_S = 3600.0
--- a/bronzesill/utils/__init__.py
+++ b/bronzesill/utils/__init__.py
@@ -17,8 +17,7 @@
     stable_hash,
 )
 from .logs import PartLogger, configure_logging, filter_server_logs
-from .metrics import Metrics, NullMetrics
-from .prometheus_metrics import PrometheusMetrics
+from .metrics import Metrics, NullMetrics, PrometheusMetrics
 from .serving import TARGET_KEY, HttpServer, ServingLimits
 
 __all__ = [
--- a/bronzesill/utils/tests/test_prometheus_metrics.py
+++ b/bronzesill/utils/tests/test_prometheus_metrics.py
@@ -4,7 +4,7 @@
 
 from falcon import testing
 
-from ..prometheus_metrics import PrometheusMetrics
+from ..metrics import PrometheusMetrics
 
 
 class MetricsPageTest(unittest.TestCase):
