Log whether a lost server ended, and the identity of the request on it

Whether one request, repeated under new ids, ends its servers, or the servers end by themselves, the logs could not tell: they showed ids only, and a connection that a sound server closes looks like a crash. server_lost has the identity of the request, a digest of method, target, account and body with a secret that the hosts share through the store, and whether the server accepts a connection afterwards.

No decision changes.

--- a/bronzesill/calls/servers.py
+++ b/bronzesill/calls/servers.py
@@ -9,6 +9,7 @@
 from random import Random
 
 from ..routing import ServerTracker, ServerView, TrafficSplit, pick_version
+from ..upstream import ConnectionLost, ForwardRequest
 from ..utils import Address, BronzesillError, PartLogger, ResultCode
 from .interfaces import CallAnswer, RoutedCall
 
@@ -62,6 +63,8 @@
     :param is_failed: whether the server returned an error or the outcome is
         unknown.
     :param latency_s: duration of the attempt in seconds.
+    :param forward: the forwarded request, none if the call was built here.
+    :param is_disconnected: whether the connection ended before the answer.
     """
 
     service: str
@@ -69,6 +72,8 @@
     server: str
     is_failed: bool
     latency_s: float
+    forward: ForwardRequest | None = None
+    is_disconnected: bool = False
 
 
 class ServiceServers:
@@ -183,6 +188,8 @@
                 name,
                 is_failed=end in {CallEnd.FAILURE, CallEnd.LOST},
                 latency_s=latency_s,
+                forward=routed.forward,
+                is_disconnected=_is_disconnected(outcome),
             )
         )
         _log_send(routed, name, outcome, latency_s)
@@ -210,6 +217,12 @@
     return view.is_suspected, view.fill + _FAILURE_WEIGHT * view.failure_rate
 
 
+def _is_disconnected(outcome: CallAnswer | BronzesillError | None) -> bool:
+    if not isinstance(outcome, BronzesillError):
+        return False
+    return isinstance(outcome.__cause__, ConnectionLost)
+
+
 def _log_send(
     routed: RoutedCall,
     server: str,
--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -129,7 +129,13 @@
                 settings.bounds.exposure_ratio, settings.bounds.exposure_slack
             ),
         )
-        self._quarantine = PromptQuarantine(self._peers, self._store)
+        self._quarantine = PromptQuarantine(
+            self._peers,
+            self._store,
+            self._may_store_secret,
+            self._tracker,
+            self._pool,
+        )
         self._restart_detector = RestartDetector(
             self._store_state,
             self._tracker,
@@ -302,5 +308,8 @@
         self._moves.apply_store_changes(entries, self._store_state.replica)
         self._quarantine.apply_store_changes(entries)
 
+    def _may_store_secret(self) -> bool:
+        return self._store_state.is_complete and not self._fleet.watchers()
+
     def _make_readiness_app(self) -> object:
         return make_readiness_app(lambda: self.is_ready)
--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -166,11 +166,20 @@
     def _record_attempt(self, observation: AttemptObservation) -> None:
         self._context.traffic.record_attempt(observation)
         self._context.quarantine.observe(observation)
+        forward = observation.request.forward
+        if observation.is_lost_unanswered and forward is not None:
+            self._context.quarantine.losses.record_loss(
+                forward, observation.server, observation.lasted_s
+            )
 
     def _record_call(self, result: CallResult) -> None:
         """Record a finished call and update the counts of store calls."""
         context = self._context
         context.traffic.record_call(result)
+        if result.is_disconnected and result.forward is not None:
+            context.quarantine.losses.record_loss(
+                result.forward, result.server, result.latency_s
+            )
         outcome = 'failed' if result.is_failed else 'good'
         context.metrics.incr(f'sends.{outcome}')
         for kind, count in context.store.calls_by_kind.items():
--- a/bronzesill/daemon/prompt_quarantine.py
+++ b/bronzesill/daemon/prompt_quarantine.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import time
+from collections.abc import Callable
 
 from ..generations import AttemptObservation, GenerationRequest
 from ..membership import Member, ViewUpdated, choose_replicas
@@ -20,10 +21,15 @@
     fact_of,
     record_from_entry,
     record_from_fact,
+    request_identity,
 )
+from ..routing import ServerTracker
 from ..store import KeyValueStore, StoredEntry
+from ..upstream import ConnectionPool, ForwardRequest
 from ..utils import BronzesillError, PartLogger
+from .fleet_secret import FleetSecret
 from .hosted_peers import HostedPeers
+from .server_losses import ServerLosses
 
 __all__ = ['PromptQuarantine']
 
@@ -48,10 +54,23 @@
 
     :param peers: membership of the fleet and datagrams to peers.
     :param store: key-value store of the platform.
+    :param may_store_secret: returns whether this daemon stores a secret of
+        the fleet if there is none.
+    :param tracker: state of the backend servers.
+    :param pool: pool of connections to backend servers.
     """
 
-    def __init__(self, peers: HostedPeers, store: KeyValueStore) -> None:
+    def __init__(
+        self,
+        peers: HostedPeers,
+        store: KeyValueStore,
+        may_store_secret: Callable[[], bool],
+        tracker: ServerTracker,
+        pool: ConnectionPool,
+    ) -> None:
         self.blocked = BlockedParts()
+        self._secret = FleetSecret(store, may_store_secret)
+        self.losses = ServerLosses(tracker, pool, self.identity)
         self._membership = peers.membership
         self._socket = peers.socket
         self._store = store
@@ -75,6 +94,10 @@
             request.shared_prompt_parts, time.time()
         )
 
+    def identity(self, forward: ForwardRequest) -> str:
+        """Return the identity of a request, the same for all its repeats."""
+        return request_identity(self._secret.secret, forward)
+
     def observe(self, observation: AttemptObservation) -> None:
         """Record that an answer began, or that its server was lost before."""
         request = observation.request
@@ -96,6 +119,7 @@
 
     def apply_store_changes(self, entries: tuple[StoredEntry, ...]) -> None:
         """Adopt the records among entries that changed in the store."""
+        self._secret.apply_store_changes(entries)
         for entry in entries:
             record = record_from_entry(entry)
             if record is not None:
@@ -103,6 +127,11 @@
 
     async def run(self) -> None:
         """Store what this daemon concluded until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._secret.run())
+            group.create_task(self._save_all())
+
+    async def _save_all(self) -> None:
         while True:
             await self._has_unsaved.wait()
             for record in tuple(self._unsaved_by_part.values()):
--- a/bronzesill/generations/attempt.py
+++ b/bronzesill/generations/attempt.py
@@ -135,12 +135,14 @@
         has_disconnected: bool = False,
     ) -> None:
         """Report the end of the attempt and its mean token gap."""
+        now_s = asyncio.get_running_loop().time()
         self._observer.attempt_observed(
             AttemptObservation(
                 request,
                 self._server,
                 is_end=True,
                 is_failed=is_failed,
+                lasted_s=now_s - self._timings.opened_at_s,
                 is_lost_unanswered=(
                     has_disconnected and not self._timings.first_at_s
                 ),
--- a/bronzesill/generations/observer.py
+++ b/bronzesill/generations/observer.py
@@ -24,6 +24,7 @@
         or None if not measured.
     :param is_lost_unanswered: whether the connection to the server ended
         before the first token.
+    :param lasted_s: seconds from opening the stream to its end.
     :param token_gap_s: mean gap between tokens in seconds, or None if not
         measured.
     """
@@ -33,6 +34,7 @@
     is_end: bool = False
     is_failed: bool = False
     is_lost_unanswered: bool = False
+    lasted_s: float = 0
     first_token_s: float | None = None
     token_gap_s: float | None = None
 
--- a/bronzesill/quarantine/__init__.py
+++ b/bronzesill/quarantine/__init__.py
@@ -1,6 +1,7 @@
 """Quarantine of prompts that crash the backend servers that answer them."""
 
 from .evidence import EvidenceTable, PartEvidence, PromptCrash
+from .identity import MIN_SECRET_BYTES, request_identity
 from .messages import CrashReport, PartStarted, PartSuspected
 from .record import (
     QUARANTINE_PREFIX,
@@ -12,6 +13,7 @@
 )
 
 __all__ = [
+    'MIN_SECRET_BYTES',
     'QUARANTINE_PREFIX',
     'BlockedParts',
     'CrashReport',
@@ -24,4 +26,5 @@
     'fact_of',
     'record_from_entry',
     'record_from_fact',
+    'request_identity',
 ]
