Add failing tests of requests that crash the servers that run them

The listed test is traced: with crashes 20 ms after the prompt arrives it fails each time, as crashes within 0.2 s count as one moment even if one request met the servers one after the other.

--- a/bronzesill/daemon/tests/test_prompt_crashes.py
+++ b/bronzesill/daemon/tests/test_prompt_crashes.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 import time
 import unittest
 
@@ -42,8 +43,10 @@
 class CrashingPromptTest(unittest.IsolatedAsyncioTestCase):
     """Hosts stop sending what crashes servers, and only that."""
 
+    plan = _PLAN
+
     async def asyncSetUp(self) -> None:
-        self.fleet = await HostedFleet(_PLAN).__aenter__()
+        self.fleet = await HostedFleet(self.plan).__aenter__()
         self.caller = HostedCaller()
         self.number = 0
 
@@ -112,3 +115,19 @@
         self.assertGreater(float(answers[0].headers['retry-after']), 60)
         self.assertEqual(len(self.fleet.crashes_s), crashes)
         self.assertEqual((await self.send()).status, 200)
+
+
+class QuickCrashTest(CrashingPromptTest):
+    """
+    Servers crash a few milliseconds after they get such a prompt.
+
+    The attempts of one request then follow each other within a moment.
+    """
+
+    plan = dataclasses.replace(
+        _PLAN,
+        workers=tuple(
+            dataclasses.replace(worker, prefill_s=0.02)
+            for worker in _PLAN.workers
+        ),
+    )
--- a/bronzesill/standins/hosted_fleet.py
+++ b/bronzesill/standins/hosted_fleet.py
@@ -30,8 +30,6 @@
 _READY_TIMEOUT_S = 10.0
 _READY_POLL_S = 0.02
 _REUSE_S = 2.0
-#: Time after which a crashed worker is back.
-_CRASH_S = 0.4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -43,6 +41,7 @@
     :param workers: descriptions of the workers.
     :param grace_s: grace period in seconds for stopping a daemon.
     :param domains: failure domains assigned to the daemons in turn.
+    :param crash_s: seconds after which a crashed worker is back.
     """
 
     daemons: int = 2
@@ -54,6 +53,7 @@
     )
     grace_s: float = 3
     domains: tuple[str, ...] = ('a', 'b', 'c')
+    crash_s: float = 0.4
 
 
 def make_configuration(**limits: int) -> dict[str, Any]:
@@ -136,7 +136,7 @@
             )
             for worker in plan.workers
         }
-        #: Monotonic times in seconds at which prompts crashed workers.
+        #: Monotonic times in seconds at which requests crashed workers.
         self.crashes_s: list[float] = []
         self.daemons: list[HostedDaemon] = []
         self._restarts: set[asyncio.Task[None]] = set()
@@ -242,7 +242,7 @@
         worker.has_crashed = True
         self.crashes_s.append(time.monotonic())
         await worker.stop()
-        await asyncio.sleep(_CRASH_S)
+        await asyncio.sleep(self.plan.crash_s)
         await self.restart_worker(name, f'{name}+')
 
     def _settings(
--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -28,6 +28,8 @@
 _LEASE_TTL_S = 1.2
 _MS_PER_S = 1000
 _COPY_TIMEOUT_S = 1.0
+#: Time within which a crashing worker is stopped.
+_CRASH_TIMEOUT_S = 10.0
 _CACHE_CAPACITY_TOKENS = 88_000
 
 
@@ -51,6 +53,9 @@
         in its answers, 0 for none.
     :param crashing_part: part of a prompt on which the worker crashes when it
         begins to write an answer, empty for none.
+    :param crashing_body: body of a request on which the worker crashes when it
+        has worked on it, empty for none.
+    :param work_s: seconds of work on a request of a plain service.
     """
 
     name: str
@@ -65,6 +70,8 @@
     version: str = 'v1'
     limit_per_s: float = 0
     crashing_part: str = ''
+    crashing_body: bytes = b''
+    work_s: float = 0
 
 
 def expected_events(body: bytes, count: int) -> bytes:
@@ -96,9 +103,9 @@
         self.copies: set[str] = set()
         #: Monotonic times in seconds of all requests.
         self.arrivals_s: list[float] = []
-        #: Monotonic times in seconds of the requests with the crashing part.
+        #: Monotonic times in seconds of the requests that crash the worker.
         self.crashing_arrivals_s: list[float] = []
-        #: Called when the worker crashes because of a prompt.
+        #: Called when the worker crashes because of a request.
         self.on_crash: Callable[[str], None] = _ignore
         self.has_crashed = False
         self.cancelled = 0
@@ -129,15 +136,9 @@
         if resp is None:
             return
         body = await read_body(req)
-        headers = {
-            name.decode(): text.decode('latin-1')
-            for name, text in req.scope['headers']
-        }
-        self.received_headers.append(headers)
+        headers = _decode_headers(req)
         self.received_targets.append(req.scope['bronzesill.target'])
-        self.arrivals_s.append(time.monotonic())
-        if self._has_crashing_part(headers):
-            self.crashing_arrivals_s.append(time.monotonic())
+        self._record_arrival(headers, body)
         request_id = headers.get('x-attempt-id', '')
         if not self._admit(headers, request_id, resp):
             return
@@ -153,6 +154,7 @@
             watch_disconnect(req, disconnected.set)
             resp.stream = self._stream(headers, body, request_id, disconnected)
         else:
+            await self._work(headers, body)
             resp.text = f'{self.plan.name} did {req.method} {len(body)}'
 
     async def on_post_copy(
@@ -204,14 +206,25 @@
             return False
         return True
 
-    async def _crash_on_prompt(
-        self, headers: dict[str, str], disconnected: asyncio.Event
-    ) -> None:
-        if self._has_crashing_part(headers):
-            self.on_crash(self.plan.name)
-            await disconnected.wait()
+    def _record_arrival(self, headers: dict[str, str], body: bytes) -> None:
+        self.received_headers.append(headers)
+        self.arrivals_s.append(time.monotonic())
+        if self._is_crashing(headers, body):
+            self.crashing_arrivals_s.append(time.monotonic())
 
-    def _has_crashing_part(self, headers: dict[str, str]) -> bool:
+    async def _work(self, headers: dict[str, str], body: bytes) -> None:
+        self._running += 1
+        try:
+            await asyncio.sleep(self.plan.work_s)
+            if self._is_crashing(headers, body):
+                self.on_crash(self.plan.name)
+                await asyncio.sleep(_CRASH_TIMEOUT_S)
+        finally:
+            self._running -= 1
+
+    def _is_crashing(self, headers: dict[str, str], body: bytes) -> bool:
+        if self.plan.crashing_body and body == self.plan.crashing_body:
+            return True
         rows = headers.get('x-prefix-hash', '').split(',')
         parts = {row.partition(':')[0] for row in rows}
         return bool(self.plan.crashing_part) and (
@@ -235,7 +248,9 @@
         self._running += 1
         try:
             await self._prefill(headers, request_id)
-            await self._crash_on_prompt(headers, disconnected)
+            if self._is_crashing(headers, body):
+                self.on_crash(self.plan.name)
+                await disconnected.wait()
             for number in range(first, self.plan.events + 1):
                 if disconnected.is_set():
                     self.cancelled += 1
@@ -326,6 +341,13 @@
     """Ignore a crash; the default callback."""
 
 
+def _decode_headers(req: asgi.Request) -> dict[str, str]:
+    return {
+        name.decode(): text.decode('latin-1')
+        for name, text in req.scope['headers']
+    }
+
+
 def _says_the_same(payload: bytes, registration: dict[str, Any]) -> bool:
     stored = orjson.loads(payload)
     return {**stored, 'sequence': 0} == {**registration, 'sequence': 0}
