Count attempts of one request that follow each other as separate crashes

Callers: after a loss of power by all hosts, prompts with a part that crashes servers were sent to servers again (BUDGET), as the part had not been blocked.

Cause: crashes within 0.2 s of each other counted as one, also those of attempts that follow each other, so four requests with five attempts each showed two or three moments.

Change: a crash also counts when the request came to the server after the loss of the one counted before, in another failure domain, and no answer on the part ever began. A dying domain, and a part that has been answered, count as before. A crash report names the server's failure domain and how long the request was there.

--- a/bronzesill/daemon/prompt_quarantine.py
+++ b/bronzesill/daemon/prompt_quarantine.py
@@ -74,6 +74,7 @@
         self._membership = peers.membership
         self._socket = peers.socket
         self._store = store
+        self._tracker = tracker
         self._evidence = EvidenceTable()
         self._started_at_s_by_part: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
@@ -105,7 +106,7 @@
             for part in request.shared_prompt_parts:
                 self._record_start(part)
         elif observation.is_lost_unanswered:
-            self._report_crash(request, observation.server)
+            self._report_crash(observation)
 
     def handle_datagram(self, message: object) -> None:
         """Process a report of this or another daemon."""
@@ -140,14 +141,22 @@
                 self._has_unsaved.clear()
             await asyncio.sleep(_SAVE_INTERVAL_S)
 
-    def _report_crash(self, request: GenerationRequest, server: str) -> None:
+    def _report_crash(self, observation: AttemptObservation) -> None:
+        request = observation.request
         parts = request.shared_prompt_parts
         suspects = [
             part for part in parts if part not in self._started_at_s_by_part
         ]
+        server = self._tracker.servers_by_name.get(observation.server)
         for part in parts:
-            companions = tuple(other for other in suspects if other != part)
-            report = CrashReport(part, companions, server, request.request_id)
+            report = CrashReport(
+                part,
+                tuple(other for other in suspects if other != part),
+                observation.server,
+                server.failure_domain if server else '',
+                request.request_id,
+                observation.lasted_s,
+            )
             self._send(self._collectors(part), report)
 
     def _record_start(self, part: str) -> None:
@@ -180,11 +189,14 @@
             self._tell_start(part)
 
     def _collect_crash(self, report: CrashReport) -> None:
+        lost_at_s = _now_s() - report.age_s
         crash = PromptCrash(
             report.server,
             report.request,
-            _now_s() - report.age_s,
+            lost_at_s,
             frozenset(report.companions),
+            lost_at_s - report.lasted_s,
+            report.failure_domain,
         )
         self._evidence = self._evidence.with_crash(report.part, crash)
         self._judge(report.part)
--- a/bronzesill/quarantine/evidence.py
+++ b/bronzesill/quarantine/evidence.py
@@ -16,12 +16,14 @@
 
 __all__ = ['EvidenceTable', 'PartEvidence', 'PromptCrash']
 
-#: Crashes that condemn a part, on different servers.
+#: Crashes with separate causes that condemn a part.
 _MIN_CRASHES = 3
 #: Requests that must have been on these servers.
 _MIN_REQUESTS = 2
 #: Crashes within this time may have one cause, such as a failure domain.
 _MOMENT_S = 0.2
+#: Reports of one crash may differ by this time.
+_REPORT_SPREAD_S = 0.05
 #: Evidence is dropped after this time without another crash.
 _VALID_S = 60.0
 #: Bounds the memory that callers can make a daemon use.
@@ -33,16 +35,36 @@
     """
     Loss of a server before it began an answer.
 
+    All times are in seconds on one clock.
+
     :param server: name of the server.
     :param request: id of the request that waited for the answer.
-    :param at_s: time of the loss in seconds.
+    :param at_s: time of the loss.
     :param companions: other parts of its prompt that may be the cause.
+    :param began_at_s: time at which the request was sent to the server.
+    :param failure_domain: failure domain of the server, empty if unknown.
     """
 
     server: str
     request: str
     at_s: float
     companions: frozenset[str] = frozenset()
+    began_at_s: float = -math.inf
+    failure_domain: str = ''
+
+    def is_apart_from(self, earlier: PromptCrash) -> bool:
+        """Return whether servers were not lost together, by one cause."""
+        return self.at_s > earlier.at_s + _MOMENT_S
+
+    def follows(self, earlier: PromptCrash) -> bool:
+        """
+        Return whether the part came to this server from a lost one.
+
+        If the servers are of two failure domains, the part is what they have
+        in common, even if they were lost within a moment.
+        """
+        has_followed = self.began_at_s >= earlier.at_s - _REPORT_SPREAD_S
+        return has_followed and self.failure_domain != earlier.failure_domain
 
 
 @dataclasses.dataclass(frozen=True)
@@ -65,13 +87,13 @@
     @property
     def is_suspected(self) -> bool:
         """Whether one more crash may condemn the part."""
-        return self._count_moments() >= _MIN_CRASHES - 1
+        return self._count_separate() >= _MIN_CRASHES - 1
 
     @property
     def is_conclusive(self) -> bool:
         """Whether the part is taken to crash servers."""
         has_requests = len(self.requests) >= _MIN_REQUESTS
-        return has_requests and self._count_moments() >= _MIN_CRASHES
+        return has_requests and self._count_separate() >= _MIN_CRASHES
 
     @property
     def last_crash_at_s(self) -> float:
@@ -106,22 +128,33 @@
         requests = frozenset(crash.request for crash in kept)
         return dataclasses.replace(self, crashes=kept, requests=requests)
 
-    def _count_moments(self) -> int:
-        count = 0
-        moment_ends_s = -math.inf
+    def _count_separate(self) -> int:
+        counted: list[PromptCrash] = []
         for crash in self.crashes:
-            if crash.at_s > moment_ends_s:
-                count += 1
-                moment_ends_s = crash.at_s + _MOMENT_S
-        return count
+            if not counted or self._is_separate(counted[-1], crash):
+                counted.append(crash)
+        return len(counted)
+
+    def _is_separate(self, earlier: PromptCrash, crash: PromptCrash) -> bool:
+        if crash.is_apart_from(earlier):
+            return True
+        # What was answered before is more likely to have been there only.
+        is_never_answered = self.started_at_s == -math.inf
+        return is_never_answered and crash.follows(earlier)
 
 
 def _with_server(
     crashes: tuple[PromptCrash, ...], crash: PromptCrash
 ) -> tuple[PromptCrash, ...]:
-    if any(known.server == crash.server for known in crashes):
-        return crashes
-    return tuple(sorted((*crashes, crash), key=lambda known: known.at_s))
+    others = [known for known in crashes if known.server != crash.server]
+    same = [known for known in crashes if known.server == crash.server]
+    merged = dataclasses.replace(
+        crash,
+        at_s=min(loss.at_s for loss in (*same, crash)),
+        # The last request that was sent to it tells most.
+        began_at_s=max(loss.began_at_s for loss in (*same, crash)),
+    )
+    return tuple(sorted((*others, merged), key=lambda loss: loss.at_s))
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/quarantine/messages.py
+++ b/bronzesill/quarantine/messages.py
@@ -14,14 +14,18 @@
     :param companions: other such parts of the prompt; those are left out on
         which the sender saw an answer begin.
     :param server: name of the server.
+    :param failure_domain: failure domain of the server, empty if unknown.
     :param request: id of the request.
+    :param lasted_s: seconds from sending the request to the loss.
     :param age_s: seconds since the loss.
     """
 
     part: str
     companions: tuple[str, ...]
     server: str
+    failure_domain: str
     request: str
+    lasted_s: float
     age_s: float = 0
 
 
--- a/bronzesill/quarantine/tests/test_evidence.py
+++ b/bronzesill/quarantine/tests/test_evidence.py
@@ -29,6 +29,20 @@
     return evidence
 
 
+def _follow_up(domains: str, request: str) -> tuple[PromptCrash, ...]:
+    """Return losses under a request, 20 ms apart, by failure domain."""
+    return tuple(
+        PromptCrash(
+            f'{request}.{number}',
+            request,
+            1 + number / 50,
+            began_at_s=1 + (number - 1) / 50,
+            failure_domain=domain,
+        )
+        for number, domain in enumerate(domains)
+    )
+
+
 def _block(part: str, *companions: str) -> PartRecord:
     record = BlockedParts().block(part, 0, frozenset(companions))
     assert record is not None
@@ -54,6 +68,20 @@
         )
         self.assertFalse(_evidence(*crashes).is_suspected)
 
+    # Guards against attempts of one request that follow each other within
+    # milliseconds being counted as one loss.
+    def test_attempts_that_follow_each_other(self) -> None:
+        evidence = _evidence(*_follow_up('abc', 'r1'), *_follow_up('def', 'r2'))
+        self.assertTrue(evidence.is_conclusive)
+        same_domain = _evidence(
+            *_follow_up('aaa', 'r1'), *_follow_up('aaa', 'r2')
+        )
+        self.assertFalse(same_domain.is_suspected)
+        answered = PartEvidence().with_start(0)
+        for crash in _follow_up('abc', 'r1'):
+            answered = answered.with_crash(crash)
+        self.assertFalse(answered.is_suspected)
+
     def test_reports_out_of_order(self) -> None:
         crashes = [
             PromptCrash(f's{number}', f'r{number}', number)
