--- a/bronzesill/routing/__init__.py
+++ b/bronzesill/routing/__init__.py
@@ -17,12 +17,10 @@
     ServerRestart,
     ServerUse,
     SharedNews,
-    UseReport,
-    news_of,
-)
-from .use_sharing import (
     SharingPeers,
+    UseReport,
     choose_recipients,
+    news_of,
     without_heard_restarts,
 )
 from .versions import TrafficSplit, pick_version
--- a/bronzesill/routing/tests/test_use_sharing.py
+++ b/bronzesill/routing/tests/test_use_sharing.py
@@ -15,9 +15,12 @@
 from ...utils import Address
 from ..choose import Requirements, choose_server
 from ..server_tracker import ServerTracker
-from ..use_reports import ServerRestart, ServerUse, SharedNews, UseReport
-from ..use_sharing import (
+from ..use_reports import (
+    ServerRestart,
+    ServerUse,
+    SharedNews,
     SharingPeers,
+    UseReport,
     choose_recipients,
     without_heard_restarts,
 )
