--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -140,22 +140,8 @@
         self.received_targets.append(req.scope['bronzesill.target'])
         self._record_arrival(headers, body)
         request_id = headers.get('x-attempt-id', '')
-        if not self._admit(headers, request_id, resp):
-            return
-        self.runs_by_id[request_id] += 1
-        resp.set_header('X-Server-Signature', f'{self.plan.name}.{request_id}')
-        if self._remaining_failures:
-            self._remaining_failures -= 1
-            resp.status = falcon.HTTP_500
-            resp.text = 'failed'
-        elif self.plan.is_engine:
-            resp.content_type = 'text/event-stream'
-            disconnected = asyncio.Event()
-            watch_disconnect(req, disconnected.set)
-            resp.stream = self._stream(headers, body, request_id, disconnected)
-        else:
-            await self._work(headers, body)
-            resp.text = f'{self.plan.name} did {req.method} {len(body)}'
+        if self._admit(headers, request_id, resp):
+            await self._run(req, resp, headers, body)
 
     async def on_post_copy(
         self, req: asgi.Request, resp: asgi.Response, run_id: str
@@ -187,6 +173,29 @@
             'runs': [],
         }
 
+    async def _run(
+        self,
+        req: asgi.Request,
+        resp: asgi.Response,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> None:
+        request_id = headers.get('x-attempt-id', '')
+        self.runs_by_id[request_id] += 1
+        resp.set_header('X-Server-Signature', f'{self.plan.name}.{request_id}')
+        if self._remaining_failures:
+            self._remaining_failures -= 1
+            resp.status = falcon.HTTP_500
+            resp.text = 'failed'
+        elif self.plan.is_engine:
+            resp.content_type = 'text/event-stream'
+            disconnected = asyncio.Event()
+            watch_disconnect(req, disconnected.set)
+            resp.stream = self._stream(headers, body, request_id, disconnected)
+        else:
+            await self._work(headers, body)
+            resp.text = f'{self.plan.name} did {req.method} {len(body)}'
+
     def _admit(
         self, headers: dict[str, str], request_id: str, resp: asgi.Response
     ) -> bool:
@@ -216,12 +225,15 @@
         self._running += 1
         try:
             await asyncio.sleep(self.plan.work_s)
-            if self._is_crashing(headers, body):
-                self.on_crash(self.plan.name)
-                await asyncio.sleep(_CRASH_TIMEOUT_S)
+            await self._crash_if_due(headers, body)
         finally:
             self._running -= 1
 
+    async def _crash_if_due(self, headers: dict[str, str], body: bytes) -> None:
+        if self._is_crashing(headers, body):
+            self.on_crash(self.plan.name)
+            await asyncio.sleep(_CRASH_TIMEOUT_S)
+
     def _is_crashing(self, headers: dict[str, str], body: bytes) -> bool:
         if self.plan.crashing_body and body == self.plan.crashing_body:
             return True
@@ -248,9 +260,7 @@
         self._running += 1
         try:
             await self._prefill(headers, request_id)
-            if self._is_crashing(headers, body):
-                self.on_crash(self.plan.name)
-                await disconnected.wait()
+            await self._crash_if_due(headers, body)
             for number in range(first, self.plan.events + 1):
                 if disconnected.is_set():
                     self.cancelled += 1
