Find and refuse any request that crashes the servers that run it

Callers: one lookup, repeated under new ids at any host, ended all servers of the booking service within 0.3 s, again and again; for some 3 s after each wave every booking was refused.

Cause: only shared parts of prompts were judged. A plain call under which servers end was known to nobody: each host sent it to up to max_attempts servers, its repeat at another host to the next ones.

Class: work that ends its worker, whatever it consists of. So one quarantine over suspects, the identity of a request (keyed digest of method, path, account and body) and parts of prompts, with the same evidence, blocks, gossip and tool:

* Only servers that accept no connection either count as ended.
* Three separate crashes without an answer condemn a request; a part needs two requests as before.
* After two crashes a request is held for 6 s: all hosts send it to the same server, other held ones to others, and never to the last one available; a retry neither.
* A block is told to all hosts at once, besides gossip and store; attempts that wait at a server for their first token are ended by it.
* Calls that may run once only are refused before they are sent, so 'not run' stays true.

The commands are 'bronzesill quarantine list' and 'lift' now; records of parts in the store from before are no longer read.

--- a/bronzesill/calls/idempotent.py
+++ b/bronzesill/calls/idempotent.py
@@ -9,7 +9,7 @@
 from ..limits import LocalRetryAllowance, RetryAllowance
 from ..utils import BronzesillError, ResultCode
 from .interfaces import CallAnswer, CallSender, RoutedCall
-from .servers import ServiceServers
+from .servers import ServiceServers, is_disconnected
 
 __all__ = ['IdempotentCalls']
 
@@ -89,18 +89,23 @@
         self, routed: RoutedCall, server_names: tuple[str, ...]
     ) -> CallAnswer:
         remaining = list(server_names[: routed.route.max_attempts])
+        losses = 0
         running = {self._start_attempt(routed, remaining.pop(0))}
         outcome: SendOutcome = _no_answer_error()
         try:
-            while running and not _is_success(outcome):
+            while running:
                 done, running = await asyncio.wait(
                     running,
                     timeout=self._hedge_delay_s(routed, remaining),
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 outcome = _best_outcome(done, outcome)
-                if not _is_success(outcome):
-                    running |= self._start_retry(routed, remaining)
+                losses += sum(is_disconnected(task.result()) for task in done)
+                if _is_success(outcome):
+                    break
+                if not self._servers.may_retry(routed, losses):
+                    remaining.clear()
+                running |= self._start_retry(routed, remaining)
         finally:
             _cancel_attempts(running)
         if isinstance(outcome, CallAnswer):
--- a/bronzesill/calls/servers.py
+++ b/bronzesill/calls/servers.py
@@ -11,15 +11,28 @@
 from ..routing import ServerTracker, ServerView, TrafficSplit, pick_version
 from ..upstream import ConnectionLost, ForwardRequest
 from ..utils import Address, BronzesillError, PartLogger, ResultCode
+from .held_calls import (
+    MIN_AVAILABLE,
+    CallQuarantine,
+    NoQuarantine,
+    choose_held,
+    refuse_blocked,
+)
 from .interfaces import CallAnswer, RoutedCall
 
-__all__ = ['CallEnd', 'CallResult', 'ServiceServers']
-
+__all__ = [
+    'CallEnd',
+    'CallResult',
+    'ServiceServers',
+    'is_disconnected',
+]
 
 #: Weight of a server's failure rate relative to its utilization.
 _FAILURE_WEIGHT = 0.6
 _SERVER_ERROR = 500
 _RETRY_AFTER_S = 0.2
+#: Servers lost under a call from which on it does not risk the last one.
+_MANY_LOSSES = 2
 
 _log = PartLogger('calls')
 
@@ -64,6 +77,7 @@
         unknown.
     :param latency_s: duration of the attempt in seconds.
     :param forward: the forwarded request, none if the call was built here.
+    :param is_answered: whether the server answered that it ran the call.
     :param is_disconnected: whether the connection ended before the answer.
     """
 
@@ -73,6 +87,7 @@
     is_failed: bool
     latency_s: float
     forward: ForwardRequest | None = None
+    is_answered: bool = False
     is_disconnected: bool = False
 
 
@@ -84,6 +99,7 @@
     :param find_split: returns the current traffic split of a service.
     :param on_call_end: called with the result of each attempt.
     :param random: random generator that orders servers of equal cost.
+    :param quarantine: tells which requests crash servers.
     """
 
     def __init__(
@@ -92,7 +108,9 @@
         find_split: Callable[[str], TrafficSplit],
         on_call_end: Callable[[CallResult], None],
         random: Random,
+        quarantine: CallQuarantine | None = None,
     ) -> None:
+        self._quarantine = quarantine or NoQuarantine()
         self._on_call_end = on_call_end
         self._tracker = tracker
         self._find_split = find_split
@@ -102,10 +120,21 @@
         """
         Return the names of the servers to try, healthy ones first.
 
-        :raises BronzesillError: ``CALL_NOT_RUN`` if no server is available.
+        A call that may crash servers gets one of them, and never the last one
+        of its service.
+
+        :raises BronzesillError: ``CALL_NOT_RUN`` if no server is available,
+            ``REQUEST_BLOCKED`` if the call crashes servers, or may.
         """
         service = routed.route.service
         split = self._find_split(service)
+        if routed.forward is not None:
+            refuse_blocked(self._quarantine, routed.forward)
+            if self._quarantine.is_held(routed.forward):
+                # A version under trial has few servers.
+                available = self._find_available(service, split.old_version)
+                identity = self._quarantine.identity(routed.forward)
+                return (choose_held(identity, available),)
         version = pick_version(split, routed.request_id)
         views = self._find_views(service, version)
         is_new_version = bool(version) and version == split.new_version
@@ -121,6 +150,27 @@
             )
         return tuple(view.name for view in views)
 
+    def may_retry(self, routed: RoutedCall, losses: int) -> bool:
+        """
+        Return whether a call may be sent to another server.
+
+        :param routed: the call.
+        :param losses: servers to which the connection was lost under it.
+        """
+        if routed.forward is None:
+            return True
+        if self._quarantine.blocked_s(routed.forward):
+            return False
+        if losses < _MANY_LOSSES and not self._quarantine.is_held(
+            routed.forward
+        ):
+            return True
+        split = self._find_split(routed.route.service)
+        available = self._find_available(
+            routed.route.service, split.old_version
+        )
+        return len(available) > MIN_AVAILABLE
+
     def address(self, name: str) -> Address:
         """
         Return the address on which a server listens.
@@ -189,11 +239,16 @@
                 is_failed=end in {CallEnd.FAILURE, CallEnd.LOST},
                 latency_s=latency_s,
                 forward=routed.forward,
-                is_disconnected=_is_disconnected(outcome),
+                is_answered=end in {CallEnd.GOOD, CallEnd.FAILURE},
+                is_disconnected=is_disconnected(outcome),
             )
         )
         _log_send(routed, name, outcome, latency_s)
 
+    def _find_available(self, service: str, version: str) -> tuple[str, ...]:
+        views = self._find_views(service, version)
+        return tuple(view.name for view in views if not view.is_suspected)
+
     def _limit_wait_s(self, service: str) -> float:
         waits_s = (
             self._tracker.limiter.wait_s(name)
@@ -217,7 +272,8 @@
     return view.is_suspected, view.fill + _FAILURE_WEIGHT * view.failure_rate
 
 
-def _is_disconnected(outcome: CallAnswer | BronzesillError | None) -> bool:
+def is_disconnected(outcome: CallAnswer | BronzesillError | None) -> bool:
+    """Return whether the connection ended before the answer to an attempt."""
     if not isinstance(outcome, BronzesillError):
         return False
     return isinstance(outcome.__cause__, ConnectionLost)
--- a/bronzesill/cli/main.py
+++ b/bronzesill/cli/main.py
@@ -226,14 +226,16 @@
     verb.set_defaults(run=hosted_commands.show_roll_out)
     verb.add_argument('service', help='Service whose traffic moves.')
     parser = nouns.add_parser(
-        'prompt-part', help='Show and lift blocks of prompts.'
+        'quarantine', help='Show and lift blocks of requests.'
     )
     verbs = parser.add_subparsers(dest='verb', required=True)
-    verb = verbs.add_parser('list', help=quarantine_commands.list_parts.__doc__)
-    verb.set_defaults(run=quarantine_commands.list_parts)
-    verb = verbs.add_parser('lift', help=quarantine_commands.lift_part.__doc__)
-    verb.set_defaults(run=quarantine_commands.lift_part)
-    verb.add_argument('part', help='Id of the part.')
+    verb = verbs.add_parser(
+        'list', help=quarantine_commands.list_blocks.__doc__
+    )
+    verb.set_defaults(run=quarantine_commands.list_blocks)
+    verb = verbs.add_parser('lift', help=quarantine_commands.lift_block.__doc__)
+    verb.set_defaults(run=quarantine_commands.lift_block)
+    verb.add_argument('suspect', help='Suspect as listed.')
 
 
 def make_parser() -> argparse.ArgumentParser:
--- a/bronzesill/cli/quarantine_commands.py
+++ b/bronzesill/cli/quarantine_commands.py
@@ -1,4 +1,4 @@
-"""Commands ``bronzesill prompt-part ...``."""
+"""Commands ``bronzesill quarantine ...``."""
 
 from __future__ import annotations
 
@@ -10,26 +10,26 @@
 from .context import Context
 from .output import show_table
 
-__all__ = ['lift_part', 'list_parts']
+__all__ = ['lift_block', 'list_blocks']
 
 
 @dataclasses.dataclass(frozen=True)
-class _PartRow:
-    """Part of a prompt that servers crashed on."""
+class _SuspectRow:
+    """Request, or part of a prompt, that servers crashed on."""
 
-    part: str
+    suspect: str
     state: str
     remaining_s: float
     together_with: str
 
 
-async def list_parts(context: Context) -> ResultCode:
-    """List the parts of prompts that are, or were, refused."""
+async def list_blocks(context: Context) -> ResultCode:
+    """List the requests and parts of prompts that are, or were, refused."""
     now_s = time.time()
     entries = await context.store.list(QUARANTINE_PREFIX)
     rows = [
-        _PartRow(
-            record.part,
+        _SuspectRow(
+            record.suspect,
             'refused' if record.remaining_s(now_s) else 'allowed',
             round(record.remaining_s(now_s)),
             ','.join(sorted(record.companions)),
@@ -41,9 +41,9 @@
     return ResultCode.DONE
 
 
-async def lift_part(context: Context) -> ResultCode:
-    """Allow requests with a part again; all hosts follow in seconds."""
-    key = f'{QUARANTINE_PREFIX}{context.options.part}'
+async def lift_block(context: Context) -> ResultCode:
+    """Allow such requests again; all hosts follow in seconds."""
+    key = f'{QUARANTINE_PREFIX}{context.options.suspect}'
     entry = await context.store.get(key)
     record = record_from_entry(entry) if entry else None
     if entry is None or record is None:
--- a/bronzesill/cli/tests/test_hosted_commands.py
+++ b/bronzesill/cli/tests/test_hosted_commands.py
@@ -15,7 +15,7 @@
 
 from ...platform.rollouts import ORDER_PREFIX
 from ...platform.store import PlatformStore
-from ...quarantine import PartRecord
+from ...quarantine import SuspectRecord
 from ...standins.hosted_fleet import HostedFleet, HostedPlan
 from ...store import Mutation
 from ...utils import ResultCode
@@ -82,9 +82,9 @@
         code, _ = await self.run_tool('roll-out', 'show', 'none')
         self.assertEqual(code, ResultCode.MOVE_UNKNOWN)
 
-    async def test_blocked_prompt_part_is_listed_and_lifted(self) -> None:
-        record = PartRecord(
-            'bad5', 1, is_blocked=True, changed_at_s=time.time()
+    async def test_blocked_suspect_is_listed_and_lifted(self) -> None:
+        record = SuspectRecord(
+            'part/bad5', 1, is_blocked=True, changed_at_s=time.time()
         )
         with contextlib.closing(
             PlatformStore(self.fleet.store.address)
@@ -92,11 +92,11 @@
             await store.compare_and_swap(
                 record.key, None, (record.to_mutation(),)
             )
-        _, rows = await self.run_tool('prompt-part', 'list')
+        _, rows = await self.run_tool('quarantine', 'list')
         self.assertEqual([row['state'] for row in rows], ['refused'])
-        code, _ = await self.run_tool('prompt-part', 'lift', 'bad5')
+        code, _ = await self.run_tool('quarantine', 'lift', 'part/bad5')
         self.assertEqual(code, ResultCode.DONE)
-        _, rows = await self.run_tool('prompt-part', 'list')
+        _, rows = await self.run_tool('quarantine', 'list')
         self.assertEqual([row['state'] for row in rows], ['allowed'])
-        code, _ = await self.run_tool('prompt-part', 'lift', 'none')
+        code, _ = await self.run_tool('quarantine', 'lift', 'none')
         self.assertEqual(code, ResultCode.REQUEST_UNKNOWN)
--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -34,7 +34,7 @@
 from .hosted_requests import HostedRequests, RequestContext
 from .hosted_store_state import HostedStoreState
 from .peer_replication import PeerReplication
-from .prompt_quarantine import PromptQuarantine
+from .quarantine import Quarantine
 from .restart_detector import RestartDetector
 from .task_runner import run_tasks
 from .usage_exchange import UsageExchange
@@ -129,7 +129,7 @@
                 settings.bounds.exposure_ratio, settings.bounds.exposure_slack
             ),
         )
-        self._quarantine = PromptQuarantine(
+        self._quarantine = Quarantine(
             self._peers,
             self._store,
             self._may_store_secret,
--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -24,6 +24,7 @@
 from ..generations import (
     AttemptObservation,
     ForwardStreamClient,
+    GenerationRequest,
     GenerationsController,
     LocalDirectory,
     LocationTable,
@@ -38,7 +39,7 @@
 from .hosted_fleet import HostedFleet
 from .hosted_moves import HostedTraffic
 from .prompt_finder import PromptFinder
-from .prompt_quarantine import PromptQuarantine
+from .quarantine import Quarantine
 from .restart_detector import RestartDetector
 from .server_limiter import ServerLimiter
 from .usage_exchange import UsageExchange
@@ -61,7 +62,7 @@
     :param metrics: receives counters and latencies.
     :param random: generator for random choices and jitter.
     :param usage_exchange: engine use of the other daemons.
-    :param quarantine: parts of prompts that are refused.
+    :param quarantine: requests that crash servers.
     :param fleet: the live daemons.
     :param store: client of the store, for metrics.
     """
@@ -76,7 +77,7 @@
     metrics: PrometheusMetrics
     random: Random
     usage_exchange: UsageExchange
-    quarantine: PromptQuarantine
+    quarantine: Quarantine
     fleet: HostedFleet
     store: PlatformStore
 
@@ -103,6 +104,7 @@
             context.traffic.service_split,
             self._record_call,
             context.random,
+            context.quarantine,
         )
         sender = ForwardSender(
             context.pool, context.dialect, servers, self._process_answer_head
@@ -149,7 +151,8 @@
         generations.is_usage_shared = context.usage_exchange.is_settled
         generations.refresh_usage = context.usage_exchange.refresh
         generations.observer.on_attempt_observed = self._record_attempt
-        generations.blocked_for_s = context.quarantine.remaining_s
+        generations.blocked_for_s = self._find_block_s
+        context.quarantine.on_block = generations.drop_blocked
         generations.pick_version = context.traffic.pick_version
         generations.resume_version = context.traffic.resume_version
         generations.allowance = allowance
@@ -163,12 +166,21 @@
         engine = service.engine if service else None
         return engine is not None and engine.keeps_copies
 
+    def _find_block_s(self, request: GenerationRequest) -> float:
+        if request.forward is None:
+            return 0
+        return self._context.quarantine.blocked_s(request.forward)
+
     def _record_attempt(self, observation: AttemptObservation) -> None:
+        quarantine = self._context.quarantine
         self._context.traffic.record_attempt(observation)
-        self._context.quarantine.observe(observation)
         forward = observation.request.forward
-        if observation.is_lost_unanswered and forward is not None:
-            self._context.quarantine.losses.record_loss(
+        if forward is None:
+            return
+        if observation.first_token_s is not None:
+            quarantine.record_answer(forward)
+        elif observation.is_lost_unanswered:
+            quarantine.losses.record_loss(
                 forward, observation.server, observation.lasted_s
             )
 
@@ -176,7 +188,9 @@
         """Record a finished call and update the counts of store calls."""
         context = self._context
         context.traffic.record_call(result)
-        if result.is_disconnected and result.forward is not None:
+        if result.is_answered and result.forward is not None:
+            context.quarantine.record_answer(result.forward)
+        elif result.is_disconnected and result.forward is not None:
             context.quarantine.losses.record_loss(
                 result.forward, result.server, result.latency_s
             )
--- a/bronzesill/daemon/peer_messages.py
+++ b/bronzesill/daemon/peer_messages.py
@@ -15,7 +15,12 @@
     View,
 )
 from ..moves import MoveReport, MoveReportReply
-from ..quarantine import CrashReport, PartStarted, PartSuspected
+from ..quarantine import (
+    BlockNotice,
+    CrashReport,
+    Suspected,
+    SuspectStarted,
+)
 from ..replica import FetchReplica, ReplicaAnswer
 from ..routing import FetchUse, UseReport
 from ..wire import MessageRegistry
@@ -50,9 +55,10 @@
         63: FetchUse,
         64: FetchReplica,
         65: ReplicaAnswer,
-        70: CrashReport,
-        71: PartSuspected,
-        72: PartStarted,
+        73: CrashReport,
+        74: Suspected,
+        75: SuspectStarted,
+        76: BlockNotice,
         99: Refusal,
     }
 )
--- a/bronzesill/daemon/server_losses.py
+++ b/bronzesill/daemon/server_losses.py
@@ -36,6 +36,11 @@
     began_at_s: float
     lost_at_s: float
 
+    @property
+    def lasted_s(self) -> float:
+        """Seconds from sending the request to the loss."""
+        return self.lost_at_s - self.began_at_s
+
 
 class ServerLosses:
     """
@@ -47,6 +52,8 @@
     :param tracker: state of the backend servers.
     :param pool: pool of connections to backend servers.
     :param identify: returns the identity of a request, for the log.
+    :param on_crash: called with each request that was on a server when it
+        ended.
     """
 
     def __init__(
@@ -54,8 +61,10 @@
         tracker: ServerTracker,
         pool: ConnectionPool,
         identify: Callable[[ForwardRequest], str],
+        on_crash: Callable[[LostRequest], None],
     ) -> None:
         self._identify = identify
+        self._on_crash = on_crash
         self._tracker = tracker
         self._pool = pool
         self._checks_by_server: dict[str, asyncio.Task[bool]] = {}
@@ -92,8 +101,10 @@
             has_ended=has_ended,
             request=lost.forward.request_id,
             identity=self._identify(lost.forward),
-            lasted_s=round(lost.lost_at_s - lost.began_at_s, 3),
+            lasted_s=round(lost.lasted_s, 3),
         )
+        if has_ended:
+            self._on_crash(lost)
 
     async def _check(self, server: str) -> bool:
         """Return whether a server accepts a connection; checks run once."""
--- a/bronzesill/gateway/forward_stream.py
+++ b/bronzesill/gateway/forward_stream.py
@@ -91,8 +91,8 @@
         blocked_s = self._generations.blocked_for_s(self._request)
         if blocked_s:
             raise BronzesillError(
-                ResultCode.PROMPT_BLOCKED,
-                'not run: servers crash on a part of the prompt',
+                ResultCode.REQUEST_BLOCKED,
+                'not run: servers crash on such requests',
                 retry_after_s=blocked_s,
             )
         self._subscription = self._generations.subscribe(
--- a/bronzesill/generations/book_observer.py
+++ b/bronzesill/generations/book_observer.py
@@ -59,7 +59,8 @@
 
     def attempt_lost(self, server: str, cause: LossCause) -> None:
         """Mark the server as suspect for a while and count the loss."""
-        self._tracker.suspect(server, asyncio.get_running_loop().time())
+        if cause is not LossCause.BLOCKED:
+            self._tracker.suspect(server, asyncio.get_running_loop().time())
         self._metrics.incr(f'generations.lost.{cause.value}')
 
     def tokens_accepted(self, token_count: int, *, is_first: bool) -> None:
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -171,6 +171,12 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def drop_blocked(self) -> None:
+        """End the attempts of blocked requests that wait at a server."""
+        for generation in tuple(self.tasks_by_key.values()):
+            if self.blocked_for_s(generation.request):
+                generation.drop_unanswered_attempt()
+
     def _start_generation(
         self,
         request: GenerationRequest,
@@ -367,7 +373,7 @@
 def _blocked_code(generation: GenerationTask) -> ResultCode:
     if generation.state.attempt:
         return ResultCode.INCOMPLETE_RETRIES
-    return ResultCode.PROMPT_BLOCKED
+    return ResultCode.REQUEST_BLOCKED
 
 
 async def _do_nothing() -> None:
--- a/bronzesill/generations/messages.py
+++ b/bronzesill/generations/messages.py
@@ -43,6 +43,7 @@
     server is unreachable or did not start the attempt. ``SILENT``: a timeout
     expired or a probe failed. ``GAP``: tokens before the ones received are
     missing. ``SHORT``: the end marker and the accepted tokens differ in count.
+    ``BLOCKED``: servers crash on such requests.
     """
 
     BROKEN = 'broken'
@@ -51,6 +52,7 @@
     SILENT = 'silent'
     GAP = 'gap'
     SHORT = 'short'
+    BLOCKED = 'blocked'
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -12,6 +12,7 @@
 from .decisions import decide
 from .messages import (
     Action,
+    AttemptLost,
     Begin,
     CancelAttempt,
     ChooseServer,
@@ -20,6 +21,7 @@
     DeliverTokens,
     Event,
     FailAnswer,
+    LossCause,
     OpenAttempt,
     ProbeServer,
     SetTimer,
@@ -27,7 +29,7 @@
 )
 from .observer import GenerationObserver
 from .request import GenerationRequest
-from .state import GenerationState
+from .state import GenerationState, Phase
 from .stream_client import StreamClient
 from .subscription import (
     AcceptedTokens,
@@ -128,6 +130,14 @@
         finally:
             await self._attempts.close()
 
+    def drop_unanswered_attempt(self) -> None:
+        """End the current attempt if no token of the answer has arrived."""
+        is_open = self.state.phase is Phase.STREAMING
+        if is_open and not self.state.accepted:
+            self.mailbox.put_nowait(
+                AttemptLost(self.state.attempt, LossCause.BLOCKED)
+            )
+
     async def _next_message(self) -> TaskMessage:
         if self._readers:
             return await self.mailbox.get()
--- a/bronzesill/membership/facts.py
+++ b/bronzesill/membership/facts.py
@@ -17,7 +17,8 @@
     HOST_LEAVING = 4
     MOVE_RECORD = 5
     SERVER_ORDER = 6
-    PROMPT_PART = 7
+    # 7 is no longer used.
+    SUSPECT = 8
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/quarantine/evidence.py
+++ b/bronzesill/quarantine/evidence.py
@@ -1,10 +1,11 @@
 """
-Evidence that a part of a prompt crashes servers.
+Evidence that a suspect crashes servers.
 
-A server that crashes takes all its streams with it, so a lost stream says
-little.  A sound part is soon answered elsewhere; a part that crashes servers
-never is.  Evidence against a part is therefore the crashes since an answer on
-it last began, anywhere in the fleet.
+A suspect is a request, known by its identity, or a part of a prompt.  A server
+that crashes takes all its requests with it, so a lost request says little.  A
+sound suspect is soon answered elsewhere; one that crashes servers never is.
+Evidence against a suspect is therefore the crashes since an answer to it last
+began, anywhere in the fleet.
 """
 
 from __future__ import annotations
@@ -14,12 +15,15 @@
 from collections.abc import Mapping
 from dataclasses import field
 
-__all__ = ['EvidenceTable', 'PartEvidence', 'PromptCrash']
+from .identity import is_part
 
-#: Crashes with separate causes that condemn a part.
+__all__ = ['Crash', 'Evidence', 'EvidenceTable']
+
+#: Crashes with separate causes that condemn a suspect.
 _MIN_CRASHES = 3
-#: Requests that must have been on these servers.
-_MIN_REQUESTS = 2
+#: Different requests that must have met crashes before a part that they share
+#: is blamed, and not one of them.
+_MIN_REQUESTS_OF_PART = 2
 #: Crashes within this time may have one cause, such as a failure domain.
 _MOMENT_S = 0.2
 #: Reports of one crash may differ by this time.
@@ -27,18 +31,18 @@
 #: Evidence is dropped after this time without another crash.
 _VALID_S = 60.0
 #: Bounds the memory that callers can make a daemon use.
-_MAX_PARTS = 1024
+_MAX_SUSPECTS = 1024
 
 
 @dataclasses.dataclass(frozen=True)
-class PromptCrash:
+class Crash:
     """
-    Loss of a server before it began an answer.
+    End of a server before it answered a request with a suspect.
 
     All times are in seconds on one clock.
 
     :param server: name of the server.
-    :param request: id of the request that waited for the answer.
+    :param request: identity of the request.
     :param at_s: time of the loss.
     :param companions: other parts of its prompt that may be the cause.
     :param began_at_s: time at which the request was sent to the server.
@@ -52,47 +56,49 @@
     began_at_s: float = -math.inf
     failure_domain: str = ''
 
-    def is_apart_from(self, earlier: PromptCrash) -> bool:
+    def is_apart_from(self, earlier: Crash) -> bool:
         """Return whether servers were not lost together, by one cause."""
         return self.at_s > earlier.at_s + _MOMENT_S
 
-    def follows(self, earlier: PromptCrash) -> bool:
+    def follows(self, earlier: Crash) -> bool:
         """
-        Return whether the part came to this server from a lost one.
+        Return whether the suspect came to this server from a lost one.
 
-        If the servers are of two failure domains, the part is what they have
-        in common, even if they were lost within a moment.
+        If the servers are of two failure domains, the suspect is what they
+        have in common, even if they were lost within a moment.
         """
         has_followed = self.began_at_s >= earlier.at_s - _REPORT_SPREAD_S
         return has_followed and self.failure_domain != earlier.failure_domain
 
 
 @dataclasses.dataclass(frozen=True)
-class PartEvidence:
+class Evidence:
     """
-    Crashes with one part of a prompt since an answer on it last began.
+    Crashes with one suspect since an answer to it last began.
 
     :param crashes: one crash for each server, oldest first.
-    :param requests: ids of requests that were lost with them.
+    :param requests: identities of the requests that were lost with them.
     :param companions: parts that all these requests contain too, and that may
         be the cause just as well.
     :param started_at_s: time at which an answer last began.
+    :param min_requests: different requests that condemn the suspect.
     """
 
-    crashes: tuple[PromptCrash, ...] = ()
+    crashes: tuple[Crash, ...] = ()
     requests: frozenset[str] = frozenset()
     companions: frozenset[str] = frozenset()
     started_at_s: float = -math.inf
+    min_requests: int = _MIN_REQUESTS_OF_PART
 
     @property
     def is_suspected(self) -> bool:
-        """Whether one more crash may condemn the part."""
+        """Whether one more crash may condemn the suspect."""
         return self._count_separate() >= _MIN_CRASHES - 1
 
     @property
     def is_conclusive(self) -> bool:
-        """Whether the part is taken to crash servers."""
-        has_requests = len(self.requests) >= _MIN_REQUESTS
+        """Whether the suspect is taken to crash servers."""
+        has_requests = len(self.requests) >= self.min_requests
         return has_requests and self._count_separate() >= _MIN_CRASHES
 
     @property
@@ -100,28 +106,31 @@
         """Time of the last crash."""
         return max((crash.at_s for crash in self.crashes), default=-math.inf)
 
-    def with_crash(self, crash: PromptCrash) -> PartEvidence:
+    def with_crash(self, crash: Crash) -> Evidence:
         """Return the evidence with a crash; older ones that lapsed go."""
         if crash.at_s <= self.started_at_s:
             return self
         valid = self._since(crash.at_s - _VALID_S)
-        return PartEvidence(
-            _with_server(valid.crashes, crash),
-            valid.requests | {crash.request},
+        companions = (
             valid.companions & crash.companions
             if valid.crashes
-            else crash.companions,
-            self.started_at_s,
+            else crash.companions
+        )
+        return dataclasses.replace(
+            valid,
+            crashes=_with_server(valid.crashes, crash),
+            requests=valid.requests | {crash.request},
+            companions=companions,
         )
 
-    def with_start(self, started_at_s: float) -> PartEvidence:
-        """Return the evidence after an answer began, which clears the part."""
+    def with_start(self, started_at_s: float) -> Evidence:
+        """Return the evidence after an answer began, which clears it."""
         if started_at_s <= self.started_at_s:
             return self
         since = self._since(started_at_s)
         return dataclasses.replace(since, started_at_s=started_at_s)
 
-    def _since(self, since_s: float) -> PartEvidence:
+    def _since(self, since_s: float) -> Evidence:
         kept = tuple(crash for crash in self.crashes if crash.at_s > since_s)
         if len(kept) == len(self.crashes):
             return self
@@ -129,13 +138,13 @@
         return dataclasses.replace(self, crashes=kept, requests=requests)
 
     def _count_separate(self) -> int:
-        counted: list[PromptCrash] = []
+        counted: list[Crash] = []
         for crash in self.crashes:
             if not counted or self._is_separate(counted[-1], crash):
                 counted.append(crash)
         return len(counted)
 
-    def _is_separate(self, earlier: PromptCrash, crash: PromptCrash) -> bool:
+    def _is_separate(self, earlier: Crash, crash: Crash) -> bool:
         if crash.is_apart_from(earlier):
             return True
         # What was answered before is more likely to have been there only.
@@ -143,9 +152,7 @@
         return is_never_answered and crash.follows(earlier)
 
 
-def _with_server(
-    crashes: tuple[PromptCrash, ...], crash: PromptCrash
-) -> tuple[PromptCrash, ...]:
+def _with_server(crashes: tuple[Crash, ...], crash: Crash) -> tuple[Crash, ...]:
     others = [known for known in crashes if known.server != crash.server]
     same = [known for known in crashes if known.server == crash.server]
     merged = dataclasses.replace(
@@ -160,30 +167,36 @@
 @dataclasses.dataclass(frozen=True)
 class EvidenceTable:
     """
-    Evidence against all parts with recent crashes.
+    Evidence against all suspects with recent crashes.
 
-    :param by_part: evidence by id of the part, the last changed one last.
+    :param by_suspect: evidence by suspect, the last changed one last.
     """
 
-    by_part: Mapping[str, PartEvidence] = field(default_factory=dict)
+    by_suspect: Mapping[str, Evidence] = field(default_factory=dict)
 
-    def evidence(self, part: str) -> PartEvidence:
-        """Return the evidence against a part."""
-        return self.by_part.get(part, PartEvidence())
+    def evidence(self, suspect: str) -> Evidence:
+        """Return the evidence against a suspect."""
+        known = self.by_suspect.get(suspect)
+        if known is not None:
+            return known
+        return Evidence() if is_part(suspect) else Evidence(min_requests=1)
 
-    def with_crash(self, part: str, crash: PromptCrash) -> EvidenceTable:
-        """Return the table with a crash; the oldest parts are dropped."""
-        return self._with(part, self.evidence(part).with_crash(crash))
+    def with_crash(self, suspect: str, crash: Crash) -> EvidenceTable:
+        """Return the table with a crash; the oldest suspects are dropped."""
+        return self._with(suspect, self.evidence(suspect).with_crash(crash))
 
-    def with_start(self, part: str, started_at_s: float) -> EvidenceTable:
-        """Return the table after an answer on a part began."""
-        return self._with(part, self.evidence(part).with_start(started_at_s))
+    def with_start(self, suspect: str, started_at_s: float) -> EvidenceTable:
+        """Return the table after an answer to a suspect began."""
+        evidence = self.evidence(suspect).with_start(started_at_s)
+        return self._with(suspect, evidence)
 
-    def _with(self, part: str, evidence: PartEvidence) -> EvidenceTable:
+    def _with(self, suspect: str, evidence: Evidence) -> EvidenceTable:
         others = {
-            known: kept for known, kept in self.by_part.items() if known != part
+            known: kept
+            for known, kept in self.by_suspect.items()
+            if known != suspect
         }
-        excess = len(others) - _MAX_PARTS + 1
+        excess = len(others) - _MAX_SUSPECTS + 1
         for oldest in tuple(others)[: max(excess, 0)]:
             others.pop(oldest)
-        return EvidenceTable({**others, part: evidence})
+        return EvidenceTable({**others, suspect: evidence})
--- a/bronzesill/quarantine/identity.py
+++ b/bronzesill/quarantine/identity.py
@@ -1,4 +1,4 @@
-"""Identities of requests by which hosts recognise repeats."""
+"""Suspects: requests by their identity, and the shared parts of prompts."""
 
 from __future__ import annotations
 
@@ -6,13 +6,22 @@
 
 from ..upstream import ForwardRequest
 
-__all__ = ['MIN_SECRET_BYTES', 'request_identity']
+__all__ = [
+    'MIN_SECRET_BYTES',
+    'is_part',
+    'part_suspect',
+    'request_identity',
+    'request_suspect',
+    'shared_parts',
+]
 
 #: Shortest key with which requests are identified.
 MIN_SECRET_BYTES = 16
 _MAX_SECRET_BYTES = 64
 _DIGEST_BYTES = 16
 _LENGTH_BYTES = 8
+_PART = 'part/'
+_REQUEST = 'request/'
 
 
 def request_identity(secret: bytes, forward: ForwardRequest) -> str:
@@ -41,3 +50,24 @@
         digest.update(len(field).to_bytes(_LENGTH_BYTES, 'big'))
         digest.update(field)
     return digest.hexdigest()
+
+
+def request_suspect(identity: str) -> str:
+    """Return the suspect for all requests of an identity."""
+    return f'{_REQUEST}{identity}'
+
+
+def part_suspect(part: str) -> str:
+    """Return the suspect for all requests with a part in their prompt."""
+    return f'{_PART}{part}'
+
+
+def is_part(suspect: str) -> bool:
+    """Return whether a suspect is a part of a prompt."""
+    return suspect.startswith(_PART)
+
+
+def shared_parts(forward: ForwardRequest) -> tuple[str, ...]:
+    """Return the suspects among the parts of a request's prompt."""
+    parts = forward.caller.shared_prompt_parts
+    return tuple(part_suspect(part) for part in parts)
--- a/bronzesill/quarantine/messages.py
+++ b/bronzesill/quarantine/messages.py
@@ -1,26 +1,26 @@
-"""Datagrams about parts of prompts; times are ages, as clocks differ."""
+"""Datagrams about suspects; times are ages, as clocks differ."""
 
 import dataclasses
 
-__all__ = ['CrashReport', 'PartStarted', 'PartSuspected']
+__all__ = ['BlockNotice', 'CrashReport', 'SuspectStarted', 'Suspected']
 
 
 @dataclasses.dataclass(frozen=True)
 class CrashReport:
     """
-    A server was lost before it began an answer.
+    A server ended before it began an answer.
 
-    :param part: part of the prompt that other requests may share.
-    :param companions: other such parts of the prompt; those are left out on
-        which the sender saw an answer begin.
+    :param suspect: what may be the cause.
+    :param companions: parts of the prompt that may be it too; those are left
+        out on which the sender saw an answer begin.
     :param server: name of the server.
     :param failure_domain: failure domain of the server, empty if unknown.
-    :param request: id of the request.
+    :param request: identity of the request.
     :param lasted_s: seconds from sending the request to the loss.
     :param age_s: seconds since the loss.
     """
 
-    part: str
+    suspect: str
     companions: tuple[str, ...]
     server: str
     failure_domain: str
@@ -30,24 +30,35 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class PartSuspected:
+class Suspected:
     """
-    One more crash may condemn a part: tell when answers on it begin.
+    One more crash may condemn a suspect: tell when answers to it begin.
 
-    :param part: id of the part.
+    :param suspect: what may be the cause.
     """
 
-    part: str
+    suspect: str
 
 
 @dataclasses.dataclass(frozen=True)
-class PartStarted:
+class SuspectStarted:
     """
-    An answer on a part began.
+    An answer to a suspect began.
 
-    :param part: id of the part.
+    :param suspect: what answers were refused for, or may be.
     :param age_s: seconds since the answer began.
     """
 
-    part: str
+    suspect: str
     age_s: float = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class BlockNotice:
+    """
+    A block or its end, ahead of gossip.
+
+    :param text: the record, as in its fact.
+    """
+
+    text: str
--- a/bronzesill/quarantine/record.py
+++ b/bronzesill/quarantine/record.py
@@ -1,4 +1,4 @@
-"""Parts of prompts that are, or were, blocked, as known to one daemon."""
+"""Suspects that are, or were, blocked, as known to one daemon."""
 
 from __future__ import annotations
 
@@ -19,37 +19,38 @@
 
 __all__ = [
     'QUARANTINE_PREFIX',
-    'BlockedParts',
-    'PartRecord',
+    'BlockedSuspects',
+    'SuspectRecord',
     'fact_of',
     'record_from_entry',
     'record_from_fact',
+    'record_from_text',
 ]
 
 #: Prefix of the keys of records.
-QUARANTINE_PREFIX = '/bronzesill/prompt-parts/'
+QUARANTINE_PREFIX = '/bronzesill/quarantine/'
 
-_NO_PARTS: frozenset[str] = frozenset()
+_NO_SUSPECTS: frozenset[str] = frozenset()
 _BLOCK_S = 600.0
-#: A part that is blocked again stays so for longer, up to a day.
+#: A suspect that is blocked again stays so for longer, up to a day.
 _MAX_BLOCK_S = 86_400.0
 
 
 @dataclasses.dataclass(frozen=True)
-class PartRecord:
+class SuspectRecord:
     """
-    Whether a part of a prompt is blocked; the highest sequence number wins.
+    Whether a suspect is blocked; the highest sequence number wins.
 
-    :param part: id of the part.
+    :param suspect: what servers crashed on.
     :param sequence: number of the change.
-    :param is_blocked: whether requests with the part are refused.
+    :param is_blocked: whether requests with the suspect are refused.
     :param changed_at_s: Unix time of the change in seconds.
     :param duration_s: seconds for which the block holds.
     :param companions: parts that a prompt must contain too to be refused, as
         nobody knows yet which of them is the cause.
     """
 
-    part: str
+    suspect: str
     sequence: int
     is_blocked: bool
     changed_at_s: float
@@ -59,7 +60,7 @@
     @property
     def key(self) -> str:
         """Key of the record in the store."""
-        return f'{QUARANTINE_PREFIX}{self.part}'
+        return f'{QUARANTINE_PREFIX}{self.suspect}'
 
     def remaining_s(self, now_s: float) -> float:
         """Return for how long requests are refused, 0 if they are not."""
@@ -69,10 +70,10 @@
 
     def blocked_again(
         self, now_s: float, companions: frozenset[str]
-    ) -> PartRecord:
+    ) -> SuspectRecord:
         """Return the record of a further block."""
-        return PartRecord(
-            self.part,
+        return SuspectRecord(
+            self.suspect,
             self.sequence + 1,
             is_blocked=True,
             changed_at_s=now_s,
@@ -80,13 +81,13 @@
             companions=companions,
         )
 
-    def widened(self, companions: frozenset[str]) -> PartRecord:
+    def widened(self, companions: frozenset[str]) -> SuspectRecord:
         """Return the record of a block of more prompts."""
         return dataclasses.replace(
             self, sequence=self.sequence + 1, companions=companions
         )
 
-    def lifted(self, now_s: float) -> PartRecord:
+    def lifted(self, now_s: float) -> SuspectRecord:
         """Return the record after the block was lifted."""
         return dataclasses.replace(
             self,
@@ -101,34 +102,32 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class BlockedParts:
+class BlockedSuspects:
     """
-    Newest record of each part.
+    Newest record of each suspect.
 
-    :param by_part: records by id of the part.
+    :param by_suspect: records by suspect.
     """
 
-    by_part: Mapping[str, PartRecord] = field(default_factory=dict)
+    by_suspect: Mapping[str, SuspectRecord] = field(default_factory=dict)
 
-    def with_record(self, record: PartRecord) -> BlockedParts:
+    def with_record(self, record: SuspectRecord) -> BlockedSuspects:
         """Return these and a record; the same ones if it is not newer."""
-        known = self.by_part.get(record.part)
+        known = self.by_suspect.get(record.suspect)
         if known is not None and known.sequence >= record.sequence:
             return self
-        return BlockedParts({**self.by_part, record.part: record})
+        return BlockedSuspects({**self.by_suspect, record.suspect: record})
 
-    def remaining_s(self, parts: tuple[str, ...], now_s: float) -> float:
+    def remaining_s(self, suspects: tuple[str, ...], now_s: float) -> float:
         """
-        Return for how long a prompt with these parts is refused.
+        Return for how long a request with these suspects is refused.
 
-        :param parts: ids of parts.
+        :param suspects: the request's identity and the parts of its prompt.
         :param now_s: current Unix time in seconds.
-        :returns: seconds, 0 if none of the parts is blocked.
+        :returns: seconds, 0 if none of them is blocked.
         """
-        if not self.by_part:
-            return 0
-        present = frozenset(parts)
-        records = (self.by_part.get(part) for part in parts)
+        present = frozenset(suspects)
+        records = (self.by_suspect.get(suspect) for suspect in suspects)
         return max(
             (
                 record.remaining_s(now_s)
@@ -138,29 +137,29 @@
             default=0,
         )
 
-    def find_active(self, part: str, now_s: float) -> PartRecord | None:
-        """Return the record of a part that is blocked, none if it is not."""
-        record = self.by_part.get(part)
+    def find_active(self, suspect: str, now_s: float) -> SuspectRecord | None:
+        """Return the record of a suspect that is blocked, none if it is not."""
+        record = self.by_suspect.get(suspect)
         return record if record and record.remaining_s(now_s) else None
 
     def block(
         self,
-        part: str,
+        suspect: str,
         now_s: float,
-        companions: frozenset[str] = _NO_PARTS,
-    ) -> PartRecord | None:
+        companions: frozenset[str] = _NO_SUSPECTS,
+    ) -> SuspectRecord | None:
         """
-        Return the record that blocks a part.
+        Return the record that blocks a suspect.
 
-        :param part: id of the part.
+        :param suspect: what servers crashed on.
         :param now_s: current Unix time in seconds.
         :param companions: parts that a prompt must contain too.
         :returns: the record, none if the block in force refuses as much.
         """
-        known = self.by_part.get(part)
+        known = self.by_suspect.get(suspect)
         if known is None:
-            return PartRecord(
-                part,
+            return SuspectRecord(
+                suspect,
                 1,
                 is_blocked=True,
                 changed_at_s=now_s,
@@ -173,28 +172,33 @@
         return known.widened(known.companions & companions)
 
 
-def fact_of(record: PartRecord) -> Fact:
+def fact_of(record: SuspectRecord) -> Fact:
     """Return the fact by which gossip spreads a record."""
     text = orjson.dumps(unstructure(record)).decode()
-    return Fact(FactKind.PROMPT_PART, record.part, record.sequence, text)
+    return Fact(FactKind.SUSPECT, record.suspect, record.sequence, text)
 
 
-def record_from_fact(fact: Fact) -> PartRecord | None:
+def record_from_fact(fact: Fact) -> SuspectRecord | None:
     """Return the record of a fact, none if it is of another kind."""
-    if fact.kind != FactKind.PROMPT_PART:
+    if fact.kind != FactKind.SUSPECT:
         return None
-    return _decode(fact.text.encode())
+    return record_from_text(fact.text)
+
+
+def record_from_text(text: str) -> SuspectRecord | None:
+    """Return the record of a fact's text, none if it can't be decoded."""
+    return _decode(text.encode())
 
 
-def record_from_entry(entry: StoredEntry) -> PartRecord | None:
+def record_from_entry(entry: StoredEntry) -> SuspectRecord | None:
     """Return the record of an entry of the store, none if there is none."""
     if entry.is_removed or not entry.key.startswith(QUARANTINE_PREFIX):
         return None
     return _decode(entry.payload)
 
 
-def _decode(payload: bytes) -> PartRecord | None:
+def _decode(payload: bytes) -> SuspectRecord | None:
     try:
-        return structure_json(payload, PartRecord)
+        return structure_json(payload, SuspectRecord)
     except (BronzesillError, DocumentInvalid, ValueError):
         return None
--- a/bronzesill/quarantine/tests/test_evidence.py
+++ b/bronzesill/quarantine/tests/test_evidence.py
@@ -10,10 +10,10 @@
 from random import Random
 
 from ...store import StoredEntry, StoreRevision
-from ..evidence import EvidenceTable, PartEvidence, PromptCrash
+from ..evidence import Crash, Evidence, EvidenceTable
 from ..record import (
-    BlockedParts,
-    PartRecord,
+    BlockedSuspects,
+    SuspectRecord,
     fact_of,
     record_from_entry,
     record_from_fact,
@@ -22,17 +22,17 @@
 _HOUR_S = 3600
 
 
-def _evidence(*crashes: PromptCrash) -> PartEvidence:
-    evidence = PartEvidence()
+def _evidence(*crashes: Crash) -> Evidence:
+    evidence = Evidence()
     for crash in crashes:
         evidence = evidence.with_crash(crash)
     return evidence
 
 
-def _follow_up(domains: str, request: str) -> tuple[PromptCrash, ...]:
+def _follow_up(domains: str, request: str) -> tuple[Crash, ...]:
     """Return losses under a request, 20 ms apart, by failure domain."""
     return tuple(
-        PromptCrash(
+        Crash(
             f'{request}.{number}',
             request,
             1 + number / 50,
@@ -43,8 +43,8 @@
     )
 
 
-def _block(part: str, *companions: str) -> PartRecord:
-    record = BlockedParts().block(part, 0, frozenset(companions))
+def _block(part: str, *companions: str) -> SuspectRecord:
+    record = BlockedSuspects().block(part, 0, frozenset(companions))
     assert record is not None
     return record
 
@@ -53,17 +53,17 @@
     """Only a part on which no answer ever begins is blamed."""
 
     def test_three_servers_two_requests(self) -> None:
-        first = (PromptCrash('a', 'r1', 1), PromptCrash('b', 'r1', 2))
+        first = (Crash('a', 'r1', 1), Crash('b', 'r1', 2))
         self.assertFalse(_evidence(*first).is_conclusive)
         self.assertTrue(_evidence(*first).is_suspected)
-        again = _evidence(*first, PromptCrash('c', 'r1', 3))
+        again = _evidence(*first, Crash('c', 'r1', 3))
         self.assertFalse(again.is_conclusive)
-        other = _evidence(*first, PromptCrash('c', 'r2', 3))
+        other = _evidence(*first, Crash('c', 'r2', 3))
         self.assertTrue(other.is_conclusive)
 
     def test_failure_domain_dies(self) -> None:
         crashes = (
-            PromptCrash(f's{number}', f'r{number}', 1 + number / 100)
+            Crash(f's{number}', f'r{number}', 1 + number / 100)
             for number in range(9)
         )
         self.assertFalse(_evidence(*crashes).is_suspected)
@@ -77,43 +77,42 @@
             *_follow_up('aaa', 'r1'), *_follow_up('aaa', 'r2')
         )
         self.assertFalse(same_domain.is_suspected)
-        answered = PartEvidence().with_start(0)
+        answered = Evidence().with_start(0)
         for crash in _follow_up('abc', 'r1'):
             answered = answered.with_crash(crash)
         self.assertFalse(answered.is_suspected)
 
     def test_reports_out_of_order(self) -> None:
         crashes = [
-            PromptCrash(f's{number}', f'r{number}', number)
-            for number in range(3)
+            Crash(f's{number}', f'r{number}', number) for number in range(3)
         ]
         for shuffled in itertools.permutations(crashes):
             self.assertTrue(_evidence(*shuffled).is_conclusive)
 
     def test_parts_that_all_have_are_companions(self) -> None:
         crashes = [
-            PromptCrash(f's{n}', f'r{n}', n, frozenset(('first', f'x{n}')))
+            Crash(f's{n}', f'r{n}', n, frozenset(('first', f'x{n}')))
             for n in range(3)
         ]
         self.assertEqual(_evidence(*crashes).companions, {'first'})
-        cleared = PromptCrash('s9', 'r9', 9)
+        cleared = Crash('s9', 'r9', 9)
         self.assertEqual(_evidence(*crashes, cleared).companions, frozenset())
 
     def test_answer_that_began_clears(self) -> None:
         evidence = _evidence(
-            PromptCrash('a', 'r1', 1),
-            PromptCrash('b', 'r2', 2),
-            PromptCrash('c', 'r3', 3),
+            Crash('a', 'r1', 1),
+            Crash('b', 'r2', 2),
+            Crash('c', 'r3', 3),
         ).with_start(2.5)
         self.assertFalse(evidence.is_suspected)
-        late = evidence.with_crash(PromptCrash('d', 'r4', 2))
+        late = evidence.with_crash(Crash('d', 'r4', 2))
         self.assertEqual(late, evidence)
 
     def test_old_crashes_lapse(self) -> None:
         evidence = _evidence(
-            PromptCrash('a', 'r1', 1),
-            PromptCrash('b', 'r2', 2),
-            PromptCrash('c', 'r3', _HOUR_S),
+            Crash('a', 'r1', 1),
+            Crash('b', 'r2', 2),
+            Crash('c', 'r3', _HOUR_S),
         )
         self.assertFalse(evidence.is_suspected)
 
@@ -122,11 +121,11 @@
     def test_sound_parts_on_hard_days(self) -> None:
         for seed in range(200):
             random = Random(seed)
-            evidence = PartEvidence()
+            evidence = Evidence()
             for death in range(30):
                 at_s = 2 * death
                 for lost in range(random.randint(0, 6)):
-                    crash = PromptCrash(
+                    crash = Crash(
                         f's{death}.{lost}',
                         f'r{random.randint(0, 9)}',
                         at_s + random.random() / 10,
@@ -142,16 +141,16 @@
     def test_bounded(self) -> None:
         table = EvidenceTable()
         for number in range(3000):
-            table = table.with_crash(str(number), PromptCrash('s', 'r', 1))
-        self.assertLessEqual(len(table.by_part), 1024)
-        self.assertIn('2999', table.by_part)
+            table = table.with_crash(str(number), Crash('s', 'r', 1))
+        self.assertLessEqual(len(table.by_suspect), 1024)
+        self.assertIn('2999', table.by_suspect)
 
 
 class BlocklistTest(unittest.TestCase):
     """Blocks end, can be lifted and never come back by an older record."""
 
     def test_block_lapses_and_doubles(self) -> None:
-        blocked = BlockedParts().with_record(_block('bad'))
+        blocked = BlockedSuspects().with_record(_block('bad'))
         self.assertEqual(blocked.remaining_s(('x', 'bad'), 100), 500)
         self.assertEqual(blocked.remaining_s(('x',), 100), 0)
         self.assertEqual(blocked.remaining_s(('bad',), 601), 0)
@@ -163,7 +162,7 @@
 
     # A part that came with the cause only is refused with it alone.
     def test_unknown_cause_is_refused_as_seen(self) -> None:
-        blocked = BlockedParts().with_record(_block('first', 'bad'))
+        blocked = BlockedSuspects().with_record(_block('first', 'bad'))
         self.assertEqual(blocked.remaining_s(('first',), 1), 0)
         self.assertGreater(blocked.remaining_s(('bad', 'first'), 1), 0)
         wider = blocked.block('first', 2, frozenset())
@@ -173,7 +172,7 @@
 
     def test_older_record_is_ignored(self) -> None:
         record = _block('bad')
-        lifted = BlockedParts().with_record(record.lifted(1))
+        lifted = BlockedSuspects().with_record(record.lifted(1))
         self.assertIs(lifted.with_record(record), lifted)
         self.assertEqual(lifted.remaining_s(('bad',), 2), 0)
 
--- a/bronzesill/utils/errors.py
+++ b/bronzesill/utils/errors.py
@@ -32,7 +32,7 @@
     STOPPING = 1012
     NO_BACKEND_SERVER = 1013
     REQUEST_ID_CONFLICT = 1014
-    PROMPT_BLOCKED = 1015
+    REQUEST_BLOCKED = 1015
 
     # 2000-2999: generations that were started.
     INCOMPLETE_DEADLINE = 2001
