Write a block again that the store has lost

Callers: if the store came back from a copy without a block and all hosts then lost power, requests that crash servers were sent again (test_block_is_kept_when_the_ store_lost_it failed: 502 instead of 503, with crashes 0.1 s and 20 ms after the prompt).

Cause: a record was written once, when it was concluded, and forgotten as soon as it was read back. Class: what the store has acknowledged is taken to be there for good.

Change: the two daemons that collect a suspect's evidence compare each record that still matters with what the store says of it, once a second and from memory, and write what it lacks. Lifted blocks too, so that an older block does not come back.

--- a/bronzesill/daemon/quarantine.py
+++ b/bronzesill/daemon/quarantine.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import time
 from collections.abc import Callable
 
 from ..membership import Member, ViewUpdated, choose_replicas
 from ..quarantine import (
+    QUARANTINE_PREFIX,
     BlockedSuspects,
     BlockNotice,
     CrashReport,
@@ -40,6 +42,8 @@
 #: Reports are sent twice, as datagrams get lost.
 _REPEAT_S = 0.1
 _SAVE_INTERVAL_S = 0.5
+#: The store may lose a record when it comes back from an older copy.
+_CHECK_INTERVAL_S = 1.0
 
 _log = PartLogger('quarantine')
 
@@ -79,7 +83,9 @@
         self._socket = peers.socket
         self._judge = Judge()
         self._watched = WatchedSuspects()
-        self._saver = _RecordSaver(store)
+        self._saver = _RecordSaver(
+            store, lambda: self.blocked, self._is_collector
+        )
         peers.membership.listeners.append(self._apply_view_change)
         for message_type in (
             CrashReport,
@@ -136,6 +142,8 @@
         """Adopt the records among entries that changed in the store."""
         self._secret.apply_store_changes(entries)
         for entry in entries:
+            if entry.key.startswith(QUARANTINE_PREFIX):
+                self._saver.note_stored(entry)
             record = record_from_entry(entry)
             if record is not None:
                 self._adopt(record, 'store')
@@ -232,7 +240,7 @@
         fact = fact_of(record)
         self._membership.publish_fact(fact)
         self._send(self._live_members(), BlockNotice(fact.text))
-        self._saver.add(record)
+        self._saver.wake()
 
     def _apply_view_change(self, change: ViewUpdated) -> None:
         for fact in change.updates.facts:
@@ -255,6 +263,12 @@
         if record.is_blocked:
             self.on_block()
 
+    def _is_collector(self, suspect: str) -> bool:
+        own_name = self._membership.own.name
+        return any(
+            member.name == own_name for member in self._collectors(suspect)
+        )
+
     def _collectors(self, suspect: str) -> tuple[Member, ...]:
         return choose_replicas(self._membership.view, f'suspect/{suspect}')
 
@@ -273,53 +287,73 @@
 
 class _RecordSaver:
     """
-    Task that writes records to the store until it has them.
+    Task that writes records to the store until it says that it has them.
 
     :param store: key-value store of the platform.
+    :param find_blocked: returns the known records.
+    :param is_collector: returns whether this daemon stores the records of a
+        suspect.
     """
 
-    def __init__(self, store: KeyValueStore) -> None:
+    def __init__(
+        self,
+        store: KeyValueStore,
+        find_blocked: Callable[[], BlockedSuspects],
+        is_collector: Callable[[str], bool],
+    ) -> None:
         self._store = store
-        self._unsaved: dict[str, SuspectRecord] = {}
-        self._has_unsaved = asyncio.Event()
+        self._find_blocked = find_blocked
+        self._is_collector = is_collector
+        self._has_new = asyncio.Event()
+        self._stored_sequences: dict[str, int] = {}
+
+    def wake(self) -> None:
+        """Write what the store lacks at once."""
+        self._has_new.set()
 
-    def add(self, record: SuspectRecord) -> None:
-        """Write a record soon."""
-        self._unsaved[record.suspect] = record
-        self._has_unsaved.set()
+    def note_stored(self, entry: StoredEntry) -> None:
+        """Note what the store says; it may come back from an older copy."""
+        record = record_from_entry(entry)
+        self._stored_sequences[entry.key] = record.sequence if record else 0
 
     async def run(self) -> None:
         """Write records until cancelled."""
         while True:
-            await self._has_unsaved.wait()
-            for record in tuple(self._unsaved.values()):
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._has_new.wait(), _CHECK_INTERVAL_S)
+            self._has_new.clear()
+            for record in self._find_missing():
                 await self._save(record)
-            if not self._unsaved:
-                self._has_unsaved.clear()
             await asyncio.sleep(_SAVE_INTERVAL_S)
 
+    def _find_missing(self) -> list[SuspectRecord]:
+        now_s = time.time()
+        return [
+            record
+            for record in self._find_blocked().by_suspect.values()
+            if now_s < record.ends_at_s
+            and self._stored_sequences.get(record.key, 0) < record.sequence
+            and self._is_collector(record.suspect)
+        ]
+
     async def _save(self, record: SuspectRecord) -> None:
         try:
-            is_stored = await self._write(record)
+            await self._write(record)
         except BronzesillError as error:
             _log.info('record of %s not stored: %s', record.suspect, error)
-            return
-        if is_stored and self._unsaved.get(record.suspect) is record:
-            self._unsaved.pop(record.suspect)
 
-    async def _write(self, record: SuspectRecord) -> bool:
-        """Write a record; return whether it or a newer one was there before."""
-        # The round after a write reads it back, which also settles a write
-        # whose answer was lost.
+    async def _write(self, record: SuspectRecord) -> None:
         stored = await self._store.get(record.key)
         known = record_from_entry(stored) if stored else None
         if known is not None and known.sequence >= record.sequence:
-            return True
+            return
         expected = stored.revision if stored else None
         await self._store.compare_and_swap(
             record.key, expected, (record.to_mutation(),)
         )
-        return False
+        _log.event(
+            'record_stored', suspect=record.suspect, sequence=record.sequence
+        )
 
 
 def _aged(report: CrashReport, elapsed_s: float) -> CrashReport:
--- a/bronzesill/daemon/tests/test_prompt_crashes.py
+++ b/bronzesill/daemon/tests/test_prompt_crashes.py
@@ -97,10 +97,26 @@
     # Guards against hosts that forget, when all of them lose power, what
     # crashed servers.
     async def test_hosts_that_all_lost_power_still_know(self) -> None:
+        await self.crash_servers()
+        await asyncio.sleep(1)
+        await self.assert_blocked_after_loss_of_power()
+
+    # Guards against a block that only the hosts know, as the store came back
+    # from a copy without it, and that is lost with them.
+    async def test_block_is_kept_when_the_store_lost_it(self) -> None:
+        copy = self.fleet.store.state.copy()
+        await self.crash_servers()
+        await asyncio.sleep(1)
+        await self.fleet.store.restore(copy)
+        await asyncio.sleep(_CONTACT_S)
+        await self.assert_blocked_after_loss_of_power()
+
+    async def crash_servers(self) -> None:
         crashing = [self.send(_CRASHING_PART) for _ in range(4)]
         await asyncio.gather(*crashing, return_exceptions=True)
+
+    async def assert_blocked_after_loss_of_power(self) -> None:
         settings = [daemon.settings for daemon in self.fleet.daemons]
-        await asyncio.sleep(1)
         for daemon in tuple(self.fleet.daemons):
             await self.fleet.kill(daemon)
         crashes = len(self.fleet.crashes_s)
--- a/bronzesill/quarantine/record.py
+++ b/bronzesill/quarantine/record.py
@@ -62,11 +62,16 @@
         """Key of the record in the store."""
         return f'{QUARANTINE_PREFIX}{self.suspect}'
 
+    @property
+    def ends_at_s(self) -> float:
+        """Unix time from which on the record changes nothing, in seconds."""
+        return self.changed_at_s + self.duration_s
+
     def remaining_s(self, now_s: float) -> float:
         """Return for how long requests are refused, 0 if they are not."""
         if not self.is_blocked:
             return 0
-        return max(self.changed_at_s + self.duration_s - now_s, 0)
+        return max(self.ends_at_s - now_s, 0)
 
     def blocked_again(
         self, now_s: float, companions: frozenset[str]
