--- a/bronzesill/calls/idempotent.py
+++ b/bronzesill/calls/idempotent.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 from typing import TypeAlias
 
 from ..limits import LocalRetryAllowance, RetryAllowance
 from ..utils import BronzesillError, ResultCode
+from .hedging import LatencyEstimate
 from .interfaces import CallAnswer, CallSender, RoutedCall
 from .servers import ServiceServers, is_disconnected
 
@@ -16,31 +16,6 @@
 SendOutcome: TypeAlias = CallAnswer | BronzesillError
 
 _SERVER_ERROR = 500
-_QUANTILE = 0.95
-_STEP_RATIO = 0.05
-_INITIAL_ESTIMATE_S = 0.2
-_MIN_ESTIMATE_S = 0.005
-
-
-@dataclasses.dataclass(frozen=True)
-class LatencyEstimate:
-    """
-    Running estimate of the 95th percentile of response latency.
-
-    It sets the delay of hedged requests.  Each response moves it by a fixed
-    fraction, weighted so that it settles where 95 of 100 responses are faster.
-
-    :param quantile_s: estimated 95th percentile in seconds.
-    """
-
-    quantile_s: float = _INITIAL_ESTIMATE_S
-
-    def updated(self, latency_s: float) -> LatencyEstimate:
-        """Return the estimate updated with the latency of one response."""
-        is_below = latency_s < self.quantile_s
-        gradient = (1 - _QUANTILE) if is_below else -_QUANTILE
-        estimate_s = self.quantile_s * (1 - _STEP_RATIO * gradient)
-        return LatencyEstimate(max(estimate_s, _MIN_ESTIMATE_S))
 
 
 class IdempotentCalls:
--- a/bronzesill/replica/__init__.py
+++ b/bronzesill/replica/__init__.py
@@ -1,9 +1,15 @@
 """Replica of the store's keys in a daemon, and the task that follows them."""
 
-from .exchange import answer_fetch, merge_answer
 from .follower import FollowPolicy, StoreFollower
 from .messages import FetchReplica, ReplicaAnswer, ReplicaEntry
-from .state import MergeResult, Replica, merge, merge_snapshot
+from .state import (
+    MergeResult,
+    Replica,
+    answer_fetch,
+    merge,
+    merge_answer,
+    merge_snapshot,
+)
 
 __all__ = [
     'FetchReplica',
--- a/bronzesill/replica/state.py
+++ b/bronzesill/replica/state.py
@@ -1,4 +1,4 @@
-"""Replica of the store's keys in one daemon; revisions never decrease."""
+"""Replica of the store's keys in one daemon; it is exchanged with others."""
 
 from __future__ import annotations
 
@@ -6,8 +6,16 @@
 from collections.abc import Mapping
 
 from ..store import Snapshot, StoredEntry, StoreRevision
+from .messages import FetchReplica, ReplicaAnswer, ReplicaEntry
 
-__all__ = ['MergeResult', 'Replica', 'merge', 'merge_snapshot']
+__all__ = [
+    'MergeResult',
+    'Replica',
+    'answer_fetch',
+    'merge',
+    'merge_answer',
+    'merge_snapshot',
+]
 
 _NO_REVISION = StoreRevision()
 
@@ -154,3 +162,42 @@
         return True
     said = (entry.payload, entry.is_removed)
     return said != (known.payload, known.is_removed)
+
+
+def answer_fetch(
+    replica: Replica, request: FetchReplica, *, is_store_reachable: bool
+) -> ReplicaAnswer:
+    """
+    Return what a requesting daemon lacks.
+
+    All existing keys are returned if removals since the requested revision
+    may not be known, as after a new era of the store.
+
+    :param replica: replica of the answering daemon.
+    :param request: revision that the requesting daemon has.
+    :param is_store_reachable: whether the store answers this daemon.
+    """
+    is_snapshot = request.after < replica.complete_from
+    entries = (
+        replica.to_snapshot().entries
+        if is_snapshot
+        else replica.changed_since(request.after)
+    )
+    return ReplicaAnswer(
+        tuple(ReplicaEntry.from_stored(entry) for entry in entries),
+        replica.last_revision,
+        is_snapshot,
+        is_store_reachable,
+    )
+
+
+def merge_answer(replica: Replica, answer: ReplicaAnswer) -> MergeResult:
+    """
+    Merge the answer of a peer.
+
+    :raises zlib.error: an entry cannot be decompressed.
+    """
+    entries = tuple(entry.to_stored() for entry in answer.entries)
+    if answer.is_snapshot:
+        return merge_snapshot(replica, Snapshot(entries, answer.revision))
+    return merge(replica, entries)
--- a/bronzesill/replica/tests/test_eras.py
+++ b/bronzesill/replica/tests/test_eras.py
@@ -14,9 +14,15 @@
 
 from ...standins.store_state import Item, StoreCopy, StoreState
 from ...store import Snapshot, StoredEntry, StoreRevision
-from ..exchange import answer_fetch, merge_answer
 from ..messages import FetchReplica
-from ..state import MergeResult, Replica, merge, merge_snapshot
+from ..state import (
+    MergeResult,
+    Replica,
+    answer_fetch,
+    merge,
+    merge_answer,
+    merge_snapshot,
+)
 
 _HOSTS = 3
 _KEYS = st.sampled_from(['op/config', 'servers/a', 'servers/b'])
