--- a/bronzesill/daemon/tests/test_crashing_calls.py
+++ b/bronzesill/daemon/tests/test_crashing_calls.py
@@ -12,6 +12,7 @@
 
 from ...standins.hosted_fleet import HostedFleet, HostedPlan
 from ...standins.worker import WorkerPlan
+from ..hosted import HostedDaemon
 from .hosted_caller import HostedAnswer, HostedCaller
 
 _CRASHING_BODY = b'look up slot 13'
@@ -112,3 +113,52 @@
             answer.status if isinstance(answer, HostedAnswer) else 0
             for answer in answers
         ]
+
+
+_ENGINES = HostedPlan(
+    daemons=3,
+    crash_s=1.5,
+    workers=tuple(
+        WorkerPlan(
+            f'e-{number}',
+            'engines',
+            'abc'[number % 3],
+            is_engine=True,
+            events=5,
+            crashing_body=_CRASHING_BODY,
+        )
+        for number in range(9)
+    ),
+)
+
+
+class CrashingStreamTest(unittest.IsolatedAsyncioTestCase):
+    """A generation without shared parts is judged as a whole."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = await HostedFleet(_ENGINES).__aenter__()
+        self.caller = HostedCaller()
+
+    async def asyncTearDown(self) -> None:
+        await self.caller.close()
+        await self.fleet.__aexit__()
+
+    # Guards against hosts that go on sending a generation, repeated under new
+    # ids, under which one engine after the other has crashed.
+    async def test_generation_that_crashes_engines_is_refused(self) -> None:
+        for daemon in self.fleet.daemons:
+            await self.send(daemon, _CRASHING_BODY)
+        await asyncio.sleep(0.2)
+        crashes = len(self.fleet.crashes_s)
+        for daemon in self.fleet.daemons:
+            answer = await self.send(daemon, _CRASHING_BODY)
+            self.assertEqual(answer.status, 503)
+            self.assertGreater(float(answer.headers['retry-after']), 60)
+            sound = await self.send(daemon, b'look up slot 14')
+            self.assertEqual(sound.status, _HTTP_OK)
+        self.assertEqual(len(self.fleet.crashes_s), crashes)
+
+    async def send(self, daemon: HostedDaemon, body: bytes) -> HostedAnswer:
+        return await self.caller.send_request(
+            daemon.settings.callers, '/guides/1', body=body
+        )
