Test named limits while clocks and views of the fleet differ

Suspected by reading: slots of a limit go by each host's time of day and by its list of live members.

--- a/bronzesill/routing/tests/test_request_limits.py
+++ b/bronzesill/routing/tests/test_request_limits.py
@@ -14,6 +14,8 @@
 _WINDOW_S = 4.0
 _STEP_S = 0.05
 _LENGTH_S = 60.0
+#: Time for which daemons are dead, or their clocks wrong.
+_DEAD_S = 10.0
 #: An arbitrary Unix time in seconds.
 _START_S = 1_780_000_000.0
 
@@ -22,6 +24,7 @@
     """Daemons that send to one server whenever they may and want to."""
 
     def __init__(self, count: int, per_s: float) -> None:
+        self.count = count
         self.positions = [FleetPosition(rank, count) for rank in range(count)]
         self.limits = [
             RequestLimits().named('s', per_s, _START_S) for _ in range(count)
@@ -31,13 +34,20 @@
     def play(self, wants: float, random: Random) -> None:
         for step in range(int(_LENGTH_S / _STEP_S)):
             now_s = _START_S + step * _STEP_S
-            for rank, position in enumerate(self.positions):
-                limits = self.limits[rank]
-                is_open = not limits.wait_s('s', position, now_s)
-                if is_open and random.random() < wants:
-                    self.limits[rank] = limits.sent('s', position, now_s)
+            for rank in range(self.count):
+                if self.try_to_send(rank, now_s, wants, random):
                     self.sent_at_s.append(now_s)
 
+    def try_to_send(
+        self, rank: int, now_s: float, wants: float, random: Random
+    ) -> bool:
+        position = self.positions[rank]
+        limits = self.limits[rank]
+        if limits.wait_s('s', position, now_s) or random.random() >= wants:
+            return False
+        self.limits[rank] = limits.sent('s', position, now_s)
+        return True
+
     def largest_window(self) -> int:
         return max(
             sum(
@@ -47,6 +57,47 @@
         )
 
 
+class _DisturbedFleet(_Fleet):
+    """
+    Clocks jump on a third of the daemons; a quarter of them dies.
+
+    The others learn of it after 0.2 to 3 s, and as late that they are back.
+    """
+
+    def __init__(self, count: int, per_s: float, random: Random) -> None:
+        super().__init__(count, per_s)
+        self._died_at_s = _START_S + random.uniform(10, 40)
+        self._dead = frozenset(random.sample(range(count), count // 4))
+        survivors = [rank for rank in range(count) if rank not in self._dead]
+        self._after_deaths = {
+            rank: FleetPosition(place, len(survivors))
+            for place, rank in enumerate(survivors)
+        }
+        self._all_known = tuple(self.positions)
+        self._delays_s = [random.uniform(0.2, 3) for _ in range(count)]
+        self._jumps_s = [
+            random.choice((0, 0, 0, 0, -2, 2)) for _ in range(count)
+        ]
+        self._jump_at_s = [
+            _START_S + random.uniform(5, 40) for _ in range(count)
+        ]
+
+    def try_to_send(
+        self, rank: int, now_s: float, wants: float, random: Random
+    ) -> bool:
+        is_after = 0 <= now_s - self._died_at_s < _DEAD_S
+        if rank in self._dead and is_after:
+            return False
+        is_known = 0 <= now_s - self._died_at_s - self._delays_s[rank] < _DEAD_S
+        if rank not in self._dead:
+            self.positions[rank] = (
+                self._after_deaths[rank] if is_known else self._all_known[rank]
+            )
+        has_jumped = 0 <= now_s - self._jump_at_s[rank] < _DEAD_S
+        clock_s = now_s + self._jumps_s[rank] * has_jumped
+        return super().try_to_send(rank, clock_s, wants, random)
+
+
 class ManyDaemonsTest(unittest.TestCase):
     """The sum over all daemons stays within the limit at any size."""
 
@@ -59,6 +110,17 @@
                 allowed = 1.5 * _WINDOW_S * per_s + 5
                 self.assertLessEqual(fleet.largest_window(), allowed)
 
+    # Guards against hosts that exceed a limit together while their clocks, or
+    # the hosts that they know, differ.
+    def test_sum_while_clocks_and_views_differ(self) -> None:
+        cases = itertools.product((8, 59, 195), (2.6, 40.0), (1,))
+        for count, per_s, seed in cases:
+            with self.subTest(count=count, per_s=per_s, seed=seed):
+                fleet = _DisturbedFleet(count, per_s, Random(seed))
+                fleet.play(1, Random(seed))
+                allowed = 1.5 * _WINDOW_S * per_s + 5
+                self.assertLessEqual(fleet.largest_window(), allowed)
+
     def test_limit_is_used(self) -> None:
         for count in (1, 8, 59):
             with self.subTest(count=count):
