--- a/bronzesill/daemon/quarantine.py
+++ b/bronzesill/daemon/quarantine.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
 import time
 from collections.abc import Callable
@@ -32,18 +31,15 @@
 from ..routing import ServerTracker
 from ..store import KeyValueStore, StoredEntry
 from ..upstream import ConnectionPool, ForwardRequest
-from ..utils import BronzesillError, PartLogger
-from .fleet_secret import FleetSecret
+from ..utils import PartLogger
 from .hosted_peers import HostedPeers
+from .quarantine_store import FleetSecret, RecordStore
 from .server_losses import LostRequest, ServerLosses
 
 __all__ = ['Quarantine']
 
 #: Reports are sent twice, as datagrams get lost.
 _REPEAT_S = 0.1
-_SAVE_INTERVAL_S = 0.5
-#: The store may lose a record when it comes back from an older copy.
-_CHECK_INTERVAL_S = 1.0
 
 _log = PartLogger('quarantine')
 
@@ -83,7 +79,7 @@
         self._socket = peers.socket
         self._judge = Judge()
         self._watched = WatchedSuspects()
-        self._saver = _RecordSaver(
+        self._records = RecordStore(
             store, lambda: self.blocked, self._is_collector
         )
         peers.membership.listeners.append(self._apply_view_change)
@@ -143,7 +139,7 @@
         self._secret.apply_store_changes(entries)
         for entry in entries:
             if entry.key.startswith(QUARANTINE_PREFIX):
-                self._saver.note_stored(entry)
+                self._records.note_stored(entry)
             record = record_from_entry(entry)
             if record is not None:
                 self._adopt(record, 'store')
@@ -152,7 +148,7 @@
         """Store what this daemon concluded until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._secret.run())
-            group.create_task(self._saver.run())
+            group.create_task(self._records.run())
 
     def _suspects(self, forward: ForwardRequest) -> tuple[str, ...]:
         parts = shared_parts(forward)
@@ -240,7 +236,7 @@
         fact = fact_of(record)
         self._membership.publish_fact(fact)
         self._send(self._live_members(), BlockNotice(fact.text))
-        self._saver.wake()
+        self._records.wake()
 
     def _apply_view_change(self, change: ViewUpdated) -> None:
         for fact in change.updates.facts:
@@ -285,77 +281,6 @@
                 self._socket.send(member.peers, message)
 
 
-class _RecordSaver:
-    """
-    Task that writes records to the store until it says that it has them.
-
-    :param store: key-value store of the platform.
-    :param find_blocked: returns the known records.
-    :param is_collector: returns whether this daemon stores the records of a
-        suspect.
-    """
-
-    def __init__(
-        self,
-        store: KeyValueStore,
-        find_blocked: Callable[[], BlockedSuspects],
-        is_collector: Callable[[str], bool],
-    ) -> None:
-        self._store = store
-        self._find_blocked = find_blocked
-        self._is_collector = is_collector
-        self._has_new = asyncio.Event()
-        self._stored_sequences: dict[str, int] = {}
-
-    def wake(self) -> None:
-        """Write what the store lacks at once."""
-        self._has_new.set()
-
-    def note_stored(self, entry: StoredEntry) -> None:
-        """Note what the store says; it may come back from an older copy."""
-        record = record_from_entry(entry)
-        self._stored_sequences[entry.key] = record.sequence if record else 0
-
-    async def run(self) -> None:
-        """Write records until cancelled."""
-        while True:
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._has_new.wait(), _CHECK_INTERVAL_S)
-            self._has_new.clear()
-            for record in self._find_missing():
-                await self._save(record)
-            await asyncio.sleep(_SAVE_INTERVAL_S)
-
-    def _find_missing(self) -> list[SuspectRecord]:
-        now_s = time.time()
-        return [
-            record
-            for record in self._find_blocked().by_suspect.values()
-            if now_s < record.ends_at_s
-            and self._stored_sequences.get(record.key, 0) < record.sequence
-            and self._is_collector(record.suspect)
-        ]
-
-    async def _save(self, record: SuspectRecord) -> None:
-        try:
-            await self._write(record)
-        except BronzesillError as error:
-            _log.info('record of %s not stored: %s', record.suspect, error)
-
-    async def _write(self, record: SuspectRecord) -> None:
-        stored = await self._store.get(record.key)
-        known = record_from_entry(stored) if stored else None
-        if known is not None and known.sequence >= record.sequence:
-            return
-        expected = stored.revision if stored else None
-        await self._store.compare_and_swap(
-            record.key, expected, (record.to_mutation(),)
-        )
-        _log.event(
-            'record_stored', suspect=record.suspect, sequence=record.sequence
-        )
-
-
 def _aged(report: CrashReport, elapsed_s: float) -> CrashReport:
     return dataclasses.replace(report, age_s=report.age_s + elapsed_s)
 
