--- a/bronzesill/daemon/tests/test_crashing_calls.py
+++ b/bronzesill/daemon/tests/test_crashing_calls.py
@@ -8,17 +8,15 @@
 
 import asyncio
 import time
-import unittest
 
-from ...standins.hosted_fleet import HostedFleet, HostedPlan
+from ...standins.hosted_fleet import HostedPlan
 from ...standins.worker import WorkerPlan
 from ..hosted import HostedDaemon
-from .hosted_caller import HostedAnswer, HostedCaller
+from .crash_case import CrashCase
+from .hosted_caller import HostedAnswer
 
 _CRASHING_BODY = b'look up slot 13'
-#: Time after the third crash from which such calls are counted.
-_CONTACT_S = 3.0
-#: Calls that may reach servers after that time.
+#: Calls that may reach servers later than 3 s after the third crash.
 _MAX_LATE = 3
 _CRASHES = 3
 _LENGTH_S = 10.0
@@ -46,18 +44,15 @@
 )
 
 
-class CrashingCallTest(unittest.IsolatedAsyncioTestCase):
+class CrashingCallTest(CrashCase):
     """Hosts stop sending a call that crashes servers, and only that."""
 
+    plan = _PLAN
+
     async def asyncSetUp(self) -> None:
-        self.fleet = await HostedFleet(_PLAN).__aenter__()
-        self.caller = HostedCaller()
+        await super().asyncSetUp()
         self.sent: list[asyncio.Task[HostedAnswer]] = []
 
-    async def asyncTearDown(self) -> None:
-        await self.caller.close()
-        await self.fleet.__aexit__()
-
     def send(
         self, body: bytes, route: str = 'lookups'
     ) -> asyncio.Task[HostedAnswer]:
@@ -79,14 +74,6 @@
             self.send(body)
             await asyncio.sleep(pause_s)
 
-    def late_arrivals(self) -> int:
-        counted_from_s = self.fleet.crashes_s[_CRASHES - 1] + _CONTACT_S
-        return sum(
-            arrival_s > counted_from_s
-            for worker in self.fleet.workers_by_name.values()
-            for arrival_s in worker.crashing_arrivals_s
-        )
-
     # Guards against hosts that go on sending a call, repeated under new ids,
     # under which one server after the other has crashed.
     async def test_call_that_crashes_servers_is_sent_no_more(self) -> None:
@@ -95,7 +82,7 @@
         answers = await sound
         await asyncio.gather(*self.sent, return_exceptions=True)
         self.assertGreaterEqual(len(self.fleet.crashes_s), _CRASHES)
-        self.assertLessEqual(self.late_arrivals(), _MAX_LATE)
+        self.assertLessEqual(self.late_arrivals(_CRASHES), _MAX_LATE)
         settled = answers[-len(answers) // 3 :]
         served = sum(status == _HTTP_OK for status in settled)
         self.assertGreater(served, _MIN_SERVED * len(settled))
@@ -132,16 +119,10 @@
 )
 
 
-class CrashingStreamTest(unittest.IsolatedAsyncioTestCase):
+class CrashingStreamTest(CrashCase):
     """A generation without shared parts is judged as a whole."""
 
-    async def asyncSetUp(self) -> None:
-        self.fleet = await HostedFleet(_ENGINES).__aenter__()
-        self.caller = HostedCaller()
-
-    async def asyncTearDown(self) -> None:
-        await self.caller.close()
-        await self.fleet.__aexit__()
+    plan = _ENGINES
 
     # Guards against hosts that go on sending a generation, repeated under new
     # ids, under which one engine after the other has crashed.
--- a/bronzesill/daemon/tests/test_prompt_crashes.py
+++ b/bronzesill/daemon/tests/test_prompt_crashes.py
@@ -8,16 +8,16 @@
 import asyncio
 import dataclasses
 import time
-import unittest
 
-from ...standins.hosted_fleet import HostedFleet, HostedPlan
+from ...standins.hosted_fleet import HostedPlan
 from ...standins.worker import WorkerPlan
-from .hosted_caller import HostedAnswer, HostedCaller
+from .crash_case import CrashCase
+from .hosted_caller import HostedAnswer
 
 _CRASHING_PART = 'bad5'
-#: Time after the fifth crash from which such requests are counted.
+#: Time within which the store has again what it has lost.
 _CONTACT_S = 3.0
-#: Requests that may reach servers after that time.
+#: Requests that may reach servers later than 3 s after the fifth crash.
 _MAX_LATE = 3
 _CRASHES = 5
 _INTERVAL_S = 0.15
@@ -40,20 +40,15 @@
 )
 
 
-class CrashingPromptTest(unittest.IsolatedAsyncioTestCase):
+class CrashingPromptTest(CrashCase):
     """Hosts stop sending what crashes servers, and only that."""
 
     plan = _PLAN
 
     async def asyncSetUp(self) -> None:
-        self.fleet = await HostedFleet(self.plan).__aenter__()
-        self.caller = HostedCaller()
+        await super().asyncSetUp()
         self.number = 0
 
-    async def asyncTearDown(self) -> None:
-        await self.caller.close()
-        await self.fleet.__aexit__()
-
     def send(self, *middle_parts: str) -> asyncio.Task[HostedAnswer]:
         self.number += 1
         parts = ['f00d', *middle_parts, f'{self.number:x}aa']
@@ -66,14 +61,6 @@
             )
         )
 
-    def late_arrivals(self) -> int:
-        counted_from_s = self.fleet.crashes_s[_CRASHES - 1] + _CONTACT_S
-        return sum(
-            arrival_s > counted_from_s
-            for worker in self.fleet.workers_by_name.values()
-            for arrival_s in worker.crashing_arrivals_s
-        )
-
     # Guards against hosts that go on sending, as new requests or as retries,
     # prompts under which one server after the other has crashed.
     async def test_prompts_that_crash_servers_are_sent_no_more(self) -> None:
@@ -86,7 +73,7 @@
             await asyncio.sleep(_INTERVAL_S)
         answers = await asyncio.gather(*sound[-10:], return_exceptions=True)
         await asyncio.gather(*crashing, *sound, return_exceptions=True)
-        self.assertLessEqual(self.late_arrivals(), _MAX_LATE)
+        self.assertLessEqual(self.late_arrivals(_CRASHES), _MAX_LATE)
         served = [
             answer
             for answer in answers
