--- a/bronzesill/calls/tests/test_held_calls.py
+++ b/bronzesill/calls/tests/test_held_calls.py
@@ -9,12 +9,13 @@
 import unittest
 from random import Random
 
-from ...config import BackendServer, Route
-from ...routing import ServerTracker, TrafficSplit
+from ...config import Route
+from ...routing import TrafficSplit
 from ...upstream import ForwardRequest
-from ...utils import Address, BronzesillError, ResultCode
+from ...utils import BronzesillError, ResultCode
 from ..interfaces import CallRequest, RoutedCall
 from ..servers import ServiceServers
+from .two_versions import ignore_call_end, make_tracker
 
 _SEED_COUNT = 50
 _BLOCKED_S = 600.0
@@ -36,10 +37,6 @@
         return forward.body.decode()
 
 
-def _ignore_call_end(*args: object, **kwargs: object) -> None:
-    """Discard the result of a call."""
-
-
 def _route_call(body: bytes, seed: int = 0) -> RoutedCall:
     forward = ForwardRequest(
         f'request-{seed}', 'POST', b'/lookups', (), body, 'huka', 9
@@ -60,16 +57,7 @@
     """Such a call risks one server, and never the last one."""
 
     def setUp(self) -> None:
-        self.tracker = ServerTracker()
-        self.tracker.replace_servers(
-            {
-                f'{version}-{number}': BackendServer(
-                    Address('10.0.0.1', number), 'a', version, service='shop'
-                )
-                for version in ('v1', 'v2')
-                for number in range(3)
-            }
-        )
+        self.tracker = make_tracker()
 
     def make_servers(
         self,
@@ -80,7 +68,7 @@
         return ServiceServers(
             self.tracker,
             lambda _: split or TrafficSplit('v1'),
-            _ignore_call_end,
+            ignore_call_end,
             Random(seed),
             quarantine,
         )
--- a/bronzesill/calls/tests/test_order.py
+++ b/bronzesill/calls/tests/test_order.py
@@ -4,39 +4,26 @@
 import unittest
 from random import Random
 
-from ...config import BackendServer, Route
-from ...routing import ServerTracker, TrafficSplit
-from ...utils import Address
+from ...config import Route
+from ...routing import TrafficSplit
 from ..interfaces import CallRequest, RoutedCall
 from ..servers import ServiceServers
+from .two_versions import ignore_call_end, make_tracker
 
 _SEED_COUNT = 50
 
 
-def _ignore_call_end(*args: object, **kwargs: object) -> None:
-    """Discard the result of a call."""
-
-
 class ServerOrderTest(unittest.IsolatedAsyncioTestCase):
     """A server is tried at most once; a new version gets only one attempt."""
 
     def setUp(self) -> None:
-        self.tracker = ServerTracker()
-        self.tracker.replace_servers(
-            {
-                f'{version}-{number}': BackendServer(
-                    Address('10.0.0.1', number), 'a', version, service='shop'
-                )
-                for version in ('v1', 'v2')
-                for number in range(3)
-            }
-        )
+        self.tracker = make_tracker()
 
     def order_servers(
         self, split: TrafficSplit, seed: int, *, idempotent: bool = True
     ) -> tuple[str, ...]:
         servers = ServiceServers(
-            self.tracker, lambda _: split, _ignore_call_end, Random(seed)
+            self.tracker, lambda _: split, ignore_call_end, Random(seed)
         )
         route = Route('/', 'shop', idempotent=idempotent)
         routed = RoutedCall(
