Ask for a fourth crash before a request with shared parts is blamed

Suspected by reading: a sound generation may be lost three times beside others whose shared part crashes servers, before that part has met two requests; it would then be refused for ten minutes, though it had attempts left. Its identity now needs four separate crashes, and the part three as before; a request without shared parts three. The bound on late repeats holds: the fourth attempt follows the third crash at once. The tests of the quarantine and the fleet's nine crash tests passed; those of test_crash_waves concern calls, which have no parts.

--- a/bronzesill/daemon/quarantine.py
+++ b/bronzesill/daemon/quarantine.py
@@ -153,7 +153,9 @@
     def _suspects(self, forward: ForwardRequest) -> tuple[str, ...]:
         parts = shared_parts(forward)
         identity = self.identity(forward)
-        return (request_suspect(identity), *parts) if identity else parts
+        if not identity:
+            return parts
+        return (request_suspect(identity, parts), *parts)
 
     def _report_crash(self, lost: LostRequest) -> None:
         parts = shared_parts(lost.forward)
--- a/bronzesill/quarantine/evidence.py
+++ b/bronzesill/quarantine/evidence.py
@@ -15,12 +15,14 @@
 from collections.abc import Mapping
 from dataclasses import field
 
-from .identity import is_part
+from .identity import is_part, shares_parts
 
 __all__ = ['Crash', 'Evidence', 'EvidenceTable']
 
 #: Crashes with separate causes that condemn a suspect.
 _MIN_CRASHES = 3
+#: A request that shares parts with others has more company to be lost with.
+_MIN_CRASHES_OF_SHARING = 4
 #: Different requests that must have met crashes before a part that they share
 #: is blamed, and not one of them.
 _MIN_REQUESTS_OF_PART = 2
@@ -82,6 +84,7 @@
         be the cause just as well.
     :param started_at_s: time at which an answer last began.
     :param min_requests: different requests that condemn the suspect.
+    :param min_crashes: separate crashes that condemn the suspect.
     """
 
     crashes: tuple[Crash, ...] = ()
@@ -89,17 +92,18 @@
     companions: frozenset[str] = frozenset()
     started_at_s: float = -math.inf
     min_requests: int = _MIN_REQUESTS_OF_PART
+    min_crashes: int = _MIN_CRASHES
 
     @property
     def is_suspected(self) -> bool:
         """Whether one more crash may condemn the suspect."""
-        return self._count_separate() >= _MIN_CRASHES - 1
+        return self._count_separate() >= self.min_crashes - 1
 
     @property
     def is_conclusive(self) -> bool:
         """Whether the suspect is taken to crash servers."""
         has_requests = len(self.requests) >= self.min_requests
-        return has_requests and self._count_separate() >= _MIN_CRASHES
+        return has_requests and self._count_separate() >= self.min_crashes
 
     @property
     def last_crash_at_s(self) -> float:
@@ -179,7 +183,11 @@
         known = self.by_suspect.get(suspect)
         if known is not None:
             return known
-        return Evidence() if is_part(suspect) else Evidence(min_requests=1)
+        if is_part(suspect):
+            return Evidence()
+        if shares_parts(suspect):
+            return Evidence(min_requests=1, min_crashes=_MIN_CRASHES_OF_SHARING)
+        return Evidence(min_requests=1)
 
     def with_crash(self, suspect: str, crash: Crash) -> EvidenceTable:
         """Return the table with a crash; the oldest suspects are dropped."""
--- a/bronzesill/quarantine/identity.py
+++ b/bronzesill/quarantine/identity.py
@@ -13,6 +13,7 @@
     'request_identity',
     'request_suspect',
     'shared_parts',
+    'shares_parts',
 ]
 
 #: Shortest key with which requests are identified.
@@ -22,6 +23,7 @@
 _LENGTH_BYTES = 8
 _PART = 'part/'
 _REQUEST = 'request/'
+_SHARING_REQUEST = 'sharing-request/'
 
 
 def request_identity(secret: bytes, forward: ForwardRequest) -> str:
@@ -52,9 +54,15 @@
     return digest.hexdigest()
 
 
-def request_suspect(identity: str) -> str:
-    """Return the suspect for all requests of an identity."""
-    return f'{_REQUEST}{identity}'
+def request_suspect(identity: str, parts: tuple[str, ...] = ()) -> str:
+    """
+    Return the suspect for all requests of an identity.
+
+    :param identity: identity of the requests.
+    :param parts: parts of their prompt that other requests may share.
+    """
+    prefix = _SHARING_REQUEST if parts else _REQUEST
+    return f'{prefix}{identity}'
 
 
 def part_suspect(part: str) -> str:
@@ -67,6 +75,11 @@
     return suspect.startswith(_PART)
 
 
+def shares_parts(suspect: str) -> bool:
+    """Return whether a suspect is a request with parts that others share."""
+    return suspect.startswith(_SHARING_REQUEST)
+
+
 def shared_parts(forward: ForwardRequest) -> tuple[str, ...]:
     """Return the suspects among the parts of a request's prompt."""
     parts = forward.caller.shared_prompt_parts
--- a/bronzesill/quarantine/tests/test_judgement.py
+++ b/bronzesill/quarantine/tests/test_judgement.py
@@ -8,6 +8,7 @@
 import unittest
 from random import Random
 
+from ..identity import request_suspect
 from ..judgement import Judge, Verdict, WatchedSuspects
 from ..messages import CrashReport
 
@@ -47,6 +48,19 @@
         judged = judge.judge('request/r', 2 + _SETTLED_S)
         self.assertEqual(judged.verdict, Verdict.NOTHING)
 
+    # Guards against blaming a request that was thrice on a server with one that
+    # crashes servers by a part that they may share.
+    def test_request_with_shared_parts_needs_four_crashes(self) -> None:
+        suspect = request_suspect('r', ('part/p',))
+        judge = Judge()
+        for number in range(3):
+            judge.add_crash(_crash(number, suspect=suspect), number)
+        three = judge.judge(suspect, 2 + _SETTLED_S)
+        self.assertEqual(three.verdict, Verdict.NOTHING)
+        judge.add_crash(_crash(3, suspect=suspect), 3)
+        four = judge.judge(suspect, 3 + _SETTLED_S)
+        self.assertEqual(four.verdict, Verdict.BLOCK)
+
     def test_part_needs_two_requests(self) -> None:
         judge = Judge()
         for number in range(3):
