Move the times of started answers to the evidence of versions

Change: StartedAnswers, RequestCounts and the two functions on histograms stand beside the histograms in moves/evidence.py; no logic changed.

--- a/bronzesill/moves/comparison.py
+++ b/bronzesill/moves/comparison.py
@@ -13,25 +13,22 @@
 from dataclasses import field
 from typing import TypeAlias
 
-from .evidence import Evidence, ServerEvidence
+from .evidence import (
+    Evidence,
+    RequestCounts,
+    ServerEvidence,
+    count_from_bucket,
+    median_bucket,
+)
 
 __all__ = [
     'ComparisonOutcome',
     'ComparisonPolicy',
     'LogLikelihoodSums',
     'SequentialComparison',
-    'StartedAnswers',
 ]
 
 
-#: Answers of each version that a comparison of their times needs.
-_MIN_OLD_STARTS = 3
-_MIN_NEW_STARTS = 3
-#: A first token is late if it takes more than this number of buckets longer
-#: than the median of the old version, 1.76 times as long.
-_LATE_BUCKET_OFFSET = 5
-
-
 class ComparisonOutcome(enum.Enum):
     """Result of the comparison so far."""
 
@@ -109,71 +106,7 @@
     cusum_by_server: dict[str, float] = field(default_factory=dict)
 
 
-@dataclasses.dataclass(frozen=True)
-class StartedAnswers:
-    """
-    Times to the first token since the move began, over all servers.
-
-    They count at once, not only when their requests end, and without a
-    warm-up: a slow version shows little else in a short time.
-
-    :param new: histogram of the new version.
-    :param old: histogram of the old version.
-    """
-
-    new: tuple[int, ...] = ServerEvidence('').first_token
-    old: tuple[int, ...] = ServerEvidence('').first_token
-
-    def updated_with(
-        self, evidence: Evidence, new_version: str, old_version: str
-    ) -> 'StartedAnswers':
-        """Return the times with those of one more step."""
-        return StartedAnswers(
-            _add_first_tokens(self.new, evidence, new_version),
-            _add_first_tokens(self.old, evidence, old_version),
-        )
-
-    @property
-    def speaks_for_new(self) -> bool:
-        """
-        Whether enough answers of the new version began, most of them in time.
-
-        True as well if the old version has too few to compare them with.
-        """
-        if sum(self.old) < _MIN_OLD_STARTS:
-            return True
-        first_late = _median_bucket(self.old) + _LATE_BUCKET_OFFSET + 1
-        counts = _count_from_bucket(self.new, first_late)
-        has_enough = counts.requests >= _MIN_NEW_STARTS
-        return has_enough and 2 * counts.bad <= counts.requests
-
-    def explain(self) -> str:
-        """Return the numbers of answers, for a log."""
-        return f'{sum(self.new)} began, {sum(self.old)} of the old version'
-
-
-def _add_first_tokens(
-    histogram: tuple[int, ...], evidence: Evidence, version: str
-) -> tuple[int, ...]:
-    histograms = [
-        server.first_token for server in evidence.of_version(version).values()
-    ]
-    return tuple(map(sum, zip(histogram, *histograms, strict=True)))
-
-
-@dataclasses.dataclass(frozen=True)
-class _Counts:
-    """Number of requests and of bad events in one step."""
-
-    requests: float = 0
-    bad: float = 0
-
-    def plus(self, other: '_Counts') -> '_Counts':
-        """Return the sum of both counts."""
-        return _Counts(self.requests + other.requests, self.bad + other.bad)
-
-
-_LogRatio: TypeAlias = Callable[[_Counts], float]
+_LogRatio: TypeAlias = Callable[[RequestCounts], float]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -327,7 +260,7 @@
         old: dict[str, ServerEvidence],
         ratio: float,
     ) -> LogLikelihoodSums:
-        old_counts = _Counts()
+        old_counts = RequestCounts()
         for evidence in old.values():
             old_counts = old_counts.plus(self._failure_counts(evidence))
         counts_by_server = {
@@ -346,10 +279,10 @@
         reference: tuple[float, ...],
     ) -> LogLikelihoodSums:
         first_slow_bucket = (
-            _median_bucket(reference) + self.policy.slow_bucket_offset + 1
+            median_bucket(reference) + self.policy.slow_bucket_offset + 1
         )
         counts_by_server = {
-            name: _count_from_bucket(getattr(server, kind), first_slow_bucket)
+            name: count_from_bucket(getattr(server, kind), first_slow_bucket)
             for name, server in new.items()
             if sum(reference) and self._is_warm(name)
         }
@@ -367,11 +300,14 @@
         )
 
     def _updated_sums(
-        self, kind: str, counts_by_server: dict[str, _Counts], ratio: _LogRatio
+        self,
+        kind: str,
+        counts_by_server: dict[str, RequestCounts],
+        ratio: _LogRatio,
     ) -> LogLikelihoodSums:
         previous = self.sums_by_kind.get(kind, LogLikelihoodSums())
         failing = self._failing_servers(previous)
-        pooled = _Counts()
+        pooled = RequestCounts()
         server_cusums = dict(previous.cusum_by_server)
         for name, counts in counts_by_server.items():
             updated = server_cusums.get(name, 0) + ratio(counts)
@@ -394,9 +330,9 @@
             if cusum < self.policy.reject_threshold
         )
 
-    def _failure_counts(self, server: ServerEvidence) -> _Counts:
+    def _failure_counts(self, server: ServerEvidence) -> RequestCounts:
         cap = max(self.policy.min_failure_cap, server.requests // 8)
-        return _Counts(server.requests, min(server.failures, cap))
+        return RequestCounts(server.requests, min(server.failures, cap))
 
     def _is_warm(self, name: str) -> bool:
         requests = self.requests_by_server.get(name, 0)
@@ -418,7 +354,9 @@
         return tuple(map(sum, zip(*histograms, strict=True)))
 
 
-def _failure_log_ratio(new: _Counts, old: _Counts, ratio: float) -> float:
+def _failure_log_ratio(
+    new: RequestCounts, old: RequestCounts, ratio: float
+) -> float:
     """
     Return the log-likelihood ratio of the distribution of failures.
 
@@ -433,17 +371,3 @@
     return new.bad * math.log(ratio / normalizer) - old.bad * math.log(
         normalizer
     )
-
-
-def _count_from_bucket(histogram: tuple[int, ...], first: int) -> _Counts:
-    return _Counts(sum(histogram), sum(histogram[first:]))
-
-
-def _median_bucket(histogram: tuple[float, ...]) -> int:
-    half_count = sum(histogram) / 2
-    cumulative: float = 0
-    for bucket, count in enumerate(histogram):
-        cumulative += count
-        if cumulative >= half_count:
-            return bucket
-    return 0
--- a/bronzesill/moves/evidence.py
+++ b/bronzesill/moves/evidence.py
@@ -5,12 +5,28 @@
 import itertools
 import math
 
-__all__ = ['BUCKET_EDGES_S', 'Evidence', 'ServerEvidence', 'bucket_of_s']
+__all__ = [
+    'BUCKET_EDGES_S',
+    'Evidence',
+    'RequestCounts',
+    'ServerEvidence',
+    'StartedAnswers',
+    'bucket_of_s',
+    'count_from_bucket',
+    'median_bucket',
+]
 
 _BUCKET_COUNT = 84
 _FIRST_EDGE_S = 0.002
 _EDGE_RATIO = 1.12
 
+#: Answers of each version that a comparison of their times needs.
+_MIN_OLD_STARTS = 3
+_MIN_NEW_STARTS = 3
+#: A first token is late if it takes more than this number of buckets longer
+#: than the median of the old version, 1.76 times as long.
+_LATE_BUCKET_OFFSET = 5
+
 #: Upper edges of the latency buckets in seconds, each 1.12 times the one
 #: before; the last bucket has none.
 BUCKET_EDGES_S = tuple(
@@ -105,3 +121,90 @@
         if own.version != added.version:
             return added
         return own.plus(added)
+
+
+@dataclasses.dataclass(frozen=True)
+class RequestCounts:
+    """
+    Number of requests and of bad events among them.
+
+    :param requests: number of requests.
+    :param bad: number of bad events.
+    """
+
+    requests: float = 0
+    bad: float = 0
+
+    def plus(self, other: 'RequestCounts') -> 'RequestCounts':
+        """Return the sum of both counts."""
+        return RequestCounts(
+            self.requests + other.requests, self.bad + other.bad
+        )
+
+
+def count_from_bucket(histogram: tuple[int, ...], first: int) -> RequestCounts:
+    """Return all requests of a histogram, bad those from a bucket on."""
+    return RequestCounts(sum(histogram), sum(histogram[first:]))
+
+
+def median_bucket(histogram: tuple[float, ...]) -> int:
+    """Return the index of the bucket that holds the median."""
+    half_count = sum(histogram) / 2
+    cumulative: float = 0
+    for bucket, count in enumerate(histogram):
+        cumulative += count
+        if cumulative >= half_count:
+            return bucket
+    return 0
+
+
+@dataclasses.dataclass(frozen=True)
+class StartedAnswers:
+    """
+    Times to the first token since the move began, over all servers.
+
+    They count at once, not only when their requests end, and without a
+    warm-up: a slow version shows little else in a short time.
+
+    :param new: histogram of the new version.
+    :param old: histogram of the old version.
+    """
+
+    new: tuple[int, ...] = ServerEvidence('').first_token
+    old: tuple[int, ...] = ServerEvidence('').first_token
+
+    def updated_with(
+        self, evidence: Evidence, new_version: str, old_version: str
+    ) -> 'StartedAnswers':
+        """Return the times with those of one more step."""
+        return StartedAnswers(
+            _add_first_tokens(self.new, evidence, new_version),
+            _add_first_tokens(self.old, evidence, old_version),
+        )
+
+    @property
+    def speaks_for_new(self) -> bool:
+        """
+        Whether enough answers of the new version began, most of them in time.
+
+        True as well if the old version has too few to compare them with.
+        """
+        if sum(self.old) < _MIN_OLD_STARTS:
+            return True
+        first_late = median_bucket(self.old) + _LATE_BUCKET_OFFSET + 1
+        counts = count_from_bucket(self.new, first_late)
+        has_enough = counts.requests >= _MIN_NEW_STARTS
+        return has_enough and 2 * counts.bad <= counts.requests
+
+    def explain(self) -> str:
+        """Return the numbers of answers, for a log."""
+        return f'{sum(self.new)} began, {sum(self.old)} of the old version'
+
+
+def _add_first_tokens(
+    histogram: tuple[int, ...], evidence: Evidence, version: str
+) -> tuple[int, ...]:
+    histograms = [
+        server.first_token for server in evidence.of_version(version).values()
+    ]
+    return tuple(map(sum, zip(histogram, *histograms, strict=True)))
--- a/bronzesill/moves/policy.py
+++ b/bronzesill/moves/policy.py
@@ -9,9 +9,8 @@
     ComparisonOutcome,
     ComparisonPolicy,
     SequentialComparison,
-    StartedAnswers,
 )
-from .evidence import Evidence
+from .evidence import Evidence, StartedAnswers
 from .exposure import Exposure, ExposureLimit
 from .record import MoveRecord, MoveState, has_ended
 
