Hold back streams that may crash engines

Callers saw a sound generation find no engine (503, code 2002) while another one, repeated at three hosts, ended all nine engines of a test before it was blocked. Calls are held after two crashes: one server at a time, the same for all hosts, never the last one available. Streams were only blocked: each host placed them by load, and a loss was followed by the next attempt at once, ahead of the judgement of the crash.

A stream is held now if its request is suspected, or once two connections under it ended before the answer began. It goes to one server chosen by its identity, never to the last one available or to a version under trial, and after a loss it waits 0.3 s, in which a block arrives. Streams that are not held are placed as before.

--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -46,6 +46,9 @@
 
 __all__ = ['HostedRequests', 'RequestContext']
 
+#: Servers lost under a stream from which on it does not risk the last one.
+_MANY_LOSSES = 2
+
 
 @dataclasses.dataclass(frozen=True)
 class RequestContext:
@@ -152,6 +155,7 @@
         generations.refresh_usage = context.usage_exchange.refresh
         generations.observer.on_attempt_observed = self._record_attempt
         generations.blocked_for_s = self._find_block_s
+        generations.find_held_identity = self._find_held_identity
         context.quarantine.on_block = generations.drop_blocked
         generations.pick_version = context.traffic.pick_version
         generations.resume_version = context.traffic.resume_version
@@ -171,6 +175,17 @@
             return 0
         return self._context.quarantine.blocked_s(request.forward)
 
+    def _find_held_identity(
+        self, request: GenerationRequest, losses: int
+    ) -> str:
+        forward = request.forward
+        if forward is None:
+            return ''
+        quarantine = self._context.quarantine
+        if losses < _MANY_LOSSES and not quarantine.is_held(forward):
+            return ''
+        return quarantine.identity(forward) or request.request_id
+
     def _record_attempt(self, observation: AttemptObservation) -> None:
         quarantine = self._context.quarantine
         self._context.traffic.record_attempt(observation)
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -15,6 +15,7 @@
     ServerTracker,
     ServerView,
     choose_copy_holder,
+    choose_held_server,
     choose_server,
 )
 from ..utils import Address, BronzesillError, Metrics, PartLogger, ResultCode
@@ -38,6 +39,8 @@
 __all__ = ['GenerationSettings', 'GenerationsController']
 
 _PREFIX_CHARS = 1024
+#: Time from a crash until a block that follows from it is known.
+_JUDGEMENT_S = 0.3
 
 PickVersion: TypeAlias = Callable[[GenerationRequest, bool], str]
 
@@ -99,6 +102,11 @@
         #: Returns the seconds for which a request is refused because its prompt
         #: crashes servers, 0 if it is not.
         self.blocked_for_s: Callable[[GenerationRequest], float] = _not_blocked
+        #: Returns the identity of a request that may crash servers, empty for
+        #: others, from the request and the losses of its servers.
+        self.find_held_identity: Callable[[GenerationRequest, int], str] = (
+            _not_held
+        )
         #: Brings the engine use of the other daemons up to date.
         self.refresh_usage: Callable[[], Awaitable[None]] = _do_nothing
         #: Returns whether the engine use of the other daemons is known now.
@@ -218,6 +226,7 @@
         self, generation: GenerationTask, action: ChooseServer
     ) -> Placement:
         request = generation.request
+        held_identity = await self._hold(generation, action)
         if self.blocked_for_s(request) and not action.is_resume:
             return Placement(
                 PlacementRefused(_blocked_code(generation)), request
@@ -227,7 +236,7 @@
             # A version that was rolled back must not compute the answer, and
             # a version under trial must not be retried after it lost the
             # request.
-            is_retry = generation.state.attempt > 0
+            is_retry = generation.state.attempt > 0 or bool(held_identity)
             version = self.pick_version(request, is_retry)
             request = dataclasses.replace(request, version=version)
             generation.request = request
@@ -236,9 +245,8 @@
             request = dataclasses.replace(request, version=version)
             generation.request = request
         await self.refresh_usage()
-        is_first = generation.state.attempt == 0
-        prompt_holder = await self.find_prompt(request) if is_first else ''
-        choice = self._choose_servers(request, action, prompt_holder)
+        requirements = await self._find_requirements(generation, action)
+        choice = self._choose_servers(requirements, held_identity)
         if choice is None or not self._may_send(generation):
             return Placement(NoServer(), request)
         chosen = Placement(choice, request)
@@ -255,6 +263,22 @@
             return Placement(chosen.event, _with_new_generation_id(request))
         return await self._join(request, proposed, current)
 
+    async def _hold(
+        self, generation: GenerationTask, action: ChooseServer
+    ) -> str:
+        """
+        Return the identity of a request that is held, empty if it is not.
+
+        After a loss it waits, so that it does not outrun its judgement.
+        """
+        if action.is_resume:
+            return ''
+        losses = generation.unanswered_losses
+        identity = self.find_held_identity(generation.request, losses)
+        if identity and losses:
+            await asyncio.sleep(_JUDGEMENT_S)
+        return identity
+
     def _may_send(self, generation: GenerationTask) -> bool:
         if self.allowance is None:
             return True
@@ -306,13 +330,12 @@
         event: Event = Attached(current.server, current.attempt)
         return Placement(event, adopted)
 
-    def _choose_servers(
-        self,
-        request: GenerationRequest,
-        action: ChooseServer,
-        prompt_holder: str,
-    ) -> ServerChosen | None:
-        requirements = Requirements(
+    async def _find_requirements(
+        self, generation: GenerationTask, action: ChooseServer
+    ) -> Requirements:
+        request = generation.request
+        is_first = generation.state.attempt == 0
+        return Requirements(
             model=request.model,
             version=request.version,
             prefix_key=request.prompt[:_PREFIX_CHARS],
@@ -320,12 +343,20 @@
             home_domain=self._failure_domain,
             is_resume=action.is_resume,
             copy_holder=action.copy_holder,
-            prompt_holder=prompt_holder,
+            prompt_holder=await self.find_prompt(request) if is_first else '',
             is_usage_shared=self.is_usage_shared(),
         )
+
+    def _choose_servers(
+        self, requirements: Requirements, held_identity: str
+    ) -> ServerChosen | None:
         now_s = asyncio.get_running_loop().time()
         views = self._tracker.views(now_s)
-        chosen_server = choose_server(views, requirements, self._random)
+        chosen_server = (
+            choose_held_server(views, requirements, held_identity)
+            if held_identity
+            else choose_server(views, requirements, self._random)
+        )
         if chosen_server is None:
             return None
         copy_to = self._choose_copy(views, requirements, chosen_server)
@@ -370,6 +401,10 @@
     return 0
 
 
+def _not_held(request: GenerationRequest, losses: int) -> str:
+    return ''
+
+
 def _blocked_code(generation: GenerationTask) -> ResultCode:
     if generation.state.attempt:
         return ResultCode.INCOMPLETE_RETRIES
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -101,6 +101,8 @@
         self.state = state
         self.accepted_tokens: list[str] = []
         self.mailbox: asyncio.Queue[TaskMessage] = asyncio.Queue()
+        #: Servers to which the connection ended before the answer began.
+        self.unanswered_losses = 0
         self._choose = choose
         self._observer = observer
         self._unread_timeout_s = unread_timeout_s
@@ -258,6 +260,8 @@
             prompt_parts=self.request.shared_prompt_parts,
             detail=action.detail,
         )
+        if action.cause is LossCause.DISCONNECTED and not self.state.accepted:
+            self.unanswered_losses += 1
         self._attempts.cancel(self.request, action)
 
     def _set_timer(self, at_s: float) -> None:
--- a/bronzesill/generations/tests/test_placement.py
+++ b/bronzesill/generations/tests/test_placement.py
@@ -49,6 +49,7 @@
     request = _REQUEST
     fingerprint = 7
     state = _State()
+    unanswered_losses = 0
 
 
 class PlacementTest(unittest.IsolatedAsyncioTestCase):
--- a/bronzesill/routing/__init__.py
+++ b/bronzesill/routing/__init__.py
@@ -3,6 +3,7 @@
 from .choose import (
     Requirements,
     choose_copy_holder,
+    choose_held_server,
     choose_prompt_holder,
     choose_server,
 )
@@ -45,6 +46,7 @@
     'TrafficSplit',
     'UseReport',
     'choose_copy_holder',
+    'choose_held_server',
     'choose_prompt_holder',
     'choose_recipients',
     'choose_server',
--- a/bronzesill/routing/choose.py
+++ b/bronzesill/routing/choose.py
@@ -12,6 +12,7 @@
 __all__ = [
     'Requirements',
     'choose_copy_holder',
+    'choose_held_server',
     'choose_prompt_holder',
     'choose_server',
 ]
@@ -29,6 +30,8 @@
 _AFFINITY_FILL_RATIO = 1.25
 _AFFINITY_MIN_FILL = 0.25
 _RESUME_FILL_LIMIT = 4.0
+#: The last available servers of a model are not risked.
+_MIN_AVAILABLE = 1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -131,6 +134,35 @@
     )
 
 
+def choose_held_server(
+    views: tuple[ServerView, ...], requirements: Requirements, identity: str
+) -> ServerView | None:
+    """
+    Select the only server for a stream that may crash it.
+
+    All daemons choose the same one, and others for other streams: what was on
+    a server together comes apart.
+
+    :param views: candidate servers known to this daemon.
+    :param requirements: requirements of the stream.
+    :param identity: identity of its request.
+    :returns: the selected server, or ``None`` if no server is eligible or it
+        would be the last one available.
+    """
+    available = [
+        view
+        for view in views
+        if _can_run(view, requirements) and not view.is_suspected
+    ]
+    if len(available) <= _MIN_AVAILABLE:
+        return None
+    views_by_name = {
+        view.name: view for view in _eligible_servers(views, requirements)
+    }
+    ranked = rank_by_rendezvous(identity, tuple(views_by_name))
+    return views_by_name[ranked[0]] if ranked else None
+
+
 def _eligible_servers(
     views: tuple[ServerView, ...], requirements: Requirements
 ) -> tuple[ServerView, ...]:
