Print why a move ended in the test of a good version

The listed failure says that the order was not done, not why. On a failure the test prints the lines of the driver (`move_decided` with its evidence).

--- a/bronzesill/daemon/tests/test_hosted_moves.py
+++ b/bronzesill/daemon/tests/test_hosted_moves.py
@@ -5,6 +5,7 @@
 import unittest
 
 import orjson
+from absl import logging
 
 from ...moves import OrderStatus
 from ...platform.rollouts import ORDER_PREFIX, decode_status, status_key
@@ -16,6 +17,7 @@
 )
 from ...standins.worker import WorkerPlan
 from ...store import Mutation
+from ...utils.logs import JsonFormatter
 from .hosted_caller import HostedCaller
 
 _SERVICE = 'shop'
@@ -115,8 +117,14 @@
     """A good version gets all traffic before the order is reported done."""
 
     async def test_completes_within_window(self) -> None:
-        status = await self.wait_until_final()
-        self.assertTrue(status.is_done)
+        verbosity = logging.get_verbosity()
+        self.addCleanup(logging.set_verbosity, verbosity)
+        logging.set_verbosity(logging.INFO)
+        with self.assertLogs('absl', 'INFO') as logs:
+            status = await self.wait_until_final()
+        lines = map(JsonFormatter().format, logs.records)
+        steps = [line for line in lines if '"moves"' in line]
+        self.assertTrue(status.is_done, '\n'.join(steps))
         before = self.runs(_OLD)
         # The old workers are stopped as soon as the order is reported done.
         for name in _OLD:
