Bound what an entry of a server may contain

An entry below servers/ with a start time of 400 digits as text raised OverflowError in decode_server. The follower of the store ended, the daemon began a stop, and each host would have ended again after its start. A port of 0, slots of 2**63 - 1 and a name or service with a line end in it, which is sent to servers in headers, were accepted.

Integers, ports and names are now read within bounds that are stated once. Such an entry names no server to use, and is logged once for each key.

--- a/bronzesill/daemon/hosted_store_state.py
+++ b/bronzesill/daemon/hosted_store_state.py
@@ -31,6 +31,8 @@
 __all__ = ['HostedStoreState']
 
 _EXPIRY_CHECK_INTERVAL_S = 0.25
+_MAX_UNREADABLE_LOGGED = 256
+_MAX_KEY_CHARS = 200
 
 _log = PartLogger('knowledge')
 
@@ -62,6 +64,8 @@
         #: Called when the store has come back from an older copy.
         self.on_return: Callable[[], None] = _ignore
         self._configuration: _ConfigurationInForce | None = None
+        #: Keys of the unreadable entries that were logged.
+        self._unreadable: frozenset[str] = frozenset()
 
     @property
     def is_complete(self) -> bool:
@@ -217,7 +221,9 @@
         if entry.is_removed:
             self.listing = self.listing.without_entry(name, _now_s())
             return
-        listed = decode_server(entry.payload)
+        listed = decode_server(entry.payload, name)
+        if listed is None:
+            self._log_unreadable(entry)
         previous = self.listing.listed_by_name.get(name)
         is_confirmed = name in self.listing.missing
         if listed == previous and not is_confirmed:
@@ -231,6 +237,20 @@
         if _is_new_start(previous, renewed) and not is_confirmed:
             self._tracker.forget(name)
 
+    def _log_unreadable(self, entry: StoredEntry) -> None:
+        """Log once for each key; its writer may write it again and again."""
+        is_logged = entry.key in self._unreadable
+        if is_logged or len(self._unreadable) >= _MAX_UNREADABLE_LOGGED:
+            return
+        self._unreadable |= {entry.key}
+        _log.event(
+            'entry_unreadable',
+            key=entry.key[:_MAX_KEY_CHARS],
+            revision=str(entry.revision),
+            size=len(entry.payload),
+            beginning=repr(entry.payload[:_MAX_KEY_CHARS]),
+        )
+
     def _release_entry(self, name: str) -> None:
         """Take the entry of a server as it is, as it outlived its lease."""
         self.listing = self.listing.without_hold(name)
--- a/bronzesill/platform/tests/test_decoding.py
+++ b/bronzesill/platform/tests/test_decoding.py
@@ -10,6 +10,8 @@
 from ..servers import decode_server
 from ..settings import decode_settings
 
+_DIGITS = '9' * 400
+
 _CONFIGURATION: dict[str, Any] = {
     'version': 7,
     'routes': [
@@ -138,6 +140,18 @@
             {'slots': True},
             {'slots': '6'},
             {'zone': ''},
+            {'born': _DIGITS},
+            {'born': -1},
+            {'born': 1.5},
+            {'sequence': '4'},
+            {'sequence': True},
+            {'slots': 2**63 - 1},
+            {'slots': 0},
+            {'address': '10.0.0.9:0'},
+            {'address': '10.0.0.9:65536'},
+            {'address': f'10.0.0.9:{_DIGITS}'},
+            {'address': '10.0.0.9:٨٠'},
+            {'service': 'shop\r\nX-Tenant: other'},
         ):
             with self.subTest(change):
                 payload = orjson.dumps({**_ENTRY, **change})
@@ -146,6 +160,12 @@
             with self.subTest(payload):
                 self.assertIsNone(decode_server(payload))
 
+    def test_name_that_cannot_be_sent_is_ignored(self) -> None:
+        payload = orjson.dumps(_ENTRY)
+        for name in ('', 'a b', 'a\r\nX-Tenant: other', '名', 'a' * 300):
+            with self.subTest(name):
+                self.assertIsNone(decode_server(payload, name))
+
 
 class SettingsTest(unittest.TestCase):
     """Settings file of a host."""
--- a/bronzesill/utils/__init__.py
+++ b/bronzesill/utils/__init__.py
@@ -2,7 +2,13 @@
 
 from .addresses import Address
 from .converter import (
+    MAX_INTEGER,
     DocumentInvalid,
+    parse_integer,
+    read_flag,
+    read_integer,
+    read_name,
+    read_number,
     structure,
     structure_fields,
     structure_json,
@@ -21,6 +27,7 @@
 from .serving import TARGET_KEY, HttpServer, ServingLimits
 
 __all__ = [
+    'MAX_INTEGER',
     'TARGET_KEY',
     'Address',
     'BronzesillError',
@@ -36,7 +43,12 @@
     'configure_logging',
     'filter_server_logs',
     'hash_secret',
+    'parse_integer',
     'rank_by_rendezvous',
+    'read_flag',
+    'read_integer',
+    'read_name',
+    'read_number',
     'stable_hash',
     'structure',
     'structure_fields',
--- a/bronzesill/utils/addresses.py
+++ b/bronzesill/utils/addresses.py
@@ -9,6 +9,7 @@
 __all__ = ['Address']
 
 _MAX_PORT = 65535
+_MAX_PORT_DIGITS = 5
 _CACHE_SIZE = 4096
 
 
@@ -46,7 +47,13 @@
 def _parse(text: str) -> Address:
     """Parse ``ip:port``; cached because few distinct texts recur often."""
     ip, separator, port = text.rpartition(':')
-    if not separator or not port.isdecimal() or int(port) > _MAX_PORT:
+    if not separator or not _is_port(port):
         raise ValueError(f'expected ip:port, got {text!r}')
     ipaddress.ip_address(ip)
     return Address(ip, int(port))
+
+
+def _is_port(text: str) -> bool:
+    if not text.isascii() or not text.isdecimal():
+        return False
+    return len(text) <= _MAX_PORT_DIGITS and int(text) <= _MAX_PORT
--- a/bronzesill/utils/converter.py
+++ b/bronzesill/utils/converter.py
@@ -1,8 +1,14 @@
-"""Conversion of data classes to and from settings, wire messages and JSON."""
+"""
+Conversion of data classes to and from settings, wire messages and JSON.
+
+The functions that read one value bound what others may write: the store,
+servers, callers and peers.
+"""
 
 from __future__ import annotations
 
 import enum
+import re
 from typing import Any, TypeVar
 
 import cattrs
@@ -13,7 +19,14 @@
 from .errors import BronzesillError, ResultCode
 
 __all__ = [
+    'MAX_INTEGER',
+    'MAX_NUMBER',
     'DocumentInvalid',
+    'parse_integer',
+    'read_flag',
+    'read_integer',
+    'read_name',
+    'read_number',
     'structure',
     'structure_fields',
     'structure_json',
@@ -23,6 +36,15 @@
 
 T = TypeVar('T')
 
+#: Largest integer that all JSON decoders read exactly.
+MAX_INTEGER = 2**53 - 1
+#: Largest number with a fraction; as seconds, some thirty million years.
+MAX_NUMBER = 1e15
+
+#: Names are sent in headers, so they must not contain spaces or line ends.
+_NAME_PATTERN = re.compile(r'[\x21-\x7e]{1,256}')
+_DIGITS_PATTERN = re.compile(rb'[0-9]{1,16}')
+
 
 class DocumentInvalid(ValueError):
     """
@@ -146,3 +168,77 @@
 def unstructure_fields(instance: object) -> Any:
     """Convert a data class instance to a sequence of values, recursively."""
     return _TUPLE_CONVERTER.unstructure(instance)
+
+
+def read_integer(
+    raw: object, *, lowest: int = 0, highest: int = MAX_INTEGER
+) -> int:
+    """
+    Return a decoded value that is an integer within bounds.
+
+    :param raw: decoded value.
+    :param lowest: lowest accepted value.
+    :param highest: highest accepted value.
+    :raises ValueError: the value is of another type or out of bounds.
+    """
+    if isinstance(raw, bool) or not isinstance(raw, int):
+        raise ValueError(f'expected an integer, got {type(raw).__name__}')
+    if not lowest <= raw <= highest:
+        raise ValueError(f'expected an integer from {lowest} to {highest}')
+    return raw
+
+
+def read_number(
+    raw: object, *, lowest: float = 0, highest: float = MAX_NUMBER
+) -> float:
+    """
+    Return a decoded value that is a finite number within bounds.
+
+    :param raw: decoded value.
+    :param lowest: lowest accepted value.
+    :param highest: highest accepted value.
+    :raises ValueError: the value is of another type or out of bounds.
+    """
+    if isinstance(raw, bool) or not isinstance(raw, int | float):
+        raise ValueError(f'expected a number, got {type(raw).__name__}')
+    # The comparison is false for a number that is not one.
+    if not lowest <= raw <= highest:
+        raise ValueError(f'expected a number from {lowest} to {highest}')
+    return float(raw)
+
+
+def read_flag(raw: object) -> bool:
+    """
+    Return a decoded value that is true or false.
+
+    :raises ValueError: the value is of another type.
+    """
+    if not isinstance(raw, bool):
+        raise ValueError(f'expected true or false, got {type(raw).__name__}')
+    return raw
+
+
+def read_name(raw: object) -> str:
+    """
+    Return a decoded value that is the name of a server, service or account.
+
+    :raises ValueError: the value is of another type, empty, longer than 256
+        characters, or contains others than visible ASCII characters.
+    """
+    if not isinstance(raw, str) or not _NAME_PATTERN.fullmatch(raw):
+        raise ValueError('expected 1 to 256 visible ASCII characters')
+    return raw
+
+
+def parse_integer(text: bytes, *, highest: int = MAX_INTEGER) -> int | None:
+    """
+    Return the integer that a header contains.
+
+    :param text: value of the header.
+    :param highest: highest accepted value.
+    :returns: the integer, none if the text is malformed or out of bounds.
+    """
+    if _DIGITS_PATTERN.fullmatch(text) is None:
+        return None
+    number = int(text)
+    return number if number <= highest else None
