Bound what a configuration may contain

A version of 400 digits as text was accepted as an integer and then raised OverflowError where hosts send it to each other; each host stopped by itself. A route without a service raised StopIteration. Negative and endless times, no attempts, weights of 0, names and paths with line ends in them, and texts that count as true were accepted.

Each field is now read within bounds; a document with a value outside of them is invalid, and the last good one stays in force.

Before: test_odd_configuration_keeps_the_last_one failed, all three daemons stopped ("unhandled errors in a TaskGroup", "OverflowError('Integer value out of range')"); test_values_out_of_bounds_are_rejected failed for 17 of 19 documents and ended with an error for one. Now both pass.

--- a/bronzesill/daemon/tests/test_odd_entries.py
+++ b/bronzesill/daemon/tests/test_odd_entries.py
@@ -10,6 +10,7 @@
 
 import orjson
 
+from ...platform.documents import CONFIGURATION_KEY
 from ...platform.servers import SERVER_PREFIX
 from ...platform.store import PlatformStore
 from ...standins.hosted_fleet import HostedFleet, HostedPlan
@@ -92,3 +93,24 @@
         self.fleet.add_daemon((self.fleet.daemons[0].settings.peers,))
         await asyncio.sleep(_SPREAD_S)
         await self.assert_served()
+
+    # Guards against hosts that take an odd configuration, or end because of
+    # it, instead of keeping the last good one.
+    async def test_odd_configuration_keeps_the_last_one(self) -> None:
+        known = await self.store.get(CONFIGURATION_KEY)
+        assert known is not None
+        document = orjson.loads(known.payload)
+        first = document['routes'][0]
+        for change in (
+            {'version': _DIGITS},
+            {'version': 99, 'routes': [{**first, 'timeoutMs': _DIGITS}]},
+            {'version': 99, 'routes': [{**first, 'timeoutMs': -1}]},
+            {'version': 99, 'limits': {'maxBodyBytes': -1}},
+        ):
+            odd = orjson.dumps({**document, **change})
+            await self.write(CONFIGURATION_KEY, odd)
+            await asyncio.sleep(_SPREAD_S / 2)
+            await self.assert_served()
+        await self.write(CONFIGURATION_KEY, b'{"version":%b}' % _NESTED)
+        await asyncio.sleep(_SPREAD_S)
+        await self.assert_served()
--- a/bronzesill/platform/documents.py
+++ b/bronzesill/platform/documents.py
@@ -17,7 +17,14 @@
     Service,
     VersionedDocument,
 )
-from ..utils import DocumentInvalid, hash_secret
+from ..utils import (
+    DocumentInvalid,
+    hash_secret,
+    read_flag,
+    read_integer,
+    read_name,
+    read_number,
+)
 
 __all__ = ['CONFIGURATION_KEY', 'decode_document']
 
@@ -30,7 +37,21 @@
 _IDEMPOTENT = 'idempotent'
 
 #: Exceptions raised when a document does not have the expected structure.
-_DECODE_ERRORS = (ValueError, TypeError, LookupError, AttributeError)
+_DECODE_ERRORS = (
+    ValueError,
+    TypeError,
+    LookupError,
+    AttributeError,
+    RecursionError,
+)
+
+_MAX_PRIORITY = 9
+#: Longest time in a document: a day.
+_MAX_MS = 86_400_000
+#: Largest number of bytes, slots, tokens or attempts.
+_MAX_COUNT = 2**40
+_MAX_KEY_CHARS = 1024
+_MAX_TEXT_CHARS = 8192
 
 
 def decode_document(payload: bytes) -> VersionedDocument:
@@ -52,91 +73,118 @@
             limits=_decode_limits(raw.get('limits', {})),
             has_accounts='tenants' in raw,
         )
-        return VersionedDocument(int(raw.get('version', 0)), document)
+        return VersionedDocument(read_integer(raw.get('version', 0)), document)
     except _DECODE_ERRORS as error:
-        fault = f'invalid configuration: {error!r}'
+        fault = f'invalid configuration: {type(error).__name__}: {error}'
         raise DocumentInvalid((fault,)) from error
 
 
 def _decode_accounts(raw: list[Mapping[str, Any]]) -> dict[str, ClientAccount]:
     accounts: dict[str, ClientAccount] = {}
     for tenant in raw:
-        digests = [hash_secret(key) for key in tenant.get('apiKeys', ())]
+        digests = _hash_keys(tenant.get('apiKeys', []))
         first, *more = digests or ['']
-        accounts[tenant['name']] = ClientAccount(
+        priority = tenant.get('priority')
+        accounts[read_name(tenant['name'])] = ClientAccount(
             key_sha256=first,
             more_keys_sha256=tuple(more),
-            priority=tenant.get('priority'),
+            priority=None if priority is None else _read_priority(priority),
         )
     return accounts
 
 
+def _hash_keys(keys: object) -> list[str]:
+    if not isinstance(keys, list):
+        raise ValueError('expected a list of keys')
+    return [_hash_key(key) for key in keys]
+
+
+def _hash_key(key: object) -> str:
+    if not isinstance(key, str) or not 0 < len(key) <= _MAX_KEY_CHARS:
+        raise ValueError(f'expected a key of 1 to {_MAX_KEY_CHARS} characters')
+    return hash_secret(key)
+
+
 def _decode_services(raw: list[Mapping[str, Any]]) -> dict[str, Service]:
     return {
-        service['name']: Service(
-            max_connections=int(service.get('maxConnections', 100)),
+        read_name(service['name']): Service(
+            max_connections=_read_count(service, 'maxConnections', 100),
             engine=_decode_engine(service.get('inferenceEngine')),
-            health_path=service.get('healthPath', ''),
+            health_path=_decode_health_path(service.get('healthPath')),
         )
         for service in raw
     }
 
 
+def _decode_health_path(raw: object) -> str:
+    # The path is sent in the first line of a request.
+    return read_name(raw) if raw else ''
+
+
 def _decode_engine(raw: Mapping[str, Any] | None) -> EngineCapabilities | None:
     if raw is None:
         return None
     return EngineCapabilities(
-        slots=int(raw.get('slots', 1)),
-        memory_tokens=int(raw.get('kvCapacity', 0)),
-        keeps_copies=bool(raw.get('backups', False)),
-        copy_ttl_s=float(raw.get('handleTtlS', 0)),
+        slots=_read_count(raw, 'slots', 1, lowest=1),
+        memory_tokens=_read_count(raw, 'kvCapacity', 0),
+        keeps_copies=read_flag(raw.get('backups', False)),
+        copy_ttl_s=read_number(raw.get('handleTtlS', 0), highest=_MAX_MS),
     )
 
 
 def _decode_routes(raw: list[Mapping[str, Any]]) -> dict[str, Route]:
-    return {route['name']: _decode_route(route) for route in raw}
+    return {_read_text(route['name']): _decode_route(route) for route in raw}
 
 
 def _decode_route(raw: Mapping[str, Any]) -> Route:
     is_stream = raw['routeType'] == _STREAMING
-    weights = {
-        backend['service']: float(backend['weight'])
-        for backend in raw.get('backends', ())
-    }
+    weights = _decode_weights(raw.get('backends', ()))
     # A stream may only be retried if it can be resumed at the event after
     # which it was interrupted.
     may_retry = (
-        bool(raw.get('resumable', False))
+        read_flag(raw.get('resumable', False))
         if is_stream
         else raw['routeType'] == _IDEMPOTENT
     )
     return Route(
-        path=raw['prefix'],
-        service=raw.get('service') or next(iter(weights)),
+        path=_read_text(raw['prefix']),
+        service=read_name(raw.get('service') or next(iter(weights), None)),
         idempotent=may_retry,
         deadline_s=_read_seconds(raw, 'timeoutMs', _DEFAULT_DEADLINE_MS),
-        host=raw['host'],
+        host=_read_text(raw['host']),
         is_stream=is_stream,
-        is_public=bool(raw.get('public', False)),
-        max_attempts=int(raw.get('maxAttempts', 1)),
+        is_public=read_flag(raw.get('public', False)),
+        max_attempts=_read_count(raw, 'maxAttempts', 1, lowest=1),
         # `itlTargetMs` is the longest pause between two events that counts
         # as on time, not a mean.
         max_pause_s=_read_seconds(raw, 'itlTargetMs', 0),
         target_latency_s=_read_seconds(raw, 'targetLatencyMs', 0),
-        priority=int(raw.get('priority', 1)),
+        priority=_read_priority(raw.get('priority', 1)),
         weight_by_service=weights,
     )
 
 
+def _decode_weights(raw: list[Mapping[str, Any]]) -> dict[str, float]:
+    weights = {
+        read_name(backend['service']): read_number(backend['weight'])
+        for backend in raw
+    }
+    if weights and not any(weights.values()):
+        raise ValueError('all weights are 0')
+    return weights
+
+
 def _decode_limits(raw: Mapping[str, Any]) -> Limits:
     defaults = Limits()
     head_s = _read_seconds(raw, 'headerTimeoutMs', 0) or defaults.head_timeout_s
     idle_s = _read_seconds(raw, 'idleTimeoutMs', 0) or defaults.idle_timeout_s
     return dataclasses.replace(
         defaults,
-        max_body_bytes=int(raw.get('maxBodyBytes', defaults.max_body_bytes)),
-        max_header_bytes=int(
-            raw.get('maxHeaderBytes', defaults.max_header_bytes)
+        max_body_bytes=_read_count(
+            raw, 'maxBodyBytes', defaults.max_body_bytes
+        ),
+        max_header_bytes=_read_count(
+            raw, 'maxHeaderBytes', defaults.max_header_bytes
         ),
         head_timeout_s=head_s,
         idle_timeout_s=idle_s,
@@ -146,4 +194,22 @@
 def _read_seconds(
     raw: Mapping[str, Any], field: str, default_ms: float
 ) -> float:
-    return float(raw.get(field) or default_ms) / _MS_PER_S
+    milliseconds = read_number(raw.get(field) or default_ms, highest=_MAX_MS)
+    return milliseconds / _MS_PER_S
+
+
+def _read_count(
+    raw: Mapping[str, Any], field: str, default: int, lowest: int = 0
+) -> int:
+    count = raw.get(field, default)
+    return int(read_number(count, lowest=lowest, highest=_MAX_COUNT))
+
+
+def _read_priority(raw: object) -> int:
+    return read_integer(raw, highest=_MAX_PRIORITY)
+
+
+def _read_text(raw: object) -> str:
+    if not isinstance(raw, str) or not 0 < len(raw) <= _MAX_TEXT_CHARS:
+        raise ValueError(f'expected 1 to {_MAX_TEXT_CHARS} characters')
+    return raw
--- a/bronzesill/platform/tests/test_decoding.py
+++ b/bronzesill/platform/tests/test_decoding.py
@@ -121,6 +121,38 @@
             with self.subTest(payload), self.assertRaises(DocumentInvalid):
                 decode_document(payload)
 
+    # Guards against hosts that end, or take up a document, because of a value
+    # that no decoder of a field expects.
+    def test_values_out_of_bounds_are_rejected(self) -> None:
+        guides, orders = _CONFIGURATION['routes']
+        for change in (
+            {'version': _DIGITS},
+            {'version': True},
+            {'version': -1},
+            {'routes': [{**guides, 'timeoutMs': _DIGITS}]},
+            {'routes': [{**guides, 'timeoutMs': -1}]},
+            {'routes': [{**guides, 'timeoutMs': 1e300}]},
+            {'routes': [{**guides, 'maxAttempts': 0}]},
+            {'routes': [{**guides, 'service': None}]},
+            {'routes': [{**guides, 'service': 'a b'}]},
+            {'routes': [{**guides, 'prefix': ['/g/']}]},
+            {'routes': [{**orders, 'public': 'no'}]},
+            {'routes': [{**orders, 'backends': [{'service': 's'}]}]},
+            {'routes': [{**orders, 'backends': [_weight(0), _weight(0)]}]},
+            {'routes': [{**orders, 'backends': [_weight(-1)]}]},
+            {'services': [{'name': 's', 'healthPath': '/h\r\nX: 1'}]},
+            {'services': [{'name': 's', 'inferenceEngine': {'slots': 0}}]},
+            {'limits': {'maxBodyBytes': -1}},
+            {'tenants': [{'name': 'a\r\nX-Tenant: b', 'apiKeys': ['k']}]},
+            {'tenants': [{'name': 'a', 'apiKeys': 'k1'}]},
+        ):
+            with self.subTest(change), self.assertRaises(DocumentInvalid):
+                decode_document(orjson.dumps({**_CONFIGURATION, **change}))
+
+
+def _weight(weight: int) -> dict[str, Any]:
+    return {'service': 's', 'weight': weight}
+
 
 class ServerTest(unittest.TestCase):
     """Entries with which backend servers register themselves."""
