Bound what records of orders, hosts and suspects may contain

A record of 1,000 brackets made the decoder of data classes raise RecursionError, as its message showed the whole value. The task that read it ended, and with it the host: one such entry below bronzesill/hosts/ or the quarantine stopped all hosts. Orders with endless or negative times and moves with a share above 1 were accepted.

The decoder shows a shortened value, takes finite numbers of 64 bits only, and reports values that are nested too deeply as its own error. Orders and records of moves are read within bounds.

Before: test_odd_records_are_left_out failed, all three daemons stopped ("RecursionError('maximum recursion depth exceeded while getting the repr of an object')"). Now it passes.

--- a/bronzesill/daemon/tests/test_odd_entries.py
+++ b/bronzesill/daemon/tests/test_odd_entries.py
@@ -11,8 +11,10 @@
 import orjson
 
 from ...platform.documents import CONFIGURATION_KEY
-from ...platform.servers import SERVER_PREFIX
+from ...platform.rollouts import ORDER_PREFIX
+from ...platform.servers import HOST_PREFIX, SERVER_PREFIX
 from ...platform.store import PlatformStore
+from ...quarantine import QUARANTINE_PREFIX
 from ...standins.hosted_fleet import HostedFleet, HostedPlan
 from ...store import Mutation
 from .hosted_caller import HostedCaller
@@ -94,6 +96,24 @@
         await asyncio.sleep(_SPREAD_S)
         await self.assert_served()
 
+    # Guards against hosts that end because of an odd record of an operator or
+    # of another host.
+    async def test_odd_records_are_left_out(self) -> None:
+        for payload in (
+            b'{"suspect":%b,"sequence":1}' % _NESTED,
+            b'{"service":%b,"target":"v2","durationS":1}' % _NESTED,
+            b'{"service":"shop","target":"v2","durationS":"1e400"}',
+            b'{"service":"shop","target":"v2","durationS":-1}',
+            b'\xff',
+        ):
+            await self.write(f'{ORDER_PREFIX}shop', payload)
+            await self.write(f'{QUARANTINE_PREFIX}part/x', payload)
+            await self.write(f'{HOST_PREFIX}odd', payload)
+            await self.write('/bronzesill/moves/odd', payload)
+            await asyncio.sleep(_SPREAD_S / 2)
+        await asyncio.sleep(_SPREAD_S)
+        await self.assert_served()
+
     # Guards against hosts that take an odd configuration, or end because of
     # it, instead of keeping the last good one.
     async def test_odd_configuration_keeps_the_last_one(self) -> None:
--- a/bronzesill/moves/record.py
+++ b/bronzesill/moves/record.py
@@ -6,6 +6,7 @@
 import orjson
 
 from ..membership import Fact, FactKind
+from ..utils import read_number
 
 __all__ = [
     'MoveRecord',
@@ -128,22 +129,28 @@
         fields = orjson.loads(fact.text)
         return MoveRecord(
             move_id=fact.key,
-            subject=str(fields[0]),
-            old_version=str(fields[1]),
-            new_version=str(fields[2]),
-            created_at_s=float(fields[3]),
-            deadline_at_s=float(fields[4]),
+            subject=_read_text(fields[0]),
+            old_version=_read_text(fields[1]),
+            new_version=_read_text(fields[2]),
+            created_at_s=read_number(fields[3]),
+            deadline_at_s=read_number(fields[4]),
             operator='',
             reason='',
             state=MoveState(fields[5]),
-            share=float(fields[6]),
+            share=read_number(fields[6], highest=1),
             sequence=fact.rank,
-            changed_at_s=float(fields[7]),
+            changed_at_s=read_number(fields[7]),
         )
-    except (ValueError, IndexError, TypeError):
+    except (ValueError, LookupError, TypeError):
         return None
 
 
+def _read_text(raw: object) -> str:
+    if not isinstance(raw, str):
+        raise ValueError(f'expected text, got {type(raw).__name__}')
+    return raw
+
+
 def rollback_fact(move_id: str, reason: str) -> Fact:
     """
     Return the fact that rolls a move back on all daemons.
--- a/bronzesill/platform/rollouts.py
+++ b/bronzesill/platform/rollouts.py
@@ -6,6 +6,7 @@
 
 from ..moves import MoveOrder, OrderStatus
 from ..store import Mutation, StoredEntry
+from ..utils import read_name, read_number
 
 __all__ = [
     'ORDER_PREFIX',
@@ -20,6 +21,8 @@
 
 _STATUS_PREFIX = 'status/rollout/'
 
+_MAX_WINDOW_S = 86_400.0
+
 _IN_PROGRESS = 'in_progress'
 _COMPLETED = 'completed'
 _REVERTED = 'reverted'
@@ -41,14 +44,14 @@
     try:
         raw = orjson.loads(entry.payload)
         return MoveOrder(
-            subject=str(raw['service']),
+            subject=read_name(raw['service']),
             # `target` is the version to move to.
-            new_version=str(raw['target']),
-            window_s=float(raw['durationS']),
+            new_version=read_name(raw['target']),
+            window_s=read_number(raw['durationS'], highest=_MAX_WINDOW_S),
             revision=entry.revision,
             may_be_repeated=may_be_repeated,
         )
-    except (ValueError, TypeError, KeyError):
+    except (ValueError, TypeError, LookupError):
         return None
 
 
@@ -57,12 +60,12 @@
     try:
         raw = orjson.loads(payload)
         return OrderStatus(
-            subject=str(raw['service']),
-            new_version=str(raw['target']),
+            subject=read_name(raw['service']),
+            new_version=read_name(raw['target']),
             is_done=raw['state'] == _COMPLETED,
             is_taken_back=raw['state'] == _REVERTED,
         )
-    except (ValueError, TypeError, KeyError):
+    except (ValueError, TypeError, LookupError):
         return None
 
 
--- a/bronzesill/utils/converter.py
+++ b/bronzesill/utils/converter.py
@@ -8,7 +8,9 @@
 from __future__ import annotations
 
 import enum
+import math
 import re
+import reprlib
 from typing import Any, TypeVar
 
 import cattrs
@@ -36,11 +38,22 @@
 
 T = TypeVar('T')
 
+#: Exceptions raised when a value does not match its data class.
+_STRUCTURE_ERRORS = (
+    cattrs.BaseValidationError,
+    TypeError,
+    ValueError,
+    RecursionError,
+)
+
 #: Largest integer that all JSON decoders read exactly.
 MAX_INTEGER = 2**53 - 1
 #: Largest number with a fraction; as seconds, some thirty million years.
 MAX_NUMBER = 1e15
 
+#: Largest integer that a message can contain.
+_MAX_WIRE_INTEGER = 2**64 - 1
+
 #: Names are sent in headers, so they must not contain spaces or line ends.
 _NAME_PATTERN = re.compile(r'[\x21-\x7e]{1,256}')
 _DIGITS_PATTERN = re.compile(rb'[0-9]{1,16}')
@@ -83,7 +96,7 @@
 
 def _require_text(raw: object) -> str:
     if not isinstance(raw, str):
-        raise TypeError(f'expected text, got {raw!r}')
+        raise TypeError(f'expected text, got {reprlib.repr(raw)}')
     return raw
 
 
@@ -91,10 +104,20 @@
     accepted = (int, float) if primitive is float else (primitive,)
     is_unexpected_bool = isinstance(raw, bool) and primitive is not bool
     if is_unexpected_bool or not isinstance(raw, accepted):
-        raise TypeError(f'expected {primitive.__name__}, got {raw!r}')
+        # A value may be nested too deeply, or be too large, for its full text.
+        shown = reprlib.repr(raw)
+        raise TypeError(f'expected {primitive.__name__}, got {shown}')
+    if isinstance(raw, int | float) and not _is_in_range(raw):
+        raise ValueError(f'expected a finite {primitive.__name__} of 64 bits')
     return primitive(raw)
 
 
+def _is_in_range(number: float) -> bool:
+    if isinstance(number, int):
+        return abs(number) <= _MAX_WIRE_INTEGER
+    return math.isfinite(number)
+
+
 _MAP_CONVERTER = _make_map_converter()
 _TUPLE_CONVERTER = _make_tuple_converter()
 
@@ -119,7 +142,7 @@
     """
     try:
         return _MAP_CONVERTER.structure(document, data_class)
-    except (cattrs.BaseValidationError, TypeError, ValueError) as error:
+    except _STRUCTURE_ERRORS as error:
         faults = cattrs.transform_error(error, format_exception=_describe_fault)
         raise DocumentInvalid(tuple(sorted(faults))) from error
 
@@ -161,7 +184,7 @@
     """
     try:
         return _TUPLE_CONVERTER.structure(fields, data_class)
-    except (cattrs.BaseValidationError, TypeError, ValueError) as error:
+    except _STRUCTURE_ERRORS as error:
         raise DocumentInvalid((f'{data_class.__name__}: {error}',)) from error
 
 
