Let background tasks outlive an unexpected error

Any exception of one of the eleven background tasks began a stop of the daemon. A fault in the handling of one entry, which all hosts read, therefore ended all hosts, and again after each start.

A task that fails is logged with the end of its traceback (task_failed, at most 60 a second) and started again after 0.1 to 2 s; one that returns still ends the daemon. Entries of the store are handled one by one: one that makes its handler fail is logged (entry_failed) and left out, the others are applied.

--- a/bronzesill/daemon/core.py
+++ b/bronzesill/daemon/core.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
-from typing import Any
+import functools
 
 import aiohttp
 
@@ -42,7 +41,7 @@
 from .capacity import admission_limits
 from .components import RequestComponents, SharedComponents
 from .config_controller import RevisionAnnouncement
-from .task_runner import run_tasks
+from .task_runner import BackgroundTask, run_tasks
 
 __all__ = ['Daemon']
 
@@ -164,23 +163,27 @@
         self._stop_now.set()
         self.begin_stop()
 
-    def _tasks(self) -> list[Coroutine[Any, Any, None]]:
+    def _tasks(self) -> list[BackgroundTask]:
         return [
-            self._shared.membership.run(),
-            self._shared.config_controller.run(),
-            self._shared.config_controller.follow_store(
-                self._shared.roles.should_watch
+            self._shared.membership.run,
+            self._shared.config_controller.run,
+            functools.partial(
+                self._shared.config_controller.follow_store,
+                self._shared.roles.should_watch,
             ),
-            self._shared.fleet.follow_host_list(),
-            self._shared.fleet.fetch_missed_revisions(),
-            self._requests.admission.run(),
-            self._requests.servers.run(),
-            self._shared.moves.run(self._shared.roles.should_watch),
-            self._shared.orders.run(),
-            self._shared.quotas.run(
-                lambda: self._requests.admission.state.running_by_account
+            self._shared.fleet.follow_host_list,
+            self._shared.fleet.fetch_missed_revisions,
+            self._requests.admission.run,
+            self._requests.servers.run,
+            functools.partial(
+                self._shared.moves.run, self._shared.roles.should_watch
             ),
-            self._run_housekeeping(),
+            self._shared.orders.run,
+            functools.partial(
+                self._shared.quotas.run,
+                lambda: self._requests.admission.state.running_by_account,
+            ),
+            self._run_housekeeping,
         ]
 
     async def _run_housekeeping(self) -> None:
--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -4,9 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Coroutine
 from random import Random
-from typing import Any
 
 from ..config import HostedSettings
 from ..gateway import GatewayState
@@ -36,7 +34,7 @@
 from .peer_replication import PeerReplication
 from .quarantine import Quarantine
 from .restart_detector import RestartDetector
-from .task_runner import run_tasks
+from .task_runner import BackgroundTask, run_tasks
 from .usage_exchange import UsageExchange
 
 __all__ = ['HostedDaemon']
@@ -247,21 +245,19 @@
         self._fleet.publish_stop()
         self._stop_requested.set()
 
-    def _tasks(self) -> list[Coroutine[Any, Any, None]]:
+    def _tasks(self) -> list[BackgroundTask]:
         return [
-            self._follow_store(
-                ALL_KEYS, FollowPolicy(_WATCH_TIMEOUT_S, _WATCH_INTERVAL_S)
-            ),
-            self._store_state.drop_expired_servers(),
-            self._peers.membership.run(),
-            self._usage_exchange.run(),
-            self._peer_replication.run(),
-            self._fleet.maintain_registration(),
-            self._fleet.discover_peers(),
-            self._fleet.rejoin_lost_peers(),
-            self._moves.run(),
-            self._restart_detector.run(),
-            self._quarantine.run(),
+            self._make_follower().run,
+            self._store_state.drop_expired_servers,
+            self._peers.membership.run,
+            self._usage_exchange.run,
+            self._peer_replication.run,
+            self._fleet.maintain_registration,
+            self._fleet.discover_peers,
+            self._fleet.rejoin_lost_peers,
+            self._moves.run,
+            self._restart_detector.run,
+            self._quarantine.run,
         ]
 
     def _http_servers(self) -> tuple[HttpServer, ...]:
@@ -272,20 +268,17 @@
             self._metrics_server,
         )
 
-    def _follow_store(
-        self, prefix: str, policy: FollowPolicy
-    ) -> Coroutine[Any, Any, None]:
-        follower = StoreFollower(
+    def _make_follower(self) -> StoreFollower:
+        return StoreFollower(
             self._store,
-            prefix,
-            policy,
+            ALL_KEYS,
+            FollowPolicy(_WATCH_TIMEOUT_S, _WATCH_INTERVAL_S),
             self._store_state.apply_snapshot,
             self._store_state.apply_entries,
             self._store_state.set_store_reachable,
             self._random,
             self._peer_replication.should_watch,
         )
-        return follower.run()
 
     async def _drain(self) -> None:
         loop = asyncio.get_running_loop()
--- a/bronzesill/daemon/hosted_moves.py
+++ b/bronzesill/daemon/hosted_moves.py
@@ -6,6 +6,7 @@
 import collections
 import math
 import time
+from operator import attrgetter
 
 from ..membership import MembershipController, ViewUpdated
 from ..moves import (
@@ -35,6 +36,7 @@
 from ..store import KeyValueStore, StoredEntry
 from ..utils import BronzesillError, PartLogger
 from ..wire import PeerClient
+from .task_runner import handle_each
 from .traffic import TrafficController
 
 __all__ = ['HostedMoves', 'HostedTraffic']
@@ -101,11 +103,16 @@
         if replica.era != self._replica.era:
             self._begin_era(replica.era)
         self._replica = replica
-        for entry in entries:
-            if entry.key.startswith(ORDER_PREFIX):
-                self._apply_order(entry)
-            elif entry.key.startswith(MOVE_PREFIX) and not entry.is_removed:
-                self._apply_record(entry)
+        orders = (
+            entry for entry in entries if entry.key.startswith(ORDER_PREFIX)
+        )
+        handle_each(orders, self._apply_order, attrgetter('key'))
+        records = (
+            entry
+            for entry in entries
+            if entry.key.startswith(MOVE_PREFIX) and not entry.is_removed
+        )
+        handle_each(records, self._apply_record, attrgetter('key'))
 
     def split(self, subject: str) -> TrafficSplit:
         """
--- a/bronzesill/daemon/hosted_store_state.py
+++ b/bronzesill/daemon/hosted_store_state.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import dataclasses
+import functools
 from collections.abc import Callable
+from operator import attrgetter
 
 from ..config import (
     BackendServer,
@@ -27,6 +29,7 @@
 from ..routing import ServerListing, ServerRestart, ServerTracker
 from ..store import Snapshot, StoredEntry, StoreRevision
 from ..utils import DocumentInvalid, PartLogger
+from .task_runner import handle_each
 
 __all__ = ['HostedStoreState']
 
@@ -168,8 +171,11 @@
             _log_return(merged)
             self.on_return()
             self.listing = self.listing.with_store_returned(_now_s())
-        for entry in merged.newer_entries:
-            self._apply_entry(entry, may_be_older=has_returned)
+        handle_each(
+            merged.newer_entries,
+            functools.partial(self._apply_entry, may_be_older=has_returned),
+            attrgetter('key'),
+        )
         if self.listing is not old_listing:
             self._refresh_servers()
         self._changed.set()
--- a/bronzesill/daemon/quarantine.py
+++ b/bronzesill/daemon/quarantine.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import dataclasses
+import functools
 import time
 from collections.abc import Callable
+from operator import attrgetter
 
 from ..membership import Member, ViewUpdated, choose_replicas
 from ..quarantine import (
@@ -35,6 +37,7 @@
 from .hosted_peers import HostedPeers
 from .quarantine_store import FleetSecret, RecordStore
 from .server_losses import LostRequest, ServerLosses
+from .task_runner import handle_each
 
 __all__ = ['Quarantine']
 
@@ -137,12 +140,15 @@
     def apply_store_changes(self, entries: tuple[StoredEntry, ...]) -> None:
         """Adopt the records among entries that changed in the store."""
         self._secret.apply_store_changes(entries)
-        for entry in entries:
-            if entry.key.startswith(QUARANTINE_PREFIX):
-                self._records.note_stored(entry)
-            record = record_from_entry(entry)
-            if record is not None:
-                self._adopt(record, 'store')
+        stored = [
+            entry
+            for entry in entries
+            if entry.key.startswith(QUARANTINE_PREFIX)
+        ]
+        handle_each(stored, self._records.note_stored, attrgetter('key'))
+        records = filter(None, map(record_from_entry, stored))
+        adopt = functools.partial(self._adopt, source='store')
+        handle_each(records, adopt, attrgetter('key'))
 
     async def run(self) -> None:
         """Store what this daemon concluded until cancelled."""
