Let the backup of a move not roll it back for a lack of answers

Two daemons judge each move; the second one may only roll it back. Reports of evidence are not sent again, so the second one may know less. It rolled a good version back as "too few answers in time" while the first one committed it: seen once in 18 runs of GoodVersionTest, six side by side beside ten busy processes (take_back at 909.483 s by one daemon, commit at 909.596 s by the other).

`move_decided` names the daemon.

--- a/bronzesill/moves/driver.py
+++ b/bronzesill/moves/driver.py
@@ -64,7 +64,7 @@
 
         :param move: the move as known to this daemon.
         :param is_primary: whether this daemon drives the move; the backup
-            only rolls it back if necessary.
+            only rolls it back, if it is rejected or not committed in time.
         :raises BronzesillError: the store did not accept a change.
         """
         record = move.record
@@ -78,13 +78,15 @@
         self._progress_by_id[record.move_id] = dataclasses.replace(
             decision.progress, share_since_s=record.changed_at_s
         )
-        if move.is_taken_back or decision.action is MoveAction.ROLL_BACK:
-            _log_decision(record, decision)
+        may_execute = is_primary or decision.is_for_backup
+        action = decision.action if may_execute else MoveAction.HOLD
+        if move.is_taken_back or action is MoveAction.ROLL_BACK:
+            _log_decision(record, decision, self._daemon_name)
             await self.roll_back(
                 record.move_id, self._daemon_name, decision.reason
             )
-        elif is_primary and decision.action is not MoveAction.HOLD:
-            _log_decision(record, decision)
+        elif action is not MoveAction.HOLD:
+            _log_decision(record, decision, self._daemon_name)
             await self._advance(record, decision)
 
     async def read(self, move_id: str) -> StoredMove:
@@ -172,12 +174,15 @@
         self._publish_fact(fact_of(changed))
 
 
-def _log_decision(record: MoveRecord, decision: MoveDecision) -> None:
+def _log_decision(
+    record: MoveRecord, decision: MoveDecision, daemon: str
+) -> None:
     progress = decision.progress
     comparisons = progress.comparisons_by_route
     _log.event(
         'move_decided',
         move=record.move_id,
+        daemon=daemon,
         action=decision.action.value,
         share=decision.share,
         reason=decision.reason,
--- a/bronzesill/moves/policy.py
+++ b/bronzesill/moves/policy.py
@@ -259,12 +259,15 @@
     :param action: next action.
     :param share: new share of the new version, 0 to 1.
     :param reason: reason of the action, recorded with the move.
+    :param is_for_backup: whether a backup driver executes it too; it may have
+        missed reports, so a lack of answers says nothing there.
     """
 
     progress: MoveProgress
     action: MoveAction
     share: float
     reason: str = ''
+    is_for_backup: bool = False
 
 
 def decide(
@@ -288,16 +291,22 @@
     if has_ended(record):
         return MoveDecision(progress, MoveAction.HOLD, record.share)
     if progress.outcome is ComparisonOutcome.REJECTED:
-        return _roll_back(progress, progress.explain())
+        return _roll_back(progress, progress.explain(), is_for_backup=True)
     if now_s >= record.deadline_at_s:
-        return _roll_back(progress, 'deadline passed without a commit')
+        return _roll_back(
+            progress, 'deadline passed without a commit', is_for_backup=True
+        )
     if record.state is MoveState.PAUSED:
         return MoveDecision(progress, MoveAction.HOLD, record.share)
     return _advance(record, progress, now_s)
 
 
-def _roll_back(progress: MoveProgress, reason: str) -> MoveDecision:
-    return MoveDecision(progress, MoveAction.ROLL_BACK, 0, reason)
+def _roll_back(
+    progress: MoveProgress, reason: str, *, is_for_backup: bool = False
+) -> MoveDecision:
+    return MoveDecision(
+        progress, MoveAction.ROLL_BACK, 0, reason, is_for_backup
+    )
 
 
 def _advance(
