Log unexpected errors of requests, answer them, and tell the time left

The choice is tried again now, an error of a generation or an attempt ends it as a failure, and a handler's error is answered as outcome unknown, because the request may have run.

--- a/bronzesill/gateway/forward_stream.py
+++ b/bronzesill/gateway/forward_stream.py
@@ -70,6 +70,7 @@
         self._disconnect_watcher: asyncio.Task[None] | None = None
         self._answer_start: AnswerStarted | None = None
         self._timings = AttemptTimings(now_s)
+        self._deadline_at_s = forward.deadline_at_s
 
     @property
     def head(self) -> AnswerHead:
@@ -131,10 +132,11 @@
             while self._subscription is not None:
                 event = await self._subscription.get()
                 if isinstance(event, AnswerCompleted):
-                    self._log_end('whole')
+                    self._log_end('whole', event.lost_attempts)
                     return
                 if isinstance(event, AnswerFailed):
-                    self._log_end(event.code.name.lower())
+                    outcome = event.code.name.lower()
+                    self._log_end(outcome, event.lost_attempts)
                     raise BronzesillError(event.code, 'answer incomplete')
                 if isinstance(event, AcceptedTokens):
                     self._record_arrival(len(event.tokens))
@@ -146,13 +148,16 @@
         now_s = asyncio.get_running_loop().time()
         self._timings = self._timings.with_arrival(token_count, now_s)
 
-    def _log_end(self, outcome: str) -> None:
+    def _log_end(self, outcome: str, lost_attempts: str) -> None:
+        now_s = asyncio.get_running_loop().time()
         _log.event(
             'stream_ended',
             request=self._request.request_id,
             outcome=outcome,
             first_event_s=round(self._timings.first_token_s, 3),
             longest_pause_s=round(self._timings.longest_gap_s, 3),
+            remaining_s=round(self._deadline_at_s - now_s, 3),
+            lost_attempts=lost_attempts,
         )
 
     def _on_disconnect(self) -> None:
--- a/bronzesill/gateway/forwarding.py
+++ b/bronzesill/gateway/forwarding.py
@@ -28,6 +28,7 @@
     Metrics,
     PartLogger,
     ResultCode,
+    log_unexpected,
 )
 from .disconnect import (
     ReceiveBufferMiddleware,
@@ -154,6 +155,26 @@
         call_type = 'repeatable' if route.idempotent else 'once'
         self._record_latency(call_type, started_s)
 
+    async def on_unexpected_error(
+        self,
+        req: asgi.Request,
+        resp: asgi.Response,
+        error: Exception,
+        params: dict[str, Any],
+        **options: Any,
+    ) -> None:
+        """
+        Log an error that is not a :class:`BronzesillError`, and answer.
+
+        The answer does not say that the request was not run, which is unknown.
+        """
+        request_id = self._components.dialect.request_id(raw_headers(req))
+        log_unexpected(request_id, 'a request', error)
+        lost = BronzesillError(
+            ResultCode.CALL_OUTCOME_UNKNOWN, 'outcome unknown: internal error'
+        )
+        await self.on_error(req, resp, lost, params, **options)
+
     async def on_error(
         self,
         req: asgi.Request,
@@ -284,6 +305,7 @@
     :param resource: the sink, which also renders errors.
     """
     app: asgi.App[Any, Any] = asgi.App()
+    app.add_error_handler(Exception, resource.on_unexpected_error)
     app.add_error_handler(BronzesillError, resource.on_error)
     app.add_sink(resource.on_request, '/')
     return ReceiveBufferMiddleware(app)
--- a/bronzesill/generations/attempt.py
+++ b/bronzesill/generations/attempt.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from ..upstream import ConnectionLost
-from ..utils import Address
+from ..utils import Address, log_unexpected
 from .attempt_timings import AttemptTimings
 from .messages import (
     AttemptLost,
@@ -210,6 +210,9 @@
         tracker = _FirstTokenTracker(usage.server, self._observer)
         try:
             lost = await self._read_to_end(opening, tracker)
+        except Exception as error:
+            log_unexpected(opening.request.request_id, 'an attempt', error)
+            lost = AttemptLost(opening.attempt, LossCause.BROKEN, repr(error))
         finally:
             self._observer.stream_closed(usage, has_begun=tracker.has_begun)
         if lost is not None:
--- a/bronzesill/generations/subscription.py
+++ b/bronzesill/generations/subscription.py
@@ -69,10 +69,12 @@
 
     :param total: number of tokens in the answer.
     :param reason: finish reason given by the engine.
+    :param lost_attempts: numbers of lost attempts by cause, for the log.
     """
 
     total: int
     reason: str
+    lost_attempts: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,9 +83,11 @@
     The answer cannot be completed.
 
     :param code: result code of the failure.
+    :param lost_attempts: numbers of lost attempts by cause, for the log.
     """
 
     code: ResultCode
+    lost_attempts: str = ''
 
 
 Subscription: TypeAlias = (
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import dataclasses
+from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from ..utils import Address, PartLogger
+from ..utils import Address, PartLogger, ResultCode, log_unexpected
 from .attempt import AttemptRunner
 from .decisions import decide
 from .messages import (
@@ -22,6 +23,7 @@
     Event,
     FailAnswer,
     LossCause,
+    NoServer,
     OpenAttempt,
     ProbeServer,
     SetTimer,
@@ -109,6 +111,7 @@
         self._end: AnswerCompleted | AnswerFailed | None = None
         self._answer_started: AnswerStarted | None = None
         self._answered_attempt = 0
+        self._lost_by_cause: Counter[str] = Counter()
         self._attempts = AttemptRunner(
             client, find_address, observer, self.mailbox
         )
@@ -123,7 +126,7 @@
         self._apply(Begin())
         try:
             while True:
-                self._handle_message(await self._next_message())
+                await self._handle_next_message()
         except TimeoutError:
             _log.event('no_reader_left', request=self.request.request_id)
             await self._cancel_unread()
@@ -138,6 +141,21 @@
                 AttemptLost(self.state.attempt, LossCause.BLOCKED)
             )
 
+    async def _handle_next_message(self) -> None:
+        message = await self._next_message()
+        try:
+            self._handle_message(message)
+        except Exception as error:
+            log_unexpected(self.request.request_id, 'a generation', error)
+            self._end_unexpectedly()
+
+    def _end_unexpectedly(self) -> None:
+        failed = dataclasses.replace(self.state, phase=Phase.FAILED)
+        self.state = failed
+        self._finish(
+            AnswerFailed(ResultCode.GENERATION_LOST, self._lost_attempts)
+        )
+
     async def _next_message(self) -> TaskMessage:
         if self._readers:
             return await self.mailbox.get()
@@ -184,9 +202,13 @@
                 self._deliver(action)
             case CompleteAnswer():
                 self._attempts.record_end(self.request, is_failed=False)
-                self._finish(AnswerCompleted(action.total, action.reason))
+                self._finish(
+                    AnswerCompleted(
+                        action.total, action.reason, self._lost_attempts
+                    )
+                )
             case FailAnswer():
-                self._finish(AnswerFailed(action.code))
+                self._finish(AnswerFailed(action.code, self._lost_attempts))
             case CountDropped():
                 self._observer.tokens_dropped(action.late, action.repeated)
             case _:
@@ -242,11 +264,21 @@
             queue.put_nowait(end)
 
     async def _find_server(self, action: ChooseServer) -> None:
-        placement = await self._choose(self, action)
+        try:
+            placement = await self._choose(self, action)
+        except Exception as error:
+            log_unexpected(self.request.request_id, 'choosing a server', error)
+            placement = Placement(NoServer(), self.request)
         self.request = placement.request
         self.mailbox.put_nowait(placement.event)
 
+    @property
+    def _lost_attempts(self) -> str:
+        counts = sorted(self._lost_by_cause.items())
+        return ', '.join(f'{cause} {count}' for cause, count in counts)
+
     def _cancel_attempt(self, action: CancelAttempt) -> None:
+        self._lost_by_cause[action.cause.value] += 1
         _log.event(
             'attempt_lost',
             request=self.request.request_id,
--- a/bronzesill/utils/__init__.py
+++ b/bronzesill/utils/__init__.py
@@ -16,7 +16,12 @@
     rank_by_rendezvous,
     stable_hash,
 )
-from .logs import PartLogger, configure_logging, filter_server_logs
+from .logs import (
+    PartLogger,
+    configure_logging,
+    filter_server_logs,
+    log_unexpected,
+)
 from .metrics import Metrics, NullMetrics, PrometheusMetrics
 from .serving import TARGET_KEY, HttpServer, ServingLimits
 
@@ -36,6 +41,7 @@
     'configure_logging',
     'filter_server_logs',
     'hash_secret',
+    'log_unexpected',
     'rank_by_rendezvous',
     'stable_hash',
     'structure',
--- a/bronzesill/utils/logs.py
+++ b/bronzesill/utils/logs.py
@@ -7,6 +7,7 @@
 import logging as standard_logging
 import os
 import time
+import traceback
 from typing import Any
 
 import orjson
@@ -19,11 +20,13 @@
     'PartLogger',
     'configure_logging',
     'filter_server_logs',
+    'log_unexpected',
 ]
 
 _MAX_LINES_PER_S = 60
 _STDOUT_FD = 1
 _MAX_LINE_BYTES = 4000
+_FRAMES = 4
 _FIELDS_ATTRIBUTE = 'event_fields'
 
 
@@ -129,6 +132,27 @@
         )
 
 
+_requests_log = PartLogger('requests')
+
+
+def log_unexpected(request_id: str, step: str, error: Exception) -> None:
+    """
+    Log an error that no handler expects, with the place that raised it.
+
+    :param request_id: id of the request that met the error.
+    :param step: what was done for the request.
+    :param error: the error.
+    """
+    frames = traceback.extract_tb(error.__traceback__)[-_FRAMES:]
+    _requests_log.event(
+        'unexpected_error',
+        request=request_id,
+        step=step,
+        error=repr(error),
+        trace=[f'{frame.name}:{frame.lineno}' for frame in frames],
+    )
+
+
 class JsonFormatter(standard_logging.Formatter):
     """Format records as one JSON object per line."""
 
