Stay with a run whose servers have just become reachable again

When a silence of all servers ended, a probe of the silent server that had begun before failed, while one of another server a moment later succeeded: the run was left although its bytes were about to arrive. A look at which no server accepted a connection is followed by the shortest silence timeout now before the run is left. Without a copy the run is left at once if the move costs less than the rest of a usual silence (1.6 s), else after that, not after half of the move's cost: 1.3 s for a prompt of 8,000 tokens, just before the end of many silences. A stream counts as silent for the comparison of failure domains a little before it is looked elsewhere for, so that the first of them sees the others.

--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -47,6 +47,8 @@
 _PREFIX_CHARS = 1024
 #: Shortest time in seconds between two counts of silent streams.
 _SURVEY_INTERVAL_S = 0.05
+#: Part of the silence before a look from which on a stream counts as silent.
+_SILENT_FRACTION = 0.6
 
 PickVersion: TypeAlias = Callable[[GenerationRequest, bool], str]
 
@@ -336,7 +338,7 @@
         if now_s - self._surveyed_at_s >= _SURVEY_INTERVAL_S:
             self._surveyed_at_s = now_s
             self._is_shared = is_silence_shared(
-                self._activities(now_s), min_silence_s
+                self._activities(now_s), _SILENT_FRACTION * min_silence_s
             )
         return self._is_shared
 
--- a/bronzesill/generations/decisions.py
+++ b/bronzesill/generations/decisions.py
@@ -299,6 +299,8 @@
     known = dataclasses.replace(
         update(now_s), evidence=event, evidence_at_s=now_s
     )
+    if not event.is_alive and not event.candidate:
+        known = dataclasses.replace(known, unreachable_at_s=now_s)
     return _handle_silence(known, now_s)
 
 
--- a/bronzesill/generations/state.py
+++ b/bronzesill/generations/state.py
@@ -13,11 +13,10 @@
 #: evidence that it can take over.
 _EVIDENCE_MAX_AGE_S = 0.5
 _LOOK_INTERVAL_S = 0.3
-#: Part of the cost of a move after which a server is left that accepts no
-#: connections.
+#: Part of the work lost by a move for which a server has to refuse connections.
 _REFUSED_FRACTION = 0.5
-#: Silence of several failure domains that is waited for, in seconds.
-_MIN_SHARED_SILENCE_S = 1.6
+#: Length in seconds up to which a silence is likely to end by itself.
+_USUAL_SILENCE_S = 1.6
 
 #: Time in seconds from the loss of a server until a probe of it fails.
 _PROBE_LAG_S = 0.3
@@ -77,6 +76,8 @@
     :param hindered_s: how long the attempt's server accepted no connection
         before the first token, until it did again.
     :param timer_at_s: time of the earliest timer that is set.
+    :param unreachable_at_s: time of the last look at which no server
+        accepted a connection.
     :param evidence: result of the last look, None if tokens came since.
     :param evidence_at_s: time of that result.
     """
@@ -104,6 +105,7 @@
     sends: int = 0
     hindered_s: float = 0
     timer_at_s: float = math.inf
+    unreachable_at_s: float = -math.inf
 
     @property
     def has_ended(self) -> bool:
@@ -172,9 +174,9 @@
         """
         Time at which the silent run is left, infinity without a reason.
 
-        A run whose memory is lost by the move is left once the silence has
-        lasted about as long as the move costs, sooner if the server accepts
-        no connection either.
+        A run whose memory is lost by the move is left at once if the move
+        costs less than the rest of a usual silence, else after it. Where no
+        server accepted a connection, the run may go on as soon as they do.
         """
         if not self.may_leave:
             return math.inf
@@ -183,15 +185,10 @@
         evidence = self.evidence
         if evidence is None or not evidence.candidate:
             return math.inf
-        if evidence.is_shared:
-            return self._leave_after(self.policy.move_cost_s, shared=True)
-        if evidence.candidate == self.usable_copy:
-            return self._leave_after(0)
-        if self.is_memory_begun or self.uses_copy:
-            is_refused = self.refused_since_s is not None
-            factor = _REFUSED_FRACTION if is_refused else 1
-            return self._leave_after(factor * self.policy.move_cost_s)
-        return min(self.stall_at_s, self._unbegun_leave_at_s)
+        return max(
+            self._move_at_s(evidence),
+            self.unreachable_at_s + self.policy.min_silence_s,
+        )
 
     def has_evidence(self, now_s: float) -> bool:
         """Return whether another server accepted a connection just now."""
@@ -293,9 +290,25 @@
     def _silence_at_s(self) -> float:
         return min(self.look_at_s, self.leave_at_s)
 
+    def _move_at_s(self, evidence: LookedElsewhere) -> float:
+        is_by_copy = evidence.candidate == self.usable_copy
+        cost_s = 0 if is_by_copy else self.policy.move_cost_s
+        if evidence.is_shared:
+            return self._leave_after(max(cost_s, _USUAL_SILENCE_S))
+        if is_by_copy:
+            return self.stall_at_s
+        if not self.is_memory_begun and not self.uses_copy:
+            return min(self.stall_at_s, self._unbegun_leave_at_s)
+        left_s = _USUAL_SILENCE_S - self.policy.min_silence_s
+        if cost_s < left_s:
+            return self.stall_at_s
+        is_refused = self.refused_since_s is not None
+        wait_s = _USUAL_SILENCE_S if is_refused else cost_s
+        return self._leave_after(max(wait_s, _USUAL_SILENCE_S))
+
     @property
     def _unbegun_leave_at_s(self) -> float:
-        """Time at which the work lost is as long as the server refuses."""
+        """Time at which the server refuses about as long as it has worked."""
         refused_s = self.refused_since_s
         if refused_s is None:
             return math.inf
@@ -303,10 +316,8 @@
         lost_s = min(worked_s, self.policy.move_cost_s)
         return refused_s + _REFUSED_FRACTION * lost_s
 
-    def _leave_after(self, cost_s: float, *, shared: bool = False) -> float:
-        min_silence_s = _MIN_SHARED_SILENCE_S if shared else 0
-        at_s = self.last_activity_at_s + max(cost_s, min_silence_s)
-        return max(self.stall_at_s, at_s)
+    def _leave_after(self, silence_s: float) -> float:
+        return max(self.stall_at_s, self.last_activity_at_s + silence_s)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/generations/tests/test_copies.py
+++ b/bronzesill/generations/tests/test_copies.py
@@ -1,5 +1,6 @@
 """Tests of resuming from memory copies, of probes and of event splitting."""
 
+import dataclasses
 import unittest
 
 from ..decisions import decide
@@ -121,7 +122,11 @@
         self.driver.feed(LookedElsewhere(1, '', is_alive=False), 0.65)
         self.driver.feed(TimerFired(), 0.8)
         self.assertEqual(self.driver.state.server, 's1')
-        self.driver.feed(LookedElsewhere(1, 's2', is_alive=False), 0.82)
+        looked = LookedElsewhere(1, 's2', is_alive=False)
+        self.driver.feed(looked, 0.82)
+        # The path has just healed, so s1 may go on at once.
+        self.assertEqual(self.driver.state.server, 's1')
+        self.driver.feed(looked, 1.02)
         self.assertEqual(
             self.driver.choose_action(),
             ChooseServer(frozenset(('s1',)), is_resume=False, candidate='s2'),
@@ -159,6 +164,15 @@
         self.driver.feed(LookedElsewhere(1, 's2', is_alive=True), 3.7)
         self.assertEqual(self.driver.choose_action().candidate, 's2')
 
+    def test_short_prompt_is_moved_without_waiting(self) -> None:
+        policy = StallPolicy.from_route(0.7, 4.5, 600, 5)
+        self.driver.state = dataclasses.replace(
+            self.driver.state, policy=policy
+        )
+        self.driver.feed(TokensArrived(1, 0, ('a',)), 1)
+        self.driver.feed(LookedElsewhere(1, 's2', is_alive=False), 1.37)
+        self.assertEqual(self.driver.choose_action().candidate, 's2')
+
     # Silence of several domains at once points at the path or the own host.
     def test_shared_silence_is_waited_for(self) -> None:
         self.driver.feed(AttemptLost(1, LossCause.BROKEN), 0)
--- a/bronzesill/generations/tests/test_silences.py
+++ b/bronzesill/generations/tests/test_silences.py
@@ -49,6 +49,7 @@
 _CONNECT_TIMEOUT_S = 0.25
 _PROBE_TIMEOUT_S = 0.15
 _ROUND_TRIP_S = 0.002
+_RETRANSMIT_S = 0.2
 _PROMPT_TOKENS = 8000
 _PREFILL_TOKENS_PER_S = 3000
 _TOKEN_GAP_S = 0.05
@@ -77,6 +78,14 @@
             return now_s + _SILENCE_S - phase_s
         return now_s
 
+    def delivers_at_s(self, server: str, now_s: float) -> float:
+        """Return when bytes sent by a server arrive."""
+        ends_at_s = self.ends_at_s(server, now_s)
+        if ends_at_s > now_s:
+            # Lost segments are sent again some time after the silence.
+            return ends_at_s + _RETRANSMIT_S
+        return now_s
+
     def is_silent(self, server: str, now_s: float) -> bool:
         """Return whether a server is silent."""
         return self.ends_at_s(server, now_s) > now_s
@@ -150,16 +159,22 @@
         self._schedule(self._now_s + delay_s, probed)
 
     def _look(self, action: LookElsewhere) -> None:
-        chosen = self._choose(action.choice)
-        candidate = chosen.server if isinstance(chosen, ServerChosen) else ''
-        has_candidate = bool(candidate) and self._accepts(candidate)
+        # The holder of the copy is probed first, another server after it.
+        at_s = self._now_s
+        candidate = action.choice.copy_holder
+        if not candidate or self._outage.is_silent(candidate, at_s):
+            at_s += _PROBE_TIMEOUT_S if candidate else 0
+            choice = dataclasses.replace(action.choice, copy_holder='')
+            chosen = self._choose(choice)
+            candidate = getattr(chosen, 'server', '')
+        if not candidate or self._outage.is_silent(candidate, at_s):
+            at_s += _PROBE_TIMEOUT_S
+            candidate = ''
         is_alive = self._accepts(action.server)
-        is_quick = has_candidate and (is_alive or action.has_refused)
-        looked = LookedElsewhere(
-            action.attempt, candidate if has_candidate else '', is_alive
-        )
-        delay_s = _ROUND_TRIP_S if is_quick else _PROBE_TIMEOUT_S
-        self._schedule(self._now_s + delay_s, looked)
+        if not is_alive and not action.has_refused:
+            at_s = max(at_s, self._now_s + _PROBE_TIMEOUT_S)
+        looked = LookedElsewhere(action.attempt, candidate, is_alive)
+        self._schedule(at_s + _ROUND_TRIP_S, looked)
 
     def _accepts(self, server: str) -> bool:
         return not self._outage.is_silent(server, self._now_s)
@@ -179,7 +194,7 @@
         arrives_at_s = 0.0
         for offset in range(action.offset, _TOKENS):
             # Bytes of one connection arrive in order.
-            sent_at_s = self._outage.ends_at_s(action.server, at_s)
+            sent_at_s = self._outage.delivers_at_s(action.server, at_s)
             arrives_at_s = max(arrives_at_s, sent_at_s)
             arrived = TokensArrived(action.attempt, offset, (f't{offset}',))
             self._schedule(arrives_at_s, arrived)
