--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import math
 import uuid
 from collections.abc import Awaitable, Callable
 from random import Random
@@ -25,22 +26,32 @@
     Attached,
     ChooseServer,
     Event,
+    LookedElsewhere,
+    LookElsewhere,
     NoServer,
     PlacementRefused,
     ServerChosen,
 )
 from .request import GenerationRequest
-from .stall_detection import StallPolicy
-from .state import GenerationState
+from .stall_detection import (
+    StallPolicy,
+    StreamActivity,
+    is_silence_shared,
+)
+from .state import GenerationState, Phase
 from .stream_client import StreamClient
 from .subscription import Subscribe, Subscription, Unsubscribe
-from .task import GenerationTask, Placement
+from .task import Choosers, GenerationTask, Placement
 
 __all__ = ['GenerationSettings', 'GenerationsController']
 
 _PREFIX_CHARS = 1024
 #: Time from a crash until a block that follows from it is known.
 _JUDGEMENT_S = 0.3
+#: Shortest time in seconds between two counts of silent streams.
+_SURVEY_INTERVAL_S = 0.05
+#: Part of the silence before a look from which on a stream counts as silent.
+_SILENT_FRACTION = 0.6
 
 PickVersion: TypeAlias = Callable[[GenerationRequest, bool], str]
 
@@ -121,6 +132,8 @@
         self._directory = directory
         self._random = random
         self._tasks: set[asyncio.Task[None]] = set()
+        self._surveyed_at_s = -math.inf
+        self._is_shared = False
 
     def subscribe(
         self,
@@ -205,7 +218,7 @@
             fingerprint=fingerprint,
             state=state,
             client=self._client,
-            choose=self._place,
+            choosers=Choosers(self._place, self._look, self._return_send),
             find_address=self.find_address,
             observer=self.observer,
             unread_timeout_s=unread_timeout_s,
@@ -225,27 +238,19 @@
     async def _place(
         self, generation: GenerationTask, action: ChooseServer
     ) -> Placement:
-        request = generation.request
         held_identity = await self._hold(generation, action)
-        if self.blocked_for_s(request) and not action.is_resume:
+        if self.blocked_for_s(generation.request) and not action.is_resume:
             return Placement(
-                PlacementRefused(_blocked_code(generation)), request
+                PlacementRefused(_blocked_code(generation)), generation.request
             )
-        if not action.is_resume:
-            # No token has been delivered, so the version can still change.
-            # A version that was rolled back must not compute the answer, and
-            # a version under trial must not be retried after it lost the
-            # request.
-            is_retry = generation.state.attempt > 0 or bool(held_identity)
-            version = self.pick_version(request, is_retry)
-            request = dataclasses.replace(request, version=version)
-            generation.request = request
-        elif request.version:
-            version = self.resume_version(request.model, request.version)
-            request = dataclasses.replace(request, version=version)
-            generation.request = request
+        request = self._request_with_version(
+            generation, action, is_held=bool(held_identity)
+        )
+        generation.request = request
         await self.refresh_usage()
-        requirements = await self._find_requirements(generation, action)
+        is_first = generation.state.attempt == 0
+        prompt_holder = await self.find_prompt(request) if is_first else ''
+        requirements = self._make_requirements(request, action, prompt_holder)
         choice = self._choose_servers(requirements, held_identity)
         if choice is None or not self._may_send(generation):
             return Placement(NoServer(), request)
@@ -263,6 +268,27 @@
             return Placement(chosen.event, _with_new_generation_id(request))
         return await self._join(request, proposed, current)
 
+    def _request_with_version(
+        self,
+        generation: GenerationTask,
+        action: ChooseServer,
+        *,
+        is_held: bool,
+    ) -> GenerationRequest:
+        request = generation.request
+        if not action.is_resume:
+            # No token has been delivered, so the version can still change.
+            # A version that was rolled back must not compute the answer, and
+            # a version under trial must not be retried after it lost the
+            # request.
+            is_retry = generation.state.attempt > 0 or is_held
+            version = self.pick_version(request, is_retry)
+            return dataclasses.replace(request, version=version)
+        if not request.version:
+            return request
+        version = self.resume_version(request.model, request.version)
+        return dataclasses.replace(request, version=version)
+
     async def _hold(
         self, generation: GenerationTask, action: ChooseServer
     ) -> str:
@@ -271,22 +297,108 @@
 
         After a loss it waits, so that it does not outrun its judgement.
         """
-        if action.is_resume:
-            return ''
-        losses = generation.unanswered_losses
-        identity = self.find_held_identity(generation.request, losses)
-        if identity and losses:
+        identity = self._find_held_identity(generation, action)
+        if identity and generation.unanswered_losses:
             await asyncio.sleep(_JUDGEMENT_S)
         return identity
 
+    def _find_held_identity(
+        self, generation: GenerationTask, action: ChooseServer
+    ) -> str:
+        if action.is_resume:
+            return ''
+        return self.find_held_identity(
+            generation.request, generation.unanswered_losses
+        )
+
     def _may_send(self, generation: GenerationTask) -> bool:
         if self.allowance is None:
             return True
         model = generation.request.model
-        if generation.state.attempt:
-            return self.allowance.try_consume_retry(model)
-        self.allowance.record_first_attempt(model)
-        return True
+        if not generation.state.attempt:
+            self.allowance.record_first_attempt(model)
+            return True
+        if not generation.state.sends:
+            # Nothing was sent yet.
+            return True
+        return self.allowance.try_consume_retry(model)
+
+    def _return_send(self, generation: GenerationTask) -> None:
+        if self.allowance is not None and generation.state.sends:
+            self.allowance.return_retry(generation.request.model)
+
+    async def _look(
+        self, generation: GenerationTask, action: LookElsewhere
+    ) -> LookedElsewhere:
+        alive, candidate = await asyncio.gather(
+            self._accepts(action.server, is_known_dead=action.has_refused),
+            self._find_candidate(generation, action),
+        )
+        return LookedElsewhere(
+            action.attempt,
+            candidate,
+            is_alive=alive,
+            is_shared=self._is_silence_shared(generation),
+        )
+
+    async def _find_candidate(
+        self, generation: GenerationTask, action: LookElsewhere
+    ) -> str:
+        request = generation.request
+        allowance = self.allowance
+        if allowance is not None and not allowance.allows_retry(request.model):
+            return ''
+        identity = self._find_held_identity(generation, action.choice)
+        requirements = self._make_requirements(request, action.choice)
+        if requirements.copy_holder:
+            holder = self._choose_servers(requirements, identity)
+            if holder is not None and await self._accepts(holder.server):
+                return holder.server
+        without_copy = dataclasses.replace(requirements, copy_holder='')
+        # All others may have lost an attempt of this generation.
+        lone = dataclasses.replace(
+            without_copy, excluded=frozenset((action.server,))
+        )
+        chosen = self._choose_servers(
+            without_copy, identity
+        ) or self._choose_servers(lone, identity)
+        if chosen is None or not await self._accepts(chosen.server):
+            return ''
+        return chosen.server
+
+    async def _accepts(
+        self, server: str, *, is_known_dead: bool = False
+    ) -> bool:
+        address = self.find_address(server)
+        if is_known_dead or address is None:
+            return False
+        return await self._client.is_alive(server, address)
+
+    def _is_silence_shared(self, generation: GenerationTask) -> bool:
+        min_silence_s = generation.state.policy.look_after_s
+        if min_silence_s is None:
+            return False
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._surveyed_at_s >= _SURVEY_INTERVAL_S:
+            self._surveyed_at_s = now_s
+            self._is_shared = is_silence_shared(
+                self._activities(now_s), _SILENT_FRACTION * min_silence_s
+            )
+        return self._is_shared
+
+    def _activities(self, now_s: float) -> list[StreamActivity]:
+        servers_by_name = self._tracker.servers_by_name
+        states = [task.state for task in self.tasks_by_key.values()]
+        return [
+            StreamActivity(
+                servers_by_name[state.server].failure_domain,
+                now_s - state.last_activity_at_s,
+            )
+            for state in states
+            if state.phase is Phase.STREAMING
+            and state.is_memory_begun
+            and state.server in servers_by_name
+        ]
 
     def _location_record(
         self, generation: GenerationTask, server: str
@@ -330,11 +442,12 @@
         event: Event = Attached(current.server, current.attempt)
         return Placement(event, adopted)
 
-    async def _find_requirements(
-        self, generation: GenerationTask, action: ChooseServer
+    def _make_requirements(
+        self,
+        request: GenerationRequest,
+        action: ChooseServer,
+        prompt_holder: str = '',
     ) -> Requirements:
-        request = generation.request
-        is_first = generation.state.attempt == 0
         return Requirements(
             model=request.model,
             version=request.version,
@@ -343,7 +456,7 @@
             home_domain=self._failure_domain,
             is_resume=action.is_resume,
             copy_holder=action.copy_holder,
-            prompt_holder=await self.find_prompt(request) if is_first else '',
+            prompt_holder=action.candidate or prompt_holder,
             is_usage_shared=self.is_usage_shared(),
         )
 
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import dataclasses
+from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from ..utils import Address, PartLogger
+from ..utils import Address, PartLogger, ResultCode, log_unexpected
 from .attempt import AttemptRunner
 from .decisions import decide
 from .messages import (
@@ -21,7 +22,10 @@
     DeliverTokens,
     Event,
     FailAnswer,
+    LookedElsewhere,
+    LookElsewhere,
     LossCause,
+    NoServer,
     OpenAttempt,
     ProbeServer,
     SetTimer,
@@ -43,7 +47,7 @@
     Unsubscribe,
 )
 
-__all__ = ['Chooser', 'GenerationTask', 'Placement']
+__all__ = ['Choosers', 'GenerationTask', 'Placement']
 
 _log = PartLogger('generations')
 
@@ -68,6 +72,27 @@
 ]
 
 
+Look = Callable[
+    ['GenerationTask', LookElsewhere], Coroutine[Any, Any, LookedElsewhere]
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class Choosers:
+    """
+    Coroutines that choose backend servers.
+
+    :param choose: chooses the server of the next attempt.
+    :param look: finds out whether a server could take over a silent run.
+    :param return_send: takes back the retry counted for an attempt that was
+        not sent.
+    """
+
+    choose: Chooser
+    look: Look
+    return_send: Callable[[GenerationTask], None]
+
+
 class GenerationTask:
     """
     One generation from admission to its end.
@@ -76,8 +101,7 @@
     :param fingerprint: hash of the request's body.
     :param state: initial state.
     :param client: client for engine streams.
-    :param choose: coroutine that chooses the backend server of the next
-        attempt.
+    :param choosers: coroutines that choose backend servers.
     :param find_address: returns the address of a backend server by name, or
         None if the server is unknown.
     :param observer: receives notifications about attempts and tokens.
@@ -91,7 +115,7 @@
         fingerprint: int,
         state: GenerationState,
         client: StreamClient,
-        choose: Chooser,
+        choosers: Choosers,
         find_address: Callable[[str], Address | None],
         observer: GenerationObserver,
         unread_timeout_s: float,
@@ -103,7 +127,7 @@
         self.mailbox: asyncio.Queue[TaskMessage] = asyncio.Queue()
         #: Servers to which the connection ended before the answer began.
         self.unanswered_losses = 0
-        self._choose = choose
+        self._choosers = choosers
         self._observer = observer
         self._unread_timeout_s = unread_timeout_s
         self._readers: set[Subscription] = set()
@@ -111,6 +135,7 @@
         self._end: AnswerCompleted | AnswerFailed | None = None
         self._answer_started: AnswerStarted | None = None
         self._answered_attempt = 0
+        self._lost_by_cause: Counter[str] = Counter()
         self._attempts = AttemptRunner(
             client, find_address, observer, self.mailbox
         )
@@ -125,7 +150,7 @@
         self._apply(Begin())
         try:
             while True:
-                self._handle_message(await self._next_message())
+                await self._handle_next_message()
         except TimeoutError:
             _log.event('no_reader_left', request=self.request.request_id)
             await self._cancel_unread()
@@ -140,6 +165,21 @@
                 AttemptLost(self.state.attempt, LossCause.BLOCKED)
             )
 
+    async def _handle_next_message(self) -> None:
+        message = await self._next_message()
+        try:
+            self._handle_message(message)
+        except Exception as error:
+            log_unexpected(self.request.request_id, 'a generation', error)
+            self._end_unexpectedly()
+
+    def _end_unexpectedly(self) -> None:
+        failed = dataclasses.replace(self.state, phase=Phase.FAILED)
+        self.state = failed
+        self._finish(
+            AnswerFailed(ResultCode.GENERATION_LOST, self._lost_attempts)
+        )
+
     async def _next_message(self) -> TaskMessage:
         if self._readers:
             return await self.mailbox.get()
@@ -186,9 +226,13 @@
                 self._deliver(action)
             case CompleteAnswer():
                 self._attempts.record_end(self.request, is_failed=False)
-                self._finish(AnswerCompleted(action.total, action.reason))
+                self._finish(
+                    AnswerCompleted(
+                        action.total, action.reason, self._lost_attempts
+                    )
+                )
             case FailAnswer():
-                self._finish(AnswerFailed(action.code))
+                self._finish(AnswerFailed(action.code, self._lost_attempts))
             case CountDropped():
                 self._observer.tokens_dropped(action.late, action.repeated)
             case _:
@@ -200,6 +244,8 @@
                 self._attempts.start_task(self._find_server(action))
             case OpenAttempt():
                 self._open(action)
+            case LookElsewhere():
+                self._attempts.start_task(self._look_elsewhere(action))
             case ProbeServer():
                 self._attempts.probe(action)
             case CancelAttempt():
@@ -244,11 +290,38 @@
             queue.put_nowait(end)
 
     async def _find_server(self, action: ChooseServer) -> None:
-        placement = await self._choose(self, action)
+        try:
+            placement = await self._choosers.choose(self, action)
+        except Exception as error:
+            log_unexpected(self.request.request_id, 'choosing a server', error)
+            placement = Placement(NoServer(), self.request)
         self.request = placement.request
         self.mailbox.put_nowait(placement.event)
 
+    @property
+    def _lost_attempts(self) -> str:
+        counts = sorted(self._lost_by_cause.items())
+        return ', '.join(f'{cause} {count}' for cause, count in counts)
+
+    async def _look_elsewhere(self, action: LookElsewhere) -> None:
+        try:
+            looked = await self._choosers.look(self, action)
+        except Exception as error:
+            log_unexpected(self.request.request_id, 'looking elsewhere', error)
+            return
+        _log.event(
+            'looked_elsewhere',
+            request=self.request.request_id,
+            attempt=action.attempt,
+            server=action.server,
+            is_alive=looked.is_alive,
+            candidate=looked.candidate,
+            is_shared=looked.is_shared,
+        )
+        self.mailbox.put_nowait(looked)
+
     def _cancel_attempt(self, action: CancelAttempt) -> None:
+        self._lost_by_cause[action.cause.value] += 1
         _log.event(
             'attempt_lost',
             request=self.request.request_id,
@@ -256,12 +329,15 @@
             server=action.server,
             at_token=self.state.accepted,
             cause=action.cause.value,
+            is_shared=action.is_shared,
             had_head=self._answered_attempt == action.attempt,
             prompt_parts=self.request.shared_prompt_parts,
             detail=action.detail,
         )
         if action.cause is LossCause.DISCONNECTED and not self.state.accepted:
             self.unanswered_losses += 1
+        if action.cause is LossCause.UNSENT:
+            self._choosers.return_send(self)
         self._attempts.cancel(self.request, action)
 
     def _set_timer(self, at_s: float) -> None:
