Answer calls that reached no server as not run

Callers of plain services got 502 (CALL_FAILED), 504 or "outcome unknown" for requests of which no server had received a byte, so that unsafe ones could not be tried again; and servers that accepted no connection for a moment used up the attempts of a call. An attempt of which nothing was sent counts neither against max_attempts nor against the retry budget now. A call that no server has run is answered 503 "not run" with Retry-After, also when a connection is still being opened at the deadline: it is given up 10 ms before.

--- a/bronzesill/calls/at_most_once.py
+++ b/bronzesill/calls/at_most_once.py
@@ -6,7 +6,7 @@
 
 from ..utils import BronzesillError, ResultCode
 from .interfaces import CallAnswer, CallSender, RoutedCall
-from .servers import ServiceServers
+from .servers import RETRY_AFTER_S, ServiceServers
 
 __all__ = ['AtMostOnceCalls']
 
@@ -41,7 +41,11 @@
                 if error.code is not ResultCode.CALL_NOT_RUN:
                     raise
                 not_run_error = error
-        raise not_run_error
+        raise BronzesillError(
+            not_run_error.code,
+            not_run_error.message,
+            retry_after_s=not_run_error.retry_after_s or RETRY_AFTER_S,
+        )
 
     async def _attempt(self, server: str, routed: RoutedCall) -> CallAnswer:
         loop = asyncio.get_running_loop()
--- a/bronzesill/calls/forward_sender.py
+++ b/bronzesill/calls/forward_sender.py
@@ -25,6 +25,9 @@
 #: Calls that must not be repeated use recently active connections only: the
 #: server may have closed one that was idle for longer, unnoticed here.
 _AT_MOST_ONCE_MAX_IDLE_S = 1.0
+#: Time in seconds before the deadline at which a connection that is not open
+#: is given up, so that the call is known not to have run.
+_DEADLINE_MARGIN_S = 0.01
 #: An answer is kept in memory until it is complete.
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
@@ -70,7 +73,7 @@
             if is_idempotent
             else _AT_MOST_ONCE_MAX_IDLE_S
         )
-        lease = await self._connect(server, max_idle_s)
+        lease = await self._connect(server, routed, max_idle_s)
         try:
             return await self._exchange(lease, server, forward)
         except RequestNotSent as error:
@@ -83,10 +86,18 @@
         finally:
             lease.release()
 
-    async def _connect(self, server: str, max_idle_s: float) -> ConnectionLease:
+    async def _connect(
+        self, server: str, routed: RoutedCall, max_idle_s: float
+    ) -> ConnectionLease:
         target = Target(server, self._servers.address(server))
         try:
-            return await self._pool.acquire(target, max_idle_s=max_idle_s)
+            async with asyncio.timeout_at(
+                routed.deadline_at_s - _DEADLINE_MARGIN_S
+            ):
+                return await self._pool.acquire(target, max_idle_s=max_idle_s)
+        except TimeoutError:
+            unsent = RequestNotSent(f'{server}: no connection in time')
+            raise _not_run_error(str(unsent)) from unsent
         except RequestNotSent as error:
             self._servers.note_unreachable(server)
             raise _not_run_error(str(error)) from error
--- a/bronzesill/calls/idempotent.py
+++ b/bronzesill/calls/idempotent.py
@@ -9,7 +9,12 @@
 from ..utils import BronzesillError, ResultCode
 from .hedging import LatencyEstimate
 from .interfaces import CallAnswer, CallSender, RoutedCall
-from .servers import ServiceServers, is_disconnected
+from .servers import (
+    RETRY_AFTER_S,
+    ServiceServers,
+    is_disconnected,
+    is_unsent,
+)
 
 __all__ = ['IdempotentCalls']
 
@@ -46,7 +51,8 @@
 
         :returns: the first successful response; an error response only if no
             attempt succeeded.
-        :raises BronzesillError: no server answered before the deadline.
+        :raises BronzesillError: no server answered before the deadline;
+            ``CALL_NOT_RUN`` if none has run the call.
         """
         self._allowance.record_first_attempt(routed.route.service)
         try:
@@ -63,39 +69,43 @@
     async def _run_attempts(
         self, routed: RoutedCall, server_names: tuple[str, ...]
     ) -> CallAnswer:
-        remaining = list(server_names[: routed.route.max_attempts])
+        plan = _AttemptPlan(list(server_names), routed.route.max_attempts)
         losses = 0
-        running = {self._start_attempt(routed, remaining.pop(0))}
+        running = {self._start_attempt(routed, plan.take())}
         outcome: SendOutcome = _no_answer_error()
         try:
             while running:
                 done, running = await asyncio.wait(
                     running,
-                    timeout=self._hedge_delay_s(routed, remaining),
+                    timeout=self._hedge_delay_s(routed, plan),
                     return_when=asyncio.FIRST_COMPLETED,
                 )
+                plan.record(done)
                 outcome = _best_outcome(done, outcome)
                 losses += sum(is_disconnected(task.result()) for task in done)
                 if _is_success(outcome):
                     break
                 if not self._servers.may_retry(routed, losses):
-                    remaining.clear()
-                running |= self._start_retry(routed, remaining)
+                    plan.servers.clear()
+                running |= self._start_retry(routed, plan)
         finally:
             _cancel_attempts(running)
         if isinstance(outcome, CallAnswer):
             return outcome
-        raise outcome
+        raise plan.not_run_error or outcome
 
     def _start_retry(
-        self, routed: RoutedCall, remaining: list[str]
+        self, routed: RoutedCall, plan: _AttemptPlan
     ) -> set[asyncio.Task[SendOutcome]]:
-        if remaining and self._allowance.try_consume_retry(
-            routed.route.service
-        ):
+        if not plan.may_send:
+            return set()
+        if plan.returned:
+            plan.returned -= 1
+        elif self._allowance.try_consume_retry(routed.route.service):
             self.extra_attempts += 1
-            return {self._start_attempt(routed, remaining.pop(0))}
-        return set()
+        else:
+            return set()
+        return {self._start_attempt(routed, plan.take())}
 
     def _start_attempt(
         self, routed: RoutedCall, server: str
@@ -129,9 +139,9 @@
         )
 
     def _hedge_delay_s(
-        self, routed: RoutedCall, remaining: list[str]
+        self, routed: RoutedCall, plan: _AttemptPlan
     ) -> float | None:
-        if not remaining:
+        if not plan.may_send:
             return None
         estimate = self._estimates_by_route.get(
             routed.route_name, LatencyEstimate()
@@ -139,6 +149,64 @@
         return estimate.quantile_s
 
 
+class _AttemptPlan:
+    """
+    Servers to which one call may still be sent.
+
+    An attempt of which nothing was sent uses up neither an attempt nor the
+    retry budget.
+
+    :param servers: names of the servers, the next one first.
+    :param max_attempts: number of servers to which the call may be sent.
+    """
+
+    def __init__(self, servers: list[str], max_attempts: int) -> None:
+        self.servers = servers
+        #: Attempts whose share of the retry budget was not used.
+        self.returned = 0
+        #: Error of an attempt if no server has run any, else none.
+        self.not_run_error: BronzesillError | None = None
+        self._left = max_attempts
+        self._may_have_run = False
+
+    @property
+    def may_send(self) -> bool:
+        """Whether the call may be sent to another server."""
+        return bool(self.servers) and self._left > 0
+
+    def take(self) -> str:
+        """Return the next server, and count an attempt."""
+        self._left -= 1
+        return self.servers.pop(0)
+
+    def record(self, done: set[asyncio.Task[SendOutcome]]) -> None:
+        """Record the outcomes of attempts that have ended."""
+        for task in done:
+            outcome = task.result()
+            if is_unsent(outcome):
+                self._left += 1
+                self.returned += 1
+            if not _is_not_run(outcome):
+                self._may_have_run = True
+            self._keep_error(outcome)
+
+    def _keep_error(self, outcome: SendOutcome) -> None:
+        if self._may_have_run:
+            self.not_run_error = None
+        elif isinstance(outcome, BronzesillError):
+            self.not_run_error = BronzesillError(
+                outcome.code,
+                outcome.message,
+                retry_after_s=outcome.retry_after_s or RETRY_AFTER_S,
+            )
+
+
+def _is_not_run(outcome: SendOutcome) -> bool:
+    if not isinstance(outcome, BronzesillError):
+        return False
+    return outcome.code is ResultCode.CALL_NOT_RUN
+
+
 def _best_outcome(
     done: set[asyncio.Task[SendOutcome]], previous: SendOutcome
 ) -> SendOutcome:
--- a/bronzesill/calls/servers.py
+++ b/bronzesill/calls/servers.py
@@ -9,7 +9,7 @@
 from random import Random
 
 from ..routing import ServerTracker, ServerView, TrafficSplit, pick_version
-from ..upstream import ConnectionLost, ForwardRequest
+from ..upstream import ConnectionLost, ForwardRequest, RequestNotSent
 from ..utils import Address, BronzesillError, PartLogger, ResultCode
 from .held_calls import (
     MIN_AVAILABLE,
@@ -21,16 +21,19 @@
 from .interfaces import CallAnswer, RoutedCall
 
 __all__ = [
+    'RETRY_AFTER_S',
     'CallEnd',
     'CallResult',
     'ServiceServers',
     'is_disconnected',
+    'is_unsent',
 ]
 
 #: Weight of a server's failure rate relative to its utilization.
 _FAILURE_WEIGHT = 0.6
 _SERVER_ERROR = 500
-_RETRY_AFTER_S = 0.2
+#: Time in seconds after which a call that was not run may be sent again.
+RETRY_AFTER_S = 0.2
 #: Servers lost under a call from which on it does not risk the last one.
 _MANY_LOSSES = 2
 
@@ -146,7 +149,7 @@
             raise BronzesillError(
                 ResultCode.CALL_NOT_RUN,
                 'not run: no server available for the service',
-                retry_after_s=max(self._limit_wait_s(service), _RETRY_AFTER_S),
+                retry_after_s=max(self._limit_wait_s(service), RETRY_AFTER_S),
             )
         return tuple(view.name for view in views)
 
@@ -201,7 +204,7 @@
             raise BronzesillError(
                 ResultCode.CALL_NOT_RUN,
                 f'not run: {name} has reached its limit',
-                retry_after_s=_RETRY_AFTER_S,
+                retry_after_s=RETRY_AFTER_S,
             )
         self._tracker.opened(name)
 
@@ -279,6 +282,13 @@
     return isinstance(outcome.__cause__, ConnectionLost)
 
 
+def is_unsent(outcome: CallAnswer | BronzesillError | None) -> bool:
+    """Return whether nothing was sent to the server of an attempt."""
+    if not isinstance(outcome, BronzesillError):
+        return False
+    return isinstance(outcome.__cause__, RequestNotSent)
+
+
 def _log_send(
     routed: RoutedCall,
     server: str,
