Log since when a host cannot open connections to a server

A host that has lost its way to the servers logged failed sends only, the same as for a server that has ended. Each host now logs the first connection to a server that it could not open, with the error, and the next one that it could. Side by side, the logs of all hosts tell a server that is gone (all say so) from a path that is cut (some say so). No logic is changed.

--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -6,7 +6,7 @@
 import dataclasses
 import re
 
-from ..utils import Address
+from ..utils import Address, PartLogger
 from .answer import AnswerError, AnswerHead, RequestNotSent
 from .connection import UpstreamConnection
 
@@ -16,8 +16,12 @@
 _PROBE_TIMEOUT_S = 0.15
 _KEEP_ALIVE_MARGIN_S = 1.0
 _DEFAULT_KEEP_ALIVE_S = 4.0
+#: Servers of which it is noted that they cannot be reached.
+_MAX_NOTED = 1000
 _TIMEOUT_PATTERN = re.compile(rb'timeout=(\d+)')
 
+_log = PartLogger('upstream')
+
 
 @dataclasses.dataclass(frozen=True)
 class Target:
@@ -44,6 +48,7 @@
         #: Number of connection attempts so far, including failed ones.
         self.opened = 0
         self._idle_by_target: dict[Target, list[UpstreamConnection]] = {}
+        self._unreachable_since_s_by_target: dict[Target, float] = {}
 
     async def acquire(
         self, target: Target, *, max_idle_s: float
@@ -98,6 +103,8 @@
 
         :param targets: the servers that are listed.
         """
+        for unlisted in self._unreachable_since_s_by_target.keys() - targets:
+            self._unreachable_since_s_by_target.pop(unlisted)
         for target in tuple(self._idle_by_target):
             if target not in targets:
                 for connection in self._idle_by_target.pop(target):
@@ -118,9 +125,34 @@
                     UpstreamConnection, target.address.ip, target.address.port
                 )
         except (OSError, TimeoutError) as error:
+            self._log_unreachable(target, error)
             raise RequestNotSent(f'{target.name}: {error!r}') from error
+        self._log_reachable(target)
         return connection
 
+    def _log_unreachable(self, target: Target, error: Exception) -> None:
+        noted = self._unreachable_since_s_by_target
+        if target in noted or len(noted) >= _MAX_NOTED:
+            return
+        now_s = asyncio.get_running_loop().time()
+        noted[target] = now_s
+        _log.event(
+            'server_unreachable',
+            server=target.name,
+            address=str(target.address),
+            error=repr(error),
+        )
+
+    def _log_reachable(self, target: Target) -> None:
+        since_s = self._unreachable_since_s_by_target.pop(target, None)
+        if since_s is not None:
+            now_s = asyncio.get_running_loop().time()
+            _log.event(
+                'server_reachable',
+                server=target.name,
+                lasted_s=round(now_s - since_s, 3),
+            )
+
 
 class ConnectionLease:
     """
