--- a/bronzesill/upstream/__init__.py
+++ b/bronzesill/upstream/__init__.py
@@ -10,7 +10,15 @@
 )
 from .client import HttpAnswer, HttpCall, ServiceClient
 from .connection import UpstreamConnection
-from .pool import ConnectionLease, ConnectionPool, Target
+from .pool import (
+    ConnectionLease,
+    ConnectionPool,
+    Connector,
+    Dialer,
+    DirectConnector,
+    Reach,
+    Target,
+)
 from .request import (
     CallerFields,
     Dialect,
@@ -28,7 +36,10 @@
     'ConnectionLease',
     'ConnectionLost',
     'ConnectionPool',
+    'Connector',
     'Dialect',
+    'Dialer',
+    'DirectConnector',
     'ForwardRequest',
     'Header',
     'HealthDialect',
@@ -36,6 +47,7 @@
     'HttpCall',
     'KvCacheCopy',
     'OnAnswerHead',
+    'Reach',
     'ReportedLoad',
     'RequestNotSent',
     'SendPlan',
--- a/bronzesill/upstream/connection.py
+++ b/bronzesill/upstream/connection.py
@@ -42,6 +42,10 @@
         #: unknown.
         self.usable_until_s: float = 0
         self.served = 0
+        #: Whether it leads through another host.
+        self.is_relayed = False
+        #: Loop time at which it was opened or last delivered bytes.
+        self.received_at_s: float = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._answer: _PendingAnswer | None = None
@@ -61,6 +65,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the established connection."""
         self._transport = cast(asyncio.Transport, transport)
+        self.received_at_s = asyncio.get_running_loop().time()
 
     async def send(self, request: bytes, *, is_head: bool) -> AnswerHead:
         """
@@ -110,6 +115,7 @@
         Reading is paused when more than ``_MAX_BUFFERED_BYTES`` of the body
         are buffered, until the next ``read``.
         """
+        self.received_at_s = asyncio.get_running_loop().time()
         answer = self._answer
         if answer is None or answer.is_finished:
             self._fail_connection('unexpected bytes outside of an answer')
--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -4,13 +4,26 @@
 
 import asyncio
 import dataclasses
+import enum
 import re
+from collections.abc import Awaitable, Callable, Collection
+from typing import Protocol, TypeVar
 
 from ..utils import Address, PartLogger
 from .answer import AnswerError, AnswerHead, RequestNotSent
 from .connection import UpstreamConnection
 
-__all__ = ['ConnectionLease', 'ConnectionPool', 'Target']
+__all__ = [
+    'ConnectionLease',
+    'ConnectionPool',
+    'Connector',
+    'Dialer',
+    'DirectConnector',
+    'Reach',
+    'Target',
+]
+
+ProtocolT = TypeVar('ProtocolT', bound=asyncio.Protocol)
 
 _CONNECT_TIMEOUT_S = 0.25
 _PROBE_TIMEOUT_S = 0.15
@@ -36,6 +49,149 @@
     address: Address
 
 
+class Dialer:
+    """Opens TCP connections to backend servers."""
+
+    def __init__(self) -> None:
+        #: Awaited before each connection attempt; tests cut paths here.
+        self.before_connect: Callable[[Address], Awaitable[None]] = _no_wait
+
+    async def open(
+        self,
+        address: Address,
+        make_protocol: Callable[[], ProtocolT],
+        timeout_s: float,
+    ) -> ProtocolT:
+        """
+        Open a connection and return its protocol.
+
+        :param address: address to connect to.
+        :param make_protocol: creates the protocol of the connection.
+        :param timeout_s: seconds until the attempt fails.
+        :raises OSError: the connection could not be established.
+        """
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(timeout_s):
+            await self.before_connect(address)
+            _, protocol = await loop.create_connection(
+                make_protocol, address.ip, address.port
+            )
+        return protocol
+
+
+class Reach(enum.Enum):
+    """Who reaches a server."""
+
+    DIRECT = 'direct'
+    PEER = 'peer'
+    NONE = 'none'
+
+
+class Connector(Protocol):
+    """Opens connections to servers."""
+
+    async def connect(
+        self, target: Target, timeout_s: float
+    ) -> UpstreamConnection:
+        """
+        Open a connection.
+
+        :param target: server to connect to.
+        :param timeout_s: seconds until a direct attempt fails.
+        :raises RequestNotSent: the connection could not be established.
+        """
+
+    def may_reuse(self, target: Target, connection: UpstreamConnection) -> bool:
+        """Return whether an idle connection may carry another request."""
+
+    async def check(self, target: Target) -> Reach:
+        """Find out who reaches a server."""
+
+    def keep_only(self, servers: Collection[str]) -> None:
+        """Forget all other servers."""
+
+    def close(self) -> None:
+        """Cancel all tasks."""
+
+
+class DirectConnector:
+    """Opens direct connections to servers."""
+
+    def __init__(self) -> None:
+        self.dialer = Dialer()
+        #: Number of connection attempts so far, including failed ones.
+        self.opened = 0
+        #: Receives connections that were opened to find out who can.
+        self.on_spare: Callable[[Target, UpstreamConnection], None] = _close
+        self._unreachable_since_s_by_target: dict[Target, float] = {}
+
+    async def connect(
+        self, target: Target, timeout_s: float
+    ) -> UpstreamConnection:
+        """
+        Open a connection.
+
+        :param target: server to connect to.
+        :param timeout_s: seconds until the attempt fails.
+        :raises RequestNotSent: the connection could not be established.
+        """
+        self.opened += 1
+        try:
+            connection = await self.dialer.open(
+                target.address, UpstreamConnection, timeout_s
+            )
+        except OSError as error:
+            self._log_unreachable(target, error)
+            raise RequestNotSent(f'{target.name}: {error!r}') from error
+        self._log_reachable(target)
+        return connection
+
+    def may_reuse(self, target: Target, connection: UpstreamConnection) -> bool:
+        """Return ``True``; nothing is known of the path."""
+        return True
+
+    async def check(self, target: Target) -> Reach:
+        """Find out whether this host reaches a server."""
+        try:
+            connection = await self.connect(target, _PROBE_TIMEOUT_S)
+        except RequestNotSent:
+            return Reach.NONE
+        self.on_spare(target, connection)
+        return Reach.DIRECT
+
+    def keep_only(self, servers: Collection[str]) -> None:
+        """Forget all other servers."""
+        for target in tuple(self._unreachable_since_s_by_target):
+            if target.name not in servers:
+                self._unreachable_since_s_by_target.pop(target)
+
+    def close(self) -> None:
+        """Do nothing; there are no tasks."""
+
+    def _log_unreachable(self, target: Target, error: Exception) -> None:
+        noted = self._unreachable_since_s_by_target
+        if target in noted or len(noted) >= _MAX_NOTED:
+            return
+        now_s = asyncio.get_running_loop().time()
+        noted[target] = now_s
+        _log.event(
+            'server_unreachable',
+            server=target.name,
+            address=str(target.address),
+            error=repr(error),
+        )
+
+    def _log_reachable(self, target: Target) -> None:
+        since_s = self._unreachable_since_s_by_target.pop(target, None)
+        if since_s is not None:
+            now_s = asyncio.get_running_loop().time()
+            _log.event(
+                'server_reachable',
+                server=target.name,
+                lasted_s=round(now_s - since_s, 3),
+            )
+
+
 class ConnectionPool:
     """
     Idle connections by target, reused in last-in, first-out order.
@@ -45,10 +201,16 @@
 
     def __init__(self, connect_timeout_s: float = _CONNECT_TIMEOUT_S) -> None:
         self._connect_timeout_s = connect_timeout_s
-        #: Number of connection attempts so far, including failed ones.
-        self.opened = 0
+        self.direct = DirectConnector()
+        self.direct.on_spare = self.add_spare
+        #: Opens the connections of this pool.
+        self.connector: Connector = self.direct
         self._idle_by_target: dict[Target, list[UpstreamConnection]] = {}
-        self._unreachable_since_s_by_target: dict[Target, float] = {}
+
+    @property
+    def opened(self) -> int:
+        """Number of direct connection attempts, including failed ones."""
+        return self.direct.opened
 
     async def acquire(
         self, target: Target, *, max_idle_s: float
@@ -68,29 +230,49 @@
             is_fresh = (
                 now_s - connection.idle_since_s <= max_idle_s
                 and now_s < connection.usable_until_s
+                and self.connector.may_reuse(target, connection)
             )
             if connection.is_reusable and is_fresh:
                 return ConnectionLease(self, target, connection)
             connection.close()
-        connection = await self._connect(target, self._connect_timeout_s)
+        connection = await self.connector.connect(
+            target, self._connect_timeout_s
+        )
+        return ConnectionLease(self, target, connection)
+
+    async def acquire_direct(self, target: Target) -> ConnectionLease:
+        """
+        Open a connection that does not lead through another host.
+
+        :param target: server to connect to.
+        :raises RequestNotSent: the connection could not be established.
+        """
+        connection = await self.direct.connect(target, self._connect_timeout_s)
         return ConnectionLease(self, target, connection)
 
     async def probe(self, target: Target) -> bool:
         """
-        Return whether a server accepts a connection.
+        Return whether a server accepts a connection of any host.
 
         The connection is added to the idle ones.
 
         :param target: server to connect to.
         """
-        try:
-            connection = await self._connect(target, _PROBE_TIMEOUT_S)
-        except RequestNotSent:
-            return False
+        return await self.connector.check(target) is not Reach.NONE
+
+    async def is_path_cut(self, target: Target) -> bool:
+        """
+        Find out whether only another host reaches a server.
+
+        :param target: server to connect to.
+        """
+        return await self.connector.check(target) is Reach.PEER
+
+    def add_spare(self, target: Target, connection: UpstreamConnection) -> None:
+        """Add a connection that has carried no request to the idle ones."""
         now_s = asyncio.get_running_loop().time()
         connection.usable_until_s = now_s + _DEFAULT_KEEP_ALIVE_S
         self.put_idle(target, connection)
-        return True
 
     def put_idle(self, target: Target, connection: UpstreamConnection) -> None:
         """Add a connection without a pending answer to the idle ones."""
@@ -103,8 +285,9 @@
 
         :param targets: the servers that are listed.
         """
-        for unlisted in self._unreachable_since_s_by_target.keys() - targets:
-            self._unreachable_since_s_by_target.pop(unlisted)
+        names = frozenset(target.name for target in targets)
+        self.direct.keep_only(names)
+        self.connector.keep_only(names)
         for target in tuple(self._idle_by_target):
             if target not in targets:
                 for connection in self._idle_by_target.pop(target):
@@ -112,47 +295,9 @@
 
     def close(self) -> None:
         """Close all idle connections."""
+        self.connector.close()
         self.close_unlisted(frozenset())
 
-    async def _connect(
-        self, target: Target, timeout_s: float
-    ) -> UpstreamConnection:
-        loop = asyncio.get_running_loop()
-        self.opened += 1
-        try:
-            async with asyncio.timeout(timeout_s):
-                _, connection = await loop.create_connection(
-                    UpstreamConnection, target.address.ip, target.address.port
-                )
-        except (OSError, TimeoutError) as error:
-            self._log_unreachable(target, error)
-            raise RequestNotSent(f'{target.name}: {error!r}') from error
-        self._log_reachable(target)
-        return connection
-
-    def _log_unreachable(self, target: Target, error: Exception) -> None:
-        noted = self._unreachable_since_s_by_target
-        if target in noted or len(noted) >= _MAX_NOTED:
-            return
-        now_s = asyncio.get_running_loop().time()
-        noted[target] = now_s
-        _log.event(
-            'server_unreachable',
-            server=target.name,
-            address=str(target.address),
-            error=repr(error),
-        )
-
-    def _log_reachable(self, target: Target) -> None:
-        since_s = self._unreachable_since_s_by_target.pop(target, None)
-        if since_s is not None:
-            now_s = asyncio.get_running_loop().time()
-            _log.event(
-                'server_reachable',
-                server=target.name,
-                lasted_s=round(now_s - since_s, 3),
-            )
-
 
 class ConnectionLease:
     """
@@ -246,6 +391,15 @@
         self._connection.close()
 
 
+def _close(target: Target, connection: UpstreamConnection) -> None:
+    """Close a spare connection; the default of ``on_spare``."""
+    connection.close()
+
+
+async def _no_wait(address: Address) -> None:
+    """Connect at once; the default of ``before_connect``."""
+
+
 def _keep_alive_s(head: AnswerHead) -> float:
     match = _TIMEOUT_PATTERN.search(head.find(b'keep-alive') or b'')
     if match is None:
