Answer 503 to repeatable calls that reached no server

An idempotent call of which nothing could be sent was answered 502, no server answered; the first error counted, whatever the attempts said. Callers were told that it may have run. It is answered 503, not run, if that holds for all its attempts, as calls that run once were; both now say when paths to servers are tried again (Retry-After).

--- a/bronzesill/calls/forward_sender.py
+++ b/bronzesill/calls/forward_sender.py
@@ -26,6 +26,8 @@
 #: server may have closed one that was idle for longer, unnoticed here.
 _AT_MOST_ONCE_MAX_IDLE_S = 1.0
 #: An answer is kept in memory until it is complete.
+#: Paths to servers that cannot be reached are tried again as often.
+_RETRY_AFTER_S = 0.5
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
@@ -112,4 +114,8 @@
 
 
 def _not_run_error(detail: str) -> BronzesillError:
-    return BronzesillError(ResultCode.CALL_NOT_RUN, f'not run: {detail}')
+    return BronzesillError(
+        ResultCode.CALL_NOT_RUN,
+        f'not run: {detail}',
+        retry_after_s=_RETRY_AFTER_S,
+    )
--- a/bronzesill/calls/idempotent.py
+++ b/bronzesill/calls/idempotent.py
@@ -66,7 +66,7 @@
         remaining = list(server_names[: routed.route.max_attempts])
         losses = 0
         running = {self._start_attempt(routed, remaining.pop(0))}
-        outcome: SendOutcome = _no_answer_error()
+        outcome: SendOutcome = _not_run_error()
         try:
             while running:
                 done, running = await asyncio.wait(
@@ -85,7 +85,9 @@
             _cancel_attempts(running)
         if isinstance(outcome, CallAnswer):
             return outcome
-        raise outcome
+        if outcome.code is ResultCode.CALL_NOT_RUN:
+            raise outcome
+        raise BronzesillError(ResultCode.CALL_FAILED, 'no server answered')
 
     def _start_retry(
         self, routed: RoutedCall, remaining: list[str]
@@ -142,7 +144,7 @@
 def _best_outcome(
     done: set[asyncio.Task[SendOutcome]], previous: SendOutcome
 ) -> SendOutcome:
-    outcomes = [previous, *(task.result() for task in done)]
+    outcomes = [*(task.result() for task in done), previous]
     return max(outcomes, key=_rank)
 
 
@@ -152,12 +154,15 @@
 
 
 def _rank(outcome: SendOutcome) -> int:
-    return int(isinstance(outcome, CallAnswer)) + int(_is_success(outcome))
+    if isinstance(outcome, BronzesillError):
+        # A request that may have run is not reported as not run.
+        return int(outcome.code is not ResultCode.CALL_NOT_RUN)
+    return 2 + int(_is_success(outcome))
 
 
 def _is_success(outcome: SendOutcome) -> bool:
     return isinstance(outcome, CallAnswer) and outcome.status < _SERVER_ERROR
 
 
-def _no_answer_error() -> BronzesillError:
-    return BronzesillError(ResultCode.CALL_FAILED, 'no server answered')
+def _not_run_error() -> BronzesillError:
+    return BronzesillError(ResultCode.CALL_NOT_RUN, 'not run: no server')
