Connect to servers through a peer while the path is cut

Callers of hosts that had lost their links to all servers got refusals and unknown outcomes, although the hosts beside them reached every server. Cause: a host took its own view of the servers for that of the fleet, and had no other way to a server than its own connections.

A pool now gets its connections from a connector. If a direct connection fails, or takes longer than 60 ms, a peer is asked for one over the port for peers, and the first that is open wins. The host that owns the request goes on to count its retries, slots and limits; the peer passes on the bytes of one connection, says how it ended, and never asks a further host. A server that only peers reach is not suspected, reported or counted as ended. While a path is cut, direct connections that have been silent since are not used again; one attempt at a time finds out when it has healed. A repeatable call without an answer for 250 ms checks the path and moves.

--- a/bronzesill/calls/forward_sender.py
+++ b/bronzesill/calls/forward_sender.py
@@ -74,7 +74,7 @@
         )
         lease = await self._connect(server, max_idle_s)
         try:
-            return await self._exchange(lease, server, forward)
+            return await self._exchange(lease, server, routed, forward)
         except RequestNotSent as error:
             raise _not_run_error(str(error)) from error
         except AnswerError as error:
@@ -94,13 +94,18 @@
             raise _not_run_error(str(error)) from error
 
     async def _exchange(
-        self, lease: ConnectionLease, server: str, forward: ForwardRequest
+        self,
+        lease: ConnectionLease,
+        server: str,
+        routed: RoutedCall,
+        forward: ForwardRequest,
     ) -> CallAnswer:
         now_s = asyncio.get_running_loop().time()
         plan = SendPlan(server, forward.deadline_at_s - now_s)
         head = await lease.send(
             self._dialect.encode(forward, plan),
             is_head=forward.method == 'HEAD',
+            may_repeat=routed.route.idempotent,
         )
         if not self._dialect.is_answer_to(head, forward):
             lease.discard()
--- a/bronzesill/calls/servers.py
+++ b/bronzesill/calls/servers.py
@@ -226,6 +226,8 @@
         latency_s = now_s - started_s
         end = CallEnd.from_outcome(outcome)
         self._tracker.closed(name)
+        if end is CallEnd.LOST and self._tracker.is_path_cut(name):
+            end = CallEnd.GIVEN_UP
         if end is CallEnd.LOST:
             self._tracker.suspect(name, now_s)
         elif end is not CallEnd.GIVEN_UP:
--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -30,7 +30,7 @@
 from .early_sockets import EarlySockets
 from .hosted_fleet import HostedFleet
 from .hosted_moves import HostedMoves
-from .hosted_peers import HostedPeers
+from .hosted_peers import HostedPeers, HostedRelay
 from .hosted_requests import HostedRequests, RequestContext
 from .hosted_store_state import HostedStoreState
 from .peer_replication import PeerReplication
@@ -80,6 +80,10 @@
         self._fleet = HostedFleet(
             self._store, self._peers.membership, settings.seeds, self._random
         )
+        self._relay = HostedRelay(
+            settings, self._peers, self._fleet.live_peers, self._random
+        )
+        self._relay.attach(self._tracker, self._pool)
         self._store_state = HostedStoreState(
             self._state, self._tracker, self._apply_store_changes
         )
--- a/bronzesill/daemon/hosted_peers.py
+++ b/bronzesill/daemon/hosted_peers.py
@@ -17,13 +17,21 @@
     MembershipController,
     MembershipQueue,
 )
+from ..relay import (
+    RelayConnector,
+    RelayOpen,
+    RelayPeer,
+    RelayServer,
+)
+from ..routing import ServerTracker
+from ..upstream import ConnectionPool
 from ..utils import ResultCode
 from ..wire import DatagramSocket, PeerClient, PeerServer, WireCounters
 from .early_sockets import EarlySockets
 from .peer_messages import Refusal, make_registry
 from .usage_exchange import DatagramRouter
 
-__all__ = ['HostedPeers']
+__all__ = ['HostedPeers', 'HostedRelay']
 
 _MS_PER_S = 1000
 
@@ -44,6 +52,7 @@
         listeners: EarlySockets,
     ) -> None:
         registry = make_registry()
+        self.registry = registry
         counters = WireCounters()
         membership_queue: MembershipQueue = asyncio.Queue()
         self._address = settings.peers
@@ -63,7 +72,7 @@
         self.handlers_by_type: dict[type, Callable[[Any], Any]] = {
             FetchView: self.membership.handle_fetch_view
         }
-        self._server = PeerServer(
+        self.server = PeerServer(
             settings.peers,
             registry,
             self,
@@ -73,12 +82,12 @@
 
     async def open(self) -> None:
         """Start to listen for requests and datagrams of peers."""
-        await self._server.start()
+        await self.server.start()
         await self.socket.open(self._address)
 
     async def close(self) -> None:
         """Close all connections with peers."""
-        await self._server.stop()
+        await self.server.stop()
         await self.client.stop()
         self.socket.close()
 
@@ -95,6 +104,75 @@
         return await reply if inspect.isawaitable(reply) else reply
 
 
+class HostedRelay:
+    """
+    Connections to servers through peers, and those opened for peers.
+
+    :param settings: settings of this host.
+    :param peers: connections with peers.
+    :param list_peers: returns the other live daemons.
+    :param random: generator for the choice of peers.
+    """
+
+    def __init__(
+        self,
+        settings: HostedSettings,
+        peers: HostedPeers,
+        list_peers: Callable[[], tuple[Member, ...]],
+        random: Random,
+    ) -> None:
+        self._settings = settings
+        self._peers = peers
+        self._list_peers = list_peers
+        self._random = random
+
+    def attach(self, tracker: ServerTracker, pool: ConnectionPool) -> None:
+        """
+        Let a pool connect through peers, and serve connections of peers.
+
+        :param tracker: state of the backend servers.
+        :param pool: pool of connections to backend servers.
+        """
+        connector = RelayConnector(
+            self._settings.name,
+            pool.direct,
+            self._peers.registry,
+            self._relay_peers,
+            self._random,
+        )
+        connector.on_spare = pool.add_spare
+        tracker.is_path_cut = connector.paths.is_cut
+        pool.connector = connector
+        server = RelayServer(
+            pool.direct.dialer,
+            self._is_peer,
+            lambda opening: _is_in_service(tracker, opening),
+        )
+        server.is_cut = connector.paths.is_cut
+        self._peers.server.channels_by_type[RelayOpen] = server.serve
+
+    def _relay_peers(self) -> tuple[RelayPeer, ...]:
+        own_domain = self._settings.failure_domain
+        return tuple(
+            RelayPeer(
+                member.name, member.peers, member.failure_domain == own_domain
+            )
+            for member in self._list_peers()
+        )
+
+    def _is_peer(self, ip: str) -> bool:
+        return any(member.peers.ip == ip for member in self._list_peers())
+
+
+def _is_in_service(tracker: ServerTracker, opening: RelayOpen) -> bool:
+    server = tracker.servers_by_name.get(opening.server)
+    return (
+        server is not None
+        and server.address == opening.address
+        and opening.server not in tracker.leaving
+    )
+
+
 def _own_member(settings: HostedSettings) -> Member:
     return Member(
         name=settings.name,
--- a/bronzesill/daemon/peer_messages.py
+++ b/bronzesill/daemon/peer_messages.py
@@ -21,6 +21,7 @@
     Suspected,
     SuspectStarted,
 )
+from ..relay import RELAY_TYPES_BY_NUMBER
 from ..replica import FetchReplica, ReplicaAnswer
 from ..routing import FetchUse, UseReport
 from ..wire import MessageRegistry
@@ -59,6 +60,7 @@
         74: Suspected,
         75: SuspectStarted,
         76: BlockNotice,
+        **RELAY_TYPES_BY_NUMBER,
         99: Refusal,
     }
 )
--- a/bronzesill/daemon/restart_detector.py
+++ b/bronzesill/daemon/restart_detector.py
@@ -117,7 +117,7 @@
         path = self._store_state.health_path(listed.server.service)
         # Pooled connections lead to the process that has ended.
         target = Target(f'next start of {server}', address)
-        lease = await self._pool.acquire(target, max_idle_s=0)
+        lease = await self._pool.acquire_direct(target)
         try:
             head = await lease.send(
                 self._dialect.encode_health_check(path, address)
--- /dev/null
+++ b/bronzesill/relay/connections.py
@@ -0,0 +1,227 @@
+"""Messages of a relayed connection, and its end at the asking host."""
+
+import asyncio
+import dataclasses
+import types
+from collections.abc import Mapping
+from typing import Any, cast
+
+import msgpack
+
+from ..upstream import UpstreamConnection
+from ..utils import Address
+from ..wire import InvalidMessage, MessageRegistry
+
+__all__ = [
+    'MAX_DATA_BYTES',
+    'RELAY_TYPES_BY_NUMBER',
+    'UNREACHABLE',
+    'RelayClient',
+    'RelayData',
+    'RelayEnd',
+    'RelayOpen',
+    'RelayOpened',
+    'RelayRefused',
+]
+
+#: Bytes of a connection that one message carries.
+MAX_DATA_BYTES = 64 * 1024
+#: Reason of a host that could not connect to the server either.
+UNREACHABLE = 'unreachable'
+_MAX_BUFFERED_BYTES = 4 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True)
+class RelayOpen:
+    """
+    First message: asks a host to connect to a backend server.
+
+    :param host: name of the asking host.
+    :param server: name of the server.
+    :param address: address of the server.
+    :param timeout_s: seconds until the asking host gives up.
+    """
+
+    host: str
+    server: str
+    address: Address
+    timeout_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class RelayOpened:
+    """The server accepted the connection."""
+
+
+@dataclasses.dataclass(frozen=True)
+class RelayRefused:
+    """
+    The connection was not opened.
+
+    :param reason: why, in a word.
+    """
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class RelayData:
+    """
+    Bytes of the connection, in either direction.
+
+    :param body: the bytes.
+    """
+
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class RelayEnd:
+    """
+    The server's end of the connection.
+
+    :param is_clean: whether the server closed it, rather than reset it.
+    """
+
+    is_clean: bool
+
+
+RELAY_TYPES_BY_NUMBER: Mapping[int, type] = types.MappingProxyType(
+    {
+        80: RelayOpen,
+        81: RelayOpened,
+        82: RelayRefused,
+        83: RelayData,
+        84: RelayEnd,
+    }
+)
+
+
+class RelayClient(asyncio.Protocol):
+    """
+    Connection to a peer that carries one connection to a backend server.
+
+    It ends as complete only if the peer says that the server closed it.
+
+    :param registry: registered message types.
+    :param opening: the connection to ask for.
+    """
+
+    def __init__(self, registry: MessageRegistry, opening: RelayOpen) -> None:
+        #: Result: empty if the server is connected, else the reason.
+        self.opened: asyncio.Future[str] = (
+            asyncio.get_running_loop().create_future()
+        )
+        #: The connection to the server.
+        self.upstream = UpstreamConnection()
+        self.upstream.is_relayed = True
+        self._registry = registry
+        self._opening = opening
+        self._unpacker = msgpack.Unpacker(max_buffer_size=_MAX_BUFFERED_BYTES)
+        self._transport: asyncio.Transport | None = None
+        self._has_ended = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Ask the peer for the connection to the server."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._transport.write(self._registry.encode(self._opening))
+
+    def data_received(self, data: bytes) -> None:
+        """Process the messages of the peer; an invalid one ends all."""
+        try:
+            self._unpacker.feed(data)
+            for frame in self._unpacker:
+                self._process(self._registry.from_frame(frame).message)
+        except (ValueError, msgpack.UnpackException, InvalidMessage):
+            self.abort()
+
+    def eof_received(self) -> bool:
+        """Return ``False``, so that the transport closes itself."""
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """End the connection to the server as broken, unless it has ended."""
+        self._settle('lost')
+        self._end(is_clean=False)
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _process(self, message: Any) -> None:
+        if isinstance(message, RelayRefused):
+            self._settle(message.reason or 'refused')
+        elif isinstance(message, RelayOpened):
+            self._open()
+        elif not self._has_ended and self.opened.done():
+            self._process_open(message)
+
+    def _process_open(self, message: Any) -> None:
+        if isinstance(message, RelayData):
+            self.upstream.data_received(message.body)
+        elif isinstance(message, RelayEnd):
+            self._end(is_clean=message.is_clean)
+            self.abort()
+
+    def _open(self) -> None:
+        transport = self._transport
+        if transport is None or self.opened.done():
+            return
+        self.upstream.connection_made(
+            _RelayTransport(transport, self._registry)
+        )
+        self._settle('')
+
+    def _settle(self, reason: str) -> None:
+        if not self.opened.done():
+            self.opened.set_result(reason)
+
+    def _end(self, *, is_clean: bool) -> None:
+        if self._has_ended:
+            return
+        self._has_ended = True
+        error = None if is_clean else ConnectionResetError('relay ended')
+        self.upstream.connection_lost(error)
+
+
+class _RelayTransport(asyncio.Transport):
+    """
+    Sends the bytes of a connection to the peer.
+
+    :param transport: transport to the peer.
+    :param registry: registered message types.
+    """
+
+    def __init__(
+        self, transport: asyncio.Transport, registry: MessageRegistry
+    ) -> None:
+        super().__init__()
+        self._transport = transport
+        self._registry = registry
+
+    def write(self, chunk: Any) -> None:
+        """Send bytes to the server."""
+        for start in range(0, len(chunk), MAX_DATA_BYTES):
+            part = bytes(chunk[start : start + MAX_DATA_BYTES])
+            self._transport.write(self._registry.encode(RelayData(part)))
+
+    def is_closing(self) -> bool:
+        """Return whether the connection to the peer is closed."""
+        return self._transport.is_closing()
+
+    def close(self) -> None:
+        """Close the connection after the bytes that wait."""
+        self._transport.close()
+
+    def abort(self) -> None:
+        """Close the connection at once, which ends it at the server too."""
+        self._transport.abort()
+
+    def pause_reading(self) -> None:
+        """Stop the peer, and so the server, from sending."""
+        self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Receive again."""
+        self._transport.resume_reading()
--- /dev/null
+++ b/bronzesill/relay/connector.py
@@ -0,0 +1,440 @@
+"""Opens connections to servers, through a peer if the path is cut."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+from collections import Counter
+from collections.abc import Callable, Collection
+from random import Random
+
+from ..upstream import (
+    DirectConnector,
+    Reach,
+    RequestNotSent,
+    Target,
+    UpstreamConnection,
+)
+from ..utils import PartLogger
+from ..wire import MessageRegistry
+from .connections import UNREACHABLE, RelayClient, RelayOpen
+from .paths import PathTable, RelayPeer
+
+__all__ = ['RelayConnector']
+
+#: Time for a direct connection until a peer is asked as well.
+_HEAD_START_S = 0.06
+#: Time for one peer until the next one is asked as well.
+_NEXT_PEER_S = 0.08
+_MAX_ASKED_AT_ONCE = 2
+_ASK_TIMEOUT_S = 0.5
+_CHECK_TIMEOUT_S = 0.15
+#: Time for which it holds that only a peer reaches a server.
+_CHECK_VALID_S = 0.3
+#: Interval of checks of a server that does not answer.
+_CHECK_EACH_S = 1.0
+_HEAL_INTERVAL_S = 0.5
+#: Time without a use of a server after which its path is not tried any more.
+_UNUSED_S = 30.0
+#: Reason of a peer that does not answer.
+_SILENT = 'silent'
+
+_log = PartLogger('relay')
+
+
+class RelayConnector:
+    """
+    Connects directly, or through another host while the path is cut.
+
+    :param host: name of this host.
+    :param direct: opens direct connections.
+    :param registry: registered message types.
+    :param list_peers: returns the other live hosts.
+    :param random: generator for the choice of peers and for jitter.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        direct: DirectConnector,
+        registry: MessageRegistry,
+        list_peers: Callable[[], tuple[RelayPeer, ...]],
+        random: Random,
+    ) -> None:
+        self.paths = PathTable()
+        #: Connections by outcome: opened, refused, unreachable.
+        self.counts: Counter[str] = Counter()
+        #: Receives connections that nobody waits for any more.
+        self.on_spare: Callable[[Target, UpstreamConnection], None] = _close
+        self._host = host
+        self._direct = direct
+        self._registry = registry
+        self._list_peers = list_peers
+        self._random = random
+        self._used_at_s_by_target: dict[Target, float] = {}
+        self._healing_by_target: dict[Target, asyncio.Task[None]] = {}
+        self._checks_by_target: dict[Target, asyncio.Task[Reach]] = {}
+        self._relayed_at_s_by_target: dict[Target, float] = {}
+        self._checked_at_s_by_target: dict[Target, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def connect(
+        self, target: Target, timeout_s: float
+    ) -> UpstreamConnection:
+        """
+        Open a connection, through a peer if need be.
+
+        :param target: server to connect to.
+        :param timeout_s: seconds until a direct attempt fails.
+        :raises RequestNotSent: neither this host nor a peer connected.
+        """
+        if self.paths.is_cut(target.name):
+            self._used_at_s_by_target[target] = _now_s()
+            return await self._ask_peers(target)
+        direct = asyncio.create_task(self._direct.connect(target, timeout_s))
+        try:
+            await asyncio.wait((direct,), timeout=_HEAD_START_S)
+        except asyncio.CancelledError:
+            self._learn_from(target, direct)
+            raise
+        if direct.done():
+            return await self._take_direct(target, direct)
+        return await self._race(target, direct)
+
+    def may_reuse(self, target: Target, connection: UpstreamConnection) -> bool:
+        """Return whether an idle connection may carry another request."""
+        return self.paths.may_reuse(
+            target.name,
+            is_relayed=connection.is_relayed,
+            received_at_s=connection.received_at_s,
+        )
+
+    async def check(self, target: Target) -> Reach:
+        """
+        Find out who reaches a server; checks of one server run once.
+
+        :param target: server to connect to.
+        """
+        found_at_s = self._relayed_at_s_by_target.get(target, 0)
+        if _now_s() - found_at_s < _CHECK_VALID_S:
+            return Reach.PEER
+        check = self._checks_by_target.get(target)
+        if check is None:
+            check = asyncio.create_task(self._find_reach(target))
+            self._checks_by_target[target] = check
+            check.add_done_callback(
+                lambda _: self._checks_by_target.pop(target, None)
+            )
+        return await asyncio.shield(check)
+
+    async def is_cut(self, target: Target) -> bool:
+        """
+        Return whether only another host reaches a server.
+
+        :param target: server to connect to.
+        """
+        if self.paths.is_cut(target.name):
+            return True
+        now_s = _now_s()
+        if now_s - self._checked_at_s_by_target.get(target, 0) < _CHECK_EACH_S:
+            return False
+        self._checked_at_s_by_target[target] = now_s
+        return await self.check(target) is Reach.PEER
+
+    def keep_only(self, servers: Collection[str]) -> None:
+        """Forget all other servers."""
+        self.paths.keep_only(servers)
+        for by_target in (
+            self._used_at_s_by_target,
+            self._relayed_at_s_by_target,
+            self._checked_at_s_by_target,
+        ):
+            for target in tuple(by_target):
+                if target.name not in servers:
+                    by_target.pop(target)
+
+    def close(self) -> None:
+        """Cancel all tasks."""
+        for task in (
+            *self._tasks,
+            *self._healing_by_target.values(),
+            *self._checks_by_target.values(),
+        ):
+            task.cancel()
+
+    async def _take_direct(
+        self, target: Target, direct: asyncio.Task[UpstreamConnection]
+    ) -> UpstreamConnection:
+        """Return the direct connection; if it failed, one through a peer."""
+        try:
+            connection = await direct
+        except RequestNotSent as error:
+            return await self._replace(target, error)
+        self._mark_open(target)
+        return connection
+
+    async def _replace(
+        self, target: Target, error: RequestNotSent
+    ) -> UpstreamConnection:
+        try:
+            connection = await self._ask_peers(target)
+        except RequestNotSent:
+            raise error from None
+        self._mark_cut(target)
+        return connection
+
+    async def _race(
+        self, target: Target, direct: asyncio.Task[UpstreamConnection]
+    ) -> UpstreamConnection:
+        relayed = asyncio.create_task(self._ask_peers(target))
+        winner: asyncio.Task[UpstreamConnection] | None = None
+        try:
+            winner = await self._find_winner(target, direct, relayed)
+            return winner.result()
+        finally:
+            if winner is not relayed:
+                _abandon(relayed)
+            if winner is not direct:
+                self._learn_from(target, direct, is_served=winner is relayed)
+
+    async def _find_winner(
+        self,
+        target: Target,
+        direct: asyncio.Task[UpstreamConnection],
+        relayed: asyncio.Task[UpstreamConnection],
+    ) -> asyncio.Task[UpstreamConnection]:
+        await asyncio.wait(
+            (direct, relayed), return_when=asyncio.FIRST_COMPLETED
+        )
+        if not direct.done() and relayed.exception() is None:
+            return relayed
+        await asyncio.wait((direct,))
+        error = direct.exception()
+        if error is None:
+            self._mark_open(target)
+            return direct
+        await asyncio.wait((relayed,))
+        if relayed.exception() is not None:
+            raise error
+        self._mark_cut(target)
+        return relayed
+
+    def _learn_from(
+        self,
+        target: Target,
+        direct: asyncio.Task[UpstreamConnection],
+        *,
+        is_served: bool = False,
+    ) -> None:
+        """
+        Let a direct attempt go on that nobody waits for.
+
+        :param target: server to connect to.
+        :param direct: the attempt.
+        :param is_served: whether a peer has reached the server meanwhile.
+        """
+        task = asyncio.create_task(self._learn(target, direct, is_served))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _learn(
+        self,
+        target: Target,
+        direct: asyncio.Task[UpstreamConnection],
+        is_served: bool,
+    ) -> None:
+        try:
+            connection = await direct
+        except RequestNotSent:
+            if is_served:
+                self._mark_cut(target)
+            return
+        self._mark_open(target)
+        self.on_spare(target, connection)
+
+    async def _find_reach(self, target: Target) -> Reach:
+        if not self.paths.is_cut(target.name):
+            try:
+                connection = await self._direct.connect(
+                    target, _CHECK_TIMEOUT_S
+                )
+            except RequestNotSent:
+                return await self._find_relay(target)
+            self.on_spare(target, connection)
+            return Reach.DIRECT
+        return await self._find_relay(target)
+
+    async def _find_relay(self, target: Target) -> Reach:
+        try:
+            connection = await self._ask_peers(target)
+        except RequestNotSent:
+            return Reach.NONE
+        self._mark_cut(target)
+        self._relayed_at_s_by_target[target] = _now_s()
+        self.on_spare(target, connection)
+        return Reach.PEER
+
+    async def _ask_peers(self, target: Target) -> UpstreamConnection:
+        """
+        Return a connection through the first peer that opens one.
+
+        :raises RequestNotSent: no peer opened one.
+        """
+        now_s = _now_s()
+        if not self.paths.may_ask(target.name, now_s):
+            raise RequestNotSent(f'{target.name}: no host reaches it')
+        peers = self.paths.choose(
+            target.name, self._list_peers(), self._random, now_s
+        )
+        if not peers:
+            # All have refused a moment ago.
+            self.paths.mark_unreachable(target.name, now_s)
+        reasons: list[str] = []
+        connection = await self._ask_in_turn(target, list(peers), reasons)
+        if connection is not None:
+            return connection
+        self.counts['unreachable'] += 1
+        if set(reasons) == {UNREACHABLE}:
+            self.paths.mark_unreachable(target.name, _now_s())
+        raise RequestNotSent(f'{target.name}: no host reaches it')
+
+    async def _ask_in_turn(
+        self, target: Target, peers: list[RelayPeer], reasons: list[str]
+    ) -> UpstreamConnection | None:
+        asked: set[asyncio.Task[UpstreamConnection | None]] = set()
+        connection: UpstreamConnection | None = None
+        try:
+            while connection is None and (peers or asked):
+                if peers and len(asked) < _MAX_ASKED_AT_ONCE:
+                    asked.add(
+                        asyncio.create_task(
+                            self._ask(target, peers.pop(0), reasons)
+                        )
+                    )
+                done, asked = await asyncio.wait(
+                    asked,
+                    timeout=_NEXT_PEER_S if peers else None,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                connection = _first_open(done)
+        finally:
+            for task in asked:
+                _abandon(task)
+        return connection
+
+    async def _ask(
+        self, target: Target, peer: RelayPeer, reasons: list[str]
+    ) -> UpstreamConnection | None:
+        opening = RelayOpen(
+            self._host, target.name, target.address, _ASK_TIMEOUT_S
+        )
+        client = RelayClient(self._registry, opening)
+        reason = _SILENT
+        try:
+            async with asyncio.timeout(_ASK_TIMEOUT_S):
+                await asyncio.get_running_loop().create_connection(
+                    lambda: client, peer.address.ip, peer.address.port
+                )
+                reason = await asyncio.shield(client.opened)
+        except OSError:
+            reason = _SILENT
+        finally:
+            if reason:
+                client.abort()
+        if not reason:
+            self.counts['opened'] += 1
+            return client.upstream
+        reasons.append(reason)
+        self._record_refusal(target, peer, reason)
+        return None
+
+    def _record_refusal(
+        self, target: Target, peer: RelayPeer, reason: str
+    ) -> None:
+        self.counts['refused'] += 1
+        if reason == _SILENT:
+            self.paths.mark_slow(peer.name, _now_s())
+        else:
+            self.paths.mark_refused(peer.name, target.name, _now_s())
+        _log.event(
+            'relay_not_opened',
+            peer=peer.name,
+            server=target.name,
+            reason=reason,
+        )
+
+    def _mark_open(self, target: Target) -> None:
+        lasted_s = self.paths.mark_open(target.name, _now_s())
+        if lasted_s is not None:
+            _log.event(
+                'path_healed', server=target.name, lasted_s=round(lasted_s, 3)
+            )
+
+    def _mark_cut(self, target: Target) -> None:
+        if not self.paths.mark_cut(target.name, _now_s()):
+            return
+        _log.event(
+            'path_cut', server=target.name, cut=len(self.paths.cut_servers)
+        )
+        self._used_at_s_by_target[target] = _now_s()
+        if target not in self._healing_by_target:
+            task = asyncio.create_task(self._heal(target))
+            self._healing_by_target[target] = task
+            task.add_done_callback(functools.partial(self._end_healing, target))
+
+    def _end_healing(self, target: Target, _: asyncio.Task[None]) -> None:
+        self._healing_by_target.pop(target, None)
+
+    async def _heal(self, target: Target) -> None:
+        """Try the direct path, one attempt at a time, until it is open."""
+        while self.paths.is_cut(target.name) and self._is_used(target):
+            await asyncio.sleep(
+                _HEAL_INTERVAL_S * (0.5 + self._random.random())
+            )
+            try:
+                connection = await self._direct.connect(
+                    target, _CHECK_TIMEOUT_S
+                )
+            except RequestNotSent:
+                continue
+            self._mark_open(target)
+            self.on_spare(target, connection)
+        # A server that nobody uses is tried anew when it is used again.
+        self.paths.mark_open(target.name, _now_s())
+
+    def _is_used(self, target: Target) -> bool:
+        used_at_s = self._used_at_s_by_target.get(target, 0)
+        return _now_s() - used_at_s < _UNUSED_S
+
+
+def _first_open(
+    done: set[asyncio.Task[UpstreamConnection | None]],
+) -> UpstreamConnection | None:
+    opened = [task.result() for task in done]
+    connections = [each for each in opened if each is not None]
+    for spare in connections[1:]:
+        spare.close()
+    return connections[0] if connections else None
+
+
+def _abandon(
+    attempt: asyncio.Task[UpstreamConnection]
+    | asyncio.Task[UpstreamConnection | None],
+) -> None:
+    """Cancel an attempt, or close the connection that it opened."""
+    attempt.cancel()
+    if not attempt.done() or attempt.cancelled():
+        return
+    if attempt.exception() is None:
+        connection = attempt.result()
+        if connection is not None:
+            connection.close()
+
+
+def _close(target: Target, connection: UpstreamConnection) -> None:
+    """Close a spare connection; the default."""
+    connection.close()
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/bronzesill/routing/server_tracker.py
+++ b/bronzesill/routing/server_tracker.py
@@ -72,6 +72,9 @@
         self._started_at_s_by_group: Mapping[str, float] = {}
         #: Limits of servers; those without a free slot are not in views.
         self.limiter: RequestLimiter = _NoLimits()
+        #: Returns whether only other daemons reach a server; such a server is
+        #: not suspected for what this daemon sees of it.
+        self.is_path_cut: Callable[[str], bool] = _is_never
         #: Called after a change of this daemon's use of model engines.
         self.on_use_changed: Callable[[], object] = _do_nothing
 
@@ -144,6 +147,8 @@
         :param name: name of the server.
         :param now_s: current time in seconds.
         """
+        if self.is_path_cut(name):
+            return
         self._update_record(name, self._record(name).failed(now_s))
         self._mark_suspected(name, now_s)
         self.on_use_changed()
@@ -213,7 +218,7 @@
         return tuple(
             name
             for name, record in self._records_by_name.items()
-            if record.failed_at_s > since_s
+            if record.failed_at_s > since_s and not self.is_path_cut(name)
         )
 
     def apply_use_report(self, report: UseReport, now_s: float) -> None:
@@ -320,6 +325,11 @@
     return {group: statistics.median(times) for group, times in starts.items()}
 
 
+def _is_never(name: str) -> bool:
+    """Return ``False``; the default of ``is_path_cut``."""
+    return False
+
+
 def _do_nothing() -> None:
     """Default for callbacks that are not set."""
 
--- a/bronzesill/upstream/__init__.py
+++ b/bronzesill/upstream/__init__.py
@@ -6,6 +6,7 @@
     ConnectionLost,
     Header,
     OnAnswerHead,
+    PathCut,
     RequestNotSent,
 )
 from .client import HttpAnswer, HttpCall, ServiceClient
@@ -47,6 +48,7 @@
     'HttpCall',
     'KvCacheCopy',
     'OnAnswerHead',
+    'PathCut',
     'Reach',
     'ReportedLoad',
     'RequestNotSent',
--- a/bronzesill/upstream/answer.py
+++ b/bronzesill/upstream/answer.py
@@ -12,6 +12,7 @@
     'ConnectionLost',
     'Header',
     'OnAnswerHead',
+    'PathCut',
     'RequestNotSent',
 ]
 
@@ -28,6 +29,10 @@
     """The connection ended before the answer was complete."""
 
 
+class PathCut(AnswerError):
+    """Only other hosts reach the server, which may have run the request."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Header:
     """
--- a/bronzesill/upstream/connection.py
+++ b/bronzesill/upstream/connection.py
@@ -102,6 +102,17 @@
             self._answer = None
         return body
 
+    def fail(self, error: AnswerError) -> None:
+        """
+        Abort the connection and fail a pending answer.
+
+        :param error: error that readers of the answer get.
+        """
+        answer = self._answer
+        if answer is not None and not answer.is_finished:
+            answer.mark_failed(error)
+        self.close()
+
     def close(self) -> None:
         """Abort the connection at once, discarding a pending answer."""
         self._is_usable = False
--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -10,7 +10,7 @@
 from typing import Protocol, TypeVar
 
 from ..utils import Address, PartLogger
-from .answer import AnswerError, AnswerHead, RequestNotSent
+from .answer import AnswerError, AnswerHead, PathCut, RequestNotSent
 from .connection import UpstreamConnection
 
 __all__ = [
@@ -27,6 +27,8 @@
 
 _CONNECT_TIMEOUT_S = 0.25
 _PROBE_TIMEOUT_S = 0.15
+#: Time without an answer after which the path to its server is checked.
+_SILENCE_S = 0.25
 _KEEP_ALIVE_MARGIN_S = 1.0
 _DEFAULT_KEEP_ALIVE_S = 4.0
 #: Servers of which it is noted that they cannot be reached.
@@ -107,6 +109,9 @@
     async def check(self, target: Target) -> Reach:
         """Find out who reaches a server."""
 
+    async def is_cut(self, target: Target) -> bool:
+        """Return whether only another host reaches a server."""
+
     def keep_only(self, servers: Collection[str]) -> None:
         """Forget all other servers."""
 
@@ -159,6 +164,10 @@
         self.on_spare(target, connection)
         return Reach.DIRECT
 
+    async def is_cut(self, target: Target) -> bool:
+        """Return ``False``; no other host is asked."""
+        return False
+
     def keep_only(self, servers: Collection[str]) -> None:
         """Forget all other servers."""
         for target in tuple(self._unreachable_since_s_by_target):
@@ -264,9 +273,11 @@
         """
         Find out whether only another host reaches a server.
 
+        The server may have been found reachable up to a second ago.
+
         :param target: server to connect to.
         """
-        return await self.connector.check(target) is Reach.PEER
+        return await self.connector.is_cut(target)
 
     def add_spare(self, target: Target, connection: UpstreamConnection) -> None:
         """Add a connection that has carried no request to the idle ones."""
@@ -323,17 +334,31 @@
         self.is_reused = connection.served > 0
 
     async def send(
-        self, request: bytes, *, is_head: bool = False
+        self,
+        request: bytes,
+        *,
+        is_head: bool = False,
+        may_repeat: bool | None = None,
     ) -> AnswerHead:
         """
         Send a request and return the head of its answer.
 
         :param request: the serialized request, including its body.
         :param is_head: whether the method is ``HEAD``.
+        :param may_repeat: whether to give the request up if the path to the
+            server is found to be cut; ``None`` not to look.
         :raises RequestNotSent: the connection was closed before.
+        :raises PathCut: the request was given up.
         :raises AnswerError: no valid head was received.
         """
-        head = await self._connection.send(request, is_head=is_head)
+        if may_repeat is None or self._connection.is_relayed:
+            head = await self._connection.send(request, is_head=is_head)
+        else:
+            watch = asyncio.create_task(self._watch_path(may_repeat))
+            try:
+                head = await self._connection.send(request, is_head=is_head)
+            finally:
+                watch.cancel()
         self._keep_alive_s = _keep_alive_s(head)
         return head
 
@@ -390,6 +415,13 @@
         """Close the connection; a later ``release`` does not pool it."""
         self._connection.close()
 
+    async def _watch_path(self, may_repeat: bool) -> None:
+        """Find out whether the path is cut if no answer begins."""
+        await asyncio.sleep(_SILENCE_S)
+        is_cut = await self._pool.is_path_cut(self._target)
+        if is_cut and may_repeat:
+            self._connection.fail(PathCut('path to the server is cut'))
+
 
 def _close(target: Target, connection: UpstreamConnection) -> None:
     """Close a spare connection; the default of ``on_spare``."""
--- a/bronzesill/utils/converter.py
+++ b/bronzesill/utils/converter.py
@@ -43,9 +43,12 @@
 
 
 def _make_tuple_converter() -> cattrs.Converter:
-    return _register_hooks(
+    converter = _register_hooks(
         cattrs.Converter(unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE)
     )
+    # Without it, a number is converted to as many bytes.
+    converter.register_structure_hook(bytes, _structure_primitive)
+    return converter
 
 
 def _register_hooks(converter: cattrs.Converter) -> cattrs.Converter:
--- a/bronzesill/wire/__init__.py
+++ b/bronzesill/wire/__init__.py
@@ -8,7 +8,7 @@
     MessageQueue,
     ReceivedMessage,
 )
-from .peers import PeerClient, PeerHandler, PeerServer
+from .peers import PeerChannel, PeerClient, PeerHandler, PeerServer
 
 __all__ = [
     'FRAME_VERSION',
@@ -18,6 +18,7 @@
     'InvalidMessage',
     'MessageQueue',
     'MessageRegistry',
+    'PeerChannel',
     'PeerClient',
     'PeerHandler',
     'PeerServer',
--- a/bronzesill/wire/peers.py
+++ b/bronzesill/wire/peers.py
@@ -5,8 +5,8 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import AsyncIterator
-from typing import Any, Protocol
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any, Protocol, TypeAlias
 
 import msgpack
 
@@ -14,7 +14,7 @@
 from .codec import Envelope, InvalidMessage, MessageRegistry
 from .counters import WireCounters
 
-__all__ = ['PeerClient', 'PeerHandler', 'PeerServer']
+__all__ = ['PeerChannel', 'PeerClient', 'PeerHandler', 'PeerServer']
 
 _MAX_FRAME_BYTES = 4 * 1024 * 1024
 _READ_BYTES = 64 * 1024
@@ -81,6 +81,69 @@
             return None
 
 
+class PeerChannel:
+    """
+    One connection of another daemon that carries messages both ways.
+
+    :param frames: frames of the other daemon.
+    :param writer: stream to the other daemon.
+    :param registry: registered message types.
+    :param counters: counters of traffic.
+    """
+
+    def __init__(
+        self,
+        frames: AsyncIterator[Envelope],
+        writer: asyncio.StreamWriter,
+        registry: MessageRegistry,
+        counters: WireCounters,
+    ) -> None:
+        #: IP address of the other daemon.
+        self.ip: str = writer.get_extra_info('peername')[0]
+        self._frames = frames
+        self._writer = writer
+        self._registry = registry
+        self._counters = counters
+
+    @property
+    def waiting_bytes(self) -> int:
+        """Bytes that the other daemon has not received yet."""
+        return self._writer.transport.get_write_buffer_size()
+
+    async def receive(self) -> Any | None:
+        """Return the next message, ``None`` if the connection has ended."""
+        with contextlib.suppress(OSError, StopAsyncIteration):
+            return (await anext(self._frames)).message
+        return None
+
+    def send(self, message: object) -> None:
+        """Send a message."""
+        packed = self._registry.encode(message)
+        self._counters.bytes_out += len(packed)
+        self._writer.write(packed)
+
+    async def drain(self) -> None:
+        """
+        Wait until the other daemon has received most of what was sent.
+
+        :raises OSError: the connection is lost.
+        """
+        await self._writer.drain()
+
+    def end(self) -> None:
+        """Close the connection after what was sent."""
+        self._writer.close()
+
+    async def close(self) -> None:
+        """Close the connection and wait until all is sent."""
+        self._writer.close()
+        with contextlib.suppress(OSError):
+            await self._writer.wait_closed()
+
+
+ChannelHandler: TypeAlias = Callable[[Any, PeerChannel], Awaitable[None]]
+
+
 class PeerServer:
     """
     TCP server for requests of other daemons.
@@ -105,6 +168,9 @@
         self._registry = registry
         self._handler = handler
         self._counters = counters
+        #: Handlers by type of a message that begins a channel; such a handler
+        #: serves the rest of the connection.
+        self.channels_by_type: dict[type, ChannelHandler] = {}
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -139,16 +205,38 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        frames = _FrameReader(reader, self._registry, self._counters)
+        reading = _FrameReader(reader, self._registry, self._counters)
+        frames = reading.envelopes()
         try:
-            async with asyncio.TaskGroup() as group:
-                async for envelope in frames.envelopes():
-                    group.create_task(self._respond(envelope, writer))
+            await self._serve_frames(frames, writer)
         except* OSError:
             self._counters.broken += 1
         finally:
             writer.close()
 
+    async def _serve_frames(
+        self, frames: AsyncIterator[Envelope], writer: asyncio.StreamWriter
+    ) -> None:
+        async with asyncio.TaskGroup() as group:
+            async for envelope in frames:
+                if self._begins_channel(envelope):
+                    await self._serve_channel(envelope, frames, writer)
+                    break
+                group.create_task(self._respond(envelope, writer))
+
+    def _begins_channel(self, envelope: Envelope) -> bool:
+        return envelope.message.__class__ in self.channels_by_type
+
+    async def _serve_channel(
+        self,
+        first: Envelope,
+        frames: AsyncIterator[Envelope],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        handler = self.channels_by_type[first.message.__class__]
+        channel = PeerChannel(frames, writer, self._registry, self._counters)
+        await handler(first.message, channel)
+
     async def _respond(
         self, envelope: Envelope, writer: asyncio.StreamWriter
     ) -> None:
