Let streams leave a path that is known to be cut

Callers of a host whose paths were cut in silence waited for streams whose bytes could not arrive: the host knew from its probes that a peer reaches the server, and the stream went on waiting. Cause: the steps on silence have a loss for a cut path (LossCause.PATH), and nothing reported it.

--- a/bronzesill/generations/attempt.py
+++ b/bronzesill/generations/attempt.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from ..upstream import ConnectionLost, RequestNotSent
+from ..upstream import ConnectionLost, PathCut, RequestNotSent
 from ..utils import Address, log_unexpected
 from .messages import (
     AttemptLost,
@@ -233,14 +233,19 @@
             is_unsent = isinstance(error.__cause__, RequestNotSent)
             cause = LossCause.UNSENT if is_unsent else LossCause.REFUSED
             return AttemptLost(opening.attempt, cause, str(error))
-        except ConnectionLost as error:
-            return AttemptLost(
-                opening.attempt, LossCause.DISCONNECTED, str(error)
-            )
         except (OSError, ValueError) as error:
-            return AttemptLost(opening.attempt, LossCause.BROKEN, str(error))
+            cause = _loss_cause(error)
+            return AttemptLost(opening.attempt, cause, str(error))
         return AttemptLost(
             opening.attempt,
             LossCause.BROKEN,
             'stream closed without an end marker',
         )
+
+
+def _loss_cause(error: Exception) -> LossCause:
+    if isinstance(error, PathCut):
+        return LossCause.PATH
+    if isinstance(error, ConnectionLost):
+        return LossCause.DISCONNECTED
+    return LossCause.BROKEN
--- a/bronzesill/generations/forward_client.py
+++ b/bronzesill/generations/forward_client.py
@@ -65,6 +65,8 @@
 
         :param opening: stream to open.
         :raises AttemptRefused: the engine did not run the request.
+        :raises PathCut: the stream is silent and only other hosts reach the
+            engine.
         :raises AnswerError: the connection failed or the response is
             invalid.
         """
@@ -90,6 +92,7 @@
         opening: StreamOpening,
         forward: ForwardRequest,
     ) -> AsyncIterator[StreamMessage]:
+        watch = asyncio.create_task(lease.give_up_when_cut())
         try:
             head = await self._send(lease, opening, forward)
             yield HeadArrived(opening.attempt, head)
@@ -98,6 +101,7 @@
                     _check_end(message, head, forward)
                 yield message
         finally:
+            watch.cancel()
             lease.release()
 
     async def _read_events(
--- a/bronzesill/relay/connector.py
+++ b/bronzesill/relay/connector.py
@@ -141,6 +141,10 @@
         self._checked_at_s_by_target[target] = now_s
         return await self.check(target) is Reach.PEER
 
+    def is_known_cut(self, target: Target) -> bool:
+        """Return whether it is known that only another host reaches it."""
+        return self.paths.is_cut(target.name)
+
     def keep_only(self, servers: Collection[str]) -> None:
         """Forget all other servers."""
         self.paths.keep_only(servers)
--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -110,7 +110,10 @@
         """Find out who reaches a server."""
 
     async def is_cut(self, target: Target) -> bool:
-        """Return whether only another host reaches a server."""
+        """Find out whether only another host reaches a server."""
+
+    def is_known_cut(self, target: Target) -> bool:
+        """Return whether it is known that only another host reaches it."""
 
     def keep_only(self, servers: Collection[str]) -> None:
         """Forget all other servers."""
@@ -168,6 +171,10 @@
         """Return ``False``; no other host is asked."""
         return False
 
+    def is_known_cut(self, target: Target) -> bool:
+        """Return ``False``: no other host is asked."""
+        return False
+
     def keep_only(self, servers: Collection[str]) -> None:
         """Forget all other servers."""
         for target in tuple(self._unreachable_since_s_by_target):
@@ -415,6 +422,23 @@
         """Close the connection; a later ``release`` does not pool it."""
         self._connection.close()
 
+    async def give_up_when_cut(self) -> None:
+        """
+        Fail the answer if it is silent while the path is known to be cut.
+
+        Runs until cancelled, or until the answer has failed.  An answer that
+        comes through a peer is left alone.
+        """
+        silent_since_s = asyncio.get_running_loop().time()
+        while not self._connection.is_relayed:
+            await asyncio.sleep(_SILENCE_S)
+            now_s = asyncio.get_running_loop().time()
+            silent_since_s = max(silent_since_s, self._connection.received_at_s)
+            is_silent = now_s - silent_since_s >= _SILENCE_S
+            if is_silent and self._pool.connector.is_known_cut(self._target):
+                self._connection.fail(PathCut('path to the server is cut'))
+                return
+
     async def _watch_path(self, may_repeat: bool) -> None:
         """Find out whether the path is cut if no answer begins."""
         await asyncio.sleep(_SILENCE_S)
