Compare first tokens of a new version with old ones of the same time

An order of a good version was taken back as "too few answers in time" though 26 answers of it had begun: most of them late. The bound was the median of all answers of the old version since the move began. Most of these come in the early stages, most of the new version's in the last one: where the load rises meanwhile, a good version looks late, and where it falls, a slow one does not.

The bound is the median of the last five answers of the old version now; answers of the new one wait until the old version has three.

--- a/bronzesill/moves/comparison.py
+++ b/bronzesill/moves/comparison.py
@@ -27,6 +27,8 @@
 #: Answers of each version that a comparison of their times needs.
 _MIN_OLD_STARTS = 3
 _MIN_NEW_STARTS = 3
+#: Answers of the old version that count as being of the same time.
+_RECENT_STARTS = 5
 #: A first token is late if it takes more than this number of buckets longer
 #: than the median of the old version, 1.76 times as long.
 _LATE_BUCKET_OFFSET = 5
@@ -109,29 +111,56 @@
     cusum_by_server: dict[str, float] = field(default_factory=dict)
 
 
+@dataclasses.dataclass(frozen=True)
+class _Counts:
+    """Number of requests and of bad events in one step."""
+
+    requests: float = 0
+    bad: float = 0
+
+    def plus(self, other: '_Counts') -> '_Counts':
+        """Return the sum of both counts."""
+        return _Counts(self.requests + other.requests, self.bad + other.bad)
+
+
 @dataclasses.dataclass(frozen=True)
 class StartedAnswers:
     """
     Times to the first token since the move began, over all servers.
 
     They count at once, not only when their requests end, and without a
-    warm-up: a slow version shows little else in a short time.
-
-    :param new: histogram of the new version.
-    :param old: histogram of the old version.
+    warm-up: a slow version shows little else in a short time.  Answers are
+    compared with those that the old version began at about the same time, as
+    both become slower and faster with the load.
+
+    :param new: answers of the new version that were compared, and the late
+        ones among them.
+    :param old: number of answers of the old version.
+    :param recent_old: histogram of the last answers of the old version.
+    :param pending: histogram of answers of the new version that wait for
+        answers of the old one.
     """
 
-    new: tuple[int, ...] = ServerEvidence('').first_token
-    old: tuple[int, ...] = ServerEvidence('').first_token
+    new: _Counts = _Counts()
+    old: int = 0
+    recent_old: tuple[float, ...] = ServerEvidence('').first_token
+    pending: tuple[int, ...] = ServerEvidence('').first_token
 
     def updated_with(
         self, evidence: Evidence, new_version: str, old_version: str
     ) -> 'StartedAnswers':
         """Return the times with those of one more step."""
-        return StartedAnswers(
-            _add_first_tokens(self.new, evidence, new_version),
-            _add_first_tokens(self.old, evidence, old_version),
+        old = _first_tokens(evidence, old_version)
+        pending = _sum_histograms(
+            self.pending, _first_tokens(evidence, new_version)
+        )
+        updated = dataclasses.replace(
+            self,
+            old=self.old + sum(old),
+            recent_old=_with_recent(self.recent_old, old),
+            pending=pending,
         )
+        return updated._compare()
 
     @property
     def speaks_for_new(self) -> bool:
@@ -140,37 +169,52 @@
 
         True as well if the old version has too few to compare them with.
         """
-        if sum(self.old) < _MIN_OLD_STARTS:
+        if self.old < _MIN_OLD_STARTS:
             return True
-        first_late = _median_bucket(self.old) + _LATE_BUCKET_OFFSET + 1
-        counts = _count_from_bucket(self.new, first_late)
-        has_enough = counts.requests >= _MIN_NEW_STARTS
-        return has_enough and 2 * counts.bad <= counts.requests
+        has_enough = self.new.requests >= _MIN_NEW_STARTS
+        return has_enough and 2 * self.new.bad <= self.new.requests
 
     def explain(self) -> str:
         """Return the numbers of answers, for a log."""
-        return f'{sum(self.new)} began, {sum(self.old)} of the old version'
+        began = int(self.new.requests) + sum(self.pending)
+        return (
+            f'{began} began, {int(self.new.bad)} late, '
+            f'{self.old} of the old version'
+        )
 
+    def _compare(self) -> 'StartedAnswers':
+        if self.old < _MIN_OLD_STARTS:
+            return self
+        first_late = _median_bucket(self.recent_old) + _LATE_BUCKET_OFFSET + 1
+        counts = _count_from_bucket(self.pending, first_late)
+        return dataclasses.replace(
+            self,
+            new=self.new.plus(counts),
+            pending=ServerEvidence('').first_token,
+        )
 
-def _add_first_tokens(
-    histogram: tuple[int, ...], evidence: Evidence, version: str
-) -> tuple[int, ...]:
-    histograms = [
-        server.first_token for server in evidence.of_version(version).values()
-    ]
-    return tuple(map(sum, zip(histogram, *histograms, strict=True)))
 
+def _first_tokens(evidence: Evidence, version: str) -> tuple[int, ...]:
+    """Return the times to the first token of all servers of a version."""
+    empty = ServerEvidence('').first_token
+    servers = evidence.of_version(version).values()
+    return _sum_histograms(empty, *(server.first_token for server in servers))
 
-@dataclasses.dataclass(frozen=True)
-class _Counts:
-    """Number of requests and of bad events in one step."""
 
-    requests: float = 0
-    bad: float = 0
+def _sum_histograms(*histograms: tuple[int, ...]) -> tuple[int, ...]:
+    return tuple(map(sum, zip(*histograms, strict=True)))
 
-    def plus(self, other: '_Counts') -> '_Counts':
-        """Return the sum of both counts."""
-        return _Counts(self.requests + other.requests, self.bad + other.bad)
+
+def _with_recent(
+    recent: tuple[float, ...], added: tuple[int, ...]
+) -> tuple[float, ...]:
+    """Return a histogram of recent answers; earlier ones lose weight."""
+    kept = max(_RECENT_STARTS - sum(added), 0)
+    scale = min(1, kept / max(sum(recent), 1))
+    return tuple(
+        scale * before + count
+        for before, count in zip(recent, added, strict=True)
+    )
 
 
 _LogRatio: TypeAlias = Callable[[_Counts], float]
