--- a/bronzesill/standins/http_standin.py
+++ b/bronzesill/standins/http_standin.py
@@ -30,6 +30,10 @@
         """Abort all connections immediately, as a process crash does."""
         await self._server.kill()
 
+    def abort_connections(self) -> None:
+        """Abort all connections, as a failure of the network does."""
+        self._server.abort_connections()
+
     def _make_app(self) -> object:
         """Return the ASGI application; implemented by subclasses."""
         raise NotImplementedError
--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -112,6 +112,9 @@
         self.is_leaving = False
         #: Whether the worker has stopped to write to the store.
         self.is_silent = False
+        #: Cleared while the worker neither answers nor sends events.
+        self.is_answering = asyncio.Event()
+        self.is_answering.set()
         self._store_address = store
         self._started_at_ms = int(time.time() * _MS_PER_S)
         self._remaining_failures = plan.failures
@@ -136,6 +139,7 @@
         if resp is None:
             return
         body = await read_body(req)
+        await self.is_answering.wait()
         headers = _decode_headers(req)
         self.received_targets.append(req.scope['bronzesill.target'])
         self._record_arrival(headers, body)
@@ -265,6 +269,7 @@
                 if disconnected.is_set():
                     self.cancelled += 1
                     break
+                await self.is_answering.wait()
                 yield _event(body, number)
                 await asyncio.sleep(self.plan.pace_s)
         finally:
--- a/bronzesill/utils/serving.py
+++ b/bronzesill/utils/serving.py
@@ -263,6 +263,12 @@
             await self._task
         self._socket.close()
 
+    def abort_connections(self) -> None:
+        """Abort all connections, as a failure of the network does."""
+        if self._server is not None:
+            for connection in tuple(self._server.server_state.connections):
+                connection.transport.abort()
+
     async def kill(self) -> None:
         """Abort all connections immediately, as a process crash does."""
         server = self._server
@@ -273,8 +279,7 @@
         server.request_exit()
         for listener in server.servers:
             listener.close()
-        for connection in tuple(server.server_state.connections):
-            connection.transport.abort()
+        self.abort_connections()
         for request in tuple(server.server_state.tasks):
             request.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
