Announce the close of a connection in answers after a stop has begun

A request that had arrived before a stop and was answered after its begin got an answer without Connection: close, because the header was set when the request began. Its caller kept the connection, and the next request crossed the close. The header is set now when the head of an answer is complete, for streams, calls and refusals.

The test (a stream, an order and a lookup, the stop 0.2 s after them) on the code before: no Connection header in the first of the answers.

--- a/bronzesill/daemon/tests/test_answers.py
+++ b/bronzesill/daemon/tests/test_answers.py
@@ -216,5 +216,36 @@
             self.assertTrue(outcome.is_answered, outcome)
 
 
+class StopAnnouncementTest(unittest.IsolatedAsyncioTestCase):
+    """A kept connection is not closed without a word."""
+
+    # The answer to a request from before a stop did not say that the connection
+    # ends, so that the next request on it crossed the close.
+    async def test_answer_after_begin_of_stop_closes_connection(self) -> None:
+        plan = HostedPlan(
+            daemons=1,
+            workers=(
+                WorkerPlan('e-1', 'engines', is_engine=True, prefill_s=0.4),
+                WorkerPlan('s-1', 'shop', work_s=0.4),
+            ),
+        )
+        caller = HostedCaller()
+        async with HostedFleet(plan) as fleet:
+            daemon = fleet.daemons[0]
+            requests = [
+                asyncio.create_task(
+                    caller.send_request(daemon.settings.callers, target)
+                )
+                for target in _TARGETS
+            ]
+            await asyncio.sleep(0.2)
+            daemon.begin_stop()
+            answers = await asyncio.gather(*requests)
+        await caller.close()
+        for answer in answers:
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(answer.headers.get('connection'), 'close')
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/bronzesill/gateway/forwarding.py
+++ b/bronzesill/gateway/forwarding.py
@@ -136,8 +136,6 @@
         """
         if resp is None:
             return
-        if self._state.is_stopping:
-            resp.set_header('Connection', _CLOSE)
         started_s = asyncio.get_running_loop().time()
         await self._state.wait_until_started()
         exchange = await run_filters(
@@ -148,10 +146,12 @@
         self._check_time_before_stop(route, forward, started_s)
         if route.is_stream and route.idempotent:
             await self._stream(req, resp, forward, route, exchange.route_name)
+            self._announce_close(resp)
             self._record_latency('stream_first_event', started_s)
             return
         running_call = self._run_call(resp, forward, route, exchange.route_name)
         await run_until_disconnect(req, running_call)
+        self._announce_close(resp)
         call_type = 'repeatable' if route.idempotent else 'once'
         self._record_latency(call_type, started_s)
 
@@ -187,6 +187,11 @@
         self._components.metrics.incr(f'refused.{error.code.name.lower()}')
         request_id = self._components.dialect.request_id(raw_headers(req))
         _send_error(request_id, req.path, resp, error)
+        self._announce_close(resp)
+
+    def _announce_close(self, resp: asgi.Response) -> None:
+        if self._state.is_stopping:
+            resp.set_header('Connection', _CLOSE)
 
     def _check_time_before_stop(
         self, route: Route, forward: ForwardRequest, now_s: float
