Set the limits on silence of all connections in one place

No connection had a limit on its silence: one whose other end was gone for good stayed open until a request on it ran into its deadline, or for ever. All connections of a host (callers, servers, store, peers, metrics) get the same keep-alive probes and a TCP_USER_TIMEOUT that agrees with them, because a user timeout also decides when probes give up. A silence of seconds ends none.

--- a/bronzesill/upstream/connection.py
+++ b/bronzesill/upstream/connection.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from ..utils import limit_silence
 from .answer import (
     AnswerError,
     AnswerHead,
@@ -60,6 +61,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the established connection."""
+        limit_silence(transport)
         self._transport = cast(asyncio.Transport, transport)
 
     async def send(self, request: bytes, *, is_head: bool) -> AnswerHead:
--- a/bronzesill/utils/__init__.py
+++ b/bronzesill/utils/__init__.py
@@ -1,6 +1,6 @@
 """Utilities shared by the other subpackages."""
 
-from .addresses import Address
+from .addresses import Address, limit_silence
 from .converter import (
     DocumentInvalid,
     structure,
@@ -41,6 +41,7 @@
     'configure_logging',
     'filter_server_logs',
     'hash_secret',
+    'limit_silence',
     'log_unexpected',
     'rank_by_rendezvous',
     'stable_hash',
--- a/bronzesill/utils/addresses.py
+++ b/bronzesill/utils/addresses.py
@@ -1,15 +1,34 @@
-"""Network addresses that consist of an IP address and a port."""
+"""Network addresses, and limits on the silence of connections."""
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import dataclasses
 import functools
 import ipaddress
+import socket
 
-__all__ = ['Address']
+__all__ = ['Address', 'limit_silence']
 
 _MAX_PORT = 65535
 _CACHE_SIZE = 4096
+#: Seconds without a byte after which the other end is probed.
+_KEEP_ALIVE_IDLE_S = 10
+_KEEP_ALIVE_INTERVAL_S = 5
+_KEEP_ALIVE_PROBES = 4
+#: While a user timeout is set it also decides when probes give up, whatever
+#: their count, so it is the time of all of them.
+_USER_TIMEOUT_MS = 1000 * (
+    _KEEP_ALIVE_IDLE_S + _KEEP_ALIVE_INTERVAL_S * _KEEP_ALIVE_PROBES
+)
+_SILENCE_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEP_ALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEP_ALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEP_ALIVE_PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
+)
 
 
 @dataclasses.dataclass(frozen=True, order=True)
@@ -50,3 +69,24 @@
         raise ValueError(f'expected ip:port, got {text!r}')
     ipaddress.ip_address(ip)
     return Address(ip, int(port))
+
+
+def limit_silence(
+    transport: asyncio.BaseTransport | asyncio.StreamWriter,
+) -> None:
+    """
+    Have the system end a connection whose other end is gone for good.
+
+    A connection that is silent for some seconds stays open: its other end may
+    be cut off or halted, and go on.  The same limits hold for all connections
+    of this program; libraries set others by themselves.
+
+    :param transport: transport or stream writer of the connection.
+    """
+    connected = transport.get_extra_info('socket')
+    if connected is None:
+        return
+    for level, option, limit in _SILENCE_OPTIONS:
+        # A connection may have ended already.
+        with contextlib.suppress(OSError):
+            connected.setsockopt(level, option, limit)
--- a/bronzesill/utils/serving.py
+++ b/bronzesill/utils/serving.py
@@ -14,7 +14,7 @@
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from .addresses import Address
+from .addresses import Address, limit_silence
 
 __all__ = ['TARGET_KEY', 'HttpServer', 'ServingLimits']
 
@@ -102,6 +102,7 @@
     ) -> None:
         """Start the idle timeout of the first request."""
         super().connection_made(transport)
+        limit_silence(transport)
         self._set_idle_timeout()
         self._start_timer(self._limits.idle_timeout_s, self.transport.close)
 
--- a/bronzesill/wire/peers.py
+++ b/bronzesill/wire/peers.py
@@ -10,7 +10,13 @@
 
 import msgpack
 
-from ..utils import Address, BronzesillError, PartLogger, ResultCode
+from ..utils import (
+    Address,
+    BronzesillError,
+    PartLogger,
+    ResultCode,
+    limit_silence,
+)
 from .codec import Envelope, InvalidMessage, MessageRegistry
 from .counters import WireCounters
 
@@ -132,6 +138,7 @@
     def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        limit_silence(writer)
         task = asyncio.create_task(self._serve(reader, writer))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -264,6 +271,7 @@
                 reader, writer = await asyncio.open_connection(
                     address.ip, address.port
                 )
+            limit_silence(writer)
             connection = _Connection(writer)
             self._connections_by_address[address] = connection
             connection.task = asyncio.create_task(
