--- a/bronzesill/calls/forward_sender.py
+++ b/bronzesill/calls/forward_sender.py
@@ -29,6 +29,8 @@
 #: is given up, so that the call is known not to have run.
 _DEADLINE_MARGIN_S = 0.01
 #: An answer is kept in memory until it is complete.
+#: Paths to servers that cannot be reached are tried again as often.
+_RETRY_AFTER_S = 0.5
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
@@ -75,7 +77,7 @@
         )
         lease = await self._connect(server, routed, max_idle_s)
         try:
-            return await self._exchange(lease, server, forward)
+            return await self._exchange(lease, server, routed, forward)
         except RequestNotSent as error:
             raise _not_run_error(str(error)) from error
         except AnswerError as error:
@@ -103,13 +105,18 @@
             raise _not_run_error(str(error)) from error
 
     async def _exchange(
-        self, lease: ConnectionLease, server: str, forward: ForwardRequest
+        self,
+        lease: ConnectionLease,
+        server: str,
+        routed: RoutedCall,
+        forward: ForwardRequest,
     ) -> CallAnswer:
         now_s = asyncio.get_running_loop().time()
         plan = SendPlan(server, forward.deadline_at_s - now_s)
         head = await lease.send(
             self._dialect.encode(forward, plan),
             is_head=forward.method == 'HEAD',
+            may_repeat=routed.route.idempotent,
         )
         if not self._dialect.is_answer_to(head, forward):
             lease.discard()
@@ -123,4 +130,8 @@
 
 
 def _not_run_error(detail: str) -> BronzesillError:
-    return BronzesillError(ResultCode.CALL_NOT_RUN, f'not run: {detail}')
+    return BronzesillError(
+        ResultCode.CALL_NOT_RUN,
+        f'not run: {detail}',
+        retry_after_s=_RETRY_AFTER_S,
+    )
--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -4,9 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Coroutine
 from random import Random
-from typing import Any
 
 from ..config import HostedSettings
 from ..gateway import GatewayState
@@ -30,13 +28,13 @@
 from .early_sockets import EarlySockets
 from .hosted_fleet import HostedFleet
 from .hosted_moves import HostedMoves
-from .hosted_peers import HostedPeers
+from .hosted_peers import HostedPeers, HostedRelay
 from .hosted_requests import HostedRequests, RequestContext
 from .hosted_store_state import HostedStoreState
 from .peer_replication import PeerReplication
 from .quarantine import Quarantine
 from .restart_detector import RestartDetector
-from .task_runner import run_tasks
+from .task_runner import BackgroundTask, run_tasks
 from .usage_exchange import UsageExchange
 
 __all__ = ['HostedDaemon']
@@ -80,6 +78,10 @@
         self._fleet = HostedFleet(
             self._store, self._peers.membership, settings.seeds, self._random
         )
+        self._relay = HostedRelay(
+            settings, self._peers, self._fleet.live_peers, self._random
+        )
+        self._relay.attach(self._tracker, self._pool)
         self._store_state = HostedStoreState(
             self._state, self._tracker, self._apply_store_changes
         )
@@ -247,21 +249,19 @@
         self._fleet.publish_stop()
         self._stop_requested.set()
 
-    def _tasks(self) -> list[Coroutine[Any, Any, None]]:
+    def _tasks(self) -> list[BackgroundTask]:
         return [
-            self._follow_store(
-                ALL_KEYS, FollowPolicy(_WATCH_TIMEOUT_S, _WATCH_INTERVAL_S)
-            ),
-            self._store_state.drop_expired_servers(),
-            self._peers.membership.run(),
-            self._usage_exchange.run(),
-            self._peer_replication.run(),
-            self._fleet.maintain_registration(),
-            self._fleet.discover_peers(),
-            self._fleet.rejoin_lost_peers(),
-            self._moves.run(),
-            self._restart_detector.run(),
-            self._quarantine.run(),
+            self._make_follower().run,
+            self._store_state.drop_expired_servers,
+            self._peers.membership.run,
+            self._usage_exchange.run,
+            self._peer_replication.run,
+            self._fleet.maintain_registration,
+            self._fleet.discover_peers,
+            self._fleet.rejoin_lost_peers,
+            self._moves.run,
+            self._restart_detector.run,
+            self._quarantine.run,
         ]
 
     def _http_servers(self) -> tuple[HttpServer, ...]:
@@ -272,20 +272,17 @@
             self._metrics_server,
         )
 
-    def _follow_store(
-        self, prefix: str, policy: FollowPolicy
-    ) -> Coroutine[Any, Any, None]:
-        follower = StoreFollower(
+    def _make_follower(self) -> StoreFollower:
+        return StoreFollower(
             self._store,
-            prefix,
-            policy,
+            ALL_KEYS,
+            FollowPolicy(_WATCH_TIMEOUT_S, _WATCH_INTERVAL_S),
             self._store_state.apply_snapshot,
             self._store_state.apply_entries,
             self._store_state.set_store_reachable,
             self._random,
             self._peer_replication.should_watch,
         )
-        return follower.run()
 
     async def _drain(self) -> None:
         loop = asyncio.get_running_loop()
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -16,6 +16,7 @@
     ServerTracker,
     ServerView,
     choose_copy_holder,
+    choose_held_server,
     choose_server,
 )
 from ..utils import Address, BronzesillError, Metrics, PartLogger, ResultCode
@@ -45,6 +46,8 @@
 __all__ = ['GenerationSettings', 'GenerationsController']
 
 _PREFIX_CHARS = 1024
+#: Time from a crash until a block that follows from it is known.
+_JUDGEMENT_S = 0.3
 #: Shortest time in seconds between two counts of silent streams.
 _SURVEY_INTERVAL_S = 0.05
 #: Part of the silence before a look from which on a stream counts as silent.
@@ -110,6 +113,11 @@
         #: Returns the seconds for which a request is refused because its prompt
         #: crashes servers, 0 if it is not.
         self.blocked_for_s: Callable[[GenerationRequest], float] = _not_blocked
+        #: Returns the identity of a request that may crash servers, empty for
+        #: others, from the request and the losses of its servers.
+        self.find_held_identity: Callable[[GenerationRequest, int], str] = (
+            _not_held
+        )
         #: Brings the engine use of the other daemons up to date.
         self.refresh_usage: Callable[[], Awaitable[None]] = _do_nothing
         #: Returns whether the engine use of the other daemons is known now.
@@ -230,28 +238,20 @@
     async def _place(
         self, generation: GenerationTask, action: ChooseServer
     ) -> Placement:
-        request = generation.request
-        if self.blocked_for_s(request) and not action.is_resume:
+        held_identity = await self._hold(generation, action)
+        if self.blocked_for_s(generation.request) and not action.is_resume:
             return Placement(
-                PlacementRefused(_blocked_code(generation)), request
+                PlacementRefused(_blocked_code(generation)), generation.request
             )
-        if not action.is_resume:
-            # No token has been delivered, so the version can still change.
-            # A version that was rolled back must not compute the answer, and
-            # a version under trial must not be retried after it lost the
-            # request.
-            is_retry = generation.state.attempt > 0
-            version = self.pick_version(request, is_retry)
-            request = dataclasses.replace(request, version=version)
-            generation.request = request
-        elif request.version:
-            version = self.resume_version(request.model, request.version)
-            request = dataclasses.replace(request, version=version)
-            generation.request = request
+        request = self._request_with_version(
+            generation, action, is_held=bool(held_identity)
+        )
+        generation.request = request
         await self.refresh_usage()
         is_first = generation.state.attempt == 0
         prompt_holder = await self.find_prompt(request) if is_first else ''
-        choice = self._choose_servers(request, action, prompt_holder)
+        requirements = self._make_requirements(request, action, prompt_holder)
+        choice = self._choose_servers(requirements, held_identity)
         if choice is None or not self._may_send(generation):
             return Placement(NoServer(), request)
         chosen = Placement(choice, request)
@@ -268,6 +268,49 @@
             return Placement(chosen.event, _with_new_generation_id(request))
         return await self._join(request, proposed, current)
 
+    def _request_with_version(
+        self,
+        generation: GenerationTask,
+        action: ChooseServer,
+        *,
+        is_held: bool,
+    ) -> GenerationRequest:
+        request = generation.request
+        if not action.is_resume:
+            # No token has been delivered, so the version can still change.
+            # A version that was rolled back must not compute the answer, and
+            # a version under trial must not be retried after it lost the
+            # request.
+            is_retry = generation.state.attempt > 0 or is_held
+            version = self.pick_version(request, is_retry)
+            return dataclasses.replace(request, version=version)
+        if not request.version:
+            return request
+        version = self.resume_version(request.model, request.version)
+        return dataclasses.replace(request, version=version)
+
+    async def _hold(
+        self, generation: GenerationTask, action: ChooseServer
+    ) -> str:
+        """
+        Return the identity of a request that is held, empty if it is not.
+
+        After a loss it waits, so that it does not outrun its judgement.
+        """
+        identity = self._find_held_identity(generation, action)
+        if identity and generation.unanswered_losses:
+            await asyncio.sleep(_JUDGEMENT_S)
+        return identity
+
+    def _find_held_identity(
+        self, generation: GenerationTask, action: ChooseServer
+    ) -> str:
+        if action.is_resume:
+            return ''
+        return self.find_held_identity(
+            generation.request, generation.unanswered_losses
+        )
+
     def _may_send(self, generation: GenerationTask) -> bool:
         if self.allowance is None:
             return True
@@ -305,19 +348,20 @@
         allowance = self.allowance
         if allowance is not None and not allowance.allows_retry(request.model):
             return ''
-        choice = action.choice
-        if choice.copy_holder:
-            holder = self._choose_servers(request, choice, '')
+        identity = self._find_held_identity(generation, action.choice)
+        requirements = self._make_requirements(request, action.choice)
+        if requirements.copy_holder:
+            holder = self._choose_servers(requirements, identity)
             if holder is not None and await self._accepts(holder.server):
                 return holder.server
-        without_copy = dataclasses.replace(choice, copy_holder='')
+        without_copy = dataclasses.replace(requirements, copy_holder='')
         # All others may have lost an attempt of this generation.
         lone = dataclasses.replace(
             without_copy, excluded=frozenset((action.server,))
         )
         chosen = self._choose_servers(
-            request, without_copy, ''
-        ) or self._choose_servers(request, lone, '')
+            without_copy, identity
+        ) or self._choose_servers(lone, identity)
         if chosen is None or not await self._accepts(chosen.server):
             return ''
         return chosen.server
@@ -398,13 +442,13 @@
         event: Event = Attached(current.server, current.attempt)
         return Placement(event, adopted)
 
-    def _choose_servers(
+    def _make_requirements(
         self,
         request: GenerationRequest,
         action: ChooseServer,
-        prompt_holder: str,
-    ) -> ServerChosen | None:
-        requirements = Requirements(
+        prompt_holder: str = '',
+    ) -> Requirements:
+        return Requirements(
             model=request.model,
             version=request.version,
             prefix_key=request.prompt[:_PREFIX_CHARS],
@@ -415,9 +459,17 @@
             prompt_holder=action.candidate or prompt_holder,
             is_usage_shared=self.is_usage_shared(),
         )
+
+    def _choose_servers(
+        self, requirements: Requirements, held_identity: str
+    ) -> ServerChosen | None:
         now_s = asyncio.get_running_loop().time()
         views = self._tracker.views(now_s)
-        chosen_server = choose_server(views, requirements, self._random)
+        chosen_server = (
+            choose_held_server(views, requirements, held_identity)
+            if held_identity
+            else choose_server(views, requirements, self._random)
+        )
         if chosen_server is None:
             return None
         copy_to = self._choose_copy(views, requirements, chosen_server)
@@ -462,6 +514,10 @@
     return 0
 
 
+def _not_held(request: GenerationRequest, losses: int) -> str:
+    return ''
+
+
 def _blocked_code(generation: GenerationTask) -> ResultCode:
     if generation.state.attempt:
         return ResultCode.INCOMPLETE_RETRIES
--- a/bronzesill/platform/tests/test_decoding.py
+++ b/bronzesill/platform/tests/test_decoding.py
@@ -10,6 +10,8 @@
 from ..servers import decode_server
 from ..settings import decode_settings
 
+_DIGITS = '9' * 400
+
 _CONFIGURATION: dict[str, Any] = {
     'version': 7,
     'routes': [
@@ -119,6 +121,38 @@
             with self.subTest(payload), self.assertRaises(DocumentInvalid):
                 decode_document(payload)
 
+    # Guards against hosts that end, or take up a document, because of a value
+    # that no decoder of a field expects.
+    def test_values_out_of_bounds_are_rejected(self) -> None:
+        guides, orders = _CONFIGURATION['routes']
+        for change in (
+            {'version': _DIGITS},
+            {'version': True},
+            {'version': -1},
+            {'routes': [{**guides, 'timeoutMs': _DIGITS}]},
+            {'routes': [{**guides, 'timeoutMs': -1}]},
+            {'routes': [{**guides, 'timeoutMs': 1e300}]},
+            {'routes': [{**guides, 'maxAttempts': 0}]},
+            {'routes': [{**guides, 'service': None}]},
+            {'routes': [{**guides, 'service': 'a b'}]},
+            {'routes': [{**guides, 'prefix': ['/g/']}]},
+            {'routes': [{**orders, 'public': 'no'}]},
+            {'routes': [{**orders, 'backends': [{'service': 's'}]}]},
+            {'routes': [{**orders, 'backends': [_weight(0), _weight(0)]}]},
+            {'routes': [{**orders, 'backends': [_weight(-1)]}]},
+            {'services': [{'name': 's', 'healthPath': '/h\r\nX: 1'}]},
+            {'services': [{'name': 's', 'inferenceEngine': {'slots': 0}}]},
+            {'limits': {'maxBodyBytes': -1}},
+            {'tenants': [{'name': 'a\r\nX-Tenant: b', 'apiKeys': ['k']}]},
+            {'tenants': [{'name': 'a', 'apiKeys': 'k1'}]},
+        ):
+            with self.subTest(change), self.assertRaises(DocumentInvalid):
+                decode_document(orjson.dumps({**_CONFIGURATION, **change}))
+
+
+def _weight(weight: int) -> dict[str, Any]:
+    return {'service': 's', 'weight': weight}
+
 
 class ServerTest(unittest.TestCase):
     """Entries with which backend servers register themselves."""
@@ -138,6 +172,18 @@
             {'slots': True},
             {'slots': '6'},
             {'zone': ''},
+            {'born': _DIGITS},
+            {'born': -1},
+            {'born': 1.5},
+            {'sequence': '4'},
+            {'sequence': True},
+            {'slots': 2**63 - 1},
+            {'slots': 0},
+            {'address': '10.0.0.9:0'},
+            {'address': '10.0.0.9:65536'},
+            {'address': f'10.0.0.9:{_DIGITS}'},
+            {'address': '10.0.0.9:٨٠'},
+            {'service': 'shop\r\nX-Tenant: other'},
         ):
             with self.subTest(change):
                 payload = orjson.dumps({**_ENTRY, **change})
@@ -146,6 +192,12 @@
             with self.subTest(payload):
                 self.assertIsNone(decode_server(payload))
 
+    def test_name_that_cannot_be_sent_is_ignored(self) -> None:
+        payload = orjson.dumps(_ENTRY)
+        for name in ('', 'a b', 'a\r\nX-Tenant: other', '名', 'a' * 300):
+            with self.subTest(name):
+                self.assertIsNone(decode_server(payload, name))
+
 
 class SettingsTest(unittest.TestCase):
     """Settings file of a host."""
--- a/bronzesill/upstream/__init__.py
+++ b/bronzesill/upstream/__init__.py
@@ -6,11 +6,20 @@
     ConnectionLost,
     Header,
     OnAnswerHead,
+    PathCut,
     RequestNotSent,
 )
 from .client import HttpAnswer, HttpCall, ServiceClient
 from .connection import UpstreamConnection
-from .pool import ConnectionLease, ConnectionPool, Target
+from .pool import (
+    ConnectionLease,
+    ConnectionPool,
+    Connector,
+    Dialer,
+    DirectConnector,
+    Reach,
+    Target,
+)
 from .request import (
     CallerFields,
     Dialect,
@@ -28,7 +37,10 @@
     'ConnectionLease',
     'ConnectionLost',
     'ConnectionPool',
+    'Connector',
     'Dialect',
+    'Dialer',
+    'DirectConnector',
     'ForwardRequest',
     'Header',
     'HealthDialect',
@@ -36,6 +48,8 @@
     'HttpCall',
     'KvCacheCopy',
     'OnAnswerHead',
+    'PathCut',
+    'Reach',
     'ReportedLoad',
     'RequestNotSent',
     'SendPlan',
--- a/bronzesill/utils/__init__.py
+++ b/bronzesill/utils/__init__.py
@@ -2,7 +2,13 @@
 
 from .addresses import Address, limit_silence
 from .converter import (
+    MAX_INTEGER,
     DocumentInvalid,
+    parse_integer,
+    read_flag,
+    read_integer,
+    read_name,
+    read_number,
     structure,
     structure_fields,
     structure_json,
@@ -26,6 +32,7 @@
 from .serving import TARGET_KEY, HttpServer, ServingLimits
 
 __all__ = [
+    'MAX_INTEGER',
     'TARGET_KEY',
     'Address',
     'BronzesillError',
@@ -43,7 +50,12 @@
     'hash_secret',
     'limit_silence',
     'log_unexpected',
+    'parse_integer',
     'rank_by_rendezvous',
+    'read_flag',
+    'read_integer',
+    'read_name',
+    'read_number',
     'stable_hash',
     'structure',
     'structure_fields',
--- a/bronzesill/utils/addresses.py
+++ b/bronzesill/utils/addresses.py
@@ -12,6 +12,7 @@
 __all__ = ['Address', 'limit_silence']
 
 _MAX_PORT = 65535
+_MAX_PORT_DIGITS = 5
 _CACHE_SIZE = 4096
 #: Seconds without a byte after which the other end is probed.
 _KEEP_ALIVE_IDLE_S = 10
@@ -65,7 +66,7 @@
 def _parse(text: str) -> Address:
     """Parse ``ip:port``; cached because few distinct texts recur often."""
     ip, separator, port = text.rpartition(':')
-    if not separator or not port.isdecimal() or int(port) > _MAX_PORT:
+    if not separator or not _is_port(port):
         raise ValueError(f'expected ip:port, got {text!r}')
     ipaddress.ip_address(ip)
     return Address(ip, int(port))
@@ -90,3 +91,9 @@
         # A connection may have ended already.
         with contextlib.suppress(OSError):
             connected.setsockopt(level, option, limit)
+
+
+def _is_port(text: str) -> bool:
+    if not text.isascii() or not text.isdecimal():
+        return False
+    return len(text) <= _MAX_PORT_DIGITS and int(text) <= _MAX_PORT
