--- a/bronzesill/upstream/connection.py
+++ b/bronzesill/upstream/connection.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from ..utils import limit_silence
 from .answer import (
     AnswerError,
     AnswerHead,
@@ -64,6 +65,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the established connection."""
+        limit_silence(transport)
         self._transport = cast(asyncio.Transport, transport)
         self.received_at_s = asyncio.get_running_loop().time()
 
--- a/bronzesill/utils/serving.py
+++ b/bronzesill/utils/serving.py
@@ -14,7 +14,7 @@
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from .addresses import Address
+from .addresses import Address, limit_silence
 
 __all__ = ['TARGET_KEY', 'HttpServer', 'ServingLimits']
 
@@ -102,6 +102,7 @@
     ) -> None:
         """Start the idle timeout of the first request."""
         super().connection_made(transport)
+        limit_silence(transport)
         self._set_idle_timeout()
         self._start_timer(self._limits.idle_timeout_s, self.transport.close)
 
@@ -263,6 +264,12 @@
             await self._task
         self._socket.close()
 
+    def abort_connections(self) -> None:
+        """Abort all connections, as a failure of the network does."""
+        if self._server is not None:
+            for connection in tuple(self._server.server_state.connections):
+                connection.transport.abort()
+
     async def kill(self) -> None:
         """Abort all connections immediately, as a process crash does."""
         server = self._server
@@ -273,8 +280,7 @@
         server.request_exit()
         for listener in server.servers:
             listener.close()
-        for connection in tuple(server.server_state.connections):
-            connection.transport.abort()
+        self.abort_connections()
         for request in tuple(server.server_state.tasks):
             request.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
