--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -83,7 +83,8 @@
         self._relay = HostedRelay(
             settings, self._peers, self._fleet.live_peers, self._random
         )
-        self._relay.attach(self._tracker, self._pool)
+        metrics = PrometheusMetrics()
+        self._relay.attach(self._tracker, self._pool, metrics)
         self._store_state = HostedStoreState(
             self._state, self._tracker, self._apply_store_changes
         )
@@ -157,7 +158,6 @@
         self._peers.handlers_by_type[MoveReport] = (
             self._moves.controller.answer_report
         )
-        metrics = PrometheusMetrics()
         self._metrics_server = HttpServer(metrics.make_app, settings.metrics)
         requests = HostedRequests(
             RequestContext(
--- a/bronzesill/daemon/hosted_peers.py
+++ b/bronzesill/daemon/hosted_peers.py
@@ -25,7 +25,7 @@
 )
 from ..routing import ServerTracker
 from ..upstream import ConnectionPool
-from ..utils import ResultCode
+from ..utils import Metrics, ResultCode
 from ..wire import DatagramSocket, PeerClient, PeerServer, WireCounters
 from .early_sockets import EarlySockets
 from .peer_messages import Refusal, make_registry
@@ -126,12 +126,15 @@
         self._list_peers = list_peers
         self._random = random
 
-    def attach(self, tracker: ServerTracker, pool: ConnectionPool) -> None:
+    def attach(
+        self, tracker: ServerTracker, pool: ConnectionPool, metrics: Metrics
+    ) -> None:
         """
         Let a pool connect through peers, and serve connections of peers.
 
         :param tracker: state of the backend servers.
         :param pool: pool of connections to backend servers.
+        :param metrics: receives counters of relayed connections.
         """
         connector = RelayConnector(
             self._settings.name,
@@ -141,6 +144,10 @@
             self._random,
         )
         connector.on_spare = pool.add_spare
+        connector.on_reached = tracker.clear_suspicion
+        connector.on_outcome = lambda outcome: metrics.incr(
+            f'relay.asked.{outcome}'
+        )
         tracker.is_path_cut = connector.paths.is_cut
         pool.connector = connector
         server = RelayServer(
@@ -148,6 +155,9 @@
             self._is_peer,
             lambda opening: _is_in_service(tracker, opening),
         )
+        server.on_outcome = lambda outcome: metrics.incr(
+            f'relay.served.{outcome}'
+        )
         server.is_cut = connector.paths.is_cut
         self._peers.server.channels_by_type[RelayOpen] = server.serve
 
--- a/bronzesill/relay/connections.py
+++ b/bronzesill/relay/connections.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import types
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, cast
 
 import msgpack
@@ -115,11 +115,14 @@
         #: The connection to the server.
         self.upstream = UpstreamConnection()
         self.upstream.is_relayed = True
+        #: Called if the peer ends without saying how the server ended.
+        self.on_lost: Callable[[], None] = _ignore
         self._registry = registry
         self._opening = opening
         self._unpacker = msgpack.Unpacker(max_buffer_size=_MAX_BUFFERED_BYTES)
         self._transport: asyncio.Transport | None = None
         self._has_ended = False
+        self._is_aborted = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Ask the peer for the connection to the server."""
@@ -142,10 +145,14 @@
     def connection_lost(self, error: Exception | None) -> None:
         """End the connection to the server as broken, unless it has ended."""
         self._settle('lost')
+        is_lost = not (self._has_ended or self._is_aborted)
         self._end(is_clean=False)
+        if is_lost and not self.opened.result():
+            self.on_lost()
 
     def abort(self) -> None:
         """Close the connection at once."""
+        self._is_aborted = True
         if self._transport is not None:
             self._transport.abort()
 
@@ -169,7 +176,7 @@
         if transport is None or self.opened.done():
             return
         self.upstream.connection_made(
-            _RelayTransport(transport, self._registry)
+            _RelayTransport(transport, self._registry, self.abort)
         )
         self._settle('')
 
@@ -191,12 +198,17 @@
 
     :param transport: transport to the peer.
     :param registry: registered message types.
+    :param on_abort: closes the connection to the peer.
     """
 
     def __init__(
-        self, transport: asyncio.Transport, registry: MessageRegistry
+        self,
+        transport: asyncio.Transport,
+        registry: MessageRegistry,
+        on_abort: Callable[[], None],
     ) -> None:
         super().__init__()
+        self._on_abort = on_abort
         self._transport = transport
         self._registry = registry
 
@@ -216,7 +228,7 @@
 
     def abort(self) -> None:
         """Close the connection at once, which ends it at the server too."""
-        self._transport.abort()
+        self._on_abort()
 
     def pause_reading(self) -> None:
         """Stop the peer, and so the server, from sending."""
@@ -225,3 +237,7 @@
     def resume_reading(self) -> None:
         """Receive again."""
         self._transport.resume_reading()
+
+
+def _ignore() -> None:
+    """Ignore a lost connection; the default of ``on_lost``."""
--- a/bronzesill/relay/connector.py
+++ b/bronzesill/relay/connector.py
@@ -35,7 +35,7 @@
 _CHECK_EACH_S = 1.0
 _HEAL_INTERVAL_S = 0.5
 #: Time without a use of a server after which its path is not tried any more.
-_UNUSED_S = 30.0
+_UNUSED_S = 15.0
 #: Reason of a peer that does not answer.
 _SILENT = 'silent'
 
@@ -62,8 +62,12 @@
         random: Random,
     ) -> None:
         self.paths = PathTable()
-        #: Connections by outcome: opened, refused, unreachable.
+        #: Connections by outcome: opened, refused, unreachable, lost.
         self.counts: Counter[str] = Counter()
+        #: Called with a server that this host reaches again.
+        self.on_reached: Callable[[str], object] = _ignore
+        #: Called with each outcome.
+        self.on_outcome: Callable[[str], object] = _ignore
         #: Receives connections that nobody waits for any more.
         self.on_spare: Callable[[Target, UpstreamConnection], None] = _close
         self._host = host
@@ -179,6 +183,7 @@
         try:
             connection = await self._ask_peers(target)
         except RequestNotSent:
+            self._begin_healing(target)
             raise error from None
         self._mark_cut(target)
         return connection
@@ -215,6 +220,7 @@
             return direct
         await asyncio.wait((relayed,))
         if relayed.exception() is not None:
+            self._begin_healing(target)
             raise error
         self._mark_cut(target)
         return relayed
@@ -293,7 +299,7 @@
         connection = await self._ask_in_turn(target, list(peers), reasons)
         if connection is not None:
             return connection
-        self.counts['unreachable'] += 1
+        self._count('unreachable')
         if set(reasons) == {UNREACHABLE}:
             self.paths.mark_unreachable(target.name, _now_s())
         raise RequestNotSent(f'{target.name}: no host reaches it')
@@ -342,7 +348,8 @@
             if reason:
                 client.abort()
         if not reason:
-            self.counts['opened'] += 1
+            client.on_lost = functools.partial(self._record_loss, target, peer)
+            self._count('opened')
             return client.upstream
         reasons.append(reason)
         self._record_refusal(target, peer, reason)
@@ -351,7 +358,7 @@
     def _record_refusal(
         self, target: Target, peer: RelayPeer, reason: str
     ) -> None:
-        self.counts['refused'] += 1
+        self._count('refused')
         if reason == _SILENT:
             self.paths.mark_slow(peer.name, _now_s())
         else:
@@ -363,6 +370,15 @@
             reason=reason,
         )
 
+    def _record_loss(self, target: Target, peer: RelayPeer) -> None:
+        self._count('lost')
+        self.paths.mark_slow(peer.name, _now_s())
+        _log.event('relay_lost', peer=peer.name, server=target.name)
+
+    def _count(self, outcome: str) -> None:
+        self.counts[outcome] += 1
+        self.on_outcome(outcome)
+
     def _mark_open(self, target: Target) -> None:
         lasted_s = self.paths.mark_open(target.name, _now_s())
         if lasted_s is not None:
@@ -376,18 +392,20 @@
         _log.event(
             'path_cut', server=target.name, cut=len(self.paths.cut_servers)
         )
+        self._begin_healing(target)
+
+    def _begin_healing(self, target: Target) -> None:
         self._used_at_s_by_target[target] = _now_s()
         if target not in self._healing_by_target:
             task = asyncio.create_task(self._heal(target))
             self._healing_by_target[target] = task
-            task.add_done_callback(functools.partial(self._end_healing, target))
-
-    def _end_healing(self, target: Target, _: asyncio.Task[None]) -> None:
-        self._healing_by_target.pop(target, None)
+            task.add_done_callback(
+                lambda _: self._healing_by_target.pop(target, None)
+            )
 
     async def _heal(self, target: Target) -> None:
         """Try the direct path, one attempt at a time, until it is open."""
-        while self.paths.is_cut(target.name) and self._is_used(target):
+        while _now_s() - self._used_at_s_by_target.get(target, 0) < _UNUSED_S:
             await asyncio.sleep(
                 _HEAL_INTERVAL_S * (0.5 + self._random.random())
             )
@@ -398,13 +416,12 @@
             except RequestNotSent:
                 continue
             self._mark_open(target)
+            self.on_reached(target.name)
             self.on_spare(target, connection)
+            return
         # A server that nobody uses is tried anew when it is used again.
         self.paths.mark_open(target.name, _now_s())
-
-    def _is_used(self, target: Target) -> bool:
-        used_at_s = self._used_at_s_by_target.get(target, 0)
-        return _now_s() - used_at_s < _UNUSED_S
+        self._used_at_s_by_target.pop(target, None)
 
 
 def _first_open(
@@ -436,5 +453,9 @@
     connection.close()
 
 
+def _ignore(name: str) -> None:
+    """Ignore an outcome or a server; the default of callbacks."""
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
--- a/bronzesill/relay/server.py
+++ b/bronzesill/relay/server.py
@@ -68,8 +68,10 @@
     ) -> None:
         #: Returns whether this host does not reach a server itself.
         self.is_cut: Callable[[str], bool] = _is_never
-        #: Connections by outcome: opened, refused, lost.
+        #: Connections by outcome: opened, refused.
         self.counts: Counter[str] = Counter()
+        #: Called with each outcome.
+        self.on_outcome: Callable[[str], object] = _ignore
         self._dialer = dialer
         self._is_member = is_member
         self._may_connect = may_connect
@@ -110,7 +112,7 @@
     async def _refuse(
         self, opening: RelayOpen, channel: PeerChannel, reason: str
     ) -> None:
-        self.counts['refused'] += 1
+        self._count('refused')
         _log.event(
             'relay_refused',
             peer=opening.host,
@@ -120,6 +122,10 @@
         channel.send(RelayRefused(reason))
         await channel.close()
 
+    def _count(self, outcome: str) -> None:
+        self.counts[outcome] += 1
+        self.on_outcome(outcome)
+
     async def _connect(self, opening: RelayOpen, channel: PeerChannel) -> None:
         try:
             bridge = await self._dialer.open(
@@ -128,7 +134,7 @@
         except OSError:
             await self._refuse(opening, channel, UNREACHABLE)
             return
-        self.counts['opened'] += 1
+        self._count('opened')
         _log.event('relay_opened', peer=opening.host, server=opening.server)
         try:
             await self._pass_on(bridge, channel)
@@ -225,6 +231,10 @@
             self._transport.resume_reading()
 
 
+def _ignore(outcome: str) -> None:
+    """Ignore an outcome; the default of ``on_outcome``."""
+
+
 def _is_never(server: str) -> bool:
     """Return ``False``; the default of ``is_cut``."""
     return False
--- a/bronzesill/routing/records.py
+++ b/bronzesill/routing/records.py
@@ -121,6 +121,12 @@
             failure_rate=self._updated_failure_rate(True),
         )
 
+    def cleared(self) -> ServerRecord:
+        """Return the record without suspicion."""
+        return dataclasses.replace(
+            self, failed_at_s=0, consecutive_failures=0, suspected_until_s=0
+        )
+
     def marked_suspected(self, now_s: float) -> ServerRecord:
         """
         Return the record with the server suspected for some time.
--- a/bronzesill/routing/server_tracker.py
+++ b/bronzesill/routing/server_tracker.py
@@ -164,9 +164,9 @@
         if is_leaving:
             self.leaving = self.leaving | {name}
 
-    def running(self, name: str) -> int:
-        """Return how many streams this daemon has open on a server."""
-        return self._record(name).running
+    def clear_suspicion(self, name: str) -> None:
+        """Record that a server accepts connections of this daemon again."""
+        self._update_record(name, self._record(name).cleared())
 
     def build_use_report(
         self, daemon: str, sequence: int, now_s: float, valid_s: float
