--- a/bronzesill/daemon/tests/test_cut_hosts.py
+++ b/bronzesill/daemon/tests/test_cut_hosts.py
@@ -32,6 +32,8 @@
     cut = 2
 
     async def asyncSetUp(self) -> None:
+        # All hosts and servers share one loop, which debugging slows down.
+        asyncio.get_running_loop().set_debug(False)
         plan = HostedPlan(
             daemons=3,
             workers=(
