Give up a peer that acknowledges nothing

A peer without power answers nothing and resets nothing: requests on relayed connections through it would wait until their deadline. Connections to a peer end after 1.5 s in which sent bytes were not acknowledged; a request on one is lost then, its outcome unknown. The test reads the socket's option; it failed before, the option was 0. Times of path checks are bounded in number.

--- a/bronzesill/relay/connections.py
+++ b/bronzesill/relay/connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import socket
 import types
 from collections.abc import Callable, Mapping
 from typing import Any, cast
@@ -28,6 +29,9 @@
 MAX_DATA_BYTES = 64 * 1024
 #: Reason of a host that could not connect to the server either.
 UNREACHABLE = 'unreachable'
+#: Time after which a peer that acknowledges nothing, as one without power,
+#: is given up.
+_UNACKNOWLEDGED_MS = 1500
 _MAX_BUFFERED_BYTES = 4 * 1024 * 1024
 
 
@@ -127,6 +131,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Ask the peer for the connection to the server."""
         self._transport = cast(asyncio.Transport, transport)
+        transport.get_extra_info('socket').setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS
+        )
         self._transport.write(self._registry.encode(self._opening))
 
     def data_received(self, data: bytes) -> None:
--- a/bronzesill/relay/connector.py
+++ b/bronzesill/relay/connector.py
@@ -36,6 +36,8 @@
 _HEAL_INTERVAL_S = 0.5
 #: Time without a use of a server after which its path is not tried any more.
 _UNUSED_S = 15.0
+#: Servers of which the times of checks are kept.
+_MAX_NOTED = 1000
 #: Reason of a peer that does not answer.
 _SILENT = 'silent'
 
@@ -142,6 +144,8 @@
         now_s = _now_s()
         if now_s - self._checked_at_s_by_target.get(target, 0) < _CHECK_EACH_S:
             return False
+        if len(self._checked_at_s_by_target) > _MAX_NOTED:
+            self._checked_at_s_by_target.clear()
         self._checked_at_s_by_target[target] = now_s
         return await self.check(target) is Reach.PEER
 
--- a/bronzesill/relay/tests/test_relay.py
+++ b/bronzesill/relay/tests/test_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import unittest
 from collections.abc import Awaitable, Callable
 from random import Random
@@ -185,6 +186,17 @@
             await lease.read()
         lease.release()
 
+    # Guards against a peer without power that holds up requests.
+    async def test_peer_that_acknowledges_nothing_is_given_up(self) -> None:
+        target = await self.listen(_answer)
+        lease = await self.send(target)
+        client = lease._connection._transport._transport  # type: ignore
+        timeout_ms = client.get_extra_info('socket').getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+        )
+        self.assertEqual(timeout_ms, 1500)
+        lease.release()
+
     # Guards against requests that go on for callers that have left.
     async def test_server_sees_the_close_of_the_asking_host(self) -> None:
         target = await self.listen(_begin_answer)
