Bound the numbers in headers of callers and servers

A request with X-Token-Usage of 40 digits ended the host that it was sent to: the host adds up the tokens of its requests, and the report of the sum to the other hosts raised OverflowError in a background task. A deadline, token usage or event id of 5,000 digits raised ValueError, answered with 500 by the server framework; so did a Keep-Alive timeout of a server, after the request had been sent.

Reported loads and names of servers out of bounds count as absent. At most 256 shared parts of a prompt are considered; all are forwarded.

--- a/bronzesill/generations/event_stream.py
+++ b/bronzesill/generations/event_stream.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from ..utils import parse_integer
+
 __all__ = ['EventSplitter', 'StreamEvent']
 
 _EVENT_END = b'\n\n'
@@ -55,5 +57,5 @@
     for line in raw_event.splitlines():
         if line.startswith(_ID_FIELD):
             digits = line[len(_ID_FIELD) :].strip()
-            number = int(digits) if digits.isdigit() else None
+            number = parse_integer(digits)
     return StreamEvent(number, raw_event.decode('latin-1'))
--- a/bronzesill/platform/headers.py
+++ b/bronzesill/platform/headers.py
@@ -12,7 +12,13 @@
     ReportedLoad,
     SendPlan,
 )
-from ..utils import Address, BronzesillError, ResultCode
+from ..utils import (
+    MAX_INTEGER,
+    Address,
+    BronzesillError,
+    ResultCode,
+    parse_integer,
+)
 
 __all__ = ['PlatformDialect']
 
@@ -23,6 +29,14 @@
 _DECIMAL_PATTERN = re.compile(rb'\d{1,9}(\.\d{0,9})?')
 _BEARER = b'bearer '
 
+#: More tokens than any server has memory for.
+_MAX_TOKENS = 2**31
+#: Further parts of a prompt are forwarded, but not considered here.
+_MAX_SHARED_PARTS = 256
+#: Numbers in the load of a server, and the highest of them.
+_LOAD_FIELDS = 3
+_MAX_LOAD = 1_000_000
+
 #: Identifies the request; clients send a new identifier with each attempt.
 _REQUEST_ID = b'x-attempt-id'
 _DEADLINE_MS = b'x-deadline-ms'
@@ -100,7 +114,7 @@
         request_id = self.request_id(headers)
         if request_id and _ID_PATTERN.fullmatch(request_id) is None:
             raise _invalid_header(_REQUEST_ID)
-        deadline_ms = _parse_number(text_by_name, _DEADLINE_MS)
+        deadline_ms = _parse_deadline_ms(text_by_name)
         prompt_tokens, output_tokens = _parse_token_usage(
             text_by_name.get(_TOKEN_USAGE, b'')
         )
@@ -108,7 +122,7 @@
         return CallerFields(
             request_id=request_id,
             timeout_s=None if deadline_ms is None else deadline_ms / _MS_PER_S,
-            events_received=_parse_number(text_by_name, _LAST_EVENT_ID) or 0,
+            events_received=_parse_events_received(text_by_name),
             prompt_tokens=prompt_tokens,
             max_output_tokens=output_tokens,
             key=_parse_bearer_key(text_by_name.get(_AUTHORIZATION, b'')),
@@ -210,9 +224,10 @@
         """
         Return the name of the server that answered a health check.
 
-        The name is empty if the answer does not contain it.
+        The name is empty if the answer does not contain a valid one.
         """
-        return (head.find(_INSTANCE_ID) or b'').decode('latin-1')
+        name = (head.find(_INSTANCE_ID) or b'').decode('latin-1')
+        return name if _ID_PATTERN.fullmatch(name) else ''
 
     def load(self, head: AnswerHead) -> ReportedLoad | None:
         """
@@ -220,11 +235,13 @@
 
         :returns: the load, none if the header is missing or malformed.
         """
-        parts = (head.find(_INSTANCE_LOAD) or b'').split(b',')
-        try:
-            running, waiting, slots = (int(part) for part in parts)
-        except ValueError:
+        parts = (head.find(_INSTANCE_LOAD) or b'').split(b',', _LOAD_FIELDS)
+        numbers = [
+            parse_integer(part.strip(), highest=_MAX_LOAD) for part in parts
+        ]
+        if len(numbers) != _LOAD_FIELDS or None in numbers:
             return None
+        running, waiting, slots = (number or 0 for number in numbers)
         return ReportedLoad(running, waiting, slots)
 
     def request_limit(self, head: AnswerHead) -> float | None:
@@ -250,28 +267,47 @@
     )
 
 
-def _parse_number(text_by_name: dict[bytes, bytes], name: bytes) -> int | None:
-    text = text_by_name.get(name)
+def _parse_deadline_ms(text_by_name: dict[bytes, bytes]) -> int | None:
+    text = text_by_name.get(_DEADLINE_MS)
     if text is None:
         return None
     if not text.isdigit():
-        raise _invalid_header(name)
-    return int(text)
+        raise _invalid_header(_DEADLINE_MS)
+    # The timeout of the route bounds it anyway.
+    deadline_ms = parse_integer(text)
+    return MAX_INTEGER if deadline_ms is None else deadline_ms
+
+
+def _parse_events_received(text_by_name: dict[bytes, bytes]) -> int:
+    text = text_by_name.get(_LAST_EVENT_ID)
+    if text is None:
+        return 0
+    events = parse_integer(text)
+    if events is None:
+        raise _invalid_header(_LAST_EVENT_ID)
+    return events
 
 
 def _parse_token_usage(text: bytes) -> tuple[int, int]:
     prompt, _, output = text.partition(b',')
     if not prompt.isdigit() or not output.isdigit():
         return 0, 0
-    return int(prompt), int(output)
+    return _parse_tokens(prompt), _parse_tokens(output)
+
+
+def _parse_tokens(digits: bytes) -> int:
+    # Hosts tell each other of the sum over their requests.
+    tokens = parse_integer(digits, highest=_MAX_TOKENS)
+    return _MAX_TOKENS if tokens is None else tokens
 
 
 def _parse_prompt_parts(text: bytes) -> tuple[str, ...]:
     # The header lists ID:TOKENS; the last part belongs to the request itself.
     # Without the header, the request has one part with an empty id.
+    *shared, own = text.split(b',')
     return tuple(
         part.strip().partition(b':')[0].decode('latin-1')
-        for part in text.split(b',')
+        for part in (*shared[:_MAX_SHARED_PARTS], own)
     )
 
 
--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -16,7 +16,7 @@
 _PROBE_TIMEOUT_S = 0.15
 _KEEP_ALIVE_MARGIN_S = 1.0
 _DEFAULT_KEEP_ALIVE_S = 4.0
-_TIMEOUT_PATTERN = re.compile(rb'timeout=(\d+)')
+_TIMEOUT_PATTERN = re.compile(rb'timeout=(\d{1,9})')
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/utils/converter.py
+++ b/bronzesill/utils/converter.py
@@ -261,7 +261,8 @@
     :param highest: highest accepted value.
     :returns: the integer, none if the text is malformed or out of bounds.
     """
-    if _DIGITS_PATTERN.fullmatch(text) is None:
+    digits = text.lstrip(b'0') or text[-1:]
+    if _DIGITS_PATTERN.fullmatch(digits) is None:
         return None
-    number = int(text)
+    number = int(digits)
     return number if number <= highest else None
