Bound what answers of the store, reports and settings may contain

A response of the store without a field, or with a revision that is no number, raised KeyError or ValueError in the task that follows the store. Reports of engines with numbers of 400 digits raised OverflowError. Settings with bounds that are no object, seeds that are no list, or nested too deeply raised AttributeError, TypeError or RecursionError instead of naming the field.

All are read within bounds: a malformed response counts as a store that is unavailable, a malformed report as none, and a bound out of bounds is left at its default.

--- a/bronzesill/platform/listen_addresses.py
+++ b/bronzesill/platform/listen_addresses.py
@@ -26,7 +26,7 @@
     """
     try:
         return _decode(path.read_bytes())
-    except (OSError, ValueError):
+    except (OSError, ValueError, RecursionError):
         return ()
 
 
--- a/bronzesill/platform/prompts.py
+++ b/bronzesill/platform/prompts.py
@@ -12,7 +12,7 @@
     RequestNotSent,
     ServiceClient,
 )
-from ..utils import Address
+from ..utils import Address, read_integer
 
 __all__ = ['decode_held_parts', 'fetch_held_parts']
 
@@ -47,6 +47,10 @@
     try:
         rows = orjson.loads(payload)['held']
         # The first field of a row is always empty, the last one the model.
-        return {str(row[1]): int(row[2]) for row in rows}
+        return {
+            row[1]: read_integer(row[2])
+            for row in rows
+            if isinstance(row[1], str)
+        }
     except (ValueError, TypeError, LookupError):
         return {}
--- a/bronzesill/platform/reports.py
+++ b/bronzesill/platform/reports.py
@@ -9,7 +9,7 @@
 import orjson
 
 from ..upstream.reports import CacheEvent, CacheEvents, EngineReport, RunReport
-from ..utils import Address
+from ..utils import Address, read_flag, read_integer, read_number
 
 __all__ = [
     'decode_cache_events',
@@ -58,9 +58,9 @@
     try:
         raw = orjson.loads(payload)
         return CacheEvents(
-            epoch=int(raw['epoch']),
-            next_number=int(raw['next']),
-            has_gap=bool(raw['lost']),
+            epoch=read_integer(raw['epoch']),
+            next_number=read_integer(raw['next']),
+            has_gap=read_flag(raw['lost']),
             events=tuple(_decode_cache_event(row) for row in raw['events']),
         )
     except _DECODE_ERRORS:
@@ -70,18 +70,20 @@
 def _decode_report(raw: Mapping[str, Any]) -> EngineReport:
     leaves_ms = raw.get('leaves_ms')
     return EngineReport(
-        running=int(raw['active']),
-        waiting=int(raw['queued']),
+        running=read_integer(raw['active']),
+        waiting=read_integer(raw['queued']),
         # `kvUsed` counts only tokens that cannot be evicted for other
         # requests.
-        memory_used=int(raw['kvUsed']),
-        memory_tokens=int(raw['kvTotal']),
+        memory_used=read_integer(raw['kvUsed']),
+        memory_tokens=read_integer(raw['kvTotal']),
         # `busy` means that the engine carries out an order; it is independent
         # of the requests that run.
-        is_executing_order=bool(raw.get('busy', False)),
-        orders=int(raw.get('sequence', 0)),
-        started_at_s=int(raw.get('born') or 0) / _MS_PER_S,
-        leaves_in_s=None if leaves_ms is None else leaves_ms / _MS_PER_S,
+        is_executing_order=read_flag(raw.get('busy', False)),
+        orders=read_integer(raw.get('sequence', 0)),
+        started_at_s=read_integer(raw.get('born') or 0) / _MS_PER_S,
+        leaves_in_s=(
+            None if leaves_ms is None else read_number(leaves_ms) / _MS_PER_S
+        ),
         runs=tuple(_decode_run(row) for row in raw.get('runs', ())),
     )
 
@@ -89,7 +91,10 @@
 def _decode_run(row: Sequence[Any]) -> RunReport:
     run_id, memory_tokens, events, priority = row
     return RunReport(
-        str(run_id), int(memory_tokens), int(events), int(priority)
+        _read_text(run_id),
+        read_integer(memory_tokens),
+        read_integer(events),
+        read_integer(priority),
     )
 
 
@@ -98,5 +103,15 @@
     number, sign, _, *rest = row
     part, tokens, model = rest
     return CacheEvent(
-        int(number), sign == _KEPT_SIGN, str(part), int(tokens), str(model)
+        read_integer(number),
+        sign == _KEPT_SIGN,
+        _read_text(part),
+        read_integer(tokens),
+        _read_text(model),
     )
+
+
+def _read_text(raw: object) -> str:
+    if not isinstance(raw, str):
+        raise ValueError(f'expected text, got {type(raw).__name__}')
+    return raw
--- a/bronzesill/platform/settings.py
+++ b/bronzesill/platform/settings.py
@@ -3,20 +3,23 @@
 from __future__ import annotations
 
 import types
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
 import orjson
 
 from ..config import FleetBounds, HostedSettings
-from ..utils import Address, DocumentInvalid
+from ..utils import Address, DocumentInvalid, read_integer, read_number
 
 __all__ = ['decode_settings', 'read_settings']
 
 _MS_PER_S = 1000
 #: TCP port for metrics; the deploy file names the same port.
 _METRICS_PORT = 9102
+_MAX_PORT = 65535
+#: Highest value of a bound or limit, whatever its unit.
+_MAX_BOUND = 1e9
 
 #: Field of :class:`FleetBounds` and factor by which the value is multiplied
 #: (1, or 0.001 for milliseconds), by the platform's field name.
@@ -64,7 +67,7 @@
         of another type.
     """
     reader = _FieldReader(raw)
-    peer_port = reader.number('portRange', 0)
+    peer_port = reader.port('portRange', 0)
     ip = reader.text('ip')
     settings = HostedSettings(
         name=reader.text('nodeName'),
@@ -74,10 +77,10 @@
         directory=reader.address('listen', 'registry'),
         readiness=reader.address('listen', 'readiness'),
         store=reader.address('platform', 'address'),
-        peers=Address(ip, int(peer_port)),
+        peers=Address(ip, peer_port),
         metrics=Address(ip, _METRICS_PORT),
-        bounds=_decode_bounds(raw.get('bounds', {})),
-        seeds=_decode_seeds(raw.get('seedNodes') or (), int(peer_port)),
+        bounds=_decode_bounds(raw.get('bounds')),
+        seeds=_decode_seeds(raw.get('seedNodes'), peer_port),
         link_mbps=_decode_link_mbps(raw.get('limits')),
     )
     if reader.faults:
@@ -105,12 +108,12 @@
         self._add_fault(path, 'expected a non-empty string')
         return ''
 
-    def number(self, *path: str | int) -> float:
-        value = self._find(path)
-        if isinstance(value, int | float):
-            return value
-        self._add_fault(path, 'expected a number')
-        return 0
+    def port(self, *path: str | int) -> int:
+        try:
+            return read_integer(self._find(path), lowest=1, highest=_MAX_PORT)
+        except ValueError as error:
+            self._add_fault(path, str(error))
+            return 0
 
     def address(self, *path: str | int) -> Address:
         text = self._find(path)
@@ -138,21 +141,32 @@
 
 
 def _decode_link_mbps(limits: Any) -> float:
-    mbps = limits.get('linkMbps') if isinstance(limits, dict) else None
-    return float(mbps) if isinstance(mbps, int | float) else 0
+    raw = limits.get('linkMbps') if isinstance(limits, dict) else None
+    return _read_positive(raw) or 0
 
 
-def _decode_seeds(raw: Sequence[Any], peer_port: int) -> tuple[Address, ...]:
+def _decode_seeds(raw: Any, peer_port: int) -> tuple[Address, ...]:
     # The file lists seeds with the port of another service.  All hosts use the
     # same peer port, so that port is replaced by the one of this host.
-    ips = (str(seed).rpartition(':')[0] for seed in raw)
+    listed = raw if isinstance(raw, list) else ()
+    seeds = (seed for seed in listed if isinstance(seed, str))
+    ips = (seed.rpartition(':')[0] for seed in seeds)
     return tuple(Address(ip, peer_port) for ip in ips if ip)
 
 
-def _decode_bounds(raw: Mapping[str, Any]) -> FleetBounds:
+def _decode_bounds(raw: Any) -> FleetBounds:
+    fields = raw if isinstance(raw, dict) else {}
     bounds = {
-        own_field: float(raw[platform_field]) * unit_s
+        own_field: number * unit_s
         for platform_field, (own_field, unit_s) in _BOUND_FIELDS.items()
-        if isinstance(raw.get(platform_field), int | float)
+        if (number := _read_positive(fields.get(platform_field))) is not None
     }
     return FleetBounds(**bounds)
+
+
+def _read_positive(raw: object) -> float | None:
+    """Return a number, none if it is missing, malformed or out of bounds."""
+    try:
+        return read_number(raw, highest=_MAX_BOUND)
+    except ValueError:
+        return None
--- a/bronzesill/platform/store.py
+++ b/bronzesill/platform/store.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import base64
-from collections.abc import AsyncIterator, Mapping
-from typing import Any
+import dataclasses
+from collections.abc import AsyncIterator, Callable, Mapping
+from typing import Any, TypeVar
 from urllib.parse import urlencode
 
 import orjson
@@ -25,9 +26,25 @@
     RequestNotSent,
     ServiceClient,
 )
-from ..utils import Address, BronzesillError, PartLogger, ResultCode
+from ..utils import (
+    Address,
+    BronzesillError,
+    PartLogger,
+    ResultCode,
+    parse_integer,
+    read_flag,
+    read_integer,
+)
+
+__all__ = [
+    'ALL_KEYS',
+    'PlatformStore',
+    'StorePage',
+    'decode_changes',
+    'decode_page',
+]
 
-__all__ = ['ALL_KEYS', 'PlatformStore']
+T = TypeVar('T')
 
 #: Prefix of all keys: those of operators, backend servers and daemons.
 ALL_KEYS = ''
@@ -38,6 +55,11 @@
 _WATCH_TIMEOUT_MARGIN_S = 1.0
 _MS_PER_S = 1000
 
+#: Identifiers of leases are opaque; some stores use all of 64 bits.
+_MAX_LEASE_ID = 2**64 - 1
+#: Exceptions raised when a response does not have the expected structure.
+_DECODE_ERRORS = (ValueError, TypeError, LookupError, AttributeError)
+
 _OK = 200
 _NOT_FOUND = 404
 _GONE = 410
@@ -77,7 +99,7 @@
         response = await self._call('GET', 'kv-key', query={'key': key})
         if response.status == _NOT_FOUND:
             return None
-        return _decode_entry(response.require(_OK), response.era)
+        return response.parse(_decode_entry)
 
     async def list(self, prefix: str) -> tuple[StoredEntry, ...]:
         """Read all keys below a prefix, in key order."""
@@ -101,18 +123,14 @@
         first: StoreRevision | None = None
         while True:
             response = await self._call('GET', 'kv-range', query=query)
-            page = response.require(_OK)
-            entries.extend(
-                _decode_entry(raw, response.era) for raw in page['entries']
-            )
+            page = response.parse(_decode_page)
+            entries.extend(page.entries)
             # Later pages may contain newer writes: following changes from the
             # revision of the first page misses none of them.
-            first = first or StoreRevision(
-                response.era, int(page['atRevision'])
-            )
+            first = first or page.revision
             if response.era != first.era:
                 raise _unavailable('a new era began between two pages')
-            if not page['hasMore']:
+            if not page.has_more:
                 return Snapshot(tuple(entries), first)
             query['after'] = entries[-1].key
 
@@ -140,12 +158,7 @@
         )
         if response.status == _GONE or response.era != after.era:
             return Changes((), after, has_gap=True)
-        body = response.require(_OK)
-        entries = tuple(
-            _decode_entry(raw, response.era) for raw in body['events']
-        )
-        at_revision = StoreRevision(response.era, int(body['atRevision']))
-        return Changes(entries, at_revision)
+        return response.parse(_decode_changes)
 
     async def compare_and_swap(
         self,
@@ -202,8 +215,7 @@
         response = await self._call('POST', 'kv-txn', body=body)
         if response.status in {_PRECONDITION_FAILED, _NOT_FOUND}:
             return None
-        number = int(response.require(_OK)['revision'])
-        return StoreRevision(response.era, number)
+        return response.parse(_decode_revision)
 
     async def grant_lease(self, ttl_s: float) -> Lease:
         """
@@ -213,7 +225,7 @@
         """
         ttl_ms = int(ttl_s * _MS_PER_S)
         response = await self._call('POST', 'kv-lease', body={'ttlMs': ttl_ms})
-        return Lease(int(response.require(_OK)['leaseId']), response.era)
+        return response.parse(_decode_lease)
 
     async def renew_lease(self, lease: Lease) -> bool:
         """Renew a lease; return false if it has expired."""
@@ -317,10 +329,35 @@
         except orjson.JSONDecodeError as error:
             raise _unavailable('response body is not JSON') from error
 
+    def parse(self, decode: Callable[[Any, int], T]) -> T:
+        """
+        Return what the body of a successful response describes.
+
+        :param decode: function of the decoded JSON and the era; may raise the
+            exceptions of reading a malformed document.
+        :raises BronzesillError: ``STORE_UNAVAILABLE`` if the status is another
+            one or the body is malformed.
+        """
+        return _decode_response(decode, self.require(_OK), self.era)
+
+
+@dataclasses.dataclass(frozen=True)
+class StorePage:
+    """
+    One page of a range of keys.
+
+    :param entries: keys of the page.
+    :param revision: revision of the store.
+    :param has_more: whether another page follows.
+    """
+
+    entries: tuple[StoredEntry, ...]
+    revision: StoreRevision
+    has_more: bool
+
 
 def _decode_era(answer: HttpAnswer) -> int:
-    text = answer.head.find(_ERA_HEADER) or b''
-    return int(text) if text.isdigit() else 0
+    return parse_integer(answer.head.find(_ERA_HEADER) or b'') or 0
 
 
 def _unavailable(detail: str) -> BronzesillError:
@@ -340,11 +377,65 @@
     return write
 
 
-def _decode_entry(raw: Mapping[str, Any], era: int) -> StoredEntry:
+def _decode_response(decode: Callable[[Any, int], T], raw: Any, era: int) -> T:
+    try:
+        return decode(raw, era)
+    except _DECODE_ERRORS as error:
+        raise _unavailable(f'malformed response: {error}') from error
+
+
+def decode_page(raw: Any, era: int) -> StorePage:
+    """
+    Decode one page of a range of keys.
+
+    :param raw: decoded JSON of the response.
+    :param era: era of the store in which it answered.
+    :raises BronzesillError: ``STORE_UNAVAILABLE``, the page is malformed.
+    """
+    return _decode_response(_decode_page, raw, era)
+
+
+def decode_changes(raw: Any, era: int) -> Changes:
+    """
+    Decode the response of a watch.
+
+    :param raw: decoded JSON of the response.
+    :param era: era of the store in which it answered.
+    :raises BronzesillError: ``STORE_UNAVAILABLE``, the response is malformed.
+    """
+    return _decode_response(_decode_changes, raw, era)
+
+
+def _decode_page(raw: Any, era: int) -> StorePage:
+    entries = tuple(_decode_entry(entry, era) for entry in raw['entries'])
+    has_more = read_flag(raw['hasMore'])
+    if has_more and not entries:
+        raise ValueError('an empty page is not the last one')
+    revision = StoreRevision(era, read_integer(raw['atRevision']))
+    return StorePage(entries, revision, has_more)
+
+
+def _decode_changes(raw: Any, era: int) -> Changes:
+    entries = tuple(_decode_entry(entry, era) for entry in raw['events'])
+    return Changes(entries, StoreRevision(era, read_integer(raw['atRevision'])))
+
+
+def _decode_revision(raw: Any, era: int) -> StoreRevision:
+    return StoreRevision(era, read_integer(raw['revision']))
+
+
+def _decode_lease(raw: Any, era: int) -> Lease:
+    return Lease(read_integer(raw['leaseId'], highest=_MAX_LEASE_ID), era)
+
+
+def _decode_entry(raw: Any, era: int) -> StoredEntry:
+    key = raw['key']
+    if not isinstance(key, str):
+        raise ValueError('expected a key')
     # `compacted` in a watch event means that the key was removed.
     return StoredEntry(
-        key=raw['key'],
+        key=key,
         payload=base64.b64decode(raw.get('value', '')),
-        revision=StoreRevision(era, int(raw['revision'])),
-        is_removed=bool(raw.get('compacted', False)),
+        revision=_decode_revision(raw, era),
+        is_removed=read_flag(raw.get('compacted', False)),
     )
--- a/bronzesill/store/guarded.py
+++ b/bronzesill/store/guarded.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from ..utils import BronzesillError, ResultCode
+from ..utils import BronzesillError, ResultCode, read_number
 from .interfaces import (
     Changes,
     Condition,
@@ -147,8 +147,7 @@
             return -math.inf
         await self._mark(self.era)
         entry = await self._store.get(_marker(self.era))
-        mark = orjson.loads(entry.payload) if entry else {}
-        return -math.inf if mark.get('is_first') else mark.get('seen_at_s', 0)
+        return _decode_mark(entry) if entry else 0
 
     async def _mark(self, era: int) -> None:
         if self._marked_era >= era:
@@ -170,3 +169,19 @@
 
 def _marker(era: int) -> str:
     return f'{ERA_PREFIX}{era:06d}'
+
+
+def _decode_mark(entry: StoredEntry) -> float:
+    """
+    Return the time that a marker of an era holds.
+
+    :raises BronzesillError: ``STORE_UNAVAILABLE``, the marker is malformed.
+    """
+    try:
+        mark = orjson.loads(entry.payload)
+        seen_at_s = read_number(mark.get('seen_at_s', 0))
+        return -math.inf if mark.get('is_first') else seen_at_s
+    except (ValueError, AttributeError) as error:
+        raise BronzesillError(
+            ResultCode.STORE_UNAVAILABLE, f'malformed marker {entry.key}'
+        ) from error
