Believe no refusal whose head was joined from two answers

A server that wrote the beginning of an earlier refusal once more, cut off within a line, had it joined by the head of its next answer: the status and X-Not-Executed of the old one with the id of the new one. A call that must run at most once then ran at a second server, or its caller got the server's answer as 503; a stream counted as refused while its server ran it. A head with two ids was taken by the first of them.

A status line within a header or a reason makes the answer invalid, and a head must echo this request's id and no other. An answer without an id is not accepted, as servers echo it in all responses; its outcome is unknown. The heads of streams are looked at only after this check, so that an earlier 421 can't make a server count as replaced.

test_stale_refusals.py writes an earlier refusal on the idle connection, with the next request or in parts of both, with its id, none or two.

--- a/bronzesill/generations/forward_client.py
+++ b/bronzesill/generations/forward_client.py
@@ -123,10 +123,10 @@
     ) -> AnswerHead:
         plan = _build_send_plan(opening, forward)
         head = await lease.send(self._dialect.encode(forward, plan))
-        self._on_head(opening.server, head)
         if not self._dialect.is_answer_to(head, forward):
             lease.discard()
             raise AnswerError('response belongs to another request')
+        self._on_head(opening.server, head)
         if self._dialect.is_not_executed(head):
             raise AttemptRefused(f'status {head.status}')
         if head.status != _HTTP_OK:
--- a/bronzesill/platform/headers.py
+++ b/bronzesill/platform/headers.py
@@ -210,11 +210,13 @@
         """
         Return whether an answer belongs to a request.
 
-        The server echoes the request identifier; an answer without it is
-        not accepted.
+        The server echoes the request identifier; an answer without it, or
+        with several, is not accepted.
         """
-        echoed = head.find(_REQUEST_ID)
-        return echoed == request.request_id.encode('latin-1')
+        echoed = {
+            header.text for header in head.headers if header.name == _REQUEST_ID
+        }
+        return echoed == {request.request_id.encode('latin-1')}
 
     def encode_health_check(self, path: str, address: Address) -> bytes:
         """Encode a health check as an HTTP/1.1 request."""
--- a/bronzesill/upstream/connection.py
+++ b/bronzesill/upstream/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from typing import cast
 
 import httptools
@@ -24,6 +25,7 @@
 #: Small chunks have several times as many bytes of overhead as of body.
 _OVERHEAD_PER_BODY_BYTE = 16
 _FIRST_FINAL_STATUS = 200
+_STATUS_LINE = re.compile(rb'HTTP/1\.[01] [1-9][0-9]{2}')
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
@@ -149,8 +151,21 @@
             return
         answer.mark_failed(ConnectionLost(f'connection lost: {error!r}'))
 
+    def on_status(self, reason: bytes) -> None:
+        """
+        Check the text of the status line.
+
+        :raises ValueError: it contains the beginning of another answer.
+        """
+        _refuse_second_status(reason)
+
     def on_header(self, name: bytes, text: bytes) -> None:
-        """Append a parsed header to the pending answer."""
+        """
+        Append a parsed header to the pending answer.
+
+        :raises ValueError: it contains the beginning of another answer.
+        """
+        _refuse_second_status(text)
         if self._answer is not None:
             self._answer.headers.append(
                 Header(name.lower(), text.strip(b' \t'))
@@ -199,6 +214,18 @@
             self._transport.abort()
 
 
+def _refuse_second_status(text: bytes) -> None:
+    """
+    Reject a head that was cut off within a line and joined by the next one.
+
+    Its status would belong to one answer and its last headers to another.
+
+    :raises ValueError: the text contains a status line.
+    """
+    if _STATUS_LINE.search(text):
+        raise ValueError('a head within another head')
+
+
 class _PendingAnswer:
     """
     Answer that is being received.
