Take no answer into a stream that does not go on with it

After a stream had broken off, the next server's answer was taken for its continuation whatever it was: the text of a JSON error, events without ids, and the head of an answer within the body reached the caller in the middle of the stream. An empty answer, with or without a length, completed the stream early. Events of a run that began anew were dropped as repeated up to the last one, and its further events joined to those of the first run.

An answer that goes on must be an event stream, if it names a type; each event must have one id, above the last one, and consist of fields; no answer may be encoded. An answer without an event goes on only if it states its end by chunks, as the run before may have broken off just before its end. Anything else is a lost attempt: the stream goes on at the next server, or ends visibly broken.

--- a/bronzesill/generations/event_stream.py
+++ b/bronzesill/generations/event_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import re
 
 from ..utils import parse_integer
 
@@ -10,6 +11,8 @@
 
 _EVENT_END = b'\n\n'
 _ID_FIELD = b'id:'
+#: Names of fields are in lower case; a comment has an empty one.
+_FIELD_PATTERN = re.compile(rb'[a-z-]*(:|$)')
 _MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -22,10 +25,12 @@
         or not a decimal number.
     :param text: bytes of the event and its blank line, decoded as Latin-1 so
         that each byte is one character.
+    :param is_sound: whether it consists of fields, with at most one ``id``.
     """
 
     number: int | None
     text: str
+    is_sound: bool = True
 
 
 class EventSplitter:
@@ -53,9 +58,11 @@
 
 
 def _parse_event(raw_event: bytes) -> StreamEvent:
+    lines = raw_event.splitlines()
+    ids = [line for line in lines if line.startswith(_ID_FIELD)]
     number = None
-    for line in raw_event.splitlines():
-        if line.startswith(_ID_FIELD):
-            digits = line[len(_ID_FIELD) :].strip()
-            number = parse_integer(digits)
-    return StreamEvent(number, raw_event.decode('latin-1'))
+    if ids:
+        number = parse_integer(ids[-1].removeprefix(_ID_FIELD).strip())
+    are_fields = all(_FIELD_PATTERN.match(line) for line in lines if line)
+    is_sound = are_fields and len(ids) <= 1
+    return StreamEvent(number, raw_event.decode('latin-1'), is_sound)
--- a/bronzesill/generations/forward_client.py
+++ b/bronzesill/generations/forward_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 
 from ..upstream import (
     AnswerError,
@@ -29,6 +29,8 @@
 
 _HTTP_OK = 200
 _MAX_IDLE_S = 4.0
+_EVENT_STREAM = b'text/event-stream'
+_NOT_ENCODED = frozenset((None, b'', b'identity'))
 
 
 class ForwardStreamClient:
@@ -95,7 +97,7 @@
             yield HeadArrived(opening.attempt, head)
             async for message in self._read_events(lease, opening, forward):
                 if isinstance(message, EndArrived):
-                    _check_end(message, head, forward)
+                    _check_end(message, head, opening, forward)
                 yield message
         finally:
             lease.release()
@@ -131,6 +133,7 @@
             raise AttemptRefused(f'status {head.status}')
         if head.status != _HTTP_OK:
             raise AnswerError(f'status {head.status}')
+        _check_head(head, is_resumed=plan.events_received > 0)
         return head
 
 
@@ -146,16 +149,20 @@
         self._attempt = opening.attempt
         self._next_offset = len(opening.accepted)
         self._first_event_id = forward.caller.events_received + 1
+        # The events of an answer that goes on must say where they belong.
+        self._has_ids = self._next_offset + self._first_event_id > 1
         self._splitter = EventSplitter()
 
-    def feed(self, body: bytes) -> list[TokensArrived]:
-        """Append bytes of the body and return one message for each event."""
-        messages = []
+    def feed(self, body: bytes) -> Iterator[TokensArrived]:
+        """
+        Append bytes of the body and yield one message for each event.
+
+        :raises AnswerError: an event does not go on with the answer.
+        """
         for event in self._splitter.feed(body):
             offset = self._offset(event)
-            messages.append(TokensArrived(self._attempt, offset, (event.text,)))
             self._next_offset = offset + 1
-        return messages
+            yield TokensArrived(self._attempt, offset, (event.text,))
 
     def finish(self) -> EndArrived:
         """
@@ -168,9 +175,20 @@
         return EndArrived(self._attempt, self._next_offset, 'end')
 
     def _offset(self, event: StreamEvent) -> int:
-        if event.number is None:
+        """
+        Return the position of an event in the answer.
+
+        :raises AnswerError: the event is of another run or no event at all.
+        """
+        self._has_ids = self._has_ids or event.number is not None
+        if not self._has_ids:
             return self._next_offset
-        return max(event.number - self._first_event_id, 0)
+        if event.number is None or not event.is_sound:
+            raise AnswerError('malformed event')
+        offset = event.number - self._first_event_id
+        if offset < self._next_offset:
+            raise AnswerError(f'event {event.number} had arrived before')
+        return offset
 
 
 def _require_forward_request(opening: StreamOpening) -> ForwardRequest:
@@ -180,17 +198,40 @@
     return forward
 
 
+def _check_head(head: AnswerHead, *, is_resumed: bool) -> None:
+    """
+    Reject an answer whose body cannot be events as the engine wrote them.
+
+    :raises AnswerError: it is encoded, or goes on after earlier events with
+        something else than an event stream.
+    """
+    if head.find(b'content-encoding') not in _NOT_ENCODED:
+        raise AnswerError('encoded body')
+    media_type = head.find(b'content-type') or _EVENT_STREAM
+    if is_resumed and not media_type.lower().startswith(_EVENT_STREAM):
+        raise AnswerError('no event stream')
+
+
 def _check_end(
-    end: EndArrived, head: AnswerHead, forward: ForwardRequest
+    end: EndArrived,
+    head: AnswerHead,
+    opening: StreamOpening,
+    forward: ForwardRequest,
 ) -> None:
     """
-    Reject an answer without any event that ended with its connection.
+    Reject an answer without any event that does not state its end.
 
-    :raises ConnectionLost: nothing tells such an end from a crash.
+    :raises AnswerError: nothing tells such an end from a crash.
     """
-    is_empty = not end.total and not forward.caller.events_received
-    if is_empty and not head.has_length:
+    if end.total > len(opening.accepted):
+        return
+    is_first = not opening.accepted and not forward.caller.events_received
+    if not head.has_length and (opening.accepted or is_first):
         raise ConnectionLost('connection ended before the first event')
+    # The run before may have broken off between its last event and its end;
+    # an engine states the end of such a stream by its last chunk.
+    if opening.accepted and head.find(b'transfer-encoding') is None:
+        raise AnswerError('no further event')
 
 
 def _build_send_plan(
