Treat malformed events of native engines as a lost attempt

An event without the expected fields raised KeyError, IndexError or TypeError in the task that reads the stream, which ended without a word to its generation; it went on only after the timeout for silence. An offset or a total that is text was passed on to the decisions.

Such an event is now an error of the attempt, and the next engine is tried.

Before: EngineTest.test_odd_answer_is_a_loss failed in 8 cases. Now it passes.

--- a/bronzesill/generations/engine_client.py
+++ b/bronzesill/generations/engine_client.py
@@ -8,7 +8,7 @@
 import aiohttp
 import orjson
 
-from ..utils import Address
+from ..utils import Address, read_integer
 from .messages import EndArrived, TokensArrived
 from .stream_client import AttemptRefused, StreamMessage, StreamOpening
 
@@ -112,24 +112,44 @@
 
 def _parse_events(
     events: list[bytes], attempt: int
+) -> Iterator[TokensArrived | EndArrived]:
+    """
+    Yield the messages of complete events.
+
+    :raises ValueError: an event is malformed.
+    """
+    try:
+        yield from _decode_events(events, attempt)
+    except (LookupError, TypeError, AttributeError) as error:
+        raise ValueError(f'malformed event: {error}') from error
+
+
+def _decode_events(
+    events: list[bytes], attempt: int
 ) -> Iterator[TokensArrived | EndArrived]:
     chunks = [
         orjson.loads(event[len(_DATA_FIELD) :])
         for event in events
         if event.startswith(_DATA_FIELD) and not event.endswith(_DONE_MARKER)
     ]
-    tokens = tuple(
-        chunk['choices'][0]['text'] for chunk in chunks if _is_token(chunk)
-    )
+    tokens = tuple(_read_token(chunk) for chunk in chunks if _is_token(chunk))
     if tokens:
-        yield TokensArrived(attempt, chunks[0]['offset'], tokens)
+        offset = read_integer(chunks[0]['offset'])
+        yield TokensArrived(attempt, offset, tokens)
     if chunks and not _is_token(chunks[-1]):
         yield EndArrived(
             attempt,
-            chunks[-1]['usage']['completion_tokens'],
-            chunks[-1]['choices'][0]['finish_reason'],
+            read_integer(chunks[-1]['usage']['completion_tokens']),
+            str(chunks[-1]['choices'][0]['finish_reason']),
         )
 
 
+def _read_token(chunk: dict[str, Any]) -> str:
+    text = chunk['choices'][0]['text']
+    if not isinstance(text, str):
+        raise TypeError('expected the text of a token')
+    return text
+
+
 def _is_token(chunk: dict[str, Any]) -> bool:
     return chunk['choices'][0]['finish_reason'] is None
--- a/bronzesill/generations/tests/test_odd_successors.py
+++ b/bronzesill/generations/tests/test_odd_successors.py
@@ -8,6 +8,8 @@
 import asyncio
 import unittest
 
+import aiohttp
+
 from ...platform.headers import PlatformDialect
 from ...upstream import (
     CallerFields,
@@ -15,6 +17,7 @@
     ForwardRequest,
 )
 from ...utils import Address
+from ..engine_client import EngineClient
 from ..forward_client import ForwardStreamClient
 from ..messages import EndArrived, TokensArrived
 from ..request import GenerationRequest
@@ -163,3 +166,47 @@
         event = b'x-weight-versions: 4\n%b' % _REST
         received = await self.read(self.client, _chunked(event))
         self.assertEqual(received[1], TokensArrived(2, 2, (event.decode(),)))
+
+
+_DONE = (
+    b'data: {"offset":3,"choices":[{"text":"","finish_reason":"stop"}],'
+    b'"usage":{"completion_tokens":3}}\n\n'
+)
+
+
+class EngineTest(_Case):
+    """Streams of engines on the native interface."""
+
+    async def asyncSetUp(self) -> None:
+        self.session = aiohttp.ClientSession()
+        self.client = EngineClient(self.session)
+
+    async def asyncTearDown(self) -> None:
+        await self.session.close()
+
+    # Guards against generations that hang because the reader of their stream
+    # ended with an exception of its own.
+    async def test_odd_answer_is_a_loss(self) -> None:
+        bodies = {
+            'list': b'data: []\n\n',
+            'number': b'data: 1\n\n',
+            'no choices': b'data: {"error":"x"}\n\n',
+            'empty choices': b'data: {"choices":[]}\n\n',
+            'offset as text': _DONE.replace(b'"stop"', b'null').replace(
+                b'3,', b'"3",', 1
+            ),
+            'total as text': _DONE.replace(b':3}}', b':"3"}}'),
+            'no total': _DONE.replace(b'completion_tokens', b'other'),
+            'text as number': (
+                b'data: {"offset":2,"choices":'
+                b'[{"text":5,"finish_reason":null}]}\n\n'
+            ),
+        }
+        answers = {name: _chunked(body) for name, body in bodies.items()}
+        for name, answer in {**_ODD_ANSWERS, **answers}.items():
+            with self.subTest(name):
+                self.assertEqual(await self.read(self.client, answer), [])
+
+    async def test_end_is_read(self) -> None:
+        received = await self.read(self.client, _chunked(_DONE))
+        self.assertEqual(received, [EndArrived(2, 3, 'stop')])
