Promise "not run" only if the server has stated it

A server's 503, 429 or 408 without X-Not-Executed was passed on to the caller of a call that must run at most once. The statuses promise that it has not run and never will, which only that header states; the caller then tried again.

Such an answer counts as an unknown outcome: 502, and not sent again.

--- a/bronzesill/calls/forward_sender.py
+++ b/bronzesill/calls/forward_sender.py
@@ -27,6 +27,8 @@
 _AT_MOST_ONCE_MAX_IDLE_S = 1.0
 #: An answer is kept in memory until it is complete.
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
+#: Statuses with which callers are told that their call has not run.
+_NOT_RUN_STATUSES = frozenset((408, 429, 503))
 
 
 class ForwardSender:
@@ -72,7 +74,9 @@
         )
         lease = await self._connect(server, max_idle_s)
         try:
-            return await self._exchange(lease, server, forward)
+            answer = await self._exchange(lease, server, forward)
+            _check_status(answer, is_idempotent=is_idempotent)
+            return answer
         except RequestNotSent as error:
             raise _not_run_error(str(error)) from error
         except AnswerError as error:
@@ -111,5 +115,15 @@
         return CallAnswer(head.status, '', body, headers=response_headers)
 
 
+def _check_status(answer: CallAnswer, *, is_idempotent: bool) -> None:
+    """
+    Reject a status that promises callers what the server has not stated.
+
+    :raises AnswerError: the call may have run.
+    """
+    if not is_idempotent and answer.status in _NOT_RUN_STATUSES:
+        raise AnswerError(f'status {answer.status}, but it may have run')
+
+
 def _not_run_error(detail: str) -> BronzesillError:
     return BronzesillError(ResultCode.CALL_NOT_RUN, f'not run: {detail}')
--- a/bronzesill/calls/tests/test_stale_refusals.py
+++ b/bronzesill/calls/tests/test_stale_refusals.py
@@ -242,6 +242,25 @@
         await asyncio.sleep(_LINGER_S)
         self.assertLessEqual(self.runs.count(_SECOND), 1)
 
+    # Guards against a status that promises "not run" for a call of which its
+    # server did not say so.
+    async def test_answer_that_cannot_be_passed_on(self) -> None:
+        unstated = _refusal(_SECOND).replace(b'X-Not-Executed: 1\r\n', b'')
+        for answer in (
+            unstated,
+            unstated.replace(b'503 Busy', b'429 Busy'),
+            unstated.replace(b'503 Busy', b'408 Late'),
+        ):
+            with self.subTest(answer):
+                address = await self.listen((), (answer,))
+                await self.refuse_first(address)
+                with self.assertRaises(BronzesillError) as caught:
+                    await self.make_sender({'a': address}).send(
+                        'a', self.routed(_SECOND)
+                    )
+                code = caught.exception.code
+                self.assertIs(code, ResultCode.CALL_OUTCOME_UNKNOWN)
+
     # Guards against an earlier refusal as the answer to a call that may be
     # repeated.
     async def test_call_that_may_be_repeated(self) -> None:
