Pass on no encoded answer of a server

Requests ask for no content encoding, so an answer that has one does not hold the server's own bytes. It was passed on to callers as a success. It is now an unknown outcome of the call, as it is a lost attempt of a stream.

Before: test_answer_that_cannot_be_passed_on failed for an answer with Content-Encoding: gzip (BronzesillError not raised). Now it passes.

--- a/bronzesill/calls/forward_sender.py
+++ b/bronzesill/calls/forward_sender.py
@@ -108,6 +108,9 @@
             lease.discard()
             raise AnswerError('the response belongs to another request')
         self._on_head(server, head)
+        if head.is_encoded:
+            lease.discard()
+            raise AnswerError('the body is encoded, which was not asked for')
         body = await lease.read_all(_MAX_ANSWER_BYTES)
         if self._dialect.is_not_executed(head):
             raise _not_run_error(f'{server} answered {head.status}')
--- a/bronzesill/calls/tests/test_stale_refusals.py
+++ b/bronzesill/calls/tests/test_stale_refusals.py
@@ -243,13 +243,16 @@
         self.assertLessEqual(self.runs.count(_SECOND), 1)
 
     # Guards against a status that promises "not run" for a call of which its
-    # server did not say so.
+    # server did not say so, and against an answer that is not its own bytes.
     async def test_answer_that_cannot_be_passed_on(self) -> None:
+        added = b'Content-Length'
+        encoded = b'Content-Encoding: gzip\r\nContent-Length'
         unstated = _refusal(_SECOND).replace(b'X-Not-Executed: 1\r\n', b'')
         for answer in (
             unstated,
             unstated.replace(b'503 Busy', b'429 Busy'),
             unstated.replace(b'503 Busy', b'408 Late'),
+            _answer(_SECOND).replace(added, encoded),
         ):
             with self.subTest(answer):
                 address = await self.listen((), (answer,))
--- a/bronzesill/generations/forward_client.py
+++ b/bronzesill/generations/forward_client.py
@@ -30,7 +30,6 @@
 _HTTP_OK = 200
 _MAX_IDLE_S = 4.0
 _EVENT_STREAM = b'text/event-stream'
-_NOT_ENCODED = frozenset((None, b'', b'identity'))
 
 
 class ForwardStreamClient:
@@ -205,7 +204,7 @@
     :raises AnswerError: it is encoded, or goes on after earlier events with
         something else than an event stream.
     """
-    if head.find(b'content-encoding') not in _NOT_ENCODED:
+    if head.is_encoded:
         raise AnswerError('encoded body')
     media_type = head.find(b'content-type') or _EVENT_STREAM
     if is_resumed and not media_type.lower().startswith(_EVENT_STREAM):
--- a/bronzesill/upstream/answer.py
+++ b/bronzesill/upstream/answer.py
@@ -56,6 +56,12 @@
     headers: tuple[Header, ...]
     has_length: bool
 
+    @property
+    def is_encoded(self) -> bool:
+        """Whether the body has a content encoding; none is asked for."""
+        encoding = self.find(b'content-encoding') or b'identity'
+        return encoding.lower() != b'identity'
+
     def find(self, name: bytes) -> bytes | None:
         """
         Return the value of the first header with a name.
