Keep a connection of a peer open when one request fails

An exception in the handler of one request ended the connection and with it all other requests of that host. The failure is now logged (request_failed, with the end of its traceback); that request gets no answer, the others do.

Before: test_failing_handler_ends_no_other_request failed with "connection lost". Now it passes.

--- a/bronzesill/wire/peers.py
+++ b/bronzesill/wire/peers.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+import traceback
 from collections.abc import AsyncIterator
 from typing import Any, Protocol
 
@@ -20,6 +21,8 @@
 _READ_BYTES = 64 * 1024
 _CONNECT_TIMEOUT_S = 0.5
 _IDLE_CLOSE_S = 60.0
+_MAX_ERROR_CHARS = 200
+_MAX_TRACE_CHARS = 2000
 
 _log = PartLogger('wire')
 
@@ -152,8 +155,18 @@
     async def _respond(
         self, envelope: Envelope, writer: asyncio.StreamWriter
     ) -> None:
-        response = await self._handler.handle(envelope.message)
-        packed = self._registry.encode(response, envelope.exchange_id)
+        try:
+            response = await self._handler.handle(envelope.message)
+            packed = self._registry.encode(response, envelope.exchange_id)
+        except Exception as error:
+            # The other requests on this connection go on.
+            _log.event(
+                'request_failed',
+                request=type(envelope.message).__name__,
+                error=repr(error)[:_MAX_ERROR_CHARS],
+                trace=traceback.format_exc()[-_MAX_TRACE_CHARS:],
+            )
+            return
         self._counters.bytes_out += len(packed)
         writer.write(packed)
 
--- a/bronzesill/wire/tests/test_wire.py
+++ b/bronzesill/wire/tests/test_wire.py
@@ -1,6 +1,7 @@
 """Valid frames are decoded; invalid ones are rejected and counted."""
 
 import asyncio
+import dataclasses
 import unittest
 
 import msgpack
@@ -28,6 +29,14 @@
         return request
 
 
+class _Failing:
+    async def handle(self, request: Ping) -> object:
+        if request.sender == 'odd':
+            raise OverflowError
+        await asyncio.sleep(0.1)
+        return request
+
+
 class CodecTest(unittest.TestCase):
     """Round trip of messages and rejection of invalid frames."""
 
@@ -100,3 +109,21 @@
         await server.stop()
         with self.assertRaises(BronzesillError):
             await client.request(address, _PING, 0.5)
+
+    # Guards against one request of a peer that fails its handler and ends the
+    # connection with all others on it.
+    async def test_failing_handler_ends_no_other_request(self) -> None:
+        registry = make_native_registry()
+        server = PeerServer(
+            Address('127.0.0.1', 0), registry, _Failing(), WireCounters()
+        )
+        address = await server.start()
+        client = PeerClient(registry, WireCounters())
+        slow = asyncio.create_task(client.request(address, _PING, 2))
+        await asyncio.sleep(0.05)
+        odd = dataclasses.replace(_PING, sender='odd')
+        with self.assertRaises(BronzesillError):
+            await client.request(address, odd, 0.2)
+        self.assertEqual(await slow, _PING)
+        await client.stop()
+        await server.stop()
