--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -33,7 +33,7 @@
 _DEFAULT_KEEP_ALIVE_S = 4.0
 #: Servers of which it is noted that they cannot be reached.
 _MAX_NOTED = 1000
-_TIMEOUT_PATTERN = re.compile(rb'timeout=(\d+)')
+_TIMEOUT_PATTERN = re.compile(rb'timeout=(\d{1,9})')
 
 _log = PartLogger('upstream')
 
