Wait for bytes lost in a silence before a run without a copy is left

A sender repeats lost bytes at doubling intervals, so that after a silence of 1.5 s the next bytes come up to 3 s after the last ones. A run whose server accepted connections again, but which had no usable copy, was left just before, and its prompt read anew. It is kept now for twice the silence and 0.3 s. Runs with a copy, and servers that go on refusing, are left as before.

The new test fails on the code before (left at 2.7 s of silence, not 3.3 s).

--- a/bronzesill/generations/state.py
+++ b/bronzesill/generations/state.py
@@ -17,6 +17,8 @@
 _REFUSED_FRACTION = 0.5
 #: Length in seconds up to which a silence is likely to end by itself.
 _USUAL_SILENCE_S = 1.6
+#: Time in seconds added to the doubled silence for bytes sent again.
+_RESEND_MARGIN_S = 0.3
 
 #: Time in seconds from the loss of a server until a probe of it fails.
 _PROBE_LAG_S = 0.3
@@ -78,6 +80,8 @@
     :param timer_at_s: time of the earliest timer that is set.
     :param unreachable_at_s: time of the last look at which no server
         accepted a connection.
+    :param refused_at_s: time at which the attempt's server last accepted no
+        connection.
     :param evidence: result of the last look, None if tokens came since.
     :param evidence_at_s: time of that result.
     """
@@ -106,6 +110,7 @@
     hindered_s: float = 0
     timer_at_s: float = math.inf
     unreachable_at_s: float = -math.inf
+    refused_at_s: float = -math.inf
 
     @property
     def has_ended(self) -> bool:
@@ -259,9 +264,12 @@
 
     def refused(self, now_s: float) -> GenerationState:
         """Return the state after the server accepted no connection."""
-        if self.refused_since_s is not None:
-            return self
-        return dataclasses.replace(self, refused_since_s=now_s)
+        since_s = self.refused_since_s
+        return dataclasses.replace(
+            self,
+            refused_since_s=now_s if since_s is None else since_s,
+            refused_at_s=now_s,
+        )
 
     def accepting(self, now_s: float) -> GenerationState:
         """Return the state after the server accepted a connection."""
@@ -294,7 +302,8 @@
         is_by_copy = evidence.candidate == self.usable_copy
         cost_s = 0 if is_by_copy else self.policy.move_cost_s
         if evidence.is_shared:
-            return self._leave_after(max(cost_s, _USUAL_SILENCE_S))
+            at_s = self._leave_after(max(cost_s, _USUAL_SILENCE_S))
+            return at_s if is_by_copy else max(at_s, self._resent_at_s)
         if is_by_copy:
             return self.stall_at_s
         if not self.is_memory_begun and not self.uses_copy:
@@ -304,7 +313,19 @@
             return self.stall_at_s
         is_refused = self.refused_since_s is not None
         wait_s = _USUAL_SILENCE_S if is_refused else cost_s
-        return self._leave_after(max(wait_s, _USUAL_SILENCE_S))
+        at_s = self._leave_after(max(wait_s, _USUAL_SILENCE_S))
+        return at_s if is_refused else max(at_s, self._resent_at_s)
+
+    @property
+    def _resent_at_s(self) -> float:
+        """
+        Time by which bytes lost while the server refused are sent again.
+
+        A sender repeats lost bytes at doubling intervals, so the last interval
+        may be as long as the silence.
+        """
+        lost_s = self.refused_at_s - self.last_activity_at_s
+        return self.last_activity_at_s + 2 * lost_s + _RESEND_MARGIN_S
 
     @property
     def _unbegun_leave_at_s(self) -> float:
--- a/bronzesill/generations/tests/test_copies.py
+++ b/bronzesill/generations/tests/test_copies.py
@@ -167,6 +167,18 @@
         self.driver.feed(LookedElsewhere(1, 's2', is_alive=True), 3.7)
         self.assertEqual(self.driver.choose_action().candidate, 's2')
 
+    # A run was left just before the bytes lost in a silence were sent again.
+    def test_lost_bytes_are_waited_for_when_a_server_is_back(self) -> None:
+        self.driver.feed(TokensArrived(1, 0, ('a',)), 1)
+        for at_s in (1.3, 2.5):
+            self.driver.feed(LookedElsewhere(1, '', is_alive=False), at_s)
+        back = LookedElsewhere(1, 's2', is_alive=True)
+        for at_s in (3.0, 3.8, 4.2):
+            self.driver.feed(back, at_s)
+            self.assertEqual(self.driver.state.server, 's1')
+        self.driver.feed(back, 4.35)
+        self.assertEqual(self.driver.choose_action().candidate, 's2')
+
     def test_short_prompt_is_moved_without_waiting(self) -> None:
         policy = StallPolicy.from_route(0.7, 4.5, 600, 5)
         self.driver.state = dataclasses.replace(
