Keep a brittle service's servers from rejecting more than they survive

What callers would see: the workers of a service say in all answers that each ends when it rejects more than N requests in a second. No code read this. In a burst every host went on sending to full servers, which ended one after the other, also those that had taken the load of the first.

Cause: use of plain services is known to each host alone, and nothing limits what all hosts together send to a server without room.

Change: an answer of any server of a service tells for all of them, until one a second later names nothing. While it holds, hosts report their use of these servers to each other as they do for engines. A server gets a request only into a free slot; waiting places are not counted. Numbered slots in time limit what hosts send before they know of each other's requests. This holds for first sends, retries, hedged requests, streams, resumed ones and restart probes. What cannot be sent is refused at once with the time to the next slot. The stand-in worker has the behaviour.

--- a/bronzesill/calls/at_most_once.py
+++ b/bronzesill/calls/at_most_once.py
@@ -34,6 +34,7 @@
             ResultCode.CALL_NOT_RUN,
             'not run: no server available for the service',
         )
+        await self._servers.prepare(routed)
         for server in self._servers.order(routed):
             try:
                 return await self._attempt(server, routed)
--- a/bronzesill/calls/idempotent.py
+++ b/bronzesill/calls/idempotent.py
@@ -51,6 +51,7 @@
         self._allowance.record_first_attempt(routed.route.service)
         try:
             async with asyncio.timeout_at(routed.deadline_at_s):
+                await self._servers.prepare(routed)
                 return await self._run_attempts(
                     routed, self._servers.order(routed)
                 )
--- a/bronzesill/calls/servers.py
+++ b/bronzesill/calls/servers.py
@@ -5,7 +5,7 @@
 import asyncio
 import dataclasses
 import enum
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 
 from ..routing import ServerTracker, ServerView, TrafficSplit, pick_version
@@ -115,6 +115,15 @@
         self._tracker = tracker
         self._find_split = find_split
         self._random = random
+        #: Brings the use of servers by the other daemons up to date.
+        self.refresh_usage: Callable[[], Awaitable[None]] = _do_nothing
+
+    async def prepare(self, routed: RoutedCall) -> None:
+        """Learn the use of the servers of a call by all daemons, if needed."""
+        service = routed.route.service
+        if self._tracker.limiter.is_brittle(service):
+            self._tracker.limiter.record_demand(service)
+            await self.refresh_usage()
 
     def order(self, routed: RoutedCall) -> tuple[str, ...]:
         """
@@ -197,7 +206,7 @@
         :raises BronzesillError: ``CALL_NOT_RUN`` if the server has reached
             its limit since it was selected.
         """
-        if self._tracker.limiter.wait_s(name):
+        if self._tracker.wait_s(name, _now_s()):
             raise BronzesillError(
                 ResultCode.CALL_NOT_RUN,
                 f'not run: {name} has reached its limit',
@@ -250,8 +259,9 @@
         return tuple(view.name for view in views if not view.is_suspected)
 
     def _limit_wait_s(self, service: str) -> float:
+        now_s = _now_s()
         waits_s = (
-            self._tracker.limiter.wait_s(name)
+            self._tracker.wait_s(name, now_s)
             for name, server in self._tracker.servers_by_name.items()
             if server.service == service
         )
@@ -264,10 +274,18 @@
             if not view.is_leaving and version in {'', view.version}
         ]
         self._random.shuffle(views)
-        views.sort(key=_cost)
+        if self._tracker.limiter.is_brittle(service):
+            # All daemons would meet at the server with the lowest cost.
+            views.sort(key=lambda view: view.is_suspected)
+        else:
+            views.sort(key=_cost)
         return views
 
 
+async def _do_nothing() -> None:
+    """Leave the use as it is known."""
+
+
 def _cost(view: ServerView) -> tuple[bool, float]:
     return view.is_suspected, view.fill + _FAILURE_WEIGHT * view.failure_rate
 
--- a/bronzesill/config/document.py
+++ b/bronzesill/config/document.py
@@ -128,6 +128,11 @@
     memory_tokens: int = 0
     started_at_s: float = 0
 
+    @property
+    def service_name(self) -> str:
+        """Name of the plain service, or the model of an engine."""
+        return self.service or self.model
+
 
 @dataclasses.dataclass(frozen=True)
 class RegisteredServer:
--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -106,6 +106,7 @@
             context.random,
             context.quarantine,
         )
+        servers.refresh_usage = context.usage_exchange.refresh
         sender = ForwardSender(
             context.pool, context.dialect, servers, self._process_answer_head
         )
@@ -212,3 +213,15 @@
             running = load.running + load.waiting
             context.tracker.reported(server, LoadReport(running, '', now_s))
         self._limiter.handle_answer(server, context.dialect.request_limit(head))
+        self._process_brittleness(server, head)
+
+    def _process_brittleness(self, server: str, head: AnswerHead) -> None:
+        dialect = self._context.dialect
+        listed = self._context.tracker.servers_by_name.get(server)
+        if listed is None or dialect.is_misdirected(head):
+            return
+        self._limiter.handle_brittle(
+            listed.service_name, dialect.rejection_limit(head)
+        )
+        if dialect.is_not_executed(head):
+            self._limiter.handle_rejection(server)
--- a/bronzesill/daemon/restart_detector.py
+++ b/bronzesill/daemon/restart_detector.py
@@ -96,6 +96,10 @@
         listed = self._store_state.listing.listed_by_name.get(server)
         if listed is None:
             return
+        now_s = asyncio.get_running_loop().time()
+        if self._tracker.wait_s(server, now_s):
+            return
+        self._tracker.limiter.record_choice(server)
         self._probing.add(server)
         try:
             async with asyncio.timeout(_PROBE_TIMEOUT_S):
--- a/bronzesill/daemon/server_limiter.py
+++ b/bronzesill/daemon/server_limiter.py
@@ -6,7 +6,12 @@
 from collections.abc import Callable, Collection
 
 from ..membership import Member
-from ..routing import FleetPosition, RequestLimits
+from ..routing import (
+    FleetPosition,
+    RejectionLimits,
+    RequestLimits,
+    ServerRoom,
+)
 from ..utils import PartLogger
 
 __all__ = ['ServerLimiter']
@@ -26,6 +31,7 @@
         self, daemon: str, list_peers: Callable[[], tuple[Member, ...]]
     ) -> None:
         self._limits = RequestLimits()
+        self._rejections = RejectionLimits()
         self._daemon = daemon
         self._list_peers = list_peers
 
@@ -39,8 +45,36 @@
         if known is None or limit is None or limit.per_s != known.per_s:
             _log.event('server_limit', server=server, limit_per_s=per_s)
 
+    def handle_brittle(self, service: str, per_s: float | None) -> None:
+        """Apply what an answer of a service says of rejections."""
+        known = self._rejections.by_service.get(service)
+        if known is None and per_s is None:
+            return
+        self._rejections = self._rejections.named(service, per_s, time.time())
+        named = self._rejections.by_service.get(service)
+        if not known or not named or known.rejections_per_s != per_s:
+            _log.event(
+                'service_brittle', service=service, rejections_per_s=per_s
+            )
+
+    def handle_rejection(self, server: str) -> None:
+        """Take note that a server rejected a request."""
+        if self._rejections.by_service:
+            self._rejections = self._rejections.rejected(server, time.time())
+
+    def record_demand(self, service: str) -> None:
+        """Take note of a request for any server of a service."""
+        if service in self._rejections.by_service:
+            self._rejections = self._rejections.wanted(service, time.time())
+
+    def record_choice(self, server: str) -> None:
+        """Take note that a server was chosen for a request."""
+        if self._rejections.by_service:
+            self._rejections = self._rejections.sent(server, time.time())
+
     def record_request(self, server: str) -> None:
         """Count a request to a server."""
+        self.record_choice(server)
         if server in self._limits.by_server:
             self._limits = self._limits.sent(
                 server, self._position(), time.time()
@@ -52,8 +86,25 @@
             return 0
         return self._limits.wait_s(server, self._position(), time.time())
 
+    def is_brittle(self, service: str) -> bool:
+        """Return whether the servers of a service say that they are brittle."""
+        return service in self._rejections.by_service
+
+    def room_wait_s(self, server: str, service: str, room: ServerRoom) -> float:
+        """
+        Return the seconds until a brittle server may be used, 0 if it may now.
+
+        :param server: name of the server.
+        :param service: name of its service.
+        :param room: room of the server.
+        """
+        return self._rejections.wait_s(
+            server, service, room, self._position(), time.time()
+        )
+
     def keep_only(self, servers: Collection[str]) -> None:
         """Forget the limits of servers that are not listed any more."""
+        self._rejections = self._rejections.listed(servers, time.time())
         for server in self._limits.by_server.keys() - set(servers):
             self._limits = self._limits.without(server)
 
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -235,12 +235,14 @@
             version = self.resume_version(request.model, request.version)
             request = dataclasses.replace(request, version=version)
             generation.request = request
+        self._tracker.limiter.record_demand(request.model)
         await self.refresh_usage()
         is_first = generation.state.attempt == 0
         prompt_holder = await self.find_prompt(request) if is_first else ''
         choice = self._choose_servers(request, action, prompt_holder)
         if choice is None or not self._may_send(generation):
             return Placement(NoServer(), request)
+        self._tracker.limiter.record_choice(choice.server)
         chosen = Placement(choice, request)
         if not request.can_reconnect:
             return chosen
@@ -321,7 +323,9 @@
             is_resume=action.is_resume,
             copy_holder=action.copy_holder,
             prompt_holder=prompt_holder,
-            is_usage_shared=self.is_usage_shared(),
+            is_usage_shared=self.is_usage_shared()
+            # All daemons would meet at the server with the lowest cost.
+            and not self._tracker.limiter.is_brittle(request.model),
         )
         now_s = asyncio.get_running_loop().time()
         views = self._tracker.views(now_s)
--- a/bronzesill/platform/headers.py
+++ b/bronzesill/platform/headers.py
@@ -39,6 +39,7 @@
 _INSTANCE_ID = b'x-instance-id'
 _INSTANCE_LOAD = b'x-instance-load'
 _SERVER_LIMIT = b'server-limit'
+_SERVER_BRITTLE = b'server-brittle'
 
 #: Headers that apply to a single connection and are never forwarded.
 _HOP_BY_HOP = frozenset(
@@ -233,10 +234,15 @@
 
         :returns: the limit, none if the header is missing or malformed.
         """
-        text = head.find(_SERVER_LIMIT) or b''
-        if _DECIMAL_PATTERN.fullmatch(text) is None:
-            return None
-        return float(text)
+        return _parse_decimal(head, _SERVER_LIMIT)
+
+    def rejection_limit(self, head: AnswerHead) -> float | None:
+        """
+        Return the rejections in a second that a server survives.
+
+        :returns: the limit, none if the header is missing or malformed.
+        """
+        return _parse_decimal(head, _SERVER_BRITTLE)
 
 
 def _text_by_name(headers: tuple[Header, ...]) -> dict[bytes, bytes]:
@@ -259,6 +265,13 @@
     return int(text)
 
 
+def _parse_decimal(head: AnswerHead, name: bytes) -> float | None:
+    text = head.find(name) or b''
+    if _DECIMAL_PATTERN.fullmatch(text) is None:
+        return None
+    return float(text)
+
+
 def _parse_token_usage(text: bytes) -> tuple[int, int]:
     prompt, _, output = text.partition(b',')
     if not prompt.isdigit() or not output.isdigit():
--- a/bronzesill/platform/tests/test_request_limit.py
+++ b/bronzesill/platform/tests/test_request_limit.py
@@ -22,3 +22,9 @@
         for text, expected in expected_by_text.items():
             head = AnswerHead(200, (Header(b'server-limit', text),), True)
             self.assertEqual(PlatformDialect().request_limit(head), expected)
+
+    def test_decode_rejections(self) -> None:
+        dialect = PlatformDialect()
+        for text, expected in ((b'4', 4), (b'', None), (b'x', None)):
+            head = AnswerHead(200, (Header(b'server-brittle', text),), True)
+            self.assertEqual(dialect.rejection_limit(head), expected)
--- a/bronzesill/routing/__init__.py
+++ b/bronzesill/routing/__init__.py
@@ -8,7 +8,12 @@
 )
 from .listing import ServerListing
 from .records import LoadReport, ServerRecord
-from .request_limits import FleetPosition, RequestLimits
+from .request_limits import (
+    FleetPosition,
+    RejectionLimits,
+    RequestLimits,
+    ServerRoom,
+)
 from .restarts import LastActivity
 from .server_tracker import ServerTracker
 from .use_reports import (
@@ -32,11 +37,13 @@
     'FleetUse',
     'LastActivity',
     'LoadReport',
+    'RejectionLimits',
     'RequestLimits',
     'Requirements',
     'ServerListing',
     'ServerRecord',
     'ServerRestart',
+    'ServerRoom',
     'ServerTracker',
     'ServerUse',
     'ServerView',
--- a/bronzesill/routing/records.py
+++ b/bronzesill/routing/records.py
@@ -10,6 +10,8 @@
 _BASE_SUSPICION_S = 3.0
 _MAX_DOUBLINGS = 2
 _FAILURE_RATE_SMOOTHING = 0.05
+#: Load reports up to this age tell how many requests a server has.
+_LOAD_VALID_S = 0.2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -60,6 +62,19 @@
         """Whether this daemon has open streams or copies on the server."""
         return bool(self.running or self.tokens)
 
+    def used(self, others_running: int, now_s: float) -> int:
+        """
+        Return the requests of all daemons on the server, as far as known.
+
+        :param others_running: requests that the other daemons reported.
+        :param now_s: current time in seconds.
+        """
+        running = self.running + others_running
+        report = self.report
+        if report is None or now_s - report.at_s >= _LOAD_VALID_S:
+            return running
+        return max(running, report.running + self.opened_since_report)
+
     def opened(self) -> ServerRecord:
         """Return the record after a stream was opened."""
         return dataclasses.replace(
--- a/bronzesill/routing/server_tracker.py
+++ b/bronzesill/routing/server_tracker.py
@@ -10,6 +10,7 @@
 from ..config import BackendServer
 from .domains import DomainFailures
 from .records import LoadReport, ServerRecord
+from .request_limits import ServerRoom
 from .use_reports import (
     FleetUse,
     ServerRestart,
@@ -31,9 +32,21 @@
     def record_request(self, server: str) -> None:
         """Count a request to a server."""
 
+    def record_demand(self, service: str) -> None:
+        """Take note of a request for any server of a service."""
+
+    def record_choice(self, server: str) -> None:
+        """Take note that a server was chosen for a request."""
+
     def wait_s(self, server: str) -> float:
         """Return the seconds until a server may be used, 0 if it may now."""
 
+    def is_brittle(self, service: str) -> bool:
+        """Return whether the servers of a service must not reject much."""
+
+    def room_wait_s(self, server: str, service: str, room: ServerRoom) -> float:
+        """Return the same for a server that must not reject much."""
+
     def keep_only(self, servers: Collection[str]) -> None:
         """Forget the limits of all other servers."""
 
@@ -42,9 +55,21 @@
     def record_request(self, server: str) -> None:
         """Do nothing."""
 
+    def record_demand(self, service: str) -> None:
+        """Do nothing."""
+
+    def record_choice(self, server: str) -> None:
+        """Do nothing."""
+
     def wait_s(self, server: str) -> float:
         return 0
 
+    def is_brittle(self, service: str) -> bool:
+        return False
+
+    def room_wait_s(self, server: str, service: str, room: ServerRoom) -> float:
+        return 0
+
     def keep_only(self, servers: Collection[str]) -> None:
         """Do nothing."""
 
@@ -167,21 +192,23 @@
         self, daemon: str, sequence: int, now_s: float, valid_s: float
     ) -> UseReport:
         """
-        Return a report of this daemon's use of model engines for its peers.
+        Return a report of this daemon's use of servers for its peers.
+
+        It contains model engines and the servers of brittle services.
 
         :param daemon: name of this daemon.
         :param sequence: sequence number, increasing with each report.
         :param now_s: current time in seconds.
         :param valid_s: seconds until the report expires.
         """
-        engines = {
+        shared = {
             name: record
             for name, record in self._records_by_name.items()
-            if self._is_engine(name)
+            if _is_shared(self._servers_by_name.get(name), self.limiter)
         }
         uses = tuple(
             ServerUse(name, record.running, record.prefilling, record.tokens)
-            for name, record in engines.items()
+            for name, record in shared.items()
             if record.is_used
         )
         failed = self.failed_since(now_s - _FAILURE_REPORT_WINDOW_S)
@@ -241,17 +268,47 @@
         return tuple(
             self._view(name, now_s, use_by_server.get(name))
             for name in self._servers_by_name
-            if name in self.candidates and not self.limiter.wait_s(name)
+            if name in self.candidates
+            and not self.wait_s(name, now_s, use_by_server)
         )
 
     def service_views(self, service: str, now_s: float) -> list[ServerView]:
         """Return views of all servers of a plain service."""
+        uses: Mapping[str, ServerUse] = {}
+        if self.limiter.is_brittle(service):
+            uses = self.fleet_use.totals_by_server(now_s)
         return [
-            self._view(name, now_s, None)
+            self._view(name, now_s, uses.get(name))
             for name, server in self._servers_by_name.items()
-            if server.service == service and not self.limiter.wait_s(name)
+            if server.service == service and not self.wait_s(name, now_s, uses)
         ]
 
+    def wait_s(
+        self,
+        name: str,
+        now_s: float,
+        use_by_server: Mapping[str, ServerUse] | None = None,
+    ) -> float:
+        """
+        Return the seconds until a server may be used, 0 if it may now.
+
+        :param name: name of the server.
+        :param now_s: current time in seconds.
+        :param use_by_server: use by the other daemons, none to look it up.
+        """
+        wait_s = self.limiter.wait_s(name)
+        server = self._servers_by_name.get(name)
+        if server is None or not self.limiter.is_brittle(server.service_name):
+            return wait_s
+        if use_by_server is None:
+            use_by_server = self.fleet_use.totals_by_server(now_s)
+        others = use_by_server.get(name)
+        used = self._record(name).used(others.running if others else 0, now_s)
+        room_wait_s = self.limiter.room_wait_s(
+            name, server.service_name, ServerRoom(server.capacity, used)
+        )
+        return max(wait_s, room_wait_s)
+
     def _record(self, name: str) -> ServerRecord:
         return self._records_by_name.get(name, ServerRecord())
 
@@ -261,7 +318,7 @@
 
     def _update_use(self, name: str, record: ServerRecord) -> None:
         self._update_record(name, record)
-        if self._is_engine(name):
+        if _is_shared(self._servers_by_name.get(name), self.limiter):
             self.on_use_changed()
 
     def _mark_suspected(self, name: str, now_s: float) -> None:
@@ -272,10 +329,6 @@
                 _server_group(server), name, now_s
             )
 
-    def _is_engine(self, name: str) -> bool:
-        server = self._servers_by_name.get(name)
-        return server is not None and bool(server.model)
-
     def _view(
         self, name: str, now_s: float, others: ServerUse | None
     ) -> ServerView:
@@ -320,6 +373,13 @@
     return {group: statistics.median(times) for group, times in starts.items()}
 
 
+def _is_shared(server: BackendServer | None, limiter: RequestLimiter) -> bool:
+    """Return whether the daemons tell each other their use of a server."""
+    if server is None:
+        return False
+    return bool(server.model) or limiter.is_brittle(server.service_name)
+
+
 def _do_nothing() -> None:
     """Default for callbacks that are not set."""
 
--- a/bronzesill/standins/hosted_fleet.py
+++ b/bronzesill/standins/hosted_fleet.py
@@ -175,6 +175,7 @@
             self.store.address,
         )
         worker.on_crash = self._crash_worker
+        worker.brittle.named_at_s = old_worker.brittle.named_at_s
         self.workers_by_name[new_name] = worker
         await worker.start()
 
--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -20,6 +20,7 @@
 from ..platform.store import PlatformStore
 from ..store import Lease, Mutation
 from ..utils import Address, BronzesillError, stable_hash
+from .brittle import BrittlePlan, BrittleState
 from .http_standin import HttpStandIn
 
 __all__ = ['WorkerPlan', 'WorkerStandIn', 'expected_events']
@@ -56,6 +57,7 @@
     :param crashing_body: body of a request on which the worker crashes when it
         has worked on it, empty for none.
     :param work_s: seconds of work on a request of a plain service.
+    :param brittle: rejections that the worker survives, none for all.
     """
 
     name: str
@@ -72,6 +74,7 @@
     crashing_part: str = ''
     crashing_body: bytes = b''
     work_s: float = 0
+    brittle: BrittlePlan | None = None
 
 
 def expected_events(body: bytes, count: int) -> bytes:
@@ -108,6 +111,8 @@
         #: Called when the worker crashes because of a request.
         self.on_crash: Callable[[str], None] = _ignore
         self.has_crashed = False
+        #: Requests that the worker rejected.
+        self.brittle = BrittleState(plan.brittle)
         self.cancelled = 0
         self.is_leaving = False
         #: Whether the worker has stopped to write to the store.
@@ -116,6 +121,8 @@
         self._started_at_ms = int(time.time() * _MS_PER_S)
         self._remaining_failures = plan.failures
         self._running = 0
+        self._waiting = 0
+        self._slots = asyncio.Semaphore(plan.slots)
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -154,6 +161,9 @@
         self, req: asgi.Request, resp: asgi.Response
     ) -> None:
         """Respond with the id of the worker in ``X-Instance-Id``."""
+        if self.plan.brittle and not self._has_room():
+            self._reject(resp)
+            return
         resp.set_header('X-Instance-Id', self.plan.name)
 
     async def on_get_report(
@@ -194,27 +204,44 @@
             resp.stream = self._stream(headers, body, request_id, disconnected)
         else:
             await self._work(headers, body)
+            self._set_load(resp)
             resp.text = f'{self.plan.name} did {req.method} {len(body)}'
 
     def _admit(
         self, headers: dict[str, str], request_id: str, resp: asgi.Response
     ) -> bool:
         resp.set_header('X-Attempt-Id', request_id)
-        resp.set_header(
-            'X-Instance-Load', f'{self._running},0,{self.plan.slots}'
-        )
+        self._set_load(resp)
+        brittle = self.brittle.name(time.monotonic())
+        if brittle:
+            resp.set_header('Server-Brittle', brittle)
         if self.plan.limit_per_s:
             resp.set_header('Server-Limit', str(self.plan.limit_per_s))
         if headers.get('x-target-instance') != self.plan.name:
             resp.status = falcon.HTTP_421
             resp.set_header('X-Instance-Id', self.plan.name)
             return False
-        if self._running >= self.plan.slots or not self._has_copy(headers):
-            resp.status = falcon.HTTP_503
-            resp.set_header('X-Not-Executed', '1')
+        if not self._has_room() or not self._has_copy(headers):
+            self._reject(resp)
             return False
         return True
 
+    def _set_load(self, resp: asgi.Response) -> None:
+        resp.set_header(
+            'X-Instance-Load',
+            f'{self._running},{self._waiting},{self.plan.slots}',
+        )
+
+    def _has_room(self) -> bool:
+        waiting = self.brittle.waiting(time.monotonic())
+        return self._running + self._waiting < self.plan.slots + waiting
+
+    def _reject(self, resp: asgi.Response) -> None:
+        resp.status = falcon.HTTP_503
+        resp.set_header('X-Not-Executed', '1')
+        if self.brittle.rejected(time.monotonic()):
+            self.on_crash(self.plan.name)
+
     def _record_arrival(self, headers: dict[str, str], body: bytes) -> None:
         self.received_headers.append(headers)
         self.arrivals_s.append(time.monotonic())
@@ -222,12 +249,18 @@
             self.crashing_arrivals_s.append(time.monotonic())
 
     async def _work(self, headers: dict[str, str], body: bytes) -> None:
+        self._waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._waiting -= 1
         self._running += 1
         try:
             await asyncio.sleep(self.plan.work_s)
             await self._crash_if_due(headers, body)
         finally:
             self._running -= 1
+            self._slots.release()
 
     async def _crash_if_due(self, headers: dict[str, str], body: bytes) -> None:
         if self._is_crashing(headers, body):
--- a/bronzesill/upstream/request.py
+++ b/bronzesill/upstream/request.py
@@ -184,3 +184,10 @@
 
         ``None`` if it names no limit.
         """
+
+    def rejection_limit(self, head: AnswerHead) -> float | None:
+        """
+        Return the rejections in a second that the server survives.
+
+        ``None`` if it names none.
+        """
