Bound the wait that a brittle service's refusals name

Callers of a refused request were told to come back when the next numbered slot of this host opens, as known now: up to minutes in a fleet of 195 hosts, while a slot of a server is free again in less than a second. The wait is at most a second now. Tests state this, and how what a service says begins and ends; without the bound, test_wait_is_short fails.

--- a/bronzesill/routing/request_limits.py
+++ b/bronzesill/routing/request_limits.py
@@ -50,6 +50,8 @@
 _LAST_GAP_RATIO = 2
 #: A server that rejected a request counts as full for this long.
 _FULL_S = 0.3
+#: Later, requests have ended and more slots are free.
+_MAX_WAIT_S = 1.0
 #: Part of the rejections that requests to full servers may cause.
 _PROBING_RATIO = 0.25
 
@@ -331,7 +333,8 @@
         # After a step of the clock, the last request seems to lie ahead.
         sent_at_s = known.sent_at_s if known.sent_at_s <= now_s else -math.inf
         used_until_s = max(sent_at_s, now_s - named.slot_valid_s)
-        return _slot_wait_s(server, used_until_s, per_s, position, now_s)
+        wait_s = _slot_wait_s(server, used_until_s, per_s, position, now_s)
+        return min(wait_s, _MAX_WAIT_S)
 
     def _with_service(
         self, service: str, named: _BrittleService
--- a/bronzesill/routing/tests/test_rejection_limits.py
+++ b/bronzesill/routing/tests/test_rejection_limits.py
@@ -307,3 +307,46 @@
         self.check(_Case(195, 5, 2, restarts=True))
         self.check(_Case(195, 5, 2, forgets=True))
         self.check(_Case(195, 5, 2, differs=True))
+
+
+class BrittleServiceTest(unittest.TestCase):
+    """What a service says holds for as long as its servers say it."""
+
+    full = ServerRoom(slots=6, used=6)
+
+    def wait_s(self, limits: RejectionLimits, now_s: float) -> float:
+        position = FleetPosition(0, 7)
+        return limits.wait_s('s1', 's', self.full, position, now_s)
+
+    def test_ends_when_it_is_named_no_more(self) -> None:
+        limits = RejectionLimits().named('s', 0, 100)
+        early = limits.named('s', None, 100.5)
+        self.assertGreater(self.wait_s(early, 100.6), 0)
+        ended = limits.named('s', None, 101.5)
+        self.assertEqual(self.wait_s(ended, 101.6), 0)
+
+    def test_other_services_are_free(self) -> None:
+        limits = RejectionLimits().named('t', 0, 100)
+        self.assertEqual(self.wait_s(limits, 100), 0)
+
+    def test_single_host_uses_all_slots(self) -> None:
+        limits = RejectionLimits().named('s', 0, 100).sent('s1', 100)
+        room = ServerRoom(slots=6, used=5)
+        wait_s = limits.wait_s('s1', 's', room, FleetPosition(), 100)
+        self.assertEqual(wait_s, 0)
+
+    def test_rejecting_server_counts_as_full_for_a_short_time(self) -> None:
+        limits = RejectionLimits().named('s', 0, 100).rejected('s1', 100)
+        room = ServerRoom(slots=6, used=0)
+        position = FleetPosition()
+        self.assertGreater(limits.wait_s('s1', 's', room, position, 100.1), 0)
+        self.assertEqual(limits.wait_s('s1', 's', room, position, 100.5), 0)
+
+    # Guards against a Retry-After of minutes in a large fleet, while slots
+    # get free in less than a second.
+    def test_wait_is_short(self) -> None:
+        limits = RejectionLimits().named('s', 0.1, 100).sent('s1', 100)
+        position = FleetPosition(3, 195)
+        wait_s = limits.wait_s('s1', 's', self.full, position, 100.1)
+        self.assertGreater(wait_s, 0)
+        self.assertLessEqual(wait_s, 1)
