--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -247,6 +247,7 @@
             generation, action, is_held=bool(held_identity)
         )
         generation.request = request
+        self._tracker.limiter.record_demand(request.model)
         await self.refresh_usage()
         is_first = generation.state.attempt == 0
         prompt_holder = await self.find_prompt(request) if is_first else ''
@@ -254,6 +255,7 @@
         choice = self._choose_servers(requirements, held_identity)
         if choice is None or not self._may_send(generation):
             return Placement(NoServer(), request)
+        self._tracker.limiter.record_choice(choice.server)
         chosen = Placement(choice, request)
         if not request.can_reconnect:
             return chosen
@@ -457,7 +459,9 @@
             is_resume=action.is_resume,
             copy_holder=action.copy_holder,
             prompt_holder=action.candidate or prompt_holder,
-            is_usage_shared=self.is_usage_shared(),
+            is_usage_shared=self.is_usage_shared()
+            # All daemons would meet at the server with the lowest cost.
+            and not self._tracker.limiter.is_brittle(request.model),
         )
 
     def _choose_servers(
--- a/bronzesill/relay/connector.py
+++ b/bronzesill/relay/connector.py
@@ -400,9 +400,6 @@
         _log.event(
             'path_cut', server=target.name, cut=len(self.paths.cut_servers)
         )
-        self._begin_healing(target)
-
-    def _begin_healing(self, target: Target) -> None:
         self._used_at_s_by_target[target] = _now_s()
         if target not in self._healing_by_target:
             task = asyncio.create_task(self._heal(target))
