--- a/bronzesill/relay/connector.py
+++ b/bronzesill/relay/connector.py
@@ -181,18 +181,15 @@
         try:
             connection = await direct
         except RequestNotSent as error:
-            return await self._replace(target, error)
-        self._mark_open(target)
-        return connection
-
-    async def _replace(
-        self, target: Target, error: RequestNotSent
-    ) -> UpstreamConnection:
+            failure = error
+        else:
+            self._mark_open(target)
+            return connection
         try:
             connection = await self._ask_peers(target)
         except RequestNotSent:
             self._begin_healing(target)
-            raise error from None
+            raise failure from None
         self._mark_cut(target)
         return connection
 
@@ -400,6 +397,9 @@
         _log.event(
             'path_cut', server=target.name, cut=len(self.paths.cut_servers)
         )
+        self._begin_healing(target)
+
+    def _begin_healing(self, target: Target) -> None:
         self._used_at_s_by_target[target] = _now_s()
         if target not in self._healing_by_target:
             task = asyncio.create_task(self._heal(target))
