--- a/bronzesill/calls/forward_sender.py
+++ b/bronzesill/calls/forward_sender.py
@@ -28,10 +28,12 @@
 #: Time in seconds before the deadline at which a connection that is not open
 #: is given up, so that the call is known not to have run.
 _DEADLINE_MARGIN_S = 0.01
-#: An answer is kept in memory until it is complete.
 #: Paths to servers that cannot be reached are tried again as often.
 _RETRY_AFTER_S = 0.5
+#: An answer is kept in memory until it is complete.
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
+#: Statuses with which callers are told that their call has not run.
+_NOT_RUN_STATUSES = frozenset((408, 429, 503))
 
 
 class ForwardSender:
@@ -77,7 +79,9 @@
         )
         lease = await self._connect(server, routed, max_idle_s)
         try:
-            return await self._exchange(lease, server, routed, forward)
+            answer = await self._exchange(lease, server, routed, forward)
+            _check_status(answer, is_idempotent=is_idempotent)
+            return answer
         except RequestNotSent as error:
             raise _not_run_error(str(error)) from error
         except AnswerError as error:
@@ -122,6 +126,9 @@
             lease.discard()
             raise AnswerError('the response belongs to another request')
         self._on_head(server, head)
+        if head.is_encoded:
+            lease.discard()
+            raise AnswerError('the body is encoded, which was not asked for')
         body = await lease.read_all(_MAX_ANSWER_BYTES)
         if self._dialect.is_not_executed(head):
             raise _not_run_error(f'{server} answered {head.status}')
@@ -129,6 +136,16 @@
         return CallAnswer(head.status, '', body, headers=response_headers)
 
 
+def _check_status(answer: CallAnswer, *, is_idempotent: bool) -> None:
+    """
+    Reject a status that promises callers what the server has not stated.
+
+    :raises AnswerError: the call may have run.
+    """
+    if not is_idempotent and answer.status in _NOT_RUN_STATUSES:
+        raise AnswerError(f'status {answer.status}, but it may have run')
+
+
 def _not_run_error(detail: str) -> BronzesillError:
     return BronzesillError(
         ResultCode.CALL_NOT_RUN,
