Do not wait for a dead server where another one accepts connections

A stream of a dead domain waited 1.6 s although the holder of its copy accepted connections at once: the few other streams of the host paused at the same moment, so that the silence counted as shared by several domains. It does not any more if the silent server refuses while another one accepts, which shows that the path and the own host work.

--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -334,11 +334,13 @@
             self._accepts(action.server, is_known_dead=action.has_refused),
             self._find_candidate(generation, action),
         )
+        # Another server that accepts where this one refuses clears the path.
+        is_path_suspected = alive or not candidate
         return LookedElsewhere(
             action.attempt,
             candidate,
             is_alive=alive,
-            is_shared=self._is_silence_shared(generation),
+            is_shared=is_path_suspected and self._is_silence_shared(generation),
         )
 
     async def _find_candidate(
--- a/bronzesill/generations/tests/test_placement.py
+++ b/bronzesill/generations/tests/test_placement.py
@@ -10,6 +10,7 @@
 import unittest
 from random import Random
 from typing import Any, cast
+from unittest import mock
 
 from ...config import BackendServer
 from ...routing import ServerTracker
@@ -17,7 +18,13 @@
 from ..controller import GenerationsController
 from ..forward_client import ForwardStreamClient
 from ..locations import LocationRecord
-from ..messages import Attached, ChooseServer, ServerChosen
+from ..messages import (
+    Attached,
+    ChooseServer,
+    LookedElsewhere,
+    LookElsewhere,
+    ServerChosen,
+)
 from ..peer_directory import HomeDaemon, PeerDirectory
 from ..request import GenerationRequest
 from ..task import Placement
@@ -110,6 +117,47 @@
         self.assertFalse(is_alive)
 
 
+class _OneDeadServer:
+    """Client that reaches all servers but one."""
+
+    async def is_alive(self, server: str, address: Address) -> bool:
+        return server != 'engine-1'
+
+
+class SharedSilenceTest(unittest.IsolatedAsyncioTestCase):
+    """A silence is not shared where another server accepts connections."""
+
+    # Streams of a dead domain waited 1.6 s for it, because the few others of
+    # the host paused at the same moment.
+    async def test_server_that_accepts_clears_the_path(self) -> None:
+        tracker = ServerTracker()
+        address = Address('127.0.0.1', 1)
+        tracker.replace_servers(
+            {
+                f'engine-{number}': BackendServer(
+                    address, domain, 'v1', model='guide'
+                )
+                for number, domain in enumerate('ab', start=1)
+            }
+        )
+        controller = GenerationsController(
+            'entry-1',
+            'a',
+            tracker,
+            cast('Any', _OneDeadServer()),
+            _ConflictingDirectory(),
+            NullMetrics(),
+            Random(1),
+        )
+        silent = mock.Mock(return_value=True)
+        controller._is_silence_shared = silent  # type: ignore[method-assign]
+        choice = ChooseServer(frozenset(('engine-1',)), is_resume=True)
+        looked = await controller._look(
+            cast('Any', _Generation()), LookElsewhere(1, 'engine-1', choice)
+        )
+        self.assertEqual(looked, LookedElsewhere(1, 'engine-2', is_alive=False))
+
+
 class DirectoryTest(unittest.IsolatedAsyncioTestCase):
     """An earlier record on one home daemon outweighs the proposed one."""
 
