--- a/bronzesill/calls/tests/test_stale_refusals.py
+++ b/bronzesill/calls/tests/test_stale_refusals.py
@@ -63,6 +63,9 @@
     def __init__(self, addresses: dict[str, Address]) -> None:
         self._addresses = addresses
 
+    async def prepare(self, routed: RoutedCall) -> None:
+        """Learn nothing."""
+
     def order(self, routed: RoutedCall) -> tuple[str, ...]:
         return tuple(self._addresses)
 
