Give up on a cut path only answers that have begun

One failed connection while a peer got through was enough, and each prompt of that host on that server was read anew. Cause: silence before an answer begins says nothing. Measured: the new test fails on the code before (PathCut instead of the answer's own time), and passes now; the three others of the module pass.

--- a/bronzesill/generations/tests/test_path_cut.py
+++ b/bronzesill/generations/tests/test_path_cut.py
@@ -26,6 +26,7 @@
     """A silent stream is given up as soon as its path is known to be cut."""
 
     async def asyncSetUp(self) -> None:
+        self.head = _HEAD + b'%x\r\n%s\r\n' % (len(_EVENT), _EVENT)
         self.server = await asyncio.start_server(
             self.answer_in_part, '127.0.0.1', 0
         )
@@ -42,9 +43,9 @@
     async def answer_in_part(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Send a head and one event, then nothing any more."""
+        """Send the beginning of an answer, then nothing any more."""
         await reader.readuntil(b'\r\n\r\n')
-        writer.write(_HEAD + b'%x\r\n%s\r\n' % (len(_EVENT), _EVENT))
+        writer.write(self.head)
         await reader.read()
         writer.close()
 
@@ -75,6 +76,16 @@
             TokensArrived(1, 0, ('id: 1\ndata: a\n\n',)), self.messages
         )
 
+    # Guards against prompts that are read twice: a connection may live on
+    # while new ones fail, and says nothing until the answer begins.
+    async def test_stream_that_has_not_begun_is_not_given_up(self) -> None:
+        self.pool.connector = mock.Mock(
+            wraps=self.pool.direct, is_known_cut=lambda target: True
+        )
+        self.head = b''
+        with self.assertRaises(TimeoutError):
+            await self.read()
+
     async def test_silent_stream_on_open_path_is_not_given_up(self) -> None:
         with self.assertRaises(TimeoutError):
             await self.read()
--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -424,17 +424,19 @@
 
     async def give_up_when_cut(self) -> None:
         """
-        Fail the answer if it is silent while the path is known to be cut.
+        Fail the answer if it falls silent while the path is known to be cut.
 
         Runs until cancelled, or until the answer has failed.  An answer that
-        comes through a peer is left alone.
+        comes through a peer is left alone, and so is one that has not begun:
+        its connection may live on while new ones fail.
         """
-        silent_since_s = asyncio.get_running_loop().time()
+        sent_at_s = asyncio.get_running_loop().time()
         while not self._connection.is_relayed:
             await asyncio.sleep(_SILENCE_S)
             now_s = asyncio.get_running_loop().time()
-            silent_since_s = max(silent_since_s, self._connection.received_at_s)
-            is_silent = now_s - silent_since_s >= _SILENCE_S
+            heard_at_s = self._connection.received_at_s
+            has_begun = heard_at_s > sent_at_s
+            is_silent = has_begun and now_s - heard_at_s >= _SILENCE_S
             if is_silent and self._pool.connector.is_known_cut(self._target):
                 self._connection.fail(PathCut('path to the server is cut'))
                 return
