--- a/bronzesill/generations/forward_client.py
+++ b/bronzesill/generations/forward_client.py
@@ -29,6 +29,10 @@
 
 _HTTP_OK = 200
 _MAX_IDLE_S = 4.0
+#: Silence after which a stream leaves a path that is known to be cut. Without
+#: a copy its prompt is read anew, which takes longer than most silences.
+_COPIED_SILENCE_S = 0.25
+_USUAL_SILENCE_S = 1.6
 #: Time in seconds after which a server counts as not accepting connections.
 _PROBE_TIMEOUT_S = 0.2
 _EVENT_STREAM = b'text/event-stream'
@@ -101,7 +105,8 @@
         opening: StreamOpening,
         forward: ForwardRequest,
     ) -> AsyncIterator[StreamMessage]:
-        watch = asyncio.create_task(lease.give_up_when_cut())
+        silence_s = _COPIED_SILENCE_S if opening.copy_to else _USUAL_SILENCE_S
+        watch = asyncio.create_task(lease.give_up_when_cut(silence_s))
         try:
             head = await self._send(lease, opening, forward)
             yield HeadArrived(opening.attempt, head)
--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -29,6 +29,8 @@
 _PROBE_TIMEOUT_S = 0.15
 #: Time without an answer after which the path to its server is checked.
 _SILENCE_S = 0.25
+#: Time between two looks at a silent answer whose path may be cut.
+_WATCH_INTERVAL_S = 0.25
 _KEEP_ALIVE_MARGIN_S = 1.0
 _DEFAULT_KEEP_ALIVE_S = 4.0
 #: Servers of which it is noted that they cannot be reached.
@@ -422,21 +424,23 @@
         """Close the connection; a later ``release`` does not pool it."""
         self._connection.close()
 
-    async def give_up_when_cut(self) -> None:
+    async def give_up_when_cut(self, silence_s: float) -> None:
         """
         Fail the answer if it falls silent while the path is known to be cut.
 
         Runs until cancelled, or until the answer has failed.  An answer that
         comes through a peer is left alone, and so is one that has not begun:
         its connection may live on while new ones fail.
+
+        :param silence_s: silence in seconds that is waited for.
         """
         sent_at_s = asyncio.get_running_loop().time()
         while not self._connection.is_relayed:
-            await asyncio.sleep(_SILENCE_S)
+            await asyncio.sleep(_WATCH_INTERVAL_S)
             now_s = asyncio.get_running_loop().time()
             heard_at_s = self._connection.received_at_s
             has_begun = heard_at_s > sent_at_s
-            is_silent = has_begun and now_s - heard_at_s >= _SILENCE_S
+            is_silent = has_begun and now_s - heard_at_s >= silence_s
             if is_silent and self._pool.connector.is_known_cut(self._target):
                 self._connection.fail(PathCut('path to the server is cut'))
                 return
