Do not blame a server for a caller's deadline in a flowing answer

Cause: at the deadline of a stream its attempt was recorded as lost to silence, also when a token had come 10 ms before; the server was out of use for 3 to 12 s at this host. Change: the loss has a cause of its own unless the server was silent for the stall timeout. It still counts as a failure of its version: a slow version shows in nothing else.

--- a/bronzesill/generations/attempt.py
+++ b/bronzesill/generations/attempt.py
@@ -158,6 +158,7 @@
         """
         if action.blames_server:
             self._observer.attempt_lost(action.server, action.cause)
+        if action.is_failure:
             self.record_end(
                 request,
                 is_failed=True,
--- a/bronzesill/generations/decisions.py
+++ b/bronzesill/generations/decisions.py
@@ -88,8 +88,10 @@
             return _handle_loss(state, event, now_s)
         case TimerFired():
             return _handle_timer(state, now_s)
-        case ServerProbed() | LookedElsewhere():
-            return _handle_evidence(state, event, now_s)
+        case ServerProbed():
+            return _handle_probe(state, event, now_s)
+        case LookedElsewhere():
+            return _handle_look(state, event, now_s)
         case _:
             return _handle_placement(state, event, now_s)
 
@@ -247,24 +249,10 @@
     return Decision(next_decision.state, (cancel, *next_decision.actions))
 
 
-def _handle_evidence(
-    state: GenerationState,
-    event: ServerProbed | LookedElsewhere,
-    now_s: float,
-) -> Decision:
-    if not state.is_current(event.attempt):
-        return Decision(state)
-    match event:
-        case ServerProbed():
-            return _handle_probe(state, event, now_s)
-        case LookedElsewhere():
-            return _handle_look(state, event, now_s)
-
-
 def _handle_probe(
     state: GenerationState, event: ServerProbed, now_s: float
 ) -> Decision:
-    if state.is_memory_begun:
+    if state.is_memory_begun or not state.is_current(event.attempt):
         return Decision(state)
     if event.is_alive:
         return Decision(state.accepting(now_s))
@@ -295,6 +283,8 @@
 def _handle_look(
     state: GenerationState, event: LookedElsewhere, now_s: float
 ) -> Decision:
+    if not state.is_current(event.attempt):
+        return Decision(state)
     update = state.accepting if event.is_alive else state.refused
     known = dataclasses.replace(
         update(now_s), evidence=event, evidence_at_s=now_s
@@ -328,8 +318,9 @@
     if state.phase is not Phase.STREAMING:
         return Decision(state)
     if is_over:
-        lost = AttemptLost(state.attempt, LossCause.SILENT)
-        return _handle_loss(state, lost, now_s)
+        is_silent = now_s >= state.stall_at_s
+        cause = LossCause.SILENT if is_silent else LossCause.DEADLINE
+        return _handle_loss(state, AttemptLost(state.attempt, cause), now_s)
     if now_s < state.next_check_at_s:
         return Decision(state, (SetTimer(state.next_check_at_s),))
     if now_s < state.probe_at_s:
--- a/bronzesill/generations/messages.py
+++ b/bronzesill/generations/messages.py
@@ -47,6 +47,7 @@
     connection, so that nothing was sent. ``SILENT``: the server is silent and
     another one can take over. ``PATH``: the path to the server is cut, but
     the server is reachable through a peer.
+    ``DEADLINE``: the caller's time is over while tokens arrive.
     ``GAP``: tokens before the ones received are missing. ``SHORT``: the end
     marker and the accepted tokens differ in count. ``BLOCKED``: servers crash
     on such requests.
@@ -57,6 +58,7 @@
     REFUSED = 'refused'
     UNSENT = 'unsent'
     PATH = 'path'
+    DEADLINE = 'deadline'
     SILENT = 'silent'
     GAP = 'gap'
     SHORT = 'short'
@@ -250,10 +252,15 @@
     detail: str = ''
     is_shared: bool = False
 
+    @property
+    def is_failure(self) -> bool:
+        """Whether the attempt counts as a failure of its version."""
+        return not self.is_shared and self.cause is not LossCause.PATH
+
     @property
     def blames_server(self) -> bool:
         """Whether the loss is evidence against the server."""
-        return not self.is_shared and self.cause is not LossCause.PATH
+        return self.is_failure and self.cause is not LossCause.DEADLINE
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/generations/state.py
+++ b/bronzesill/generations/state.py
@@ -25,9 +25,14 @@
 #: Tolerance for timers that fire early, in seconds.
 _TIMER_TOLERANCE_S = 0.001
 #: Causes of losses after which the request has used no server more.
-_UNCOUNTED = frozenset((LossCause.REFUSED, LossCause.UNSENT, LossCause.PATH))
-
-__all__ = ['Decision', 'GenerationState', 'Phase']
+_UNCOUNTED = frozenset(
+    (
+        LossCause.REFUSED,
+        LossCause.UNSENT,
+        LossCause.PATH,
+        LossCause.DEADLINE,
+    )
+)
 
 
 class Phase(enum.Enum):
