Pause between attempts of a stream that no server accepts

Change: from the fourth in a row on each is followed by a pause of 0.1 s that doubles up to 0.4 s. The test that 19 such attempts use up nothing lets the pauses pass; its checks are the same.

--- a/bronzesill/generations/decisions.py
+++ b/bronzesill/generations/decisions.py
@@ -39,6 +39,11 @@
 
 __all__ = ['decide']
 
+#: Attempts in a row that were not sent, from which on each is followed by a
+#: pause, which doubles up to four times as long.
+_MAX_UNPAUSED = 4
+_FIRST_PAUSE_S = 0.1
+_MAX_DOUBLINGS = 2
 #: Result codes at the deadline by the cause of the last loss.
 _DEADLINE_CODES = types.MappingProxyType(
     {
@@ -177,6 +182,20 @@
     return Decision(waiting, (SetTimer(retry_at_s),))
 
 
+def _go_on(state: GenerationState, now_s: float, candidate: str) -> Decision:
+    """Choose a server, after a pause if several attempts were not sent."""
+    doublings = min(state.unsent - _MAX_UNPAUSED, _MAX_DOUBLINGS)
+    if doublings < 0:
+        return _choose_server(state, candidate)
+    until_s = min(
+        now_s + _FIRST_PAUSE_S * (1 << doublings), state.deadline_at_s
+    )
+    pausing = dataclasses.replace(
+        state, phase=Phase.WAITING, server='', paused_until_s=until_s
+    )
+    return Decision(pausing, (SetTimer(until_s),))
+
+
 def _fail_answer(state: GenerationState, code: ResultCode) -> Decision:
     failed = dataclasses.replace(state, phase=Phase.FAILED)
     return Decision(failed, (FailAnswer(code),))
@@ -245,7 +264,7 @@
         next_decision = _fail_answer(lost, ResultCode.INCOMPLETE_RETRIES)
     else:
         candidate = evidence.candidate if evidence else ''
-        next_decision = _choose_server(lost, candidate)
+        next_decision = _go_on(lost, now_s, candidate)
     return Decision(next_decision.state, (cancel, *next_decision.actions))
 
 
@@ -308,13 +327,20 @@
     return Decision(state, (SetTimer(min(check_at_s, state.deadline_at_s)),))
 
 
+def _choose_again(state: GenerationState, now_s: float) -> Decision:
+    if state.phase is not Phase.WAITING:
+        return Decision(state)
+    if now_s < state.paused_until_s:
+        return Decision(state, (SetTimer(state.paused_until_s),))
+    return _choose_server(state)
+
+
 def _handle_timer(state: GenerationState, now_s: float) -> Decision:
     is_over = now_s >= state.deadline_at_s
     if state.phase in {Phase.WAITING, Phase.CHOOSING}:
         if is_over:
             return _fail_answer(state, ResultCode.INCOMPLETE_NO_SERVER)
-        is_waiting = state.phase is Phase.WAITING
-        return _choose_server(state) if is_waiting else Decision(state)
+        return _choose_again(state, now_s)
     if state.phase is not Phase.STREAMING:
         return Decision(state)
     if is_over:
--- a/bronzesill/generations/state.py
+++ b/bronzesill/generations/state.py
@@ -69,6 +69,8 @@
     :param losses: number of attempts that were lost on servers that may be
         sound; refused and unsent ones are not counted.
     :param sends: number of attempts that were sent to a server.
+    :param unsent: number of attempts in a row that were not sent.
+    :param paused_until_s: time before which no further attempt is made.
     :param excluded: backend servers on which an attempt was lost or refused;
         emptied when no server is available.
     :param copy_to: server that keeps a copy of the current run's memory,
@@ -112,6 +114,8 @@
     evidence: LookedElsewhere | None = None
     evidence_at_s: float = 0
     sends: int = 0
+    unsent: int = 0
+    paused_until_s: float = 0
     hindered_s: float = 0
     timer_at_s: float = math.inf
     unreachable_at_s: float = -math.inf
@@ -252,6 +256,7 @@
             self,
             losses=self.losses + int(self._is_counted(cause)),
             sends=self.sends - int(is_unsent),
+            unsent=self.unsent + 1 if is_unsent else 0,
             excluded=excluded,
             copy_holder=self.server if is_copy_unused else self.usable_copy,
         )
--- a/bronzesill/generations/tests/test_copies.py
+++ b/bronzesill/generations/tests/test_copies.py
@@ -214,8 +214,10 @@
 
     def test_unsent_attempt_uses_up_nothing(self) -> None:
         for attempt in range(1, 20):
-            self.driver.feed(AttemptLost(attempt, LossCause.UNSENT), 0.1)
-            self.driver.feed(ServerChosen('s1'), 0.1)
+            at_s = attempt / 2
+            self.driver.feed(AttemptLost(attempt, LossCause.UNSENT), at_s)
+            self.driver.feed(TimerFired(), at_s + 0.4)
+            self.driver.feed(ServerChosen('s1'), at_s + 0.4)
         self.assertEqual(self.driver.state.losses, 0)
         self.assertEqual(self.driver.state.sends, 1)
 
--- a/bronzesill/generations/tests/test_loss_bounds.py
+++ b/bronzesill/generations/tests/test_loss_bounds.py
@@ -12,8 +12,10 @@
     Event,
     FailAnswer,
     LossCause,
+    NoServer,
     OpenAttempt,
     ServerChosen,
+    SetTimer,
     TimerFired,
     TokensArrived,
 )
@@ -23,6 +25,8 @@
 _DEADLINE_S = 25.0
 _MAX_ATTEMPTS = 3
 _POLICY = StallPolicy.from_route(0.7, 4.5, 600, _MAX_ATTEMPTS)
+_REFUSED_S = 0.002
+_SERVERS = 12
 
 
 class _Generation:
@@ -33,6 +37,7 @@
         self.opened: list[float] = []
         self.cancelled: list[CancelAttempt] = []
         self.is_failed = False
+        self.timers: list[float] = []
 
     def apply(self, event: Event, now_s: float) -> None:
         """Apply an event and record what it leads to."""
@@ -46,6 +51,8 @@
                     self.cancelled.append(action)
                 case FailAnswer():
                     self.is_failed = True
+                case SetTimer():
+                    self.timers.append(action.at_s)
 
     def begin_answer(self) -> None:
         """Open the first attempt and let a token arrive."""
@@ -68,6 +75,26 @@
         self.assertFalse(generation.is_failed)
         self.assertEqual(len(generation.opened), 2 * _MAX_ATTEMPTS)
 
+    # Attempts that no server accepted went round all servers without a pause.
+    def test_unsent_attempts_are_paced(self) -> None:
+        generation = _Generation()
+        now_s = 0.0
+        generation.apply(Begin(), now_s)
+        while now_s < 12:
+            round_ends = generation.state.attempt % _SERVERS == _SERVERS - 1
+            choice = NoServer() if round_ends else ServerChosen('s')
+            generation.apply(choice, now_s)
+            now_s += _REFUSED_S
+            generation.apply(
+                AttemptLost(generation.state.attempt, LossCause.UNSENT), now_s
+            )
+            now_s = min(
+                (at_s for at_s in generation.timers if at_s > now_s),
+                default=now_s,
+            )
+            generation.apply(TimerFired(), now_s)
+        self.assertLessEqual(len(generation.opened), 60)
+
     # A caller's deadline in the middle of a flowing answer took its server
     # out of use.
     def test_deadline_of_flowing_answer_blames_no_server(self) -> None:
