Count a server that resets a stream and goes on

Cause: an attempt that was disconnected after tokens counted nowhere, because its server may have ended; but a sound server may reset connections too, and then a request ran on as many servers as there was time for (BUDGET): 40 with three allowed in the test. Change: such a server is asked for a connection; if it accepts one, the loss counts as one of max_attempts. Servers that have ended use up none, as before. Measured: both tests of it, of which the first fails on the code before.

--- a/bronzesill/generations/attempt.py
+++ b/bronzesill/generations/attempt.py
@@ -13,6 +13,7 @@
     CancelAttempt,
     EndArrived,
     LossCause,
+    LostServerAlive,
     OpenAttempt,
     ProbeServer,
     ServerProbed,
@@ -171,6 +172,10 @@
                 self.cancel_stream(request, action.server, action.attempt)
             )
 
+    def check_lost_server(self, action: CancelAttempt) -> None:
+        """Find out whether a server that was disconnected goes on."""
+        self.start_task(self._check_lost_server(action))
+
     def probe(self, action: ProbeServer) -> None:
         """Start a probe; its result is put into the mailbox."""
         self.start_task(self._probe(action))
@@ -200,6 +205,13 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def _check_lost_server(self, action: CancelAttempt) -> None:
+        address = self._find_address(action.server)
+        if address is None:
+            return
+        if await self._client.is_alive(action.server, address):
+            self._mailbox.put_nowait(LostServerAlive(action.attempt))
+
     async def _probe(self, action: ProbeServer) -> None:
         address = self._find_address(action.server)
         is_alive = address is not None and await self._client.is_alive(
--- a/bronzesill/generations/decisions.py
+++ b/bronzesill/generations/decisions.py
@@ -25,6 +25,7 @@
     LookedElsewhere,
     LookElsewhere,
     LossCause,
+    LostServerAlive,
     NoServer,
     OpenAttempt,
     PlacementRefused,
@@ -117,6 +118,8 @@
             return _wait_for_server(state, now_s)
         case PlacementRefused():
             return _fail_answer(state, event.code)
+        case LostServerAlive():
+            return _count_sound_server(state)
         case _:
             return Decision(state)
 
@@ -182,6 +185,14 @@
     return Decision(waiting, (SetTimer(retry_at_s),))
 
 
+def _count_sound_server(state: GenerationState) -> Decision:
+    counted = dataclasses.replace(state, losses=state.losses + 1)
+    is_open = state.phase is Phase.STREAMING
+    if is_open or counted.losses < state.policy.max_attempts:
+        return Decision(counted)
+    return _fail_answer(counted, ResultCode.INCOMPLETE_RETRIES)
+
+
 def _go_on(state: GenerationState, now_s: float, candidate: str) -> Decision:
     """Choose a server, after a pause if several attempts were not sent."""
     doublings = min(state.unsent - _MAX_UNPAUSED, _MAX_DOUBLINGS)
--- a/bronzesill/generations/messages.py
+++ b/bronzesill/generations/messages.py
@@ -25,6 +25,7 @@
     'LookElsewhere',
     'LookedElsewhere',
     'LossCause',
+    'LostServerAlive',
     'NoServer',
     'OpenAttempt',
     'PlacementRefused',
@@ -182,6 +183,19 @@
     """The time given in :class:`SetTimer` has been reached."""
 
 
+@dataclasses.dataclass(frozen=True)
+class LostServerAlive:
+    """
+    The server of a lost attempt still accepts connections.
+
+    The attempt was disconnected after tokens, and the server may be sound.
+
+    :param attempt: number of the attempt.
+    """
+
+    attempt: int
+
+
 Event: TypeAlias = (
     Begin
     | Attached
@@ -193,6 +207,7 @@
     | AttemptLost
     | ServerProbed
     | LookedElsewhere
+    | LostServerAlive
     | TimerFired
 )
 
--- a/bronzesill/generations/state.py
+++ b/bronzesill/generations/state.py
@@ -263,7 +263,7 @@
 
     def is_used_up(self, cause: LossCause) -> bool:
         """Return whether no attempt is left after a loss with a cause."""
-        if cause is LossCause.SILENT or not self._is_counted(cause):
+        if cause is LossCause.SILENT or cause in _UNCOUNTED:
             return False
         return self.losses >= self.policy.max_attempts
 
@@ -299,7 +299,12 @@
         return dataclasses.replace(self, timer_at_s=math.inf)
 
     def _is_counted(self, cause: LossCause) -> bool:
-        """Return whether the attempt ran on a server that may be sound."""
+        """
+        Return whether the attempt ran on a server that may be sound.
+
+        After tokens it takes a look at the server to tell: see
+        ``LostServerAlive``.
+        """
         if cause is LossCause.DISCONNECTED:
             return not self.accepted
         return cause not in _UNCOUNTED
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -334,12 +334,18 @@
             prompt_parts=self.request.shared_prompt_parts,
             detail=action.detail,
         )
-        if action.cause is LossCause.DISCONNECTED and not self.state.accepted:
-            self.unanswered_losses += 1
+        if action.cause is LossCause.DISCONNECTED:
+            self._handle_disconnect(action)
         if action.cause is LossCause.UNSENT:
             self._choosers.return_send(self)
         self._attempts.cancel(self.request, action)
 
+    def _handle_disconnect(self, action: CancelAttempt) -> None:
+        if self.state.accepted:
+            self._attempts.check_lost_server(action)
+        else:
+            self.unanswered_losses += 1
+
     def _set_timer(self, at_s: float) -> None:
         loop = asyncio.get_running_loop()
         loop.call_at(at_s, self.mailbox.put_nowait, TimerFired())
--- a/bronzesill/generations/tests/test_loss_bounds.py
+++ b/bronzesill/generations/tests/test_loss_bounds.py
@@ -12,6 +12,7 @@
     Event,
     FailAnswer,
     LossCause,
+    LostServerAlive,
     NoServer,
     OpenAttempt,
     ServerChosen,
@@ -25,6 +26,7 @@
 _DEADLINE_S = 25.0
 _MAX_ATTEMPTS = 3
 _POLICY = StallPolicy.from_route(0.7, 4.5, 600, _MAX_ATTEMPTS)
+_LOSSES = 40
 _REFUSED_S = 0.002
 _SERVERS = 12
 
@@ -64,6 +66,19 @@
 class LossBoundsTest(unittest.TestCase):
     """Neither servers nor the log are flooded by a generation."""
 
+    # Resets after the first token let sound servers run a request without
+    # bound (BUDGET).
+    def test_resets_by_sound_servers_use_up_attempts(self) -> None:
+        generation = _Generation()
+        generation.begin_answer()
+        for number in range(1, _LOSSES):
+            at_s = 0.1 * (number + 1)
+            generation.apply(AttemptLost(number, LossCause.DISCONNECTED), at_s)
+            generation.apply(LostServerAlive(number), at_s)
+            generation.apply(ServerChosen(f's{number}'), at_s)
+        self.assertLessEqual(len(generation.opened), _MAX_ATTEMPTS)
+        self.assertTrue(generation.is_failed)
+
     # An answer whose servers ended was cut for want of attempts (LOST).
     def test_servers_that_ended_use_up_no_attempts(self) -> None:
         generation = _Generation()
