Take a returned retry from the second that counted it

Cause: a retry that was not sent was given back as a negative count in the current second. Once the second of the retry had left the window, only the negative count remained, so that the budget grew beyond its bound; repeated returns were also taken from a count that was 0 already. Change: the return is taken from the newest second that holds retries; if there is none left in the window, nothing is returned.

The new test (10 retries at 0.9 s, 12 returns at 1.1 s, bound 10) showed "12 != 10" retries allowed at 1.1 s and "22 != 10" at 10.95 s before. The 12 tests of the module pass.

--- a/bronzesill/limits/retry_window.py
+++ b/bronzesill/limits/retry_window.py
@@ -54,9 +54,15 @@
 
     def without_retry(self, now_s: float) -> RetryWindow:
         """Return the window without its last retry, which was not sent."""
-        if not any(second.retries for second in self._recent(now_s)):
-            return self
-        return self._counted(now_s, retries=-1)
+        recent = list(self._recent(now_s))
+        for index in reversed(range(len(recent))):
+            second = recent[index]
+            if second.retries:
+                recent[index] = dataclasses.replace(
+                    second, retries=second.retries - 1
+                )
+                return dataclasses.replace(self, seconds=tuple(recent))
+        return self
 
     def allows_retry(self, now_s: float, daemons: int) -> bool:
         """
--- a/bronzesill/limits/tests/test_limits.py
+++ b/bronzesill/limits/tests/test_limits.py
@@ -154,6 +154,26 @@
             .allows_retry(20, 1)
         )
 
+    # A returned retry was counted as a negative one in a later second, which
+    # raised the bound once the second of the retry had left the window.
+    def test_returned_retries_do_not_raise_the_bound(self) -> None:
+        window = RetryWindow(RetryBounds(0, 10, 10, margin=1))
+        for _ in range(10):
+            window = window.with_retry(0.9)
+        self.assertFalse(window.allows_retry(0.9, 1))
+        for _ in range(12):
+            window = window.without_retry(1.1)
+        for now_s in (1.1, 10.95):
+            with self.subTest(now_s):
+                self.assertEqual(self.count_retries(window, now_s), 10)
+
+    def count_retries(self, window: RetryWindow, now_s: float) -> int:
+        retries = 0
+        while window.allows_retry(now_s, 1):
+            window = window.with_retry(now_s)
+            retries += 1
+        return retries
+
 
 class RetryBudgetTest(unittest.TestCase):
     """Retries are limited to a fraction of first attempts."""
