Give up a call on a cut path only if another attempt is made

Cause: a repeatable call without an answer was given up 0.25 s after it was sent if the path to its server was believed to be cut, also when no other attempt could follow: with the last attempt, the last server, or an empty retry budget. It ended as failed (502) although its own connection might have delivered the answer. Change: the call is asked at that moment, and agrees only if another attempt may be sent; it reserves that attempt's share of the retry budget, so that of many calls only as many are given up as can be retried.

The new tests use servers that answer after 0.5 s on a path said to be cut.

--- a/bronzesill/calls/forward_sender.py
+++ b/bronzesill/calls/forward_sender.py
@@ -120,7 +120,7 @@
         head = await lease.send(
             self._dialect.encode(forward, plan),
             is_head=forward.method == 'HEAD',
-            may_repeat=routed.route.idempotent,
+            may_give_up=routed.may_give_up,
         )
         if not self._dialect.is_answer_to(head, forward):
             lease.discard()
--- a/bronzesill/calls/idempotent.py
+++ b/bronzesill/calls/idempotent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from typing import TypeAlias
 
 from ..limits import LocalRetryAllowance, RetryAllowance
@@ -71,6 +72,9 @@
         self, routed: RoutedCall, server_names: tuple[str, ...]
     ) -> CallAnswer:
         plan = _AttemptPlan(list(server_names), routed.route.max_attempts)
+        routed = dataclasses.replace(
+            routed, may_give_up=lambda: self._reserve_retry(routed, plan)
+        )
         losses = 0
         running = {self._start_attempt(routed, plan.take())}
         outcome: SendOutcome = _no_answer_error()
@@ -98,16 +102,23 @@
     def _start_retry(
         self, routed: RoutedCall, plan: _AttemptPlan
     ) -> set[asyncio.Task[SendOutcome]]:
-        if not plan.may_send:
-            return set()
-        if plan.returned:
-            plan.returned -= 1
-        elif self._allowance.try_consume_retry(routed.route.service):
-            self.extra_attempts += 1
-        else:
+        if not self._reserve_retry(routed, plan):
             return set()
+        plan.reserved -= 1
         return {self._start_attempt(routed, plan.take())}
 
+    def _reserve_retry(self, routed: RoutedCall, plan: _AttemptPlan) -> bool:
+        """Return whether another attempt will be made; it is paid for."""
+        if not plan.may_send:
+            return False
+        if plan.reserved:
+            return True
+        if not self._allowance.try_consume_retry(routed.route.service):
+            return False
+        plan.reserved += 1
+        self.extra_attempts += 1
+        return True
+
     def _start_attempt(
         self, routed: RoutedCall, server: str
     ) -> asyncio.Task[SendOutcome]:
@@ -163,8 +174,8 @@
 
     def __init__(self, servers: list[str], max_attempts: int) -> None:
         self.servers = servers
-        #: Attempts whose share of the retry budget was not used.
-        self.returned = 0
+        #: Attempts whose share of the retry budget is consumed, not used.
+        self.reserved = 0
         #: Error of an attempt if no server has run any, else none.
         self.not_run_error: BronzesillError | None = None
         self._left = max_attempts
@@ -186,7 +197,7 @@
             outcome = task.result()
             if is_unsent(outcome):
                 self._left += 1
-                self.returned += 1
+                self.reserved += 1
             if not _is_not_run(outcome):
                 self._may_have_run = True
             self._keep_error(outcome)
--- a/bronzesill/calls/interfaces.py
+++ b/bronzesill/calls/interfaces.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 from ..config import Route
@@ -69,6 +69,10 @@
     headers: tuple[Header, ...] = ()
 
 
+def _never() -> bool:
+    return False
+
+
 @dataclasses.dataclass(frozen=True)
 class RoutedCall:
     """
@@ -83,6 +87,8 @@
     :param key: the caller's idempotency key, empty for none.
     :param deadline_at_s: deadline of the call, as loop time in seconds.
     :param forward: the original request if the call forwards it, else none.
+    :param may_give_up: returns whether an attempt whose path to the server is
+        cut is to be given up, because another one is made in its place.
     """
 
     call: CallRequest
@@ -93,6 +99,7 @@
     key: str
     deadline_at_s: float
     forward: ForwardRequest | None = None
+    may_give_up: Callable[[], bool] = _never
 
 
 class CallSender(Protocol):
--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -345,23 +345,23 @@
         request: bytes,
         *,
         is_head: bool = False,
-        may_repeat: bool | None = None,
+        may_give_up: Callable[[], bool] | None = None,
     ) -> AnswerHead:
         """
         Send a request and return the head of its answer.
 
         :param request: the serialized request, including its body.
         :param is_head: whether the method is ``HEAD``.
-        :param may_repeat: whether to give the request up if the path to the
-            server is found to be cut; ``None`` not to look.
+        :param may_give_up: returns whether to give the request up, called if
+            the path to the server is found to be cut; ``None`` not to look.
         :raises RequestNotSent: the connection was closed before.
         :raises PathCut: the request was given up.
         :raises AnswerError: no valid head was received.
         """
-        if may_repeat is None or self._connection.is_relayed:
+        if may_give_up is None or self._connection.is_relayed:
             head = await self._connection.send(request, is_head=is_head)
         else:
-            watch = asyncio.create_task(self._watch_path(may_repeat))
+            watch = asyncio.create_task(self._watch_path(may_give_up))
             try:
                 head = await self._connection.send(request, is_head=is_head)
             finally:
@@ -439,11 +439,11 @@
                 self._connection.fail(PathCut('path to the server is cut'))
                 return
 
-    async def _watch_path(self, may_repeat: bool) -> None:
+    async def _watch_path(self, may_give_up: Callable[[], bool]) -> None:
         """Find out whether the path is cut if no answer begins."""
         await asyncio.sleep(_SILENCE_S)
         is_cut = await self._pool.is_path_cut(self._target)
-        if is_cut and may_repeat:
+        if is_cut and may_give_up():
             self._connection.fail(PathCut('path to the server is cut'))
 
 
