Answer a call by whether anything of it was sent at its deadline

Cause: whether a call without an open connection at its deadline was answered as not run depended on a timer 10 ms before that of the deadline. If the event loop was late by as much, both ran at once, and the call was answered as one that may have run. Change: each attempt has a record of its progress; the sender of forwarded requests clears it first and sets it before it writes. At the deadline the answer follows from it. Senders that record nothing count as having sent. A call that must run at most once is sent to no further server after its deadline, which "not run" at the deadline would allow otherwise.

The new tests hold the event loop up from 0.15 s to 0.25 s beside a deadline of 0.2 s and connections that never open. Before, they showed CALL_OUTCOME_UNKNOWN (at most once) and CALL_TIMED_OUT (repeatable) instead of CALL_NOT_RUN; the two tests that what was sent may have run passed before and pass now.

--- a/bronzesill/calls/at_most_once.py
+++ b/bronzesill/calls/at_most_once.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
+from collections.abc import Iterator
 
 from ..utils import BronzesillError, ResultCode
-from .interfaces import CallAnswer, CallSender, RoutedCall
+from .interfaces import CallAnswer, CallSender, RoutedCall, SendProgress
 from .servers import RETRY_AFTER_S, ServiceServers
 
 __all__ = ['AtMostOnceCalls']
@@ -35,7 +37,7 @@
             'not run: no server available for the service',
         )
         await self._servers.prepare(routed)
-        for server in self._servers.order(routed):
+        for server in self._order(routed):
             try:
                 return await self._attempt(server, routed)
             except BronzesillError as error:
@@ -48,6 +50,14 @@
             retry_after_s=not_run_error.retry_after_s or RETRY_AFTER_S,
         )
 
+    def _order(self, routed: RoutedCall) -> Iterator[str]:
+        """Yield the servers to try, no further one after the deadline."""
+        loop = asyncio.get_running_loop()
+        for server in self._servers.order(routed):
+            yield server
+            if loop.time() >= routed.deadline_at_s:
+                return
+
     async def _attempt(self, server: str, routed: RoutedCall) -> CallAnswer:
         loop = asyncio.get_running_loop()
         started_s = loop.time()
@@ -65,11 +75,21 @@
     async def _send_before_deadline(
         self, server: str, routed: RoutedCall
     ) -> CallAnswer:
+        progress = SendProgress()
+        attempt = dataclasses.replace(routed, progress=progress)
         try:
             async with asyncio.timeout_at(routed.deadline_at_s):
-                return await self._sender.send(server, routed)
+                return await self._sender.send(server, attempt)
         except TimeoutError:
-            raise BronzesillError(
-                ResultCode.CALL_OUTCOME_UNKNOWN,
-                f'outcome unknown: {server} did not answer in time',
-            ) from None
+            raise _late_error(server, progress) from None
+
+
+def _late_error(server: str, progress: SendProgress) -> BronzesillError:
+    if progress.may_have_run:
+        return BronzesillError(
+            ResultCode.CALL_OUTCOME_UNKNOWN,
+            f'outcome unknown: {server} did not answer in time',
+        )
+    return BronzesillError(
+        ResultCode.CALL_NOT_RUN, f'not run: {server}: nothing sent in time'
+    )
--- a/bronzesill/calls/forward_sender.py
+++ b/bronzesill/calls/forward_sender.py
@@ -26,7 +26,7 @@
 #: server may have closed one that was idle for longer, unnoticed here.
 _AT_MOST_ONCE_MAX_IDLE_S = 1.0
 #: Time in seconds before the deadline at which a connection that is not open
-#: is given up, so that the call is known not to have run.
+#: is given up: an answer could hardly arrive in time.
 _DEADLINE_MARGIN_S = 0.01
 #: Paths to servers that cannot be reached are tried again as often.
 _RETRY_AFTER_S = 0.5
@@ -71,6 +71,7 @@
         forward = routed.forward
         if forward is None:
             raise _not_run_error('the call has no request to forward')
+        routed.progress.may_have_run = False
         is_idempotent = routed.route.idempotent
         max_idle_s = (
             _IDEMPOTENT_MAX_IDLE_S
@@ -117,8 +118,10 @@
     ) -> CallAnswer:
         now_s = asyncio.get_running_loop().time()
         plan = SendPlan(server, forward.deadline_at_s - now_s)
+        request = self._dialect.encode(forward, plan)
+        routed.progress.may_have_run = True
         head = await lease.send(
-            self._dialect.encode(forward, plan),
+            request,
             is_head=forward.method == 'HEAD',
             may_give_up=routed.may_give_up,
         )
--- a/bronzesill/calls/idempotent.py
+++ b/bronzesill/calls/idempotent.py
@@ -9,7 +9,7 @@
 from ..limits import LocalRetryAllowance, RetryAllowance
 from ..utils import BronzesillError, ResultCode
 from .hedging import LatencyEstimate
-from .interfaces import CallAnswer, CallSender, RoutedCall
+from .interfaces import CallAnswer, CallSender, RoutedCall, SendProgress
 from .servers import (
     RETRY_AFTER_S,
     ServiceServers,
@@ -56,27 +56,23 @@
             ``CALL_NOT_RUN`` if none has run the call.
         """
         self._allowance.record_first_attempt(routed.route.service)
+        plan = _AttemptPlan(routed.route.max_attempts)
         try:
             async with asyncio.timeout_at(routed.deadline_at_s):
                 await self._servers.prepare(routed)
-                return await self._run_attempts(
-                    routed, self._servers.order(routed)
-                )
+                plan.servers.extend(self._servers.order(routed))
+                return await self._run_attempts(routed, plan)
         except TimeoutError:
-            raise BronzesillError(
-                ResultCode.CALL_TIMED_OUT,
-                'no server answered before the deadline',
-            ) from None
+            raise _late_error(plan) from None
 
     async def _run_attempts(
-        self, routed: RoutedCall, server_names: tuple[str, ...]
+        self, routed: RoutedCall, plan: _AttemptPlan
     ) -> CallAnswer:
-        plan = _AttemptPlan(list(server_names), routed.route.max_attempts)
         routed = dataclasses.replace(
             routed, may_give_up=lambda: self._reserve_retry(routed, plan)
         )
         losses = 0
-        running = {self._start_attempt(routed, plan.take())}
+        running = {self._start_attempt(routed, plan)}
         outcome: SendOutcome = _no_answer_error()
         try:
             while running:
@@ -105,7 +101,7 @@
         if not self._reserve_retry(routed, plan):
             return set()
         plan.reserved -= 1
-        return {self._start_attempt(routed, plan.take())}
+        return {self._start_attempt(routed, plan)}
 
     def _reserve_retry(self, routed: RoutedCall, plan: _AttemptPlan) -> bool:
         """Return whether another attempt will be made; it is paid for."""
@@ -120,9 +116,13 @@
         return True
 
     def _start_attempt(
-        self, routed: RoutedCall, server: str
+        self, routed: RoutedCall, plan: _AttemptPlan
     ) -> asyncio.Task[SendOutcome]:
-        return asyncio.create_task(self._send(routed, server))
+        progress = SendProgress()
+        attempt = dataclasses.replace(routed, progress=progress)
+        task = asyncio.create_task(self._send(attempt, plan.take()))
+        plan.progress_by_task[task] = progress
+        return task
 
     async def _send(self, routed: RoutedCall, server: str) -> SendOutcome:
         loop = asyncio.get_running_loop()
@@ -168,12 +168,16 @@
     An attempt of which nothing was sent uses up neither an attempt nor the
     retry budget.
 
-    :param servers: names of the servers, the next one first.
     :param max_attempts: number of servers to which the call may be sent.
     """
 
-    def __init__(self, servers: list[str], max_attempts: int) -> None:
-        self.servers = servers
+    def __init__(self, max_attempts: int) -> None:
+        #: Names of the servers, the next one first.
+        self.servers: list[str] = []
+        #: Progress of the attempts whose outcome is not recorded.
+        self.progress_by_task: dict[
+            asyncio.Task[SendOutcome], SendProgress
+        ] = {}
         #: Attempts whose share of the retry budget is consumed, not used.
         self.reserved = 0
         #: Error of an attempt if no server has run any, else none.
@@ -181,6 +185,13 @@
         self._left = max_attempts
         self._may_have_run = False
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a server may have run the call."""
+        return self._may_have_run or any(
+            progress.may_have_run for progress in self.progress_by_task.values()
+        )
+
     @property
     def may_send(self) -> bool:
         """Whether the call may be sent to another server."""
@@ -194,6 +205,7 @@
     def record(self, done: set[asyncio.Task[SendOutcome]]) -> None:
         """Record the outcomes of attempts that have ended."""
         for task in done:
+            self.progress_by_task.pop(task)
             outcome = task.result()
             if is_unsent(outcome):
                 self._left += 1
@@ -213,6 +225,19 @@
             )
 
 
+def _late_error(plan: _AttemptPlan) -> BronzesillError:
+    if plan.may_have_run:
+        return BronzesillError(
+            ResultCode.CALL_TIMED_OUT,
+            'no server answered before the deadline',
+        )
+    return BronzesillError(
+        ResultCode.CALL_NOT_RUN,
+        'not run: nothing sent before the deadline',
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
 def _is_not_run(outcome: SendOutcome) -> bool:
     if not isinstance(outcome, BronzesillError):
         return False
--- a/bronzesill/calls/interfaces.py
+++ b/bronzesill/calls/interfaces.py
@@ -15,6 +15,7 @@
     'CallRunner',
     'CallSender',
     'RoutedCall',
+    'SendProgress',
 ]
 
 _FORWARDED_HEADERS = frozenset(('content-type', 'accept', 'idempotency-key'))
@@ -69,6 +70,18 @@
     headers: tuple[Header, ...] = ()
 
 
+class SendProgress:
+    """
+    How far an attempt to send a call has come.
+
+    A sender that clears ``may_have_run`` sets it before it sends anything.
+    """
+
+    def __init__(self) -> None:
+        #: Whether the server may have received the call.
+        self.may_have_run = True
+
+
 def _never() -> bool:
     return False
 
@@ -89,6 +102,7 @@
     :param forward: the original request if the call forwards it, else none.
     :param may_give_up: returns whether an attempt whose path to the server is
         cut is to be given up, because another one is made in its place.
+    :param progress: progress of this attempt.
     """
 
     call: CallRequest
@@ -100,6 +114,7 @@
     deadline_at_s: float
     forward: ForwardRequest | None = None
     may_give_up: Callable[[], bool] = _never
+    progress: SendProgress = dataclasses.field(default_factory=SendProgress)
 
 
 class CallSender(Protocol):
