Keep no reference cycle per repeatable call

Cause: the function that agrees to give an attempt up held the routed call that holds the function. Change: it is bound to the service and the plan of the call.

--- a/bronzesill/calls/idempotent.py
+++ b/bronzesill/calls/idempotent.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import functools
 from typing import TypeAlias
 
 from ..limits import LocalRetryAllowance, RetryAllowance
@@ -68,9 +69,10 @@
     async def _run_attempts(
         self, routed: RoutedCall, plan: _AttemptPlan
     ) -> CallAnswer:
-        routed = dataclasses.replace(
-            routed, may_give_up=lambda: self._reserve_retry(routed, plan)
+        may_give_up = functools.partial(
+            self._reserve_retry, routed.route.service, plan
         )
+        routed = dataclasses.replace(routed, may_give_up=may_give_up)
         losses = 0
         running = {self._start_attempt(routed, plan)}
         outcome: SendOutcome = _no_answer_error()
@@ -98,18 +100,18 @@
     def _start_retry(
         self, routed: RoutedCall, plan: _AttemptPlan
     ) -> set[asyncio.Task[SendOutcome]]:
-        if not self._reserve_retry(routed, plan):
+        if not self._reserve_retry(routed.route.service, plan):
             return set()
         plan.reserved -= 1
         return {self._start_attempt(routed, plan)}
 
-    def _reserve_retry(self, routed: RoutedCall, plan: _AttemptPlan) -> bool:
+    def _reserve_retry(self, service: str, plan: _AttemptPlan) -> bool:
         """Return whether another attempt will be made; it is paid for."""
         if not plan.may_send:
             return False
         if plan.reserved:
             return True
-        if not self._allowance.try_consume_retry(routed.route.service):
+        if not self._allowance.try_consume_retry(service):
             return False
         plan.reserved += 1
         self.extra_attempts += 1
