--- a/bronzesill/calls/idempotent.py
+++ b/bronzesill/calls/idempotent.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
+import functools
 from typing import TypeAlias
 
 from ..limits import LocalRetryAllowance, RetryAllowance
 from ..utils import BronzesillError, ResultCode
 from .hedging import LatencyEstimate
-from .interfaces import CallAnswer, CallSender, RoutedCall
+from .interfaces import CallAnswer, CallSender, RoutedCall, SendProgress
 from .servers import (
     RETRY_AFTER_S,
     ServiceServers,
@@ -55,24 +57,24 @@
             ``CALL_NOT_RUN`` if none has run the call.
         """
         self._allowance.record_first_attempt(routed.route.service)
+        plan = _AttemptPlan(routed.route.max_attempts)
         try:
             async with asyncio.timeout_at(routed.deadline_at_s):
                 await self._servers.prepare(routed)
-                return await self._run_attempts(
-                    routed, self._servers.order(routed)
-                )
+                plan.servers.extend(self._servers.order(routed))
+                return await self._run_attempts(routed, plan)
         except TimeoutError:
-            raise BronzesillError(
-                ResultCode.CALL_TIMED_OUT,
-                'no server answered before the deadline',
-            ) from None
+            raise _late_error(plan) from None
 
     async def _run_attempts(
-        self, routed: RoutedCall, server_names: tuple[str, ...]
+        self, routed: RoutedCall, plan: _AttemptPlan
     ) -> CallAnswer:
-        plan = _AttemptPlan(list(server_names), routed.route.max_attempts)
+        may_give_up = functools.partial(
+            self._reserve_retry, routed.route.service, plan
+        )
+        routed = dataclasses.replace(routed, may_give_up=may_give_up)
         losses = 0
-        running = {self._start_attempt(routed, plan.take())}
+        running = {self._start_attempt(routed, plan)}
         outcome: SendOutcome = _no_answer_error()
         try:
             while running:
@@ -98,20 +100,31 @@
     def _start_retry(
         self, routed: RoutedCall, plan: _AttemptPlan
     ) -> set[asyncio.Task[SendOutcome]]:
-        if not plan.may_send:
+        if not self._reserve_retry(routed.route.service, plan):
             return set()
-        if plan.returned:
-            plan.returned -= 1
-        elif self._allowance.try_consume_retry(routed.route.service):
-            self.extra_attempts += 1
-        else:
-            return set()
-        return {self._start_attempt(routed, plan.take())}
+        plan.reserved -= 1
+        return {self._start_attempt(routed, plan)}
+
+    def _reserve_retry(self, service: str, plan: _AttemptPlan) -> bool:
+        """Return whether another attempt will be made; it is paid for."""
+        if not plan.may_send:
+            return False
+        if plan.reserved:
+            return True
+        if not self._allowance.try_consume_retry(service):
+            return False
+        plan.reserved += 1
+        self.extra_attempts += 1
+        return True
 
     def _start_attempt(
-        self, routed: RoutedCall, server: str
+        self, routed: RoutedCall, plan: _AttemptPlan
     ) -> asyncio.Task[SendOutcome]:
-        return asyncio.create_task(self._send(routed, server))
+        progress = SendProgress()
+        attempt = dataclasses.replace(routed, progress=progress)
+        task = asyncio.create_task(self._send(attempt, plan.take()))
+        plan.progress_by_task[task] = progress
+        return task
 
     async def _send(self, routed: RoutedCall, server: str) -> SendOutcome:
         loop = asyncio.get_running_loop()
@@ -157,19 +170,30 @@
     An attempt of which nothing was sent uses up neither an attempt nor the
     retry budget.
 
-    :param servers: names of the servers, the next one first.
     :param max_attempts: number of servers to which the call may be sent.
     """
 
-    def __init__(self, servers: list[str], max_attempts: int) -> None:
-        self.servers = servers
-        #: Attempts whose share of the retry budget was not used.
-        self.returned = 0
+    def __init__(self, max_attempts: int) -> None:
+        #: Names of the servers, the next one first.
+        self.servers: list[str] = []
+        #: Progress of the attempts whose outcome is not recorded.
+        self.progress_by_task: dict[
+            asyncio.Task[SendOutcome], SendProgress
+        ] = {}
+        #: Attempts whose share of the retry budget is consumed, not used.
+        self.reserved = 0
         #: Error of an attempt if no server has run any, else none.
         self.not_run_error: BronzesillError | None = None
         self._left = max_attempts
         self._may_have_run = False
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a server may have run the call."""
+        return self._may_have_run or any(
+            progress.may_have_run for progress in self.progress_by_task.values()
+        )
+
     @property
     def may_send(self) -> bool:
         """Whether the call may be sent to another server."""
@@ -183,10 +207,11 @@
     def record(self, done: set[asyncio.Task[SendOutcome]]) -> None:
         """Record the outcomes of attempts that have ended."""
         for task in done:
+            self.progress_by_task.pop(task)
             outcome = task.result()
             if is_unsent(outcome):
                 self._left += 1
-                self.returned += 1
+                self.reserved += 1
             if not _is_not_run(outcome):
                 self._may_have_run = True
             self._keep_error(outcome)
@@ -202,6 +227,19 @@
             )
 
 
+def _late_error(plan: _AttemptPlan) -> BronzesillError:
+    if plan.may_have_run:
+        return BronzesillError(
+            ResultCode.CALL_TIMED_OUT,
+            'no server answered before the deadline',
+        )
+    return BronzesillError(
+        ResultCode.CALL_NOT_RUN,
+        'not run: nothing sent before the deadline',
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
 def _is_not_run(outcome: SendOutcome) -> bool:
     if not isinstance(outcome, BronzesillError):
         return False
--- a/bronzesill/calls/interfaces.py
+++ b/bronzesill/calls/interfaces.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 from ..config import Route
@@ -15,6 +15,7 @@
     'CallRunner',
     'CallSender',
     'RoutedCall',
+    'SendProgress',
 ]
 
 _FORWARDED_HEADERS = frozenset(('content-type', 'accept', 'idempotency-key'))
@@ -69,6 +70,22 @@
     headers: tuple[Header, ...] = ()
 
 
+class SendProgress:
+    """
+    How far an attempt to send a call has come.
+
+    A sender that clears ``may_have_run`` sets it before it sends anything.
+    """
+
+    def __init__(self) -> None:
+        #: Whether the server may have received the call.
+        self.may_have_run = True
+
+
+def _never() -> bool:
+    return False
+
+
 @dataclasses.dataclass(frozen=True)
 class RoutedCall:
     """
@@ -83,6 +100,9 @@
     :param key: the caller's idempotency key, empty for none.
     :param deadline_at_s: deadline of the call, as loop time in seconds.
     :param forward: the original request if the call forwards it, else none.
+    :param may_give_up: returns whether an attempt whose path to the server is
+        cut is to be given up, because another one is made in its place.
+    :param progress: progress of this attempt.
     """
 
     call: CallRequest
@@ -93,6 +113,8 @@
     key: str
     deadline_at_s: float
     forward: ForwardRequest | None = None
+    may_give_up: Callable[[], bool] = _never
+    progress: SendProgress = dataclasses.field(default_factory=SendProgress)
 
 
 class CallSender(Protocol):
