Keep the connectors of servers in a module of their own

Change: Target, Dialer, Connector, DirectConnector and Reach stand in upstream/connectors.py; no logic changed.

--- a/bronzesill/upstream/__init__.py
+++ b/bronzesill/upstream/__init__.py
@@ -11,15 +11,8 @@
 )
 from .client import HttpAnswer, HttpCall, ServiceClient
 from .connection import UpstreamConnection
-from .pool import (
-    ConnectionLease,
-    ConnectionPool,
-    Connector,
-    Dialer,
-    DirectConnector,
-    Reach,
-    Target,
-)
+from .connectors import Connector, Dialer, DirectConnector, Reach, Target
+from .pool import ConnectionLease, ConnectionPool
 from .request import (
     CallerFields,
     Dialect,
--- a/bronzesill/upstream/client.py
+++ b/bronzesill/upstream/client.py
@@ -7,7 +7,8 @@
 
 from ..utils import Address
 from .answer import AnswerError, AnswerHead, RequestNotSent
-from .pool import ConnectionLease, ConnectionPool, Target
+from .connectors import Target
+from .pool import ConnectionLease, ConnectionPool
 
 __all__ = ['HttpAnswer', 'HttpCall', 'ServiceClient']
 
--- a/bronzesill/upstream/tests/test_bytes_without_end.py
+++ b/bronzesill/upstream/tests/test_bytes_without_end.py
@@ -14,7 +14,8 @@
 from ...generations import EventSplitter
 from ...utils import Address
 from ..answer import AnswerError
-from ..pool import ConnectionPool, Target
+from ..connectors import Target
+from ..pool import ConnectionPool
 
 _REQUEST = b'GET / HTTP/1.1\r\nhost: x\r\n\r\n'
 _CHUNKED = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
--- a/bronzesill/upstream/tests/test_connection.py
+++ b/bronzesill/upstream/tests/test_connection.py
@@ -8,7 +8,8 @@
 
 from ...utils import Address
 from ..answer import AnswerError, RequestNotSent
-from ..pool import ConnectionLease, ConnectionPool, Target
+from ..connectors import Target
+from ..pool import ConnectionLease, ConnectionPool
 
 _REQUEST = b'GET / HTTP/1.1\r\nhost: x\r\n\r\n'
 _COMPLETE_ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc'
--- a/bronzesill/upstream/tests/test_fuzz.py
+++ b/bronzesill/upstream/tests/test_fuzz.py
@@ -11,7 +11,8 @@
 from ...utils.tests.odd_values import FUZZ_SETTINGS
 from ..answer import AnswerError
 from ..connection import UpstreamConnection
-from ..pool import ConnectionLease, ConnectionPool, Target
+from ..connectors import Target
+from ..pool import ConnectionLease, ConnectionPool
 
 _PIECES = st.sampled_from(
     (
