State the length of a usual silence once

Cause: the decisions and the stream client each had the 1.6 s. Change: both take it from stall_detection.

--- a/bronzesill/generations/forward_client.py
+++ b/bronzesill/generations/forward_client.py
@@ -22,6 +22,7 @@
 from ..utils import Address
 from .event_stream import EventSplitter, StreamEvent
 from .messages import EndArrived, TokensArrived
+from .stall_detection import USUAL_SILENCE_S
 from .stream_client import AttemptRefused, StreamMessage, StreamOpening
 from .subscription import HeadArrived
 
@@ -29,10 +30,9 @@
 
 _HTTP_OK = 200
 _MAX_IDLE_S = 4.0
-#: Silence after which a stream leaves a path that is known to be cut. Without
-#: a copy its prompt is read anew, which takes longer than most silences.
+#: Silence after which a stream with a copy leaves a path that is known to be
+#: cut. Without one its prompt is read anew, which takes longer than most.
 _COPIED_SILENCE_S = 0.25
-_USUAL_SILENCE_S = 1.6
 #: Time in seconds after which a server counts as not accepting connections.
 _PROBE_TIMEOUT_S = 0.2
 _EVENT_STREAM = b'text/event-stream'
@@ -105,7 +105,7 @@
         opening: StreamOpening,
         forward: ForwardRequest,
     ) -> AsyncIterator[StreamMessage]:
-        silence_s = _COPIED_SILENCE_S if opening.copy_to else _USUAL_SILENCE_S
+        silence_s = _COPIED_SILENCE_S if opening.copy_to else USUAL_SILENCE_S
         watch = asyncio.create_task(lease.give_up_when_cut(silence_s))
         try:
             head = await self._send(lease, opening, forward)
--- a/bronzesill/generations/stall_detection.py
+++ b/bronzesill/generations/stall_detection.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 
 __all__ = [
+    'USUAL_SILENCE_S',
     'AttemptTimings',
     'GapEstimate',
     'StallPolicy',
@@ -14,6 +15,9 @@
     'is_silence_shared',
 ]
 
+#: Length in seconds up to which a silence is likely to end by itself.
+USUAL_SILENCE_S = 1.6
+
 _SMOOTHING_FACTOR = 0.1
 #: Fill up to which the first token is not expected to wait in the queue.
 _UNQUEUED_FILL = 0.5
--- a/bronzesill/generations/state.py
+++ b/bronzesill/generations/state.py
@@ -7,7 +7,7 @@
 import math
 
 from .messages import Action, ChooseServer, LookedElsewhere, LossCause
-from .stall_detection import GapEstimate, StallPolicy
+from .stall_detection import USUAL_SILENCE_S, GapEstimate, StallPolicy
 
 #: Age in seconds up to which a connection accepted by another server is
 #: evidence that it can take over.
@@ -15,8 +15,6 @@
 _LOOK_INTERVAL_S = 0.3
 #: Part of the work lost by a move for which a server has to refuse connections.
 _REFUSED_FRACTION = 0.5
-#: Length in seconds up to which a silence is likely to end by itself.
-_USUAL_SILENCE_S = 1.6
 #: Time in seconds added to the doubled silence for bytes sent again.
 _RESEND_MARGIN_S = 0.3
 
@@ -317,18 +315,18 @@
         is_by_copy = evidence.candidate == self.usable_copy
         cost_s = 0 if is_by_copy else self.policy.move_cost_s
         if evidence.is_shared:
-            at_s = self._leave_after(max(cost_s, _USUAL_SILENCE_S))
+            at_s = self._leave_after(max(cost_s, USUAL_SILENCE_S))
             return at_s if is_by_copy else max(at_s, self._resent_at_s)
         if is_by_copy:
             return self.stall_at_s
         if not self.is_memory_begun and not self.uses_copy:
             return min(self.stall_at_s, self._unbegun_leave_at_s)
-        left_s = _USUAL_SILENCE_S - self.policy.min_silence_s
+        left_s = USUAL_SILENCE_S - self.policy.min_silence_s
         if cost_s < left_s:
             return self.stall_at_s
         is_refused = self.refused_since_s is not None
-        wait_s = _USUAL_SILENCE_S if is_refused else cost_s
-        at_s = self._leave_after(max(wait_s, _USUAL_SILENCE_S))
+        wait_s = USUAL_SILENCE_S if is_refused else cost_s
+        at_s = self._leave_after(max(wait_s, USUAL_SILENCE_S))
         return at_s if is_refused else max(at_s, self._resent_at_s)
 
     @property
