Keep the choice of servers for generations in a module of its own

Change: generations/placement.py holds them (ServerChoice); no logic changed. The bound on modules counts it and the connectors, which came out of modules that were there before.

--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -151,8 +151,8 @@
             context.metrics,
             context.random,
         )
-        generations.keeps_copies = self._keeps_copies
-        generations.is_usage_shared = context.usage_exchange.is_settled
+        generations.servers.keeps_copies = self._keeps_copies
+        generations.servers.is_usage_shared = context.usage_exchange.is_settled
         generations.refresh_usage = context.usage_exchange.refresh
         generations.observer.on_attempt_observed = self._record_attempt
         generations.blocked_for_s = self._find_block_s
--- a/bronzesill/daemon/tests/test_program_modules.py
+++ b/bronzesill/daemon/tests/test_program_modules.py
@@ -11,8 +11,9 @@
 
 _PROGRAM = 'bronzesill.daemon.hosted_program'
 #: Upper bounds on the number of modules; raise them only with a reason.  The
-#: part that connects through peers has five of them.
-_MAX_OWN_MODULES = 145
+#: part that connects through peers has five of them; the connectors of servers
+#: and the placement of generations were parts of modules that had grown large.
+_MAX_OWN_MODULES = 147
 _MAX_MODULES = 606
 #: Libraries and packages that only the native interface and the tool use.
 _UNUSED = frozenset(
--- a/bronzesill/daemon/tests/test_unexpected_errors.py
+++ b/bronzesill/daemon/tests/test_unexpected_errors.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 from ...gateway import forward_stream, forwarding
-from ...generations import controller
+from ...generations import placement
 from ...standins.hosted_fleet import HostedFleet, HostedPlan
 from ...standins.worker import WorkerPlan
 from ...utils import logs
@@ -79,10 +79,10 @@
 
     # An error while a server is chosen must not leave the caller waiting.
     async def test_error_in_choice_of_server_is_tried_again(self) -> None:
-        choose = controller.GenerationsController._choose_servers
+        choose = placement.ServerChoice.choose
         with mock.patch.object(
-            controller.GenerationsController,
-            '_choose_servers',
+            placement.ServerChoice,
+            'choose',
             autospec=True,
             side_effect=_FailsOnce(choose),
         ):
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -4,21 +4,13 @@
 
 import asyncio
 import dataclasses
-import math
 import uuid
 from collections.abc import Awaitable, Callable
 from random import Random
 from typing import TypeAlias
 
 from ..limits import RetryAllowance
-from ..routing import (
-    Requirements,
-    ServerTracker,
-    ServerView,
-    choose_copy_holder,
-    choose_held_server,
-    choose_server,
-)
+from ..routing import ServerTracker
 from ..utils import Address, BronzesillError, Metrics, PartLogger, ResultCode
 from .book_observer import BookObserver
 from .locations import LocationDirectory, LocationRecord
@@ -30,28 +22,19 @@
     LookElsewhere,
     NoServer,
     PlacementRefused,
-    ServerChosen,
 )
+from .placement import ServerChoice
 from .request import GenerationRequest
-from .stall_detection import (
-    StallPolicy,
-    StreamActivity,
-    is_silence_shared,
-)
-from .state import GenerationState, Phase
+from .stall_detection import StallPolicy
+from .state import GenerationState
 from .stream_client import StreamClient
 from .subscription import Subscribe, Subscription, Unsubscribe
 from .task import Choosers, GenerationTask, Placement
 
 __all__ = ['GenerationSettings', 'GenerationsController']
 
-_PREFIX_CHARS = 1024
 #: Time from a crash until a block that follows from it is known.
 _JUDGEMENT_S = 0.3
-#: Shortest time in seconds between two counts of silent streams.
-_SURVEY_INTERVAL_S = 0.05
-#: Part of the silence before a look from which on a stream counts as silent.
-_SILENT_FRACTION = 0.6
 
 PickVersion: TypeAlias = Callable[[GenerationRequest, bool], str]
 
@@ -120,20 +103,14 @@
         )
         #: Brings the engine use of the other daemons up to date.
         self.refresh_usage: Callable[[], Awaitable[None]] = _do_nothing
-        #: Returns whether the engine use of the other daemons is known now.
-        self.is_usage_shared: Callable[[], bool] = _never
-        #: Returns whether the engines of a model keep copies of runs.
-        self.keeps_copies: Callable[[str], bool] = _no_copies
+        #: Chooses the servers of attempts.
+        self.servers = ServerChoice(failure_domain, tracker, random)
         self.tasks_by_key: dict[str, GenerationTask] = {}
         self._daemon = daemon
-        self._failure_domain = failure_domain
         self._tracker = tracker
         self._client = client
         self._directory = directory
-        self._random = random
         self._tasks: set[asyncio.Task[None]] = set()
-        self._surveyed_at_s = -math.inf
-        self._is_shared = False
 
     def subscribe(
         self,
@@ -251,8 +228,10 @@
         await self.refresh_usage()
         is_first = generation.state.attempt == 0
         prompt_holder = await self.find_prompt(request) if is_first else ''
-        requirements = self._make_requirements(request, action, prompt_holder)
-        choice = self._choose_servers(requirements, held_identity)
+        requirements = self.servers.make_requirements(
+            request, action, prompt_holder
+        )
+        choice = self.servers.choose(requirements, held_identity)
         if choice is None or not self._may_send(generation):
             return Placement(NoServer(), request)
         self._tracker.limiter.record_choice(choice.server)
@@ -353,9 +332,9 @@
         if allowance is not None and not allowance.allows_retry(request.model):
             return ''
         identity = self._find_held_identity(generation, action.choice)
-        requirements = self._make_requirements(request, action.choice)
+        requirements = self.servers.make_requirements(request, action.choice)
         if requirements.copy_holder:
-            holder = self._choose_servers(requirements, identity)
+            holder = self.servers.choose(requirements, identity)
             if holder is not None and await self._accepts(holder.server):
                 return holder.server
         without_copy = dataclasses.replace(requirements, copy_holder='')
@@ -363,9 +342,9 @@
         lone = dataclasses.replace(
             without_copy, excluded=frozenset((action.server,))
         )
-        chosen = self._choose_servers(
+        chosen = self.servers.choose(
             without_copy, identity
-        ) or self._choose_servers(lone, identity)
+        ) or self.servers.choose(lone, identity)
         if chosen is None or not await self._accepts(chosen.server):
             return ''
         return chosen.server
@@ -379,30 +358,11 @@
         return await self._client.is_alive(server, address)
 
     def _is_silence_shared(self, generation: GenerationTask) -> bool:
-        min_silence_s = generation.state.policy.look_after_s
-        if min_silence_s is None:
+        look_after_s = generation.state.policy.look_after_s
+        if look_after_s is None:
             return False
-        now_s = asyncio.get_running_loop().time()
-        if now_s - self._surveyed_at_s >= _SURVEY_INTERVAL_S:
-            self._surveyed_at_s = now_s
-            self._is_shared = is_silence_shared(
-                self._activities(now_s), _SILENT_FRACTION * min_silence_s
-            )
-        return self._is_shared
-
-    def _activities(self, now_s: float) -> list[StreamActivity]:
-        servers_by_name = self._tracker.servers_by_name
-        states = [task.state for task in self.tasks_by_key.values()]
-        return [
-            StreamActivity(
-                servers_by_name[state.server].failure_domain,
-                now_s - state.last_activity_at_s,
-            )
-            for state in states
-            if state.phase is Phase.STREAMING
-            and state.is_memory_begun
-            and state.server in servers_by_name
-        ]
+        states = (task.state for task in self.tasks_by_key.values())
+        return self.servers.is_silence_shared(states, look_after_s)
 
     def _location_record(
         self, generation: GenerationTask, server: str
@@ -446,54 +406,6 @@
         event: Event = Attached(current.server, current.attempt)
         return Placement(event, adopted)
 
-    def _make_requirements(
-        self,
-        request: GenerationRequest,
-        action: ChooseServer,
-        prompt_holder: str = '',
-    ) -> Requirements:
-        return Requirements(
-            model=request.model,
-            version=request.version,
-            prefix_key=request.prompt[:_PREFIX_CHARS],
-            excluded=action.excluded,
-            home_domain=self._failure_domain,
-            is_resume=action.is_resume,
-            copy_holder=action.copy_holder,
-            prompt_holder=action.candidate or prompt_holder,
-            is_usage_shared=self.is_usage_shared()
-            # All daemons would meet at the server with the lowest cost.
-            and not self._tracker.limiter.is_brittle(request.model),
-        )
-
-    def _choose_servers(
-        self, requirements: Requirements, held_identity: str
-    ) -> ServerChosen | None:
-        now_s = asyncio.get_running_loop().time()
-        views = self._tracker.views(now_s)
-        chosen_server = (
-            choose_held_server(views, requirements, held_identity)
-            if held_identity
-            else choose_server(views, requirements, self._random)
-        )
-        if chosen_server is None:
-            return None
-        copy_to = self._choose_copy(views, requirements, chosen_server)
-        return ServerChosen(chosen_server.name, chosen_server.fill, copy_to)
-
-    def _choose_copy(
-        self,
-        views: tuple[ServerView, ...],
-        requirements: Requirements,
-        chosen_server: ServerView,
-    ) -> str:
-        if not self.keeps_copies(requirements.model):
-            return ''
-        holder = choose_copy_holder(
-            views, requirements, chosen_server, self._random
-        )
-        return holder.name if holder else ''
-
 
 def _with_new_generation_id(request: GenerationRequest) -> GenerationRequest:
     generation_id = f'gen-{uuid.uuid4().hex}'
@@ -508,10 +420,6 @@
     return version
 
 
-def _no_copies(model: str) -> bool:
-    return False
-
-
 async def _no_prompt(request: GenerationRequest) -> str:
     return ''
 
@@ -534,10 +442,6 @@
     """Leave the use as it is known."""
 
 
-def _never() -> bool:
-    return False
-
-
 def _request_id_conflict() -> BronzesillError:
     return BronzesillError(
         ResultCode.REQUEST_ID_CONFLICT,
