--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -40,6 +40,12 @@
     }
 
 
+def _case_id(test: unittest.TestCase) -> str:
+    """Return the id of a test case, also for one of its subtests."""
+    test_case = getattr(test, 'test_case', test)
+    return str(test_case.id())
+
+
 def main() -> int:
     """
     Run the tests and write the counts.
@@ -60,7 +66,8 @@
         verbosity=1, resultclass=_TimedResult, stream=sys.stdout
     )
     outcome = runner.run(suite)
-    failed_ids = {test.id() for test, _ in (*outcome.failures, *outcome.errors)}
+    failures = (*outcome.failures, *outcome.errors)
+    failed_ids = {_case_id(test) for test, _ in failures}
     known_failures = failed_ids & _known_failure_ids()
     for name in sorted(known_failures):
         print(f'known red: {name}')
