Take the sending of a request, not its answer's arrival, for a sign of life

Cause: RestartDetector recorded a server as running when bytes of it were read. A cut had held up the answer of a server that had ended, so its address seemed not to be free for reuse yet, and the server that had been given it was listed as the restarted one. Change: AnswerHead carries the time at which its request was sent; that alone counts. Events of a stream that began earlier are no evidence any more.

--- a/bronzesill/calls/tests/test_stale_refusals.py
+++ b/bronzesill/calls/tests/test_stale_refusals.py
@@ -290,7 +290,7 @@
 
     async def assert_stream_not_refused(self, address: Address) -> None:
         client = ForwardStreamClient(
-            self.pool, PlatformDialect(), lambda *_: None, lambda _: None
+            self.pool, PlatformDialect(), lambda *_: None
         )
         forward = self.routed(_SECOND).forward
         request = GenerationRequest(
--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -145,7 +145,6 @@
                 context.pool,
                 context.dialect,
                 self._process_answer_head,
-                context.restart_detector.record_activity,
             ),
             LocalDirectory(LocationTable()),
             context.metrics,
@@ -221,7 +220,7 @@
         if context.dialect.is_misdirected(head):
             context.restart_detector.handle_other_server(server)
         else:
-            context.restart_detector.record_activity(server)
+            context.restart_detector.record_answer(server, head)
         load = context.dialect.load(head)
         if load is not None:
             now_s = asyncio.get_running_loop().time()
--- a/bronzesill/daemon/restart_detector.py
+++ b/bronzesill/daemon/restart_detector.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 from ..config import RegisteredServer
 from ..routing import LastActivity, ServerRestart, ServerTracker
 from ..upstream import (
     AnswerError,
+    AnswerHead,
     ConnectionPool,
     HealthDialect,
     RequestNotSent,
     Target,
+    uptime_s,
 )
 from .hosted_store_state import HostedStoreState
 
@@ -55,9 +56,9 @@
         self._activity = LastActivity(reuse_s)
         self._probing: set[str] = set()
 
-    def record_activity(self, server: str) -> None:
-        """Record that bytes from a server arrived."""
-        self._activity = self._activity.with_activity(server, _now_s())
+    def record_answer(self, server: str, head: AnswerHead) -> None:
+        """Record that a server answered a request."""
+        self._activity = self._activity.with_activity(server, head.asked_at_s)
 
     def handle_other_server(self, server: str) -> None:
         """
@@ -66,7 +67,7 @@
         If this may be a restart of the same server, its address is probed;
         otherwise the server is removed.
         """
-        if self._activity.may_be_restart(server, _now_s()):
+        if self._activity.may_be_restart(server, uptime_s()):
             now_s = asyncio.get_running_loop().time()
             self._tracker.suspect(server, now_s)
         else:
@@ -77,7 +78,7 @@
         async with asyncio.TaskGroup() as group:
             while True:
                 await asyncio.sleep(CHECK_INTERVAL_S)
-                self._activity = self._activity.with_check(_now_s())
+                self._activity = self._activity.with_check(uptime_s())
                 for server in self._probe_candidates():
                     group.create_task(self._probe(server))
 
@@ -87,7 +88,7 @@
 
     def _probe_candidates(self) -> tuple[str, ...]:
         failed = self._recently_failed()
-        candidates = self._activity.restart_candidates(failed, _now_s())
+        candidates = self._activity.restart_candidates(failed, uptime_s())
         return tuple(
             server for server in candidates if server not in self._probing
         )
@@ -109,7 +110,7 @@
         finally:
             self._probing.discard(server)
         is_other = answering_name not in {'', server}
-        if is_other and self._activity.may_be_restart(server, _now_s()):
+        if is_other and self._activity.may_be_restart(server, uptime_s()):
             self._store_state.record_restart(
                 ServerRestart(server, answering_name)
             )
@@ -129,8 +130,3 @@
         finally:
             lease.discard()
         return self._dialect.server(head) if head.status == _HTTP_OK else ''
-
-
-def _now_s() -> float:
-    # The event loop's clock does not advance while the host is suspended.
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/bronzesill/generations/forward_client.py
+++ b/bronzesill/generations/forward_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Iterator
 
 from ..upstream import (
     AnswerError,
@@ -48,8 +48,6 @@
     :param pool: connection pool for engines.
     :param dialect: names and formats of headers.
     :param on_head: callback for each response head.
-    :param on_bytes: callback for each received part of a response body; its
-        argument is the name of the server.
     """
 
     def __init__(
@@ -57,13 +55,11 @@
         pool: ConnectionPool,
         dialect: Dialect,
         on_head: OnAnswerHead,
-        on_bytes: Callable[[str], None],
     ) -> None:
         self._pool = pool
         self._probes: set[asyncio.Task[bool]] = set()
         self._dialect = dialect
         self._on_head = on_head
-        self._on_bytes = on_bytes
 
     async def read(
         self, opening: StreamOpening
@@ -127,7 +123,6 @@
         reader = _EventReader(opening, forward)
         body = await lease.read()
         while body:
-            self._on_bytes(opening.server)
             for message in reader.feed(body):
                 yield message
             body = await lease.read()
--- a/bronzesill/generations/tests/test_close_delimited.py
+++ b/bronzesill/generations/tests/test_close_delimited.py
@@ -43,9 +43,7 @@
         server = await asyncio.start_server(answer, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
         pool = ConnectionPool()
-        client = ForwardStreamClient(
-            pool, PlatformDialect(), lambda *_: None, lambda _: None
-        )
+        client = ForwardStreamClient(pool, PlatformDialect(), lambda *_: None)
         caller = CallerFields(request_id='r', events_received=events_received)
         deadline_at_s = asyncio.get_running_loop().time() + 5
         forward = ForwardRequest(
--- a/bronzesill/generations/tests/test_odd_successors.py
+++ b/bronzesill/generations/tests/test_odd_successors.py
@@ -130,7 +130,7 @@
     async def asyncSetUp(self) -> None:
         self.pool = ConnectionPool()
         self.client = ForwardStreamClient(
-            self.pool, PlatformDialect(), lambda *_: None, lambda _: None
+            self.pool, PlatformDialect(), lambda *_: None
         )
 
     async def asyncTearDown(self) -> None:
--- a/bronzesill/generations/tests/test_path_cut.py
+++ b/bronzesill/generations/tests/test_path_cut.py
@@ -33,7 +33,7 @@
         self.address = Address(*self.server.sockets[0].getsockname())
         self.pool = ConnectionPool()
         self.client = ForwardStreamClient(
-            self.pool, PlatformDialect(), mock.Mock(), mock.Mock()
+            self.pool, PlatformDialect(), mock.Mock()
         )
 
     async def asyncTearDown(self) -> None:
--- a/bronzesill/generations/tests/test_placement.py
+++ b/bronzesill/generations/tests/test_placement.py
@@ -110,7 +110,7 @@
     # half a second, and the stream was resumed late.
     async def test_long_probe_counts_as_refused(self) -> None:
         client = ForwardStreamClient(
-            cast('Any', _HangingPool()), *cast('Any', (None, None, None))
+            cast('Any', _HangingPool()), *cast('Any', (None, None))
         )
         async with asyncio.timeout(0.3):
             is_alive = await client.is_alive('s1', Address('127.0.0.1', 1))
--- a/bronzesill/routing/restarts.py
+++ b/bronzesill/routing/restarts.py
@@ -7,9 +7,10 @@
 
 __all__ = ['LastActivity']
 
-#: Maximum assumed delay between the arrival of bytes and reading them.
-_MAX_READ_DELAY_S = 0.15
-#: If this process paused for longer, the age of received bytes is unknown.
+#: Seconds before the earliest reuse of an address from which an instance at
+#: it is no longer taken for a restart.
+_REUSE_MARGIN_S = 0.15
+#: If this process paused for longer, activity is not used for a while.
 _STALL_THRESHOLD_S = 0.4
 
 
@@ -18,6 +19,10 @@
     """
     Times at which servers were last known to be running.
 
+    A server that answers a request was running when the request was sent, or
+    later.  When its answer is read tells no more: a cut or a pause may have
+    held it up for any time, also beyond the end of the server.
+
     After a server has terminated, its address is not assigned to another
     service for ``reuse_s`` seconds.  An instance that responds at the address
     within this time after the last activity of the server is therefore its
@@ -40,13 +45,19 @@
     checked_at_s: float = 0
     trusted_from_s: float = 0
 
-    def with_activity(self, server: str, now_s: float) -> LastActivity:
-        """Return a copy that records bytes received from a server."""
+    def with_activity(self, server: str, asked_at_s: float) -> LastActivity:
+        """
+        Return a copy that records an answer of a server.
+
+        :param server: name of the server.
+        :param asked_at_s: time at which the answered request was sent.
+        """
+        known_at_s = self.last_seen_at_s_by_server.get(server, 0)
         return dataclasses.replace(
             self,
             last_seen_at_s_by_server={
                 **self.last_seen_at_s_by_server,
-                server: now_s,
+                server: max(known_at_s, asked_at_s),
             },
         )
 
@@ -55,9 +66,9 @@
         Return a copy that records that this process is running.
 
         Has to be called several times a second: a gap longer than
-        ``_STALL_THRESHOLD_S`` counts as a pause of the process.  Activity is
-        then ignored for another ``_STALL_THRESHOLD_S``, because bytes read in
-        that time may have arrived before or during the pause.
+        ``_STALL_THRESHOLD_S`` counts as a pause of the process.  Requests
+        sent before its end, or within ``_STALL_THRESHOLD_S`` of it, are then
+        not used as evidence.
         """
         trusted_from_s = self.trusted_from_s
         if now_s - self.checked_at_s > _STALL_THRESHOLD_S:
@@ -89,7 +100,7 @@
             return False
         if now_s - self.checked_at_s > _STALL_THRESHOLD_S:
             return False
-        return now_s < at_s + self.reuse_s - _MAX_READ_DELAY_S
+        return now_s < at_s + self.reuse_s - _REUSE_MARGIN_S
 
     def restart_candidates(
         self, failed: Iterable[str], now_s: float
--- a/bronzesill/routing/tests/test_restarts.py
+++ b/bronzesill/routing/tests/test_restarts.py
@@ -41,6 +41,15 @@
         self.assertFalse(activity.may_be_restart('i-1', 6.9))
         self.assertFalse(activity.may_be_restart('i-1', 7.5))
 
+    # Guards against a restart that is concluded from an answer which was read
+    # late, or which an earlier request has got after a later one.
+    def test_late_answers_prove_no_more_than_their_requests(self) -> None:
+        activity = _activity(seen_at_s=5, until_s=6.4)
+        activity = activity.with_activity('i-1', 4.2).with_check(6.5)
+        self.assertTrue(activity.may_be_restart('i-1', 6.5))
+        late = _activity(seen_at_s=9, until_s=6.4).with_activity('i-1', 4.2)
+        self.assertFalse(late.with_check(6.5).may_be_restart('i-1', 6.5))
+
     def test_server_without_activity_has_no_restart(self) -> None:
         activity = _activity(seen_at_s=5, until_s=5.5)
         self.assertFalse(activity.may_be_restart('i-9', 5.5))
--- a/bronzesill/upstream/__init__.py
+++ b/bronzesill/upstream/__init__.py
@@ -8,6 +8,7 @@
     OnAnswerHead,
     PathCut,
     RequestNotSent,
+    uptime_s,
 )
 from .client import HttpAnswer, HttpCall, ServiceClient
 from .connection import UpstreamConnection
@@ -49,4 +50,5 @@
     'ServiceClient',
     'Target',
     'UpstreamConnection',
+    'uptime_s',
 ]
--- a/bronzesill/upstream/answer.py
+++ b/bronzesill/upstream/answer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import time
 from collections.abc import Callable
 from typing import TypeAlias
 
@@ -14,6 +15,7 @@
     'OnAnswerHead',
     'PathCut',
     'RequestNotSent',
+    'uptime_s',
 ]
 
 
@@ -55,11 +57,15 @@
     :param headers: all headers in their original order.
     :param has_length: whether the end of the body is known without closing
         the connection: by its length, by chunks, or because there is no body.
+    :param asked_at_s: time at which its request was sent, in seconds of
+        :func:`uptime_s`; 0 if unknown.  The server was running then or
+        later; how long its answer was on the way is not known.
     """
 
     status: int
     headers: tuple[Header, ...]
     has_length: bool
+    asked_at_s: float = 0
 
     @property
     def is_encoded(self) -> bool:
@@ -80,5 +86,10 @@
         return None
 
 
+def uptime_s() -> float:
+    """Return seconds of a clock that also runs while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 #: Callback that receives the server name and the head of each answer.
 OnAnswerHead: TypeAlias = Callable[[str, AnswerHead], None]
--- a/bronzesill/upstream/connection.py
+++ b/bronzesill/upstream/connection.py
@@ -15,6 +15,7 @@
     ConnectionLost,
     Header,
     RequestNotSent,
+    uptime_s,
 )
 
 __all__ = ['UpstreamConnection']
@@ -258,6 +259,7 @@
         self.head: asyncio.Future[AnswerHead] = (
             asyncio.get_running_loop().create_future()
         )
+        self._asked_at_s = uptime_s()
         self.is_finished = False
         self.has_head = False
         self.is_delimited_by_close = False
@@ -292,7 +294,9 @@
         )
         self.is_delimited_by_close = not has_length
         self.has_head = True
-        head = AnswerHead(status, tuple(self.headers), has_length)
+        head = AnswerHead(
+            status, tuple(self.headers), has_length, self._asked_at_s
+        )
         if not self.head.done():
             self.head.set_result(head)
         if self._is_head:
