Take requests before a stop only if they are known to end in time

Cause: whether a stopping host takes a request rested on constants (0.7 s for a call, prompt / 6,000 + output x 5 ms for a stream), which know nothing of the prompts that an engine reads first. Change: durations are learnt by service from requests that were answered; the slowest start, rate and pauses of the last minute decide, and an unknown duration refuses. Calls that may run once have to meet their deadline before the host exits. The estimate for hedging moves to the same module.

--- a/bronzesill/calls/__init__.py
+++ b/bronzesill/calls/__init__.py
@@ -1,6 +1,7 @@
 """Calls to plain services: with retries if idempotent, or at most once."""
 
 from .at_most_once import AtMostOnceCalls
+from .durations import DurationLog, ObservedRequest, RequestSize
 from .forward_sender import ForwardSender
 from .idempotent import IdempotentCalls
 from .interfaces import (
@@ -19,8 +20,11 @@
     'CallResult',
     'CallRunner',
     'CallSender',
+    'DurationLog',
     'ForwardSender',
     'IdempotentCalls',
+    'ObservedRequest',
+    'RequestSize',
     'RoutedCall',
     'ServiceServers',
     'SessionSender',
--- /dev/null
+++ b/bronzesill/calls/durations.py
@@ -0,0 +1,175 @@
+"""Durations of requests, learnt from those that were answered."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable
+
+__all__ = [
+    'DurationLog',
+    'LatencyEstimate',
+    'ObservedRequest',
+    'RecentDurations',
+    'RequestSize',
+]
+
+#: Quantile of the latency at which requests are hedged.
+_QUANTILE = 0.95
+_STEP_RATIO = 0.05
+_INITIAL_ESTIMATE_S = 0.2
+_MIN_ESTIMATE_S = 0.005
+#: Requests for a service that are remembered, and for how long.
+_MAX_OBSERVED = 64
+_MAX_AGE_S = 60.0
+#: With fewer observations the duration counts as unknown.
+_MIN_OBSERVED = 8
+#: Pauses as long as the longest that a further stream is expected to meet.
+_EXPECTED_PAUSES = 2
+#: Allowance for a load that grows, as other hosts stop too.
+_GROWTH_FACTOR = 1.25
+
+
+@dataclasses.dataclass(frozen=True)
+class LatencyEstimate:
+    """
+    Running estimate of the 95th percentile of response latency.
+
+    Each response moves the estimate by a fixed fraction, weighted so that it
+    settles where 95 of 100 responses are faster.
+
+    :param quantile_s: estimated 95th percentile in seconds.
+    """
+
+    quantile_s: float = _INITIAL_ESTIMATE_S
+
+    def updated(self, latency_s: float) -> LatencyEstimate:
+        """Return the estimate updated with the latency of one response."""
+        is_below = latency_s < self.quantile_s
+        gradient = (1 - _QUANTILE) if is_below else -_QUANTILE
+        estimate_s = self.quantile_s * (1 - _STEP_RATIO * gradient)
+        return LatencyEstimate(max(estimate_s, _MIN_ESTIMATE_S))
+
+
+@dataclasses.dataclass(frozen=True)
+class RequestSize:
+    """
+    Size of a request.
+
+    :param prompt_tokens: tokens of its prompt, 0 for a plain call.
+    :param output_tokens: most tokens of its answer, 0 for a plain call or if
+        the caller does not tell.
+    """
+
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class ObservedRequest:
+    """
+    Times of a request that got a whole answer.
+
+    :param size: size of the request.
+    :param ended_at_s: loop time of its end in seconds.
+    :param first_event_s: seconds to the first event, or to the answer.
+    :param stream_s: seconds from the first event to the end, 0 for a call.
+    :param longest_pause_s: longest pause between two events in seconds.
+    """
+
+    size: RequestSize
+    ended_at_s: float
+    first_event_s: float
+    stream_s: float = 0
+    longest_pause_s: float = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class RecentDurations:
+    """
+    Recent requests for one service, from which durations are predicted.
+
+    A prediction is an upper bound at the load of the last minute rather than
+    a mean: a request that a stopping host takes has to end before it exits.
+
+    :param observed: the requests, the oldest first.
+    """
+
+    observed: tuple[ObservedRequest, ...] = ()
+
+    def with_request(self, request: ObservedRequest) -> RecentDurations:
+        """Return a copy that includes one more request."""
+        kept = (*self.observed, request)[-_MAX_OBSERVED:]
+        return RecentDurations(kept)
+
+    def predict_s(self, size: RequestSize, now_s: float) -> float | None:
+        """
+        Return the seconds that a request takes at most.
+
+        ``None`` if too few requests for the service ended within the last
+        minute.
+
+        :param size: size of the request.
+        :param now_s: loop time in seconds.
+        """
+        recent = [
+            request
+            for request in self.observed
+            if now_s - request.ended_at_s < _MAX_AGE_S
+        ]
+        if len(recent) < _MIN_OBSERVED:
+            return None
+        pause_s = max(request.longest_pause_s for request in recent)
+        predicted_s = (
+            _longest_start_s(recent, size.prompt_tokens)
+            + _longest_stream_s(recent, size.output_tokens)
+            + _EXPECTED_PAUSES * pause_s
+        )
+        return _GROWTH_FACTOR * predicted_s
+
+
+class DurationLog:
+    """Durations of the recent requests for each service."""
+
+    def __init__(self) -> None:
+        self._recent_by_service: dict[str, RecentDurations] = {}
+
+    def record(self, service: str, request: ObservedRequest) -> None:
+        """Record a request that got a whole answer of a service."""
+        known = self._recent_by_service.get(service, RecentDurations())
+        self._recent_by_service[service] = known.with_request(request)
+
+    def predict_s(
+        self, service: str, size: RequestSize, now_s: float
+    ) -> float | None:
+        """
+        Return the seconds that a request takes at most, ``None`` if unknown.
+
+        :param service: service of the request.
+        :param size: size of the request.
+        :param now_s: loop time in seconds.
+        """
+        known = self._recent_by_service.get(service, RecentDurations())
+        return known.predict_s(size, now_s)
+
+
+def _longest_start_s(
+    requests: Iterable[ObservedRequest], prompt_tokens: int
+) -> float:
+    """Return the longest time to a first event, scaled to larger prompts."""
+    return max(
+        request.first_event_s
+        * max(1, prompt_tokens / max(request.size.prompt_tokens, 1))
+        for request in requests
+    )
+
+
+def _longest_stream_s(
+    requests: Iterable[ObservedRequest], output_tokens: int
+) -> float:
+    """Return the longest time after a first event for a number of tokens."""
+    if not output_tokens:
+        return max(request.stream_s for request in requests)
+    return output_tokens * max(
+        request.stream_s / max(request.size.output_tokens, 1)
+        for request in requests
+    )
--- a/bronzesill/calls/idempotent.py
+++ b/bronzesill/calls/idempotent.py
@@ -9,7 +9,7 @@
 
 from ..limits import LocalRetryAllowance, RetryAllowance
 from ..utils import BronzesillError, ResultCode
-from .hedging import LatencyEstimate
+from .durations import LatencyEstimate
 from .interfaces import CallAnswer, CallSender, RoutedCall, SendProgress
 from .servers import (
     RETRY_AFTER_S,
--- a/bronzesill/calls/tests/test_cut_paths.py
+++ b/bronzesill/calls/tests/test_cut_paths.py
@@ -12,8 +12,8 @@
 from ...upstream import CallerFields, ConnectionPool, ForwardRequest, Header
 from ...utils import Address
 from .. import idempotent
+from ..durations import LatencyEstimate
 from ..forward_sender import ForwardSender
-from ..hedging import LatencyEstimate
 from ..idempotent import IdempotentCalls
 from ..interfaces import CallAnswer, CallRequest, RoutedCall
 from ..servers import ServiceServers
--- /dev/null
+++ b/bronzesill/calls/tests/test_durations.py
@@ -0,0 +1,64 @@
+"""Prediction of how long a request takes, from those that were answered."""
+
+import unittest
+
+from ..durations import DurationLog, ObservedRequest, RequestSize
+
+_SERVICE = 'engines'
+_NOW_S = 100.0
+_LARGE = RequestSize(8_000, 1_000)
+_SMALL = RequestSize(2_000, 200)
+
+
+def _log_of(*requests: ObservedRequest) -> DurationLog:
+    """Return a log of enough requests: the given ones, again and again."""
+    log = DurationLog()
+    for number in range(16):
+        log.record(_SERVICE, requests[number % len(requests)])
+    return log
+
+
+class PredictionTest(unittest.TestCase):
+    """Durations are predicted from the slowest requests of the last minute."""
+
+    # Guards against a stopping host that takes streams by a fixed rate of its
+    # own while engines read other prompts first.
+    def test_slowest_start_and_pauses_count(self) -> None:
+        usual = ObservedRequest(_LARGE, _NOW_S, 1.0, 5.0, 0.1)
+        queued = ObservedRequest(_LARGE, _NOW_S, 4.0, 5.0, 1.0)
+        log = _log_of(usual, queued)
+        predicted_s = log.predict_s(_SERVICE, _SMALL, _NOW_S)
+        self.assertIsNotNone(predicted_s)
+        # It may wait 4 s as the queued one did, meet two of its pauses and
+        # need a second for its tokens.
+        self.assertGreaterEqual(predicted_s or 0, 7)
+
+    def test_larger_prompts_take_longer(self) -> None:
+        log = _log_of(ObservedRequest(_SMALL, _NOW_S, 0.5, 1.0))
+        predicted_s = log.predict_s(_SERVICE, _LARGE, _NOW_S)
+        # Four times as long a prompt, five times as many tokens.
+        self.assertGreaterEqual(predicted_s or 0, 2 + 5)
+
+    def test_unstated_size_takes_as_long_as_any(self) -> None:
+        log = _log_of(ObservedRequest(_LARGE, _NOW_S, 1.0, 5.0))
+        predicted_s = log.predict_s(_SERVICE, RequestSize(), _NOW_S)
+        self.assertGreaterEqual(predicted_s or 0, 6)
+
+    def test_too_few_or_old_requests_tell_nothing(self) -> None:
+        few = DurationLog()
+        few.record(_SERVICE, ObservedRequest(_SMALL, _NOW_S, 0.5, 1.0))
+        self.assertIsNone(few.predict_s(_SERVICE, _SMALL, _NOW_S))
+        old = _log_of(ObservedRequest(_SMALL, _NOW_S - 61, 0.5, 1.0))
+        self.assertIsNone(old.predict_s(_SERVICE, _SMALL, _NOW_S))
+        self.assertIsNone(old.predict_s('shop', _SMALL, _NOW_S))
+
+    def test_memory_is_bounded(self) -> None:
+        log = DurationLog()
+        for number in range(1000):
+            log.record(_SERVICE, ObservedRequest(_SMALL, number, 0.5))
+        recent = log._recent_by_service[_SERVICE]
+        self.assertLessEqual(len(recent.observed), 64)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/bronzesill/daemon/tests/test_planned_stop.py
@@ -0,0 +1,116 @@
+"""Requests that reach a host after the signal for a planned stop."""
+
+import asyncio
+import unittest
+
+from ...standins.hosted_fleet import HostedFleet, HostedPlan
+from ...standins.worker import WorkerPlan, expected_events
+from .hosted_caller import HostedAnswer, HostedCaller
+
+_BODY = b'catalogue'
+#: Seconds of grace; the host exits half a second earlier.
+_GRACE_S = 3.0
+_WARM_UP_STREAMS = 10
+_HTTP_OK = 200
+_NOT_RUN = 503
+_CALL_WORK_S = 1.2
+
+
+def _engines(events: int, pace_s: float) -> HostedPlan:
+    engine = WorkerPlan(
+        'engine-a', 'engines', is_engine=True, events=events, pace_s=pace_s
+    )
+    shop = WorkerPlan('shop-a', 'shop', work_s=_CALL_WORK_S)
+    return HostedPlan(daemons=1, workers=(engine, shop), grace_s=_GRACE_S)
+
+
+class _StopCase(unittest.IsolatedAsyncioTestCase):
+    plan = HostedPlan()
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = await HostedFleet(self.plan).__aenter__()
+        self.caller = HostedCaller()
+        self.daemon = self.fleet.daemons[0]
+        self.expected = expected_events(_BODY, self.plan.workers[0].events)
+
+    async def asyncTearDown(self) -> None:
+        await self.caller.close()
+        await self.fleet.__aexit__()
+
+    async def stream(self) -> HostedAnswer:
+        return await self.caller.send_request(
+            self.daemon.settings.callers,
+            '/guides/1',
+            body=_BODY,
+            X_Token_Usage='10,200',
+        )
+
+    async def warm_up(self) -> None:
+        """Let the host see how long streams take."""
+        streams = [self.stream() for _ in range(_WARM_UP_STREAMS)]
+        for answer in await asyncio.gather(*streams):
+            self.assertEqual(answer.body, self.expected)
+
+
+class SlowStreamTest(_StopCase):
+    """Streams take two seconds, twice as long as their size suggests."""
+
+    plan = _engines(events=40, pace_s=0.05)
+
+    # Guards against streams that a stopping host takes late in the grace
+    # period and breaks off at its end.
+    async def test_unknown_duration_is_not_taken(self) -> None:
+        self.daemon.begin_stop()
+        await asyncio.sleep(1.2)
+        answer = await self.stream()
+        self.assertEqual(answer.status, _NOT_RUN)
+
+    async def test_known_duration_is_not_taken_too_late(self) -> None:
+        await self.warm_up()
+        self.daemon.begin_stop()
+        await asyncio.sleep(1.2)
+        answer = await self.stream()
+        self.assertEqual(answer.status, _NOT_RUN)
+
+
+class FastStreamTest(_StopCase):
+    """Streams take a tenth of a second."""
+
+    plan = _engines(events=10, pace_s=0.01)
+
+    async def test_streams_that_end_in_time_are_served(self) -> None:
+        await self.warm_up()
+        self.daemon.begin_stop()
+        await asyncio.sleep(1.2)
+        answer = await self.stream()
+        self.assertEqual(answer.status, _HTTP_OK)
+        self.assertEqual(answer.body, self.expected)
+
+
+class LateCallTest(_StopCase):
+    """Calls that may run at most once take longer than usual calls do."""
+
+    plan = _engines(events=10, pace_s=0.01)
+
+    # Guards against orders that are passed on late in the grace period and
+    # end without an answer.
+    async def test_call_that_may_outlast_the_host_is_not_taken(self) -> None:
+        self.daemon.begin_stop()
+        await asyncio.sleep(1.6)
+        answer = await self.caller.send_request(
+            self.daemon.settings.callers, '/orders/1'
+        )
+        self.assertEqual(answer.status, _NOT_RUN)
+        shop = self.fleet.workers_by_name['shop-a']
+        self.assertEqual(shop.runs_by_id.total(), 0)
+
+    async def test_call_with_a_near_deadline_is_served(self) -> None:
+        self.daemon.begin_stop()
+        answer = await self.caller.send_request(
+            self.daemon.settings.callers, '/orders/1', X_Deadline_Ms='1800'
+        )
+        self.assertEqual(answer.status, _HTTP_OK)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/bronzesill/gateway/forward_stream.py
+++ b/bronzesill/gateway/forward_stream.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from falcon import asgi
 
+from ..calls import ObservedRequest, RequestSize
 from ..config import Route
 from ..generations import (
     AcceptedTokens,
@@ -36,6 +37,7 @@
     :param forward: request to forward.
     :param route: route of the request.
     :param route_name: name of the route.
+    :param on_whole: called when the whole answer has been sent.
     """
 
     def __init__(
@@ -44,9 +46,14 @@
         forward: ForwardRequest,
         route: Route,
         route_name: str,
+        on_whole: Callable[[ObservedRequest], None],
     ) -> None:
         now_s = asyncio.get_running_loop().time()
         self._generations = generations
+        self._on_whole = on_whole
+        self._size = RequestSize(
+            forward.caller.prompt_tokens, forward.caller.max_output_tokens
+        )
         self._request = GenerationRequest(
             request_id=forward.request_id,
             generation_id=forward.request_id,
@@ -133,6 +140,7 @@
                 event = await self._subscription.get()
                 if isinstance(event, AnswerCompleted):
                     self._log_end('whole', event.lost_attempts)
+                    self._on_whole(self._observed())
                     return
                 if isinstance(event, AnswerFailed):
                     outcome = event.code.name.lower()
@@ -148,6 +156,17 @@
         now_s = asyncio.get_running_loop().time()
         self._timings = self._timings.with_arrival(token_count, now_s)
 
+    def _observed(self) -> ObservedRequest:
+        timings = self._timings
+        now_s = asyncio.get_running_loop().time()
+        return ObservedRequest(
+            self._size,
+            now_s,
+            timings.first_token_s,
+            now_s - timings.first_at_s,
+            timings.longest_gap_s,
+        )
+
     def _log_end(self, outcome: str, lost_attempts: str) -> None:
         now_s = asyncio.get_running_loop().time()
         _log.event(
--- a/bronzesill/gateway/forwarding.py
+++ b/bronzesill/gateway/forwarding.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import types
 from random import Random
 from typing import Any
@@ -14,7 +15,10 @@
     AtMostOnceCalls,
     CallAnswer,
     CallRequest,
+    DurationLog,
     IdempotentCalls,
+    ObservedRequest,
+    RequestSize,
     RoutedCall,
 )
 from ..config import Route
@@ -53,11 +57,8 @@
 _CLOSE = 'close'
 _STOPPING_RETRY_AFTER_S = 0.05
 
-#: Expected duration of a call, rate of prompt processing and time per output
-#: token, used to refuse requests that a stopping host could not complete.
-_EXPECTED_CALL_S = 0.7
-_PREFILL_TOKENS_PER_S = 6000
-_INTER_TOKEN_LATENCY_S = 0.005
+#: Time before a stopping host exits by which its requests have to end.
+_STOP_MARGIN_S = 0.2
 
 #: HTTP statuses of invalid requests, of requests that may have run, and of
 #: time-outs.  All other codes give ``_FALLBACK_STATUS``.
@@ -115,6 +116,7 @@
     ) -> None:
         self._state = state
         self._components = components
+        self._durations = DurationLog()
         self._filters: tuple[RequestFilter, ...] = (
             ReadCallerFields(components.dialect),
             FindRoute(),
@@ -152,6 +154,8 @@
         running_call = self._run_call(resp, forward, route, exchange.route_name)
         await run_until_disconnect(req, running_call)
         self._announce_close(resp)
+        if route.idempotent:
+            self._record_call(route, started_s)
         call_type = 'repeatable' if route.idempotent else 'once'
         self._record_latency(call_type, started_s)
 
@@ -199,13 +203,38 @@
         stops_at_s = self._state.stops_at_s
         if stops_at_s is None:
             return
-        if now_s + _expected_duration_s(route, forward) > stops_at_s:
+        latest_end_s = self._latest_end_s(route, forward, now_s)
+        if latest_end_s + _STOP_MARGIN_S > stops_at_s:
             raise BronzesillError(
                 ResultCode.STOPPING,
                 'not run: this host is shutting down',
                 retry_after_s=_STOPPING_RETRY_AFTER_S,
             )
 
+    def _latest_end_s(
+        self, route: Route, forward: ForwardRequest, now_s: float
+    ) -> float:
+        """
+        Return the time by which a request has ended.
+
+        That is its deadline, or earlier if requests for its service have
+        taken less time of late.  A call that may run at most once cannot be
+        repeated when it is cut, so only the deadline counts for it.
+        """
+        if not route.idempotent:
+            return forward.deadline_at_s
+        caller = forward.caller
+        size = RequestSize(caller.prompt_tokens, caller.max_output_tokens)
+        predicted_s = self._durations.predict_s(route.service, size, now_s)
+        if predicted_s is None:
+            return forward.deadline_at_s
+        return min(forward.deadline_at_s, now_s + predicted_s)
+
+    def _record_call(self, route: Route, started_s: float) -> None:
+        now_s = asyncio.get_running_loop().time()
+        observed = ObservedRequest(RequestSize(), now_s, now_s - started_s)
+        self._durations.record(route.service, observed)
+
     def _select_route(self, exchange: Exchange) -> Route:
         route = exchange.route
         if route is None:
@@ -274,7 +303,11 @@
         route_name: str,
     ) -> None:
         stream = ForwardedStream(
-            self._components.generations, forward, route, route_name
+            self._components.generations,
+            forward,
+            route,
+            route_name,
+            functools.partial(self._durations.record, route.service),
         )
         opening = stream.open()
         try:
@@ -291,16 +324,6 @@
         resp.stream = stream.events()
 
 
-def _expected_duration_s(route: Route, forward: ForwardRequest) -> float:
-    if not route.is_stream:
-        return _EXPECTED_CALL_S
-    caller = forward.caller
-    return (
-        caller.prompt_tokens / _PREFILL_TOKENS_PER_S
-        + caller.max_output_tokens * _INTER_TOKEN_LATENCY_S
-    )
-
-
 def make_forward_app(
     resource: ForwardResource,
 ) -> ReceiveBufferMiddleware:
