Commit a version only on answers that speak for it

Cause: a commit took place unless something forbade it, and a version of which nothing was seen, or of which the driver had lost what it had seen, is forbidden by nothing. Change: a sequential test over answers that began or failed has to speak for the version; with little traffic the share is raised early within what a bad version may get, and the decision waits until the latest commit. A driver that begins in the middle knows that its evidence is incomplete.

--- a/bronzesill/moves/driver.py
+++ b/bronzesill/moves/driver.py
@@ -187,6 +187,8 @@
         share=decision.share,
         reason=decision.reason,
         started=progress.started.explain(),
+        sound=progress.sound.explain(),
+        is_complete=progress.is_complete,
         remaining_s=round(record.deadline_at_s - time.time(), 2),
         evidence={
             route or 'all': comparison.summarize()
--- a/bronzesill/moves/evidence.py
+++ b/bronzesill/moves/evidence.py
@@ -10,6 +10,7 @@
     'Evidence',
     'RequestCounts',
     'ServerEvidence',
+    'SoundAnswers',
     'StartedAnswers',
     'bucket_of_s',
     'count_from_bucket',
@@ -29,6 +30,23 @@
 #: than the median of the old version, 1.76 times as long.
 _LATE_BUCKET_OFFSET = 5
 
+#: A failing version fails at least this part of its requests, or this multiple
+#: of the part that the old version fails.
+_MIN_FAILING_RATIO = 0.3
+_FAILING_MULTIPLE = 2.5
+_MAX_FAILING_RATIO = 0.9
+#: Range of the part that a sound version is taken to fail.
+_SOUND_RATIOS = (0.02, 0.35)
+#: Answers of a sound version that are added to those of the old one, so that a
+#: few failures of it do not count as its usual part.
+_PRIOR_ANSWERS = 20
+#: Logarithm of the odds that a committed version is sound and not failing.
+_COMMIT_LOG_ODDS = 3.0
+#: Failures of one server that count in one step: at least so many, or this part
+#: of its answers.  A crash fails all requests that run on a server.
+_MIN_COUNTED_FAILURES = 2
+_COUNTED_PART_DIVISOR = 8
+
 #: Upper edges of the latency buckets in seconds, each 1.12 times the one
 #: before; the last bucket has none.
 BUCKET_EDGES_S = tuple(
@@ -231,6 +249,75 @@
         )
 
 
+@dataclasses.dataclass(frozen=True)
+class SoundAnswers:
+    """
+    Answers that began or failed since the move began, over all servers.
+
+    A version is committed only if they are much likelier for a sound version
+    than for one that fails a large part of its requests.  Too few answers are
+    as likely for either, so they never speak for a version.
+
+    :param new: answers of the new version, and failures among them.
+    :param old: answers of the old version, and failures among them.
+    """
+
+    new: RequestCounts = RequestCounts()
+    old: RequestCounts = RequestCounts()
+
+    def updated_with(
+        self, evidence: Evidence, new_version: str, old_version: str
+    ) -> 'SoundAnswers':
+        """Return the answers with those of one more step."""
+        return SoundAnswers(
+            self.new.plus(_answers(evidence, new_version)),
+            self.old.plus(_answers(evidence, old_version)),
+        )
+
+    @property
+    def log_odds(self) -> float:
+        """Logarithm of the odds that the new version is not a failing one."""
+        sound = self._sound_ratio
+        failing = min(
+            max(_MIN_FAILING_RATIO, _FAILING_MULTIPLE * sound),
+            _MAX_FAILING_RATIO,
+        )
+        good = self.new.requests - self.new.bad
+        return good * math.log((1 - sound) / (1 - failing)) - (
+            self.new.bad * math.log(failing / sound)
+        )
+
+    @property
+    def speaks_for_new(self) -> bool:
+        """Whether enough answers of the new version did not fail."""
+        return self.log_odds >= _COMMIT_LOG_ODDS
+
+    def explain(self) -> str:
+        """Return the numbers of answers and the odds, for a log."""
+        return (
+            f'{int(self.new.requests)} answered, {int(self.new.bad)} failed, '
+            f'log odds {self.log_odds:.1f}'
+        )
+
+    @property
+    def _sound_ratio(self) -> float:
+        lowest, highest = _SOUND_RATIOS
+        failed = self.old.bad + lowest * _PRIOR_ANSWERS
+        ratio = failed / (self.old.requests + _PRIOR_ANSWERS)
+        return min(max(ratio, lowest), highest)
+
+
+def _answers(evidence: Evidence, version: str) -> RequestCounts:
+    """Return the answers that began or failed, of all servers of a version."""
+    answers = RequestCounts()
+    for server in evidence.of_version(version).values():
+        answered = sum(server.first_token) + server.failures
+        most = max(_MIN_COUNTED_FAILURES, answered // _COUNTED_PART_DIVISOR)
+        failed = min(server.failures, most)
+        answers = answers.plus(RequestCounts(answered, failed))
+    return answers
+
+
 def _first_tokens(evidence: Evidence, version: str) -> tuple[int, ...]:
     """Return the times to the first token of all servers of a version."""
     empty = ServerEvidence('').first_token
--- a/bronzesill/moves/exposure.py
+++ b/bronzesill/moves/exposure.py
@@ -7,7 +7,7 @@
 
 from .evidence import Evidence
 
-__all__ = ['Exposure', 'ExposureLimit', 'RouteCounts']
+__all__ = ['Exposure', 'ExposureLimit', 'LookWindow', 'RouteCounts']
 
 #: Answered requests of the new version that a route needs for a verdict.
 _MIN_ANSWERED = 6
@@ -16,6 +16,12 @@
 #: Requests that were sent to the new version, for each answered one.
 _SENT_PER_ANSWERED = 1.3
 _SAFETY_FACTOR = 0.9
+#: Part of the allowed requests that a version may use up to be judged.
+_LOOK_FACTOR = 0.6
+#: Answers from which the rate of requests is known well enough.
+_MIN_RATE_ANSWERS = 3
+#: Requests sent so shortly before a decision are not answered by then.
+_ANSWER_DELAY_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,6 +37,21 @@
     slack: float = 50
 
 
+@dataclasses.dataclass(frozen=True)
+class LookWindow:
+    """
+    Times of a move that is being judged, in seconds.
+
+    :param elapsed_s: time since the order.
+    :param decided_in_s: time until the latest commit.
+    :param remaining_s: time until the deadline.
+    """
+
+    elapsed_s: float
+    decided_in_s: float
+    remaining_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class RouteCounts:
     """
@@ -110,6 +131,32 @@
         allowed = limit.ratio * per_s * window_s + limit.slack
         return expected > _SAFETY_FACTOR * allowed
 
+    def share_for(
+        self, answers: float, limit: ExposureLimit, window: LookWindow
+    ) -> float:
+        """
+        Return the share that yields a number of answers in time, 0 to 1.
+
+        It is smaller if a bad version would otherwise get too large a part of
+        the requests that it may get, and 0 if the rate of requests is unknown
+        or no time is left.
+
+        :param answers: answers of the new version that are wanted.
+        :param limit: requests that a bad version may get.
+        :param window: times of the move.
+        """
+        totals = self.totals
+        look_s = window.decided_in_s - _ANSWER_DELAY_S
+        if totals.total < _MIN_RATE_ANSWERS or look_s <= 0:
+            return 0
+        per_s = totals.total / max(window.elapsed_s, 1)
+        window_s = window.elapsed_s + window.remaining_s
+        allowed = limit.ratio * per_s * window_s + limit.slack
+        spare = _LOOK_FACTOR * allowed - _SENT_PER_ANSWERED * totals.new
+        wanted = answers - totals.new
+        share = min(wanted / look_s, spare / window.remaining_s) / per_s
+        return min(max(share, 0), 1)
+
 
 def _count(evidence: Evidence, new_version: str) -> RouteCounts:
     # A stream is answered with its first token, long before its end.
--- a/bronzesill/moves/policy.py
+++ b/bronzesill/moves/policy.py
@@ -10,8 +10,8 @@
     ComparisonPolicy,
     SequentialComparison,
 )
-from .evidence import Evidence, StartedAnswers
-from .exposure import Exposure, ExposureLimit
+from .evidence import Evidence, SoundAnswers, StartedAnswers
+from .exposure import Exposure, ExposureLimit, LookWindow
 from .record import MoveRecord, MoveState, has_ended
 
 __all__ = [
@@ -59,6 +59,16 @@
 _SHORT_MIN_STAGE_DIVISOR = 12
 #: A decision that waits for answers is taken this long before its latest time.
 _LAST_STEP_S = 1.0
+#: Answers of the new version that are wanted before a commit.
+_WANTED_ANSWERS = 18
+#: Largest share before a commit, and before a few answers speak for it.
+_MAX_LOOK_SHARE = 0.7
+_MAX_FIRST_LOOK_SHARE = 0.4
+_MIN_FIRST_ANSWERS = 2
+#: Shares are raised for more answers only by this factor or more.
+_MIN_RAISE_FACTOR = 1.3
+#: With fewer answers of both versions there is no traffic to judge by.
+_MIN_TRAFFIC = 6
 #: Effect sizes and thresholds of short moves.  They yield little evidence, so
 #: the thresholds are lower: a bad version must not be committed.
 _SHORT_POLICY = ComparisonPolicy(
@@ -130,6 +140,17 @@
         commit_margin_s = min(self.commit_margin_s, _window_s(record) / 4)
         return record.deadline_at_s - commit_margin_s
 
+    def earliest_commit_s(self, record: MoveRecord) -> float:
+        """Return the time before which a move is not committed."""
+        stages_s = sum(
+            self.stage_duration_s(index, record)
+            for index in range(len(self.stages))
+        )
+        return min(
+            record.created_at_s + stages_s,
+            self.latest_commit_s(record) - _LAST_STEP_S,
+        )
+
     def latest_start_s(self, index: int, record: MoveRecord) -> float:
         """Return the latest start of a stage that permits a commit."""
         remaining_s = sum(
@@ -153,8 +174,10 @@
     :param pending_by_route: evidence on routes on which, since the last
         comparison, only one of the versions finished a request.
     :param started: times to the first token since the move began.
+    :param sound: answers since the move began, and failures among them.
     :param exposure: answered requests since the move began.
     :param exposure_limit: requests that a bad version may get.
+    :param is_complete: whether all reports since the order are included.
     """
 
     comparisons_by_route: dict[str, SequentialComparison]
@@ -163,8 +186,10 @@
     policy: ComparisonPolicy = field(default_factory=ComparisonPolicy)
     pending_by_route: Mapping[str, Evidence] = field(default_factory=dict)
     started: StartedAnswers = field(default_factory=StartedAnswers)
+    sound: SoundAnswers = field(default_factory=SoundAnswers)
     exposure: Exposure = field(default_factory=Exposure)
     exposure_limit: ExposureLimit = field(default_factory=ExposureLimit)
+    is_complete: bool = True
 
     @classmethod
     def from_record(
@@ -190,6 +215,8 @@
             MovePlan.for_window(window_s),
             policy,
             exposure_limit=exposure_limit or ExposureLimit(),
+            # No request was answered by the new version without a share.
+            is_complete=not record.share,
         )
 
     @property
@@ -243,6 +270,9 @@
             started=self.started.updated_with(
                 pooled, record.new_version, record.old_version
             ),
+            sound=self.sound.updated_with(
+                pooled, record.new_version, record.old_version
+            ),
             exposure=self.exposure.updated_with(
                 evidence_by_route, record.new_version
             ),
@@ -316,12 +346,19 @@
     reason = f'evidence is {progress.outcome.value}'
     if index < 0:
         return _start_stage(progress, 0, now_s, 'begun')
+    share = _share_for_answers(record, progress, now_s)
+    if share > _MIN_RAISE_FACTOR * record.share:
+        return _raise_share(progress, share, now_s)
     ends_at_s = progress.share_since_s + plan.stage_duration_s(index, record)
     if index + 1 < len(plan.stages):
         latest_s = plan.latest_start_s(index + 1, record)
         if now_s < min(ends_at_s, latest_s):
             return MoveDecision(progress, MoveAction.HOLD, record.share)
         return _start_stage(progress, index + 1, now_s, reason)
+    ends_at_s = max(
+        min(ends_at_s, plan.latest_commit_s(record) - _LAST_STEP_S),
+        plan.earliest_commit_s(record),
+    )
     if now_s < ends_at_s or now_s > plan.latest_commit_s(record):
         return MoveDecision(progress, MoveAction.HOLD, record.share)
     return _finish(record, progress, now_s)
@@ -333,24 +370,63 @@
     """Commit after the last stage, unless the evidence forbids it."""
     if progress.comparisons_by_route[ALL_ROUTES].is_commit_blocked:
         return _roll_back(progress, 'too doubtful to commit')
+    missing = _missing_proof(record, progress, now_s)
+    if not missing:
+        reason = f'evidence is {progress.outcome.value}'
+        return MoveDecision(progress, MoveAction.COMMIT, 1, reason)
+    # More answers may come until the latest commit.
+    if now_s + _LAST_STEP_S < progress.plan.latest_commit_s(record):
+        return MoveDecision(progress, MoveAction.HOLD, record.share)
+    return _roll_back(progress, missing)
+
+
+def _missing_proof(
+    record: MoveRecord, progress: MoveProgress, now_s: float
+) -> str:
+    """Return what is not known yet of the new version, empty for nothing."""
     unproved = _unproved_routes(record, progress, now_s)
     if unproved:
-        routes = ', '.join(unproved)
-        return _roll_back(progress, f'too few answers on {routes}')
+        return f'too few answers on {", ".join(unproved)}'
     if not progress.started.speaks_for_new:
-        return _await_proof(record, progress, now_s)
-    reason = f'evidence is {progress.outcome.value}'
-    return MoveDecision(progress, MoveAction.COMMIT, 1, reason)
+        return f'too few answers in time: {progress.started.explain()}'
+    if progress.sound.speaks_for_new or _has_no_traffic(progress):
+        return ''
+    return f'too few sound answers: {progress.sound.explain()}'
+
+
+def _has_no_traffic(progress: MoveProgress) -> bool:
+    """Return whether nearly no request came since the order."""
+    answered = progress.exposure.totals.total
+    return progress.is_complete and answered < _MIN_TRAFFIC
 
 
-def _await_proof(
+def _share_for_answers(
     record: MoveRecord, progress: MoveProgress, now_s: float
+) -> float:
+    """Return the share that yields enough answers before the last commit."""
+    sound = progress.sound
+    is_doubtful = bool(sound.new.bad) and not sound.speaks_for_new
+    if is_doubtful or not progress.is_complete:
+        return 0
+    window = LookWindow(
+        now_s - record.created_at_s,
+        progress.plan.latest_commit_s(record) - now_s,
+        record.deadline_at_s - now_s,
+    )
+    share = progress.exposure.share_for(
+        _WANTED_ANSWERS, progress.exposure_limit, window
+    )
+    is_first_look = sound.new.requests < _MIN_FIRST_ANSWERS
+    most = _MAX_FIRST_LOOK_SHARE if is_first_look else _MAX_LOOK_SHARE
+    return min(share, most)
+
+
+def _raise_share(
+    progress: MoveProgress, share: float, now_s: float
 ) -> MoveDecision:
-    """Wait for answers of the new version until the latest commit."""
-    if now_s + _LAST_STEP_S < progress.plan.latest_commit_s(record):
-        return MoveDecision(progress, MoveAction.HOLD, record.share)
-    return _roll_back(
-        progress, f'too few answers in time: {progress.started.explain()}'
+    raised = dataclasses.replace(progress, share_since_s=now_s)
+    return MoveDecision(
+        raised, MoveAction.INCREASE_SHARE, round(share, 2), 'little traffic'
     )
 
 
@@ -368,8 +444,11 @@
     """
     Return routes without a verdict, if a commit risks too many requests.
 
-    With little traffic even a bad version cannot get too many of them.
+    With little traffic even a bad version cannot get too many of them; how
+    much there is is unknown if reports are missing.
     """
+    if not progress.is_complete:
+        return progress.exposure.routes_without_verdict()
     elapsed_s = now_s - record.created_at_s
     remaining_s = record.deadline_at_s - now_s
     would_exceed = progress.exposure.would_exceed(
