Hand what all hosts have counted to whoever drives a move

Callers saw: nothing; operators lost good versions. With the driver of a move killed, its evidence was gone, and since a commit needs evidence, a good version had to be taken back. Cause: evidence was in the driver's memory only; hosts sent counts and forgot them. Change: each host keeps its totals of a move until its end. A daemon that begins to drive in the middle asks all for them; reports are numbered, so that what is on its way counts once. The part of the hosts that counted from the beginning is known, and without enough of them no share is raised.

--- a/bronzesill/daemon/components.py
+++ b/bronzesill/daemon/components.py
@@ -151,6 +151,7 @@
             roles.drivers,
             membership.publish_fact,
         )
+        moves.list_peers = roles.other_daemons
         quotas = QuotaController(
             settings.name,
             QuotaTable(),
--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -8,7 +8,7 @@
 
 from ..config import HostedSettings
 from ..gateway import GatewayState
-from ..moves import ExposureLimit, MoveReport
+from ..moves import ExposureLimit, FetchMoveTotals, MoveReport
 from ..platform.headers import PlatformDialect
 from ..platform.http_apps import make_directory_app, make_readiness_app
 from ..platform.store import ALL_KEYS, PlatformStore
@@ -156,6 +156,9 @@
         self._peers.handlers_by_type[MoveReport] = (
             self._moves.controller.answer_report
         )
+        self._peers.handlers_by_type[FetchMoveTotals] = (
+            self._moves.controller.answer_totals
+        )
         self._metrics_server = HttpServer(metrics.make_app, settings.metrics)
         requests = HostedRequests(
             RequestContext(
--- a/bronzesill/daemon/hosted_moves.py
+++ b/bronzesill/daemon/hosted_moves.py
@@ -20,6 +20,7 @@
     fact_of,
     find_drivers,
     find_move_id,
+    find_others,
     record_from_entry,
     should_publish_status,
     status_of,
@@ -88,6 +89,9 @@
             membership.publish_fact,
             exposure_limit,
         )
+        self.controller.list_peers = lambda: find_others(
+            membership.view, membership.own.name
+        )
         self.traffic = HostedTraffic(self, tracker)
         membership.listeners.append(self._apply_view_change)
 
--- a/bronzesill/daemon/peer_messages.py
+++ b/bronzesill/daemon/peer_messages.py
@@ -14,7 +14,12 @@
     PingRequest,
     View,
 )
-from ..moves import MoveReport, MoveReportReply
+from ..moves import (
+    FetchMoveTotals,
+    MoveReport,
+    MoveReportReply,
+    MoveTotals,
+)
 from ..quarantine import (
     BlockNotice,
     CrashReport,
@@ -52,6 +57,8 @@
         8: View,
         50: MoveReport,
         51: MoveReportReply,
+        52: FetchMoveTotals,
+        53: MoveTotals,
         60: UseReport,
         63: FetchUse,
         64: FetchReplica,
--- a/bronzesill/daemon/protocol.py
+++ b/bronzesill/daemon/protocol.py
@@ -25,7 +25,7 @@
 from ..limits.quota import QuotaRequest, QuotaResponse
 from ..limits.quota_controller import QuotaController
 from ..membership import FetchView, MembershipController
-from ..moves import MoveReport, MovesController
+from ..moves import FetchMoveTotals, MoveReport, MovesController
 from ..utils import ResultCode
 from ..wire import MessageRegistry
 from .config_controller import ConfigController
@@ -108,6 +108,8 @@
         match request:
             case MoveReport():
                 return self._moves.answer_report(request)
+            case FetchMoveTotals():
+                return self._moves.answer_totals(request)
             case QuotaRequest():
                 return self._quotas.answer(request)
             case _:
--- a/bronzesill/daemon/roles.py
+++ b/bronzesill/daemon/roles.py
@@ -11,7 +11,7 @@
     choose_replicas,
     is_watcher,
 )
-from ..moves import Driver, find_drivers
+from ..moves import Driver, find_drivers, find_others
 from ..utils import Address
 
 __all__ = ['RoleFinder']
@@ -57,6 +57,10 @@
         """Return the daemons that drive a move, first choice first."""
         return find_drivers(self._membership.view, move_id)
 
+    def other_daemons(self) -> tuple[Driver, ...]:
+        """Return the other live daemons."""
+        return find_others(self._membership.view, self._membership.own.name)
+
     def quota_coordinator(self, account: str) -> QuotaCoordinator | None:
         """
         Return the daemon that distributes the quota of a client account.
--- a/bronzesill/daemon/tests/test_hosted_moves.py
+++ b/bronzesill/daemon/tests/test_hosted_moves.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import unittest
 
 import orjson
@@ -18,6 +19,7 @@
 from ...standins.worker import WorkerPlan
 from ...store import Mutation
 from ...utils.logs import JsonFormatter
+from ..hosted import HostedDaemon
 from .hosted_caller import HostedCaller
 
 _SERVICE = 'shop'
@@ -166,6 +168,49 @@
         self.assertTrue((await self.wait_until_final()).is_taken_back)
 
 
+class KilledDriverTest(_OrderCase):
+    """The daemon that drives a move is killed and starts again."""
+
+    # Guards against a driver that goes on without what the others have seen.
+    async def test_restarted_driver_asks_for_all_evidence(self) -> None:
+        while not self.runs(_NEW):
+            await asyncio.sleep(0.02)
+        driver = self.find_driver()
+        with self.assertLogs('absl', 'INFO') as logs:
+            await self.fleet.kill(driver)
+            settings = driver.settings
+            seeds = tuple(
+                daemon.settings.peers
+                for daemon in self.fleet.daemons
+                if daemon is not driver
+            )
+            self.fleet.add_daemon(
+                settings=dataclasses.replace(settings, seeds=seeds)
+            )
+            await self.wait_until_final()
+        lines = map(JsonFormatter().format, logs.records)
+        takeovers = [
+            fields
+            for fields in map(orjson.loads, lines)
+            if fields.get('event') == 'move_taken_over'
+            and fields['daemon'] == settings.name
+        ]
+        self.assertTrue(takeovers)
+        self.assertEqual(takeovers[-1]['totals'], len(seeds) + 1)
+        self.assertAlmostEqual(takeovers[-1]['coverage'], 2 / 3, places=1)
+
+    def find_driver(self) -> HostedDaemon:
+        """Return the daemon that drives the only move."""
+        first = self.fleet.daemons[0]._moves.controller
+        record = first.move_table.records()[0]
+        name = first._find_drivers(record.move_id)[0].name
+        return next(
+            daemon
+            for daemon in self.fleet.daemons
+            if daemon.settings.name == name
+        )
+
+
 class _ReturnedStoreCase(_OrderCase):
     """The store comes back from a copy that was made before the order."""
 
--- a/bronzesill/moves/__init__.py
+++ b/bronzesill/moves/__init__.py
@@ -5,7 +5,7 @@
     ComparisonPolicy,
     SequentialComparison,
 )
-from .controller import Driver, MovesController, find_drivers
+from .controller import Driver, MovesController, find_drivers, find_others
 from .evidence import Evidence, ServerEvidence, bucket_of_s
 from .exposure import ExposureLimit
 from .move_table import MoveTable
@@ -26,7 +26,13 @@
     decide,
 )
 from .record import MoveRecord, MoveState, fact_of, has_ended
-from .reports import MoveReport, MoveReportReply, Observation
+from .reports import (
+    FetchMoveTotals,
+    MoveReport,
+    MoveReportReply,
+    MoveTotals,
+    Observation,
+)
 from .repository import MOVE_PREFIX, record_from_entry
 from .split import KnownMove, effective_share, split_of
 
@@ -38,6 +44,7 @@
     'Driver',
     'Evidence',
     'ExposureLimit',
+    'FetchMoveTotals',
     'KnownMove',
     'MoveAction',
     'MoveDecision',
@@ -49,6 +56,7 @@
     'MoveReportReply',
     'MoveState',
     'MoveTable',
+    'MoveTotals',
     'MovesController',
     'Observation',
     'OrderStatus',
@@ -61,6 +69,7 @@
     'fact_of',
     'find_drivers',
     'find_move_id',
+    'find_others',
     'has_ended',
     'record_from_entry',
     'should_publish_status',
--- a/bronzesill/moves/controller.py
+++ b/bronzesill/moves/controller.py
@@ -17,15 +17,31 @@
 from .move_table import MoveTable
 from .policy import MovePlan
 from .record import MoveRecord, MoveState, fact_of
-from .reports import MoveReport, MoveReportReply, ObservationLog
+from .reports import (
+    FetchMoveTotals,
+    MoveReport,
+    MoveReportReply,
+    MoveTotals,
+    ObservationLog,
+    ReportTotals,
+)
 from .repository import MoveRepository
 from .split import KnownMove
 
-__all__ = ['Driver', 'FindDrivers', 'MovesController', 'find_drivers']
+__all__ = [
+    'Driver',
+    'FindDrivers',
+    'MovesController',
+    'find_drivers',
+    'find_others',
+]
 
 _TICK_S = 0.5
 _REPORT_TIMEOUT_S = 0.5
 _RECONCILE_TICKS = 20
+#: After so many ticks a daemon has learnt of the moves that were open at its
+#: start; those that it hears of later have just begun.
+_SETTLED_TICKS = 6
 
 _log = PartLogger('moves')
 
@@ -57,6 +73,20 @@
     return tuple(Driver(member.name, member.peers) for member in chosen)
 
 
+def find_others(view: FleetView, own_name: str) -> tuple[Driver, ...]:
+    """
+    Return all other live daemons, which have evidence of their own.
+
+    :param view: a daemon's view of the fleet.
+    :param own_name: name of that daemon.
+    """
+    return tuple(
+        Driver(member.name, member.peers)
+        for member in view.members_by_name.values()
+        if member.is_alive and member.name != own_name
+    )
+
+
 class MovesController:
     """
     Reports evidence on all moves and drives those assigned to this daemon.
@@ -87,6 +117,10 @@
     ) -> None:
         self.observations = ObservationLog()
         self.move_table = MoveTable()
+        #: Returns the other daemons, which have evidence of their own.
+        self.list_peers: Callable[[], tuple[Driver, ...]] = tuple
+        self._totals = ReportTotals(daemon_name)
+        self._ticks = 0
         self._daemon_name = daemon_name
         self._repository = MoveRepository(store)
         self._client = client
@@ -107,13 +141,12 @@
         :param should_reconcile: returns whether this daemon is one of the
             few that periodically compare their moves with the store.
         """
-        tick = 0
         while True:
             await asyncio.sleep(_TICK_S)
-            tick += 1
+            self._ticks += 1
             await self._report_all()
             await self._drive_all()
-            if tick % _RECONCILE_TICKS == 1 and should_reconcile():
+            if self._ticks % _RECONCILE_TICKS == 1 and should_reconcile():
                 await self._reconcile()
 
     def answer_report(self, report: MoveReport) -> MoveReportReply:
@@ -128,6 +161,10 @@
         is_driver = bool(drivers) and drivers[0].name == self._daemon_name
         return MoveReportReply(is_driver)
 
+    def answer_totals(self, request: FetchMoveTotals) -> MoveTotals:
+        """Return all evidence of this daemon on a move."""
+        return self._totals.total(request.move_id)
+
     async def list_records(self) -> tuple[MoveRecord, ...]:
         """Return all records in the store, for an operator."""
         return tuple(stored.record for stored in await self._repository.list())
@@ -245,11 +282,21 @@
     async def _report_all(self) -> None:
         for move in self.move_table.open_moves():
             record = move.record
+            has_seen_begin = not record.share or self._ticks > _SETTLED_TICKS
+            self._totals.begin(record.move_id, is_whole=has_seen_begin)
             entries = self.observations.drain(record.subject)
             if entries:
-                report = MoveReport(record.move_id, self._daemon_name, entries)
+                report = self._totals.make_report(record.move_id, entries)
                 await self._send_report(report)
         self.observations.clear()
+        self._forget_ended()
+
+    def _forget_ended(self) -> None:
+        open_ids = [
+            move.record.move_id for move in self.move_table.open_moves()
+        ]
+        self._totals.keep_only(open_ids)
+        self._driver.keep_only(open_ids)
 
     async def _send_report(self, report: MoveReport) -> None:
         drivers = self._find_drivers(report.move_id)
@@ -277,9 +324,34 @@
         names = [driver.name for driver in drivers]
         if self._daemon_name not in names:
             return
+        is_begun = move.record.share > 0
+        if is_begun and not self._driver.is_driving(move.record.move_id):
+            await self._take_over(move.record)
         try:
             await self._driver.drive(
                 move, is_primary=names[0] == self._daemon_name
             )
         except BronzesillError as error:
             _log.warning('cannot drive move %s: %s', move.record.move_id, error)
+
+    async def _take_over(self, record: MoveRecord) -> None:
+        """Collect what all daemons have counted since the move began."""
+        peers = self.list_peers()
+        fetched = await asyncio.gather(
+            *(self._fetch_totals(peer, record.move_id) for peer in peers)
+        )
+        own = self._totals.total(record.move_id)
+        totals = [own, *(total for total in fetched if total is not None)]
+        self._driver.take_over(record, totals, len(peers) + 1)
+
+    async def _fetch_totals(
+        self, peer: Driver, move_id: str
+    ) -> MoveTotals | None:
+        try:
+            reply = await self._client.request(
+                peer.address, FetchMoveTotals(move_id), _REPORT_TIMEOUT_S
+            )
+        except BronzesillError as error:
+            _log.info('no totals of %s: %s', peer.name, error)
+            return None
+        return reply if isinstance(reply, MoveTotals) else None
--- a/bronzesill/moves/driver.py
+++ b/bronzesill/moves/driver.py
@@ -5,7 +5,7 @@
 import asyncio
 import dataclasses
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from ..membership import Fact
 from ..utils import BronzesillError, PartLogger, ResultCode
@@ -14,7 +14,7 @@
 from .move_table import MoveTable
 from .policy import MoveAction, MoveDecision, MoveProgress, decide
 from .record import MoveRecord, MoveState, fact_of, has_ended, rollback_fact
-from .reports import MoveReport, evidence_of
+from .reports import MoveReport, MoveTotals, evidence_of
 from .repository import MoveRepository, StoredMove
 from .split import KnownMove
 
@@ -50,13 +50,62 @@
         self._move_table = move_table
         self._publish_fact = publish_fact
         self._progress_by_id: dict[str, MoveProgress] = {}
-        self._evidence_by_id: dict[str, dict[str, Evidence]] = {}
+        #: Reports for the next step of each move.
+        self._reports_by_id: dict[str, list[MoveReport]] = {}
+        #: Last report that is part of the totals of a daemon, by move.
+        self._counted_by_id: dict[str, dict[str, int]] = {}
 
     def add_report(self, report: MoveReport) -> None:
         """Add the evidence of one daemon, for the next step of the move."""
-        evidence = self._evidence_by_id.setdefault(report.move_id, {})
-        for route, added in evidence_of(report.entries).items():
-            evidence[route] = evidence.get(route, Evidence()).plus(added)
+        if not self._is_counted(report):
+            self._reports_by_id.setdefault(report.move_id, []).append(report)
+
+    def is_driving(self, move_id: str) -> bool:
+        """Return whether this daemon has received the reports on a move."""
+        return move_id in self._progress_by_id
+
+    def take_over(
+        self, record: MoveRecord, totals: Iterable[MoveTotals], daemons: int
+    ) -> None:
+        """
+        Begin to drive a move that others have driven so far.
+
+        :param record: record of the move.
+        :param totals: evidence of the daemons, including this one.
+        :param daemons: number of all daemons.
+        """
+        move_id = record.move_id
+        known = tuple(totals)
+        self._counted_by_id[move_id] = {
+            total.report.sender: total.report.sequence for total in known
+        }
+        received = self._reports_by_id.get(move_id, [])
+        self._reports_by_id[move_id] = [
+            *(total.report for total in known),
+            *(report for report in received if not self._is_counted(report)),
+        ]
+        coverage = sum(total.is_whole for total in known) / daemons
+        progress = MoveProgress.from_record(record, self._exposure_limit)
+        self._progress_by_id[move_id] = dataclasses.replace(
+            progress, coverage=coverage
+        )
+        _log.event(
+            'move_taken_over',
+            move=move_id,
+            daemon=self._daemon_name,
+            totals=len(known),
+            coverage=round(coverage, 2),
+        )
+
+    def keep_only(self, move_ids: Iterable[str]) -> None:
+        """Forget the evidence on all moves but the given ones."""
+        kept = frozenset(move_ids)
+        for move_id in (
+            self._reports_by_id | self._progress_by_id
+        ).keys() - kept:
+            self._progress_by_id.pop(move_id, None)
+            self._reports_by_id.pop(move_id, None)
+            self._counted_by_id.pop(move_id, None)
 
     async def drive(self, move: KnownMove, *, is_primary: bool) -> None:
         """
@@ -72,7 +121,7 @@
         decision = decide(
             record,
             progress or MoveProgress.from_record(record, self._exposure_limit),
-            self._evidence_by_id.pop(record.move_id, {}),
+            _sum_reports(self._reports_by_id.pop(record.move_id, [])),
             time.time(),
         )
         self._progress_by_id[record.move_id] = dataclasses.replace(
@@ -132,6 +181,11 @@
         self._publish_fact(rollback_fact(move_id, reason))
         return None
 
+    def _is_counted(self, report: MoveReport) -> bool:
+        """Return whether a report is part of totals that were received."""
+        counted = self._counted_by_id.get(report.move_id, {})
+        return 0 < report.sequence <= counted.get(report.sender, 0)
+
     async def _record_rollback(
         self, move_id: str, by: str, reason: str
     ) -> MoveRecord:
@@ -174,6 +228,13 @@
         self._publish_fact(fact_of(changed))
 
 
+def _sum_reports(reports: Iterable[MoveReport]) -> dict[str, Evidence]:
+    """Return the evidence of all reports together, by route."""
+    return evidence_of(
+        tuple(entry for report in reports for entry in report.entries)
+    )
+
+
 def _log_decision(
     record: MoveRecord, decision: MoveDecision, daemon: str
 ) -> None:
@@ -188,7 +249,7 @@
         reason=decision.reason,
         started=progress.started.explain(),
         sound=progress.sound.explain(),
-        is_complete=progress.is_complete,
+        coverage=round(progress.coverage, 2),
         remaining_s=round(record.deadline_at_s - time.time(), 2),
         evidence={
             route or 'all': comparison.summarize()
--- a/bronzesill/moves/policy.py
+++ b/bronzesill/moves/policy.py
@@ -69,6 +69,8 @@
 _MIN_RAISE_FACTOR = 1.3
 #: With fewer answers of both versions there is no traffic to judge by.
 _MIN_TRAFFIC = 6
+#: Part of the daemons whose reports tell how many requests there are.
+_MIN_COVERAGE = 0.6
 #: Effect sizes and thresholds of short moves.  They yield little evidence, so
 #: the thresholds are lower: a bad version must not be committed.
 _SHORT_POLICY = ComparisonPolicy(
@@ -177,7 +179,8 @@
     :param sound: answers since the move began, and failures among them.
     :param exposure: answered requests since the move began.
     :param exposure_limit: requests that a bad version may get.
-    :param is_complete: whether all reports since the order are included.
+    :param coverage: part of the daemons all of whose reports since the order
+        are included, 0 to 1.
     """
 
     comparisons_by_route: dict[str, SequentialComparison]
@@ -189,7 +192,7 @@
     sound: SoundAnswers = field(default_factory=SoundAnswers)
     exposure: Exposure = field(default_factory=Exposure)
     exposure_limit: ExposureLimit = field(default_factory=ExposureLimit)
-    is_complete: bool = True
+    coverage: float = 1
 
     @classmethod
     def from_record(
@@ -216,7 +219,7 @@
             policy,
             exposure_limit=exposure_limit or ExposureLimit(),
             # No request was answered by the new version without a share.
-            is_complete=not record.share,
+            coverage=0 if record.share else 1,
         )
 
     @property
@@ -397,7 +400,7 @@
 def _has_no_traffic(progress: MoveProgress) -> bool:
     """Return whether nearly no request came since the order."""
     answered = progress.exposure.totals.total
-    return progress.is_complete and answered < _MIN_TRAFFIC
+    return progress.coverage >= 1 and answered < _MIN_TRAFFIC
 
 
 def _share_for_answers(
@@ -406,7 +409,7 @@
     """Return the share that yields enough answers before the last commit."""
     sound = progress.sound
     is_doubtful = bool(sound.new.bad) and not sound.speaks_for_new
-    if is_doubtful or not progress.is_complete:
+    if is_doubtful or progress.coverage < _MIN_COVERAGE:
         return 0
     window = LookWindow(
         now_s - record.created_at_s,
@@ -447,7 +450,7 @@
     With little traffic even a bad version cannot get too many of them; how
     much there is is unknown if reports are missing.
     """
-    if not progress.is_complete:
+    if progress.coverage < _MIN_COVERAGE:
         return progress.exposure.routes_without_verdict()
     elapsed_s = now_s - record.created_at_s
     remaining_s = record.deadline_at_s - now_s
