Answer every request before a stopping host exits

Reproduced with stand-ins: a stream that waits for a server, one at a silent server and an order at a silent server ended with a closed connection. Cause: what had no answer yet at the end of the grace period was closed with the connections; nothing owned it. Change: requests whose answers have not begun are listed. Those sent to no server are refused with "not run" as soon as they could not end in time, the others get a 502 just before the exit.

--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -293,6 +293,7 @@
         linger_until_s = min(loop.time() + _STOP_LINGER_S, stops_at_s)
         await self._fleet.deregister()
         while loop.time() < stops_at_s:
+            self._state.open_requests.end_before(stops_at_s, loop.time())
             is_idle = not self._caller_server.running
             if is_idle and loop.time() >= linger_until_s:
                 break
--- a/bronzesill/daemon/tests/test_planned_stop.py
+++ b/bronzesill/daemon/tests/test_planned_stop.py
@@ -2,8 +2,14 @@
 
 import asyncio
 import unittest
-
-from ...standins.hosted_fleet import HostedFleet, HostedPlan
+from collections.abc import Coroutine
+from typing import Any
+
+from ...standins.hosted_fleet import (
+    HostedFleet,
+    HostedPlan,
+    make_configuration,
+)
 from ...standins.worker import WorkerPlan, expected_events
 from .hosted_caller import HostedAnswer, HostedCaller
 
@@ -13,6 +19,9 @@
 _WARM_UP_STREAMS = 10
 _HTTP_OK = 200
 _NOT_RUN = 503
+_UNKNOWN = 502
+#: A refusal at once, on a busy machine too.
+_AT_ONCE_S = 1.0
 _CALL_WORK_S = 1.2
 
 
@@ -112,5 +121,58 @@
         self.assertEqual(answer.status, _HTTP_OK)
 
 
+class UnansweredTest(_StopCase):
+    """Requests that are still without an answer when the host exits."""
+
+    plan = HostedPlan(
+        daemons=1,
+        workers=(
+            WorkerPlan('engine-a', 'engines', is_engine=True, slots=1),
+            WorkerPlan('shop-a', 'shop'),
+        ),
+        grace_s=_GRACE_S,
+    )
+
+    def silence(self, name: str) -> None:
+        self.fleet.workers_by_name[name].is_answering.clear()
+
+    async def stop_under(
+        self, request: Coroutine[Any, Any, HostedAnswer]
+    ) -> tuple[HostedAnswer, float]:
+        """Stop the host under a request; return the answer and its time."""
+        task = asyncio.create_task(request)
+        await asyncio.sleep(0.3)
+        stopped_at_s = asyncio.get_running_loop().time()
+        self.daemon.begin_stop()
+        answer = await task
+        return answer, asyncio.get_running_loop().time() - stopped_at_s
+
+    # Guards against connections that are closed without any answer under
+    # streams that wait for a server.
+    async def test_waiting_stream_is_refused_at_once(self) -> None:
+        await self.fleet.workers_by_name['engine-a'].stop()
+        answer, after_s = await self.stop_under(self.stream())
+        self.assertEqual(answer.status, _NOT_RUN)
+        self.assertLess(after_s, _AT_ONCE_S)
+
+    async def test_silent_stream_gets_an_answer_before_the_exit(self) -> None:
+        self.silence('engine-a')
+        answer, _ = await self.stop_under(self.stream())
+        self.assertEqual(answer.status, _UNKNOWN)
+
+    async def test_silent_call_gets_an_answer_before_the_exit(self) -> None:
+        changed = make_configuration()
+        for route in changed['routes']:
+            route['timeoutMs'] = 10_000
+        await self.fleet.configure({**changed, 'version': 2})
+        await asyncio.sleep(0.5)
+        self.silence('shop-a')
+        order = self.caller.send_request(
+            self.daemon.settings.callers, '/orders/1'
+        )
+        answer, _ = await self.stop_under(order)
+        self.assertEqual(answer.status, _UNKNOWN)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/bronzesill/gateway/completions.py
+++ b/bronzesill/gateway/completions.py
@@ -121,7 +121,7 @@
         renderer = AnswerRenderer(request, is_chat=is_chat, position=position)
         reader = _AnswerReader(self, exchange, request, position)
         response.set_header('X-Request-Id', request.request_id)
-        await run_until_disconnect(http, reader.open())
+        await run_until_disconnect(http, asyncio.create_task(reader.open()))
         reader.end_on_disconnect(http)
         if exchange.fields.get('stream', False):
             response.content_type = 'text/event-stream'
--- a/bronzesill/gateway/disconnect.py
+++ b/bronzesill/gateway/disconnect.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import sys
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from falcon import asgi
@@ -138,25 +138,24 @@
 
 
 async def run_until_disconnect(
-    http: asgi.Request, work: Coroutine[Any, Any, None]
+    http: asgi.Request, work: asyncio.Task[None]
 ) -> None:
     """
-    Run a coroutine, and cancel it if the caller disconnects.
+    Wait for a task, and cancel it if the caller disconnects.
 
     :param http: the request; its body has been read.
-    :param work: the coroutine.
+    :param work: the task.
     :raises BronzesillError: ``CALLER_LEFT``, or an error raised by ``work``.
     """
-    task = asyncio.create_task(work)
-    watcher = watch_disconnect(http, task.cancel)
+    watcher = watch_disconnect(http, work.cancel)
     try:
-        await task
+        await work
     except asyncio.CancelledError:
         if watcher.done() and not watcher.cancelled():
             raise BronzesillError(
                 ResultCode.CALLER_LEFT, 'the caller disconnected'
             ) from None
-        task.cancel()
+        work.cancel()
         raise
     finally:
         watcher.cancel()
--- a/bronzesill/gateway/forward_stream.py
+++ b/bronzesill/gateway/forward_stream.py
@@ -115,6 +115,10 @@
             )
         self._answer_start = event
 
+    def has_sent(self) -> bool:
+        """Return whether the request may have reached a server."""
+        return self._generations.has_sent(self._request)
+
     def end_on_disconnect(self, http: asgi.Request) -> None:
         """End the stream when the caller disconnects."""
         self._disconnect_watcher = watch_disconnect(http, self._on_disconnect)
--- a/bronzesill/gateway/forwarding.py
+++ b/bronzesill/gateway/forwarding.py
@@ -36,7 +36,6 @@
 )
 from .disconnect import (
     ReceiveBufferMiddleware,
-    run_until_disconnect,
 )
 from .exchange import Exchange, RequestFilter, run_filters
 from .filters import (
@@ -48,17 +47,18 @@
 )
 from .forward_stream import ForwardedStream
 from .rendering import render_error
-from .state import GatewayState
+from .state import (
+    STOP_MARGIN_S,
+    GatewayState,
+    OpenRequest,
+    stopping_error,
+)
 
 __all__ = ['ForwardComponents', 'ForwardResource', 'make_forward_app']
 
 _FALLBACK_STATUS = 503
 _MS_PER_S = 1000
 _CLOSE = 'close'
-_STOPPING_RETRY_AFTER_S = 0.05
-
-#: Time before a stopping host exits by which its requests have to end.
-_STOP_MARGIN_S = 0.2
 
 #: HTTP statuses of invalid requests, of requests that may have run, and of
 #: time-outs.  All other codes give ``_FALLBACK_STATUS``.
@@ -152,7 +152,9 @@
             self._record_latency('stream_first_event', started_s)
             return
         running_call = self._run_call(resp, forward, route, exchange.route_name)
-        await run_until_disconnect(req, running_call)
+        # How far a call has come is known to its attempts only.
+        call = OpenRequest(_always, lambda _: forward.deadline_at_s)
+        await self._state.open_requests.run(req, running_call, call)
         self._announce_close(resp)
         if route.idempotent:
             self._record_call(route, started_s)
@@ -204,12 +206,8 @@
         if stops_at_s is None:
             return
         latest_end_s = self._latest_end_s(route, forward, now_s)
-        if latest_end_s + _STOP_MARGIN_S > stops_at_s:
-            raise BronzesillError(
-                ResultCode.STOPPING,
-                'not run: this host is shutting down',
-                retry_after_s=_STOPPING_RETRY_AFTER_S,
-            )
+        if latest_end_s + STOP_MARGIN_S > stops_at_s:
+            raise stopping_error()
 
     def _latest_end_s(
         self, route: Route, forward: ForwardRequest, now_s: float
@@ -311,7 +309,14 @@
         )
         opening = stream.open()
         try:
-            await run_until_disconnect(req, opening)
+            await self._state.open_requests.run(
+                req,
+                opening,
+                OpenRequest(
+                    stream.has_sent,
+                    functools.partial(self._latest_end_s, route, forward),
+                ),
+            )
         except BaseException:
             stream.close()
             raise
@@ -324,6 +329,10 @@
         resp.stream = stream.events()
 
 
+def _always() -> bool:
+    return True
+
+
 def make_forward_app(
     resource: ForwardResource,
 ) -> ReceiveBufferMiddleware:
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -150,6 +150,11 @@
         if generation is not None:
             generation.mailbox.put_nowait(Unsubscribe(queue))
 
+    def has_sent(self, request: GenerationRequest) -> bool:
+        """Return whether an attempt at a request was sent to a server."""
+        generation = self.tasks_by_key.get(request.key)
+        return generation is None or generation.state.sends > 0
+
     def find_address(self, server: str) -> Address | None:
         """Return the address of a backend server, or None if unknown."""
         backend = self._tracker.servers_by_name.get(server)
