Write answers to their end before a planned exit closes connections

Callers would see: an answer that ends early with the connection, if they read it slowly while its host is stopped. Cause: a planned exit aborted all connections as a crash does, also those whose answer the application had handed over but the socket had not taken yet. Change: connections of answered requests are closed when all is written, within the rest of the grace period; unanswered ones are aborted as before. Evidence: test_planned_close fails with the abort (2.8 of 4.2 MB arrived) and passes now; idle callers and callers that read nothing do not delay the exit.

--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -48,6 +48,8 @@
 _STOP_MARGIN_S = 0.5
 _STOP_POLL_S = 0.05
 _STOP_LINGER_S = 4.0
+#: Time after the last answer for its bytes, well within the margin.
+_FLUSH_S = 0.2
 
 _log = PartLogger('daemon')
 
@@ -300,7 +302,10 @@
             await asyncio.sleep(_STOP_POLL_S)
 
     async def _close(self) -> None:
-        shutdowns = [server.kill() for server in self._http_servers()]
+        now_s = asyncio.get_running_loop().time()
+        remaining_s = (self._state.stops_at_s or now_s) - now_s
+        flush_s = max(remaining_s, 0) + _FLUSH_S
+        shutdowns = [server.close(flush_s) for server in self._http_servers()]
         await asyncio.gather(*shutdowns, self._peers.close())
         self._pool.close()
         self._store.close()
--- a/bronzesill/utils/serving.py
+++ b/bronzesill/utils/serving.py
@@ -23,6 +23,7 @@
 
 _BACKLOG = 2048
 _HEADER_OVERHEAD_BYTES = 4
+_FLUSH_POLL_S = 0.01
 _ERROR_RESPONSE = (
     'HTTP/1.1 {0}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
 )
@@ -264,6 +265,25 @@
             await self._task
         self._socket.close()
 
+    async def close(self, flush_s: float) -> None:
+        """
+        Close all connections, and let answers that were sent arrive.
+
+        What a slow caller has not read yet is still written; requests that
+        are not answered are aborted.
+
+        :param flush_s: longest time in seconds until all is written.
+        """
+        server = self._server
+        if server is not None:
+            for listener in server.servers:
+                listener.close()
+            for connection in tuple(server.server_state.connections):
+                _close_when_written(connection)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(_wait_until_closed(server), flush_s)
+        await self.kill()
+
     def abort_connections(self) -> None:
         """Abort all connections, as a failure of the network does."""
         if self._server is not None:
@@ -287,6 +307,20 @@
         self._socket.close()
 
 
+async def _wait_until_closed(server: uvicorn.Server) -> None:
+    while server.server_state.connections:
+        await asyncio.sleep(_FLUSH_POLL_S)
+
+
+def _close_when_written(connection: Any) -> None:
+    """Close a connection whose request is answered, else abort it."""
+    cycle = connection.cycle
+    if cycle is None or cycle.response_complete:
+        connection.transport.close()
+    else:
+        connection.transport.abort()
+
+
 def _bind(address: Address) -> socket.socket:
     # asyncio disables Nagle's algorithm only if the protocol is given.
     listener = socket.socket(
