Ask servers that have answered nothing of late whether they are running

Change: one host, two while the store is unreachable, sends a health check to each server that has answered nothing for 0.4 s; the time of sending is the evidence. A restart that is found is told to the other hosts at once.

--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -33,7 +33,7 @@
 from .hosted_store_state import HostedStoreState
 from .peer_replication import PeerReplication
 from .quarantine import Quarantine
-from .restart_detector import RestartDetector
+from .restart_detector import RestartDetector, rank_to_ask
 from .task_runner import BackgroundTask, run_tasks
 from .usage_exchange import UsageExchange
 
@@ -147,6 +147,9 @@
             self._pool,
             self._dialect,
             settings.bounds.reuse_s,
+            lambda server: rank_to_ask(
+                settings.name, self._fleet.live_peers(), server
+            ),
         )
         self._usage_exchange.on_restart = self._store_state.record_restart
         self._peers.handlers_by_type[FetchUse] = (
--- a/bronzesill/daemon/restart_detector.py
+++ b/bronzesill/daemon/restart_detector.py
@@ -3,27 +3,39 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable, Iterable
 
 from ..config import RegisteredServer
+from ..membership import Member
 from ..routing import LastActivity, ServerRestart, ServerTracker
 from ..upstream import (
     AnswerError,
     AnswerHead,
+    ConnectionLease,
     ConnectionPool,
     HealthDialect,
     RequestNotSent,
     Target,
     uptime_s,
 )
+from ..utils import rank_by_rendezvous
 from .hosted_store_state import HostedStoreState
 
-__all__ = ['CHECK_INTERVAL_S', 'RestartDetector']
+__all__ = ['CHECK_INTERVAL_S', 'RestartDetector', 'rank_to_ask']
 
 #: Well below the gap between two checks that counts as a pause of the process.
 CHECK_INTERVAL_S = 0.12
 _PROBE_TIMEOUT_S = 0.5
 _FAILURE_WINDOW_S = 2.0
+#: A restart is found if the server answered a question that was sent so shortly
+#: before its end; it takes a second or more to start again.
+_QUESTION_INTERVAL_S = 0.4
+#: Hosts that ask each server, and while the store lists no restarted ones.
+_ASKING_HOSTS = 1
+_ASKING_HOSTS_IN_OUTAGE = 2
+_MAX_IDLE_S = 4.0
 _HTTP_OK = 200
+_MAX_HEALTH_BYTES = 64 * 1024
 
 
 class RestartDetector:
@@ -31,7 +43,9 @@
     Task that probes the addresses of servers that failed recently.
 
     A restarted server keeps its address but has another name, with which it
-    answers the health check.
+    answers the health check.  Only an answer to a question tells that a server
+    was running when it was asked; a server that has answered no request of
+    late, as its streams are long, is asked by one host or two.
 
     :param store_state: configuration and listed servers.
     :param tracker: state of the backend servers.
@@ -39,6 +53,8 @@
     :param dialect: encoding of health checks.
     :param reuse_s: seconds for which the address of an ended server is not
         given to another service.
+    :param rank: returns the rank of this host among those that may ask a
+        server, 0 for the first.
     """
 
     def __init__(
@@ -48,13 +64,20 @@
         pool: ConnectionPool,
         dialect: HealthDialect,
         reuse_s: float,
+        rank: Callable[[str], int],
     ) -> None:
         self._store_state = store_state
         self._tracker = tracker
         self._pool = pool
         self._dialect = dialect
         self._activity = LastActivity(reuse_s)
+        self._rank = rank
         self._probing: set[str] = set()
+        #: Servers that are being asked, and uptime of the last question.
+        self._asking: set[str] = set()
+        self._asked_at_s: dict[str, float] = {}
+        #: Uptime at which a question to a server got no answer.
+        self._unanswered_at_s: dict[str, float] = {}
 
     def record_answer(self, server: str, head: AnswerHead) -> None:
         """Record that a server answered a request."""
@@ -81,18 +104,69 @@
                 self._activity = self._activity.with_check(uptime_s())
                 for server in self._probe_candidates():
                     group.create_task(self._probe(server))
+                for server in self._servers_to_ask():
+                    group.create_task(self._ask(server))
 
     def _recently_failed(self) -> tuple[str, ...]:
         now_s = asyncio.get_running_loop().time()
         return self._tracker.failed_since(now_s - _FAILURE_WINDOW_S)
 
     def _probe_candidates(self) -> tuple[str, ...]:
-        failed = self._recently_failed()
+        self._unanswered_at_s = _since(
+            uptime_s() - _FAILURE_WINDOW_S, self._unanswered_at_s
+        )
+        failed = {*self._recently_failed(), *self._unanswered_at_s}
         candidates = self._activity.restart_candidates(failed, uptime_s())
         return tuple(
             server for server in candidates if server not in self._probing
         )
 
+    def _servers_to_ask(self) -> tuple[str, ...]:
+        """Return the servers that this host asks whether they are running."""
+        self._asked_at_s = _since(
+            uptime_s() - _QUESTION_INTERVAL_S, self._asked_at_s
+        )
+        listing = self._store_state.listing
+        askers = (
+            _ASKING_HOSTS_IN_OUTAGE
+            if listing.is_store_unreachable
+            else _ASKING_HOSTS
+        )
+        due = filter(self._is_due, listing.listed_by_name)
+        return tuple(server for server in due if self._rank(server) < askers)
+
+    def _is_due(self, server: str) -> bool:
+        """Return whether nothing was heard of a server for an interval."""
+        waiting = (self._asking, self._asked_at_s, self._unanswered_at_s)
+        if any(server in known for known in waiting):
+            return False
+        due_s = uptime_s() - _QUESTION_INTERVAL_S
+        return not self._activity.is_active_since(server, due_s)
+
+    async def _ask(self, server: str) -> None:
+        """Ask a server whether it is running, on a connection that is open."""
+        listed = self._store_state.listing.listed_by_name[server]
+        now_s = asyncio.get_running_loop().time()
+        if self._tracker.wait_s(server, now_s):
+            return
+        self._tracker.limiter.record_choice(server)
+        self._asked_at_s[server] = uptime_s()
+        self._asking.add(server)
+        try:
+            async with asyncio.timeout(_PROBE_TIMEOUT_S):
+                lease = await self._pool.acquire(
+                    Target(server, listed.server.address),
+                    max_idle_s=_MAX_IDLE_S,
+                )
+                head = await self._check_health(lease, listed)
+        except (AnswerError, RequestNotSent, TimeoutError):
+            self._unanswered_at_s[server] = uptime_s()
+            return
+        finally:
+            self._asking.discard(server)
+        if self._dialect.server(head) == server:
+            self.record_answer(server, head)
+
     async def _probe(self, server: str) -> None:
         listed = self._store_state.listing.listed_by_name.get(server)
         if listed is None:
@@ -114,19 +188,54 @@
             self._store_state.record_restart(
                 ServerRestart(server, answering_name)
             )
+            # The other hosts have no evidence of their own.
+            self._tracker.on_use_changed()
 
     async def _fetch_server_name(
         self, server: str, listed: RegisteredServer
     ) -> str:
-        address = listed.server.address
-        path = self._store_state.health_path(listed.server.service)
         # Pooled connections lead to the process that has ended.
-        target = Target(f'next start of {server}', address)
+        target = Target(f'next start of {server}', listed.server.address)
         lease = await self._pool.acquire_direct(target)
         try:
-            head = await lease.send(
-                self._dialect.encode_health_check(path, address)
-            )
+            head = await self._check_health(lease, listed)
         finally:
             lease.discard()
         return self._dialect.server(head) if head.status == _HTTP_OK else ''
+
+    async def _check_health(
+        self, lease: ConnectionLease, listed: RegisteredServer
+    ) -> AnswerHead:
+        """Send a health check and return the head of its answer."""
+        path = self._store_state.health_path(listed.server.service)
+        try:
+            head = await lease.send(
+                self._dialect.encode_health_check(path, listed.server.address)
+            )
+            await lease.read_all(_MAX_HEALTH_BYTES)
+        finally:
+            lease.release()
+        return head
+
+
+def _since(
+    since_s: float, at_s_by_server: dict[str, float]
+) -> dict[str, float]:
+    """Return the entries of servers whose time is a given one or later."""
+    return {
+        server: at_s
+        for server, at_s in at_s_by_server.items()
+        if at_s >= since_s
+    }
+
+
+def rank_to_ask(own_name: str, peers: Iterable[Member], server: str) -> int:
+    """
+    Return the rank of a host among those that may ask a server.
+
+    :param own_name: name of the host.
+    :param peers: the other live hosts.
+    :param server: name of the server.
+    """
+    names = (own_name, *(member.name for member in peers))
+    return rank_by_rendezvous(server, names).index(own_name)
--- a/bronzesill/routing/restarts.py
+++ b/bronzesill/routing/restarts.py
@@ -61,6 +61,10 @@
             },
         )
 
+    def is_active_since(self, server: str, since_s: float) -> bool:
+        """Return whether a server was running at or after a time."""
+        return self.last_seen_at_s_by_server.get(server, 0) >= since_s
+
     def with_check(self, now_s: float) -> LastActivity:
         """
         Return a copy that records that this process is running.
--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -165,6 +165,7 @@
         self, req: asgi.Request, resp: asgi.Response
     ) -> None:
         """Respond with the id of the worker in ``X-Instance-Id``."""
+        await self.is_answering.wait()
         if self.plan.brittle and not self._has_room():
             self._reject(resp)
             return
