--- a/bronzesill/daemon/restart_detector.py
+++ b/bronzesill/daemon/restart_detector.py
@@ -132,8 +132,14 @@
             if listing.is_store_unreachable
             else _ASKING_HOSTS
         )
-        due = filter(self._is_due, listing.listed_by_name)
-        return tuple(server for server in due if self._rank(server) < askers)
+        candidates = (
+            server
+            for server, listed in listing.listed_by_name.items()
+            if not listed.is_leaving and self._is_due(server)
+        )
+        return tuple(
+            server for server in candidates if self._rank(server) < askers
+        )
 
     def _is_due(self, server: str) -> bool:
         """Return whether nothing was heard of a server for an interval."""
@@ -145,20 +151,15 @@
 
     async def _ask(self, server: str) -> None:
         """Ask a server whether it is running, on a connection that is open."""
-        listed = self._store_state.listing.listed_by_name[server]
-        now_s = asyncio.get_running_loop().time()
-        if self._tracker.wait_s(server, now_s):
+        listed = self._listed_for_check(server)
+        if listed is None:
             return
         self._tracker.limiter.record_choice(server)
         self._asked_at_s[server] = uptime_s()
         self._asking.add(server)
         try:
             async with asyncio.timeout(_PROBE_TIMEOUT_S):
-                lease = await self._pool.acquire(
-                    Target(server, listed.server.address),
-                    max_idle_s=_MAX_IDLE_S,
-                )
-                head = await self._check_health(lease, listed)
+                head = await self._check_running(server, listed)
         except (AnswerError, RequestNotSent, TimeoutError):
             self._unanswered_at_s[server] = uptime_s()
             return
@@ -168,12 +169,9 @@
             self.record_answer(server, head)
 
     async def _probe(self, server: str) -> None:
-        listed = self._store_state.listing.listed_by_name.get(server)
+        listed = self._listed_for_check(server)
         if listed is None:
             return
-        now_s = asyncio.get_running_loop().time()
-        if self._tracker.wait_s(server, now_s):
-            return
         self._tracker.limiter.record_choice(server)
         self._probing.add(server)
         try:
@@ -191,6 +189,26 @@
             # The other hosts have no evidence of their own.
             self._tracker.on_use_changed()
 
+    def _listed_for_check(self, server: str) -> RegisteredServer | None:
+        """Return a server whose health may be checked now, else ``None``."""
+        listed = self._store_state.listing.listed_by_name.get(server)
+        if listed is None:
+            return None
+        now_s = asyncio.get_running_loop().time()
+        has_path = self._store_state.health_path(listed.server.service)
+        may_send = has_path and not self._tracker.wait_s(server, now_s)
+        return listed if may_send else None
+
+    async def _check_running(
+        self, server: str, listed: RegisteredServer
+    ) -> AnswerHead:
+        target = Target(server, listed.server.address)
+        lease = await self._pool.acquire(target, max_idle_s=_MAX_IDLE_S)
+        try:
+            return await self._check_health(lease, listed)
+        finally:
+            lease.release()
+
     async def _fetch_server_name(
         self, server: str, listed: RegisteredServer
     ) -> str:
@@ -208,13 +226,10 @@
     ) -> AnswerHead:
         """Send a health check and return the head of its answer."""
         path = self._store_state.health_path(listed.server.service)
-        try:
-            head = await lease.send(
-                self._dialect.encode_health_check(path, listed.server.address)
-            )
-            await lease.read_all(_MAX_HEALTH_BYTES)
-        finally:
-            lease.release()
+        head = await lease.send(
+            self._dialect.encode_health_check(path, listed.server.address)
+        )
+        await lease.read_all(_MAX_HEALTH_BYTES)
         return head
 
 
