Bound the bytes of all answers that a host keeps

Callers would see: a server that sends bytes without end fills the memory of the host that called it; the process ends, and with it the requests of others. Cause: each plain answer may be kept up to 16 MB, but nothing bounded them together, and streams not at all. Change: answers that are kept count against 48 MB for the host; beyond it the largest is given up, so that those of sound servers live.

--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -5,6 +5,7 @@
 import asyncio
 import re
 from collections.abc import Callable
+from operator import itemgetter
 
 from .answer import AnswerError, AnswerHead, PathCut
 from .connection import UpstreamConnection
@@ -19,9 +20,51 @@
 _WATCH_INTERVAL_S = 0.25
 _KEEP_ALIVE_MARGIN_S = 1.0
 _DEFAULT_KEEP_ALIVE_S = 4.0
+#: Bytes of answers that a host keeps at a time.
+_MAX_KEPT_BYTES = 48 * 1024 * 1024
 _TIMEOUT_PATTERN = re.compile(rb'timeout=(\d{1,9})')
 
 
+class AnswerMemory:
+    """
+    Bytes of answers that this host keeps until they are complete.
+
+    A faulty server may send bytes without end.  When all answers together
+    exceed the limit, the largest is given up; those of sound servers are
+    small.
+
+    :param max_bytes: limit for all answers together.
+    """
+
+    def __init__(self, max_bytes: int = _MAX_KEPT_BYTES) -> None:
+        self._max_bytes = max_bytes
+        self._bytes_by_lease: dict[ConnectionLease, int] = {}
+        self._total = 0
+
+    def grow(self, lease: ConnectionLease, size: int) -> None:
+        """
+        Count more bytes of an answer that are kept.
+
+        :param lease: connection of the answer.
+        :param size: number of bytes.
+        :raises AnswerError: the answer is the largest of too many bytes.
+        """
+        known = self._bytes_by_lease
+        known[lease] = known.get(lease, 0) + size
+        self._total += size
+        while self._total > self._max_bytes:
+            largest, _ = max(known.items(), key=itemgetter(1))
+            self.forget(largest)
+            error = AnswerError('the answer is too large to be kept')
+            if largest is lease:
+                raise error
+            largest.fail(error)
+
+    def forget(self, lease: ConnectionLease) -> None:
+        """Count an answer no longer; it was passed on or given up."""
+        self._total -= self._bytes_by_lease.pop(lease, 0)
+
+
 class ConnectionPool:
     """
     Idle connections by target, reused in last-in, first-out order.
@@ -35,6 +78,8 @@
         self.direct.on_spare = self.add_spare
         #: Opens the connections of this pool.
         self.connector: Connector = self.direct
+        #: Answers that are kept until they are complete.
+        self.memory = AnswerMemory()
         self._idle_by_target: dict[Target, list[UpstreamConnection]] = {}
 
     @property
@@ -198,20 +243,40 @@
         Return the whole body.
 
         :param max_bytes: limit of its size.
-        :raises AnswerError: the answer is truncated, invalid or too long.
+        :raises AnswerError: the answer is truncated, invalid or too long, or
+            the host keeps too many bytes of answers.
         """
         chunks = []
         size = 0
-        chunk = await self.read()
+        chunk = await self.read_kept()
         while chunk:
             chunks.append(chunk)
             size += len(chunk)
             if size > max_bytes:
                 self.discard()
                 raise AnswerError(f'the body exceeds {max_bytes} bytes')
-            chunk = await self.read()
+            chunk = await self.read_kept()
         return b''.join(chunks)
 
+    async def read_kept(self) -> bytes:
+        """
+        Return the next bytes of a body that is kept, empty at its end.
+
+        :raises AnswerError: the answer is truncated or invalid, or the host
+            keeps too many bytes of answers.
+        """
+        body = await self.read()
+        try:
+            self._pool.memory.grow(self, len(body))
+        except AnswerError:
+            self.discard()
+            raise
+        return body
+
+    def fail(self, error: AnswerError) -> None:
+        """Close the connection; its reader gets an error."""
+        self._connection.fail(error)
+
     def release(self) -> None:
         """
         Return the connection to the pool, or close it.
@@ -221,6 +286,7 @@
         """
         connection = self._connection
         connection.served += 1
+        self._pool.memory.forget(self)
         if (
             self._is_fully_read
             and connection.is_reusable
