Heed servers that say that they leave or want a pause

Cause: neither header of a server's answer was read. A pause counts like the limits that servers name: no choice, no question, no probe, and callers are told the true time when all servers of a service ask for one. Peers are not told; each host learns from its own answers.

--- a/bronzesill/calls/servers.py
+++ b/bronzesill/calls/servers.py
@@ -206,13 +206,14 @@
         """
         Count an attempt that is about to be sent to a server.
 
-        :raises BronzesillError: ``CALL_NOT_RUN`` if the server has reached
-            its limit since it was selected.
+        :raises BronzesillError: ``CALL_NOT_RUN`` if the server has begun to
+            leave or reached its limit since it was selected.
         """
-        if self._tracker.wait_s(name, _now_s()):
+        is_leaving = name in self._tracker.leaving
+        if is_leaving or self._tracker.wait_s(name, _now_s()):
             raise BronzesillError(
                 ResultCode.CALL_NOT_RUN,
-                f'not run: {name} has reached its limit',
+                f'not run: {name} leaves or has reached its limit',
                 retry_after_s=RETRY_AFTER_S,
             )
         self._tracker.opened(name)
--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -170,6 +170,7 @@
                 settings,
                 self._state,
                 self._tracker,
+                self._store_state,
                 self._pool,
                 self._dialect,
                 self._moves.traffic,
--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -38,6 +38,7 @@
 from ..utils import PrometheusMetrics
 from .hosted_fleet import HostedFleet
 from .hosted_moves import HostedTraffic
+from .hosted_store_state import HostedStoreState
 from .prompt_finder import PromptFinder
 from .quarantine import Quarantine
 from .restart_detector import RestartDetector
@@ -58,6 +59,7 @@
     :param settings: settings of this host.
     :param state: configuration in force.
     :param tracker: state of the backend servers.
+    :param store_state: the listed servers.
     :param pool: pool of connections to backend servers.
     :param dialect: names and formats of headers.
     :param traffic: selection of the version that serves a request.
@@ -73,6 +75,7 @@
     settings: HostedSettings
     state: GatewayState
     tracker: ServerTracker
+    store_state: HostedStoreState
     pool: ConnectionPool
     dialect: PlatformDialect
     traffic: HostedTraffic
@@ -221,6 +224,7 @@
             context.restart_detector.handle_other_server(server)
         else:
             context.restart_detector.record_answer(server, head)
+            self._process_notices(server, head)
         load = context.dialect.load(head)
         if load is not None:
             now_s = asyncio.get_running_loop().time()
@@ -229,6 +233,13 @@
         self._limiter.handle_answer(server, context.dialect.request_limit(head))
         self._process_brittleness(server, head)
 
+    def _process_notices(self, server: str, head: AnswerHead) -> None:
+        """Apply what a server says of its near future."""
+        dialect = self._context.dialect
+        if dialect.is_leaving(head):
+            self._context.store_state.note_leaving(server)
+        self._limiter.handle_pause(server, dialect.retry_after_s(head))
+
     def _process_brittleness(self, server: str, head: AnswerHead) -> None:
         dialect = self._context.dialect
         listed = self._context.tracker.servers_by_name.get(server)
--- a/bronzesill/daemon/hosted_store_state.py
+++ b/bronzesill/daemon/hosted_store_state.py
@@ -67,6 +67,9 @@
         #: Called when the store has come back from an older copy.
         self.on_return: Callable[[], None] = _ignore
         self._configuration: _ConfigurationInForce | None = None
+        #: Servers that said in an answer that they leave; their entries may
+        #: not say it yet.
+        self._said_leaving: frozenset[str] = frozenset()
         #: Keys of the unreadable entries that were logged.
         self._unreadable: frozenset[str] = frozenset()
 
@@ -118,6 +121,17 @@
             self.listing = self.listing.with_entry(name, None)
             self._refresh_servers()
 
+    def note_leaving(self, name: str) -> None:
+        """Use a server for no further request, as its answers ask."""
+        if (
+            name in self._said_leaving
+            or name not in self.listing.listed_by_name
+        ):
+            return
+        _log.event('server_leaving', server=name)
+        self._said_leaving |= {name}
+        self._refresh_servers()
+
     def record_restart(self, restart: ServerRestart) -> None:
         """
         Record that a server restarted under a new name.
@@ -241,6 +255,7 @@
         )
         renewed = self.listing.listed_by_name.get(name)
         if _is_new_start(previous, renewed) and not is_confirmed:
+            self._said_leaving -= {name}
             self._tracker.forget(name)
 
     def _log_unreadable(self, entry: StoredEntry) -> None:
@@ -277,8 +292,10 @@
                 for name, listed in listed_by_name.items()
             }
         )
+        self._said_leaving &= listed_by_name.keys()
         for name, listed in listed_by_name.items():
-            self._tracker.set_leaving(name, is_leaving=listed.is_leaving)
+            is_leaving = listed.is_leaving or name in self._said_leaving
+            self._tracker.set_leaving(name, is_leaving=is_leaving)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/daemon/prompt_finder.py
+++ b/bronzesill/daemon/prompt_finder.py
@@ -73,5 +73,10 @@
         return {
             name: server.address
             for name, server in self._tracker.servers_by_name.items()
-            if server.model == model and name not in self._tracker.leaving
+            if server.model == model and self._may_ask(name)
         }
+
+    def _may_ask(self, name: str) -> bool:
+        now_s = asyncio.get_running_loop().time()
+        is_leaving = name in self._tracker.leaving
+        return not is_leaving and not self._tracker.wait_s(name, now_s)
--- a/bronzesill/daemon/server_limiter.py
+++ b/bronzesill/daemon/server_limiter.py
@@ -32,6 +32,8 @@
     ) -> None:
         self._limits = RequestLimits()
         self._rejections = RejectionLimits()
+        #: Monotonic time in seconds until which a server wants no request.
+        self._paused_until_s: dict[str, float] = {}
         self._daemon = daemon
         self._list_peers = list_peers
 
@@ -62,6 +64,18 @@
         if self._rejections.by_service:
             self._rejections = self._rejections.rejected(server, time.time())
 
+    def handle_pause(self, server: str, pause_s: float | None) -> None:
+        """Take note that a server wants no request for a time, if it does."""
+        if pause_s is None:
+            return
+        until_s = time.monotonic() + pause_s
+        known_s = self._paused_until_s.get(server, 0)
+        if until_s <= known_s:
+            return
+        self._paused_until_s[server] = until_s
+        if known_s < time.monotonic():
+            _log.event('server_pause', server=server, pause_s=pause_s)
+
     def record_demand(self, service: str) -> None:
         """Take note of a request for any server of a service."""
         if service in self._rejections.by_service:
@@ -82,9 +96,11 @@
 
     def wait_s(self, server: str) -> float:
         """Return the seconds until a server may be used, 0 if it may now."""
+        pause_s = self._paused_until_s.get(server, 0) - time.monotonic()
         if server not in self._limits.by_server:
-            return 0
-        return self._limits.wait_s(server, self._position(), time.time())
+            return max(pause_s, 0)
+        limit_s = self._limits.wait_s(server, self._position(), time.time())
+        return max(pause_s, limit_s)
 
     def is_brittle(self, service: str) -> bool:
         """Return whether the servers of a service say that they are brittle."""
@@ -104,6 +120,8 @@
 
     def keep_only(self, servers: Collection[str]) -> None:
         """Forget the limits of servers that are not listed any more."""
+        for paused in self._paused_until_s.keys() - set(servers):
+            del self._paused_until_s[paused]
         self._rejections = self._rejections.listed(servers, time.time())
         for server in self._limits.by_server.keys() - set(servers):
             self._limits = self._limits.without(server)
--- /dev/null
+++ b/bronzesill/daemon/tests/test_server_notices.py
@@ -0,0 +1,171 @@
+"""What servers say of themselves in their answers, and when it applies."""
+
+import asyncio
+import time
+import unittest
+
+from ...platform.headers import PlatformDialect
+from ...standins.hosted_fleet import HostedFleet, HostedPlan
+from ...standins.worker import WorkerPlan
+from ...upstream import AnswerHead, Header
+from .hosted_caller import HostedAnswer, HostedCaller
+
+#: Time after which a leaving server gets nothing more.
+_DRAIN_S = 2.0
+_REFUSED_S = 1.5
+#: Time after a refusal from which it counts, and requests allowed since.
+_GRACE_S = 0.5
+_ALLOWED = 2
+_REQUESTS = 20
+_PAUSE_S = 0.03
+_HTTP_OK = 200
+_NOT_RUN = 503
+
+
+class _NoticeCase(unittest.IsolatedAsyncioTestCase):
+    plan = HostedPlan(
+        daemons=1,
+        workers=(
+            WorkerPlan('shop-a', 'shop', 'a'),
+            WorkerPlan('shop-b', 'shop', 'b'),
+            WorkerPlan('engine-a', 'engines', 'a', is_engine=True, events=4),
+            WorkerPlan('engine-b', 'engines', 'b', is_engine=True, events=4),
+        ),
+    )
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = await HostedFleet(self.plan).__aenter__()
+        self.caller = HostedCaller()
+        self.callers = self.fleet.daemons[0].settings.callers
+
+    async def asyncTearDown(self) -> None:
+        await self.caller.close()
+        await self.fleet.__aexit__()
+
+    async def send(self, target: str) -> HostedAnswer:
+        return await self.caller.send_request(
+            self.callers, target, X_Deadline_Ms='1000'
+        )
+
+    async def send_many(self, target: str) -> list[int]:
+        """Send requests one after the other and return the statuses."""
+        statuses = []
+        for _ in range(_REQUESTS):
+            statuses.append((await self.send(target)).status)
+            await asyncio.sleep(_PAUSE_S)
+        return statuses
+
+    def arrivals_since(self, name: str, since_s: float) -> int:
+        worker = self.fleet.workers_by_name[name]
+        return sum(at_s >= since_s for at_s in worker.arrivals_s)
+
+
+class LeavingNoticeTest(_NoticeCase):
+    """A server that says that it leaves gets no further request."""
+
+    # Guards against requests that a server gets because its entry does not
+    # say yet what its answers say.
+    async def test_calls(self) -> None:
+        await self.check('shop-a', '/orders/1')
+
+    async def test_streams(self) -> None:
+        await self.check('engine-a', '/guides/1')
+
+    async def check(self, name: str, target: str) -> None:
+        self.fleet.workers_by_name[name].says_leaving = True
+        await self.send_many(target)
+        known_at_s = time.monotonic()
+        # Its entry is written again and again, and says nothing of it.
+        await asyncio.sleep(_DRAIN_S / 2)
+        statuses = await self.send_many(target)
+        self.assertEqual(self.arrivals_since(name, known_at_s), 0)
+        self.assertEqual(set(statuses), {_HTTP_OK})
+
+    async def test_next_start_at_the_address_serves(self) -> None:
+        self.fleet.workers_by_name['shop-a'].says_leaving = True
+        await self.send_many('/orders/1')
+        await self.fleet.restart_worker('shop-a', 'shop-c')
+        await self.fleet.workers_by_name['shop-b'].stop()
+        await asyncio.sleep(1)
+        self.assertEqual((await self.send('/orders/2')).status, _HTTP_OK)
+
+
+class RetryAfterTest(_NoticeCase):
+    """A server that asks not to be called for a time is not called."""
+
+    # Guards against a server that is called again at once after it has asked
+    # for a pause.
+    async def test_calls(self) -> None:
+        await self.check('shop-a', '/orders/1')
+
+    async def test_repeatable_calls(self) -> None:
+        await self.check('shop-a', '/lookups/1')
+
+    async def test_streams(self) -> None:
+        await self.check('engine-a', '/guides/1')
+
+    async def check(self, name: str, target: str) -> None:
+        worker = self.fleet.workers_by_name[name]
+        worker.retry_after = str(_REFUSED_S)
+        statuses = await self.send_many(target)
+        refused_at_s = worker.arrivals_s[0]
+        await asyncio.sleep(refused_at_s + _REFUSED_S - time.monotonic())
+        since = [
+            at_s
+            for at_s in worker.arrivals_s
+            if _GRACE_S < at_s - refused_at_s < _REFUSED_S
+        ]
+        self.assertLessEqual(len(since), _ALLOWED)
+        self.assertEqual(set(statuses), {_HTTP_OK})
+        worker.retry_after = ''
+        ended_at_s = time.monotonic()
+        await self.send_many(target)
+        self.assertGreater(self.arrivals_since(name, ended_at_s), 0)
+
+    async def test_caller_is_told_when_all_refuse(self) -> None:
+        for name in ('shop-a', 'shop-b'):
+            self.fleet.workers_by_name[name].retry_after = '30'
+        await self.send('/orders/1')
+        sent_at_s = time.monotonic()
+        refused = await self.send('/orders/2')
+        self.assertLess(time.monotonic() - sent_at_s, _GRACE_S)
+        self.assertEqual(refused.status, _NOT_RUN)
+        self.assertGreater(float(refused.headers['retry-after']), 20)
+
+
+class NoticeFormatTest(unittest.TestCase):
+    """Only sound values count, and none for ever."""
+
+    def test_retry_after(self) -> None:
+        expected_by_text = {
+            b'2': 2.0,
+            b'0.25': 0.25,
+            b'0': 0.0,
+            b'86400': 3600.0,
+            b'1000000000': None,
+            b'-1': None,
+            b'1e9': None,
+            b'soon': None,
+            b'': None,
+            b'Sat, 05 Dec 2026 18:00:00 GMT': None,
+        }
+        for text, expected_s in expected_by_text.items():
+            head = AnswerHead(503, (Header(b'retry-after', text),), True)
+            with self.subTest(text=text):
+                self.assertEqual(
+                    PlatformDialect().retry_after_s(head), expected_s
+                )
+
+    def test_only_a_refusal_asks_for_a_pause(self) -> None:
+        head = AnswerHead(200, (Header(b'retry-after', b'2'),), True)
+        self.assertIsNone(PlatformDialect().retry_after_s(head))
+
+    def test_leaving(self) -> None:
+        for text, is_leaving in ((b'1', True), (b'0', False), (b'', False)):
+            head = AnswerHead(200, (Header(b'server-leaving', text),), True)
+            with self.subTest(text=text):
+                self.assertIs(PlatformDialect().is_leaving(head), is_leaving)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/bronzesill/platform/headers.py
+++ b/bronzesill/platform/headers.py
@@ -24,6 +24,7 @@
 
 _MS_PER_S = 1000
 _MISDIRECTED_REQUEST = 421
+_UNAVAILABLE = 503
 
 _ID_PATTERN = re.compile(r'[\x21-\x7e]{1,256}')
 _DECIMAL_PATTERN = re.compile(rb'\d{1,9}(\.\d{0,9})?')
@@ -54,6 +55,10 @@
 _INSTANCE_LOAD = b'x-instance-load'
 _SERVER_LIMIT = b'server-limit'
 _SERVER_BRITTLE = b'server-brittle'
+_SERVER_LEAVING = b'server-leaving'
+_RETRY_AFTER = b'retry-after'
+#: A server that asks for a longer pause is tried again after this one.
+_MAX_RETRY_AFTER_S = 3600.0
 
 #: Headers that apply to a single connection and are never forwarded.
 _HOP_BY_HOP = frozenset(
@@ -263,6 +268,22 @@
         """
         return _parse_decimal(head, _SERVER_BRITTLE)
 
+    def is_leaving(self, head: AnswerHead) -> bool:
+        """Return whether a server says that it leaves."""
+        return head.find(_SERVER_LEAVING) == b'1'
+
+    def retry_after_s(self, head: AnswerHead) -> float | None:
+        """
+        Return the seconds for which a server that refuses wants no request.
+
+        :returns: the seconds, at most an hour; none if the answer is no
+            refusal, or does not say it as a decimal number.
+        """
+        if head.status != _UNAVAILABLE:
+            return None
+        pause_s = _parse_decimal(head, _RETRY_AFTER)
+        return None if pause_s is None else min(pause_s, _MAX_RETRY_AFTER_S)
+
 
 def _text_by_name(headers: tuple[Header, ...]) -> dict[bytes, bytes]:
     return {header.name: header.text for header in headers}
--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -91,6 +91,12 @@
     :param store: address of the store.
     """
 
+    #: Whether answers say that the worker leaves, whatever its entry says.
+    says_leaving = False
+    #: Text of ``Retry-After`` with which all requests are rejected, empty to
+    #: serve them.
+    retry_after = ''
+
     def __init__(
         self, plan: WorkerPlan, address: Address, store: Address
     ) -> None:
@@ -166,6 +172,7 @@
     ) -> None:
         """Respond with the id of the worker in ``X-Instance-Id``."""
         await self.is_answering.wait()
+        self._set_notices(resp)
         if self.plan.brittle and not self._has_room():
             self._reject(resp)
             return
@@ -217,6 +224,7 @@
     ) -> bool:
         resp.set_header('X-Attempt-Id', request_id)
         self._set_load(resp)
+        self._set_notices(resp)
         brittle = self.brittle.name(time.monotonic())
         if brittle:
             resp.set_header('Server-Brittle', brittle)
@@ -226,11 +234,19 @@
             resp.status = falcon.HTTP_421
             resp.set_header('X-Instance-Id', self.plan.name)
             return False
+        if self.retry_after:
+            resp.set_header('Retry-After', self.retry_after)
+            self._reject(resp)
+            return False
         if not self._has_room() or not self._has_copy(headers):
             self._reject(resp)
             return False
         return True
 
+    def _set_notices(self, resp: asgi.Response) -> None:
+        if self.says_leaving:
+            resp.set_header('Server-Leaving', '1')
+
     def _set_load(self, resp: asgi.Response) -> None:
         resp.set_header(
             'X-Instance-Load',
