Ask another host when the one that is followed falls silent

Cause: the poll of a frozen watcher, its suspicion and the age of the last reply each had a time-out of their own, which add up to 2.8 s. Change: 0.25 s after the end of a long poll another host is asked as well; after a gap in the store's changes all keys are read without a pause.

--- a/bronzesill/daemon/peer_replication.py
+++ b/bronzesill/daemon/peer_replication.py
@@ -22,6 +22,10 @@
 _TRANSFER_TIMEOUT_S = 1.5
 #: Longest time for which a request waits for changes.
 _LONG_POLL_S = 1.0
+#: A watcher that has not answered so long after the end of a long poll may be
+#: frozen; another one is asked meanwhile.  With the long poll itself this has
+#: to stay well below the time in which a configuration comes into force.
+_SILENCE_S = 0.25
 #: Without a reply for this long, this daemon follows the store directly.
 _MAX_UPDATE_AGE_S = 2.0
 
@@ -114,7 +118,7 @@
             if watcher is None:
                 await asyncio.sleep(_POLL_INTERVAL_S)
                 continue
-            reply = await self._fetch(watcher, _LONG_POLL_S)
+            reply = await self._fetch_or_ask_another(watcher)
             if reply is None or not reply.is_store_reachable:
                 self._watcher = None
                 await asyncio.sleep(_POLL_INTERVAL_S * self._random.random())
@@ -122,6 +126,47 @@
             self._last_update_s = _now_s()
             self._store_state.set_store_reachable(True)
 
+    async def _fetch_or_ask_another(
+        self, watcher: Member
+    ) -> ReplicaAnswer | None:
+        """
+        Poll a watcher; if it is silent, ask another daemon as well.
+
+        The reply of the watcher is waited for all the same, as it may be long
+        and on its way.
+
+        :returns: the reply of the watcher, or of the other daemon if that
+            comes first; none if neither replies.
+        """
+        polling = asyncio.create_task(self._fetch(watcher, _LONG_POLL_S))
+        silence_s = _LONG_POLL_S + _SILENCE_S
+        done, _ = await asyncio.wait((polling,), timeout=silence_s)
+        other = None if done else self._pick_other(watcher)
+        if other is None:
+            return await polling
+        _log.event('watcher_silent', watcher=watcher.name, asked=other.name)
+        reply = await self._fetch(other, wait_s=0)
+        if reply is None:
+            return await polling
+        polling.cancel()
+        self._watcher = other if other in self._list_watchers() else None
+        return reply
+
+    def _pick_other(self, watcher: Member) -> Member | None:
+        """Return another watcher, or any other daemon if there is none."""
+        watchers = [
+            member
+            for member in self._list_watchers()
+            if member.name != watcher.name
+        ]
+        peers = [
+            member
+            for member in self._list_peers()
+            if member.name != watcher.name
+        ]
+        candidates = watchers or peers
+        return self._random.choice(candidates) if candidates else None
+
     def _pick_watcher(self) -> Member | None:
         watchers = self._list_watchers()
         if self._watcher not in watchers:
--- a/bronzesill/replica/follower.py
+++ b/bronzesill/replica/follower.py
@@ -104,7 +104,7 @@
             else:
                 self._set_reached(True)
                 self._backoff_s = _INITIAL_BACKOFF_S
-                await asyncio.sleep(self._policy.pause_s)
+                await asyncio.sleep(self._pause_s)
 
     async def _poll(self) -> None:
         if self._revision is None:
@@ -140,6 +140,11 @@
         if changes.entries:
             self._on_entries(changes.entries)
 
+    @property
+    def _pause_s(self) -> float:
+        """Seconds until the next poll: none after a gap in the changes."""
+        return 0 if self._revision is None else self._policy.pause_s
+
     def _set_reached(self, is_reached: bool) -> None:
         self._is_reached = is_reached
         self._on_reachability(is_reached)
