Keep the schedule of a move's stages in a module of its own

Change: stages and plan are in moves/plan.py; the split that follows from the known moves stands with their table, so that the program loads as many modules as before. No logic changed.

--- a/bronzesill/moves/__init__.py
+++ b/bronzesill/moves/__init__.py
@@ -8,7 +8,7 @@
 from .controller import Driver, MovesController, find_drivers, find_others
 from .evidence import Evidence, ServerEvidence, bucket_of_s
 from .exposure import ExposureLimit
-from .move_table import MoveTable
+from .move_table import KnownMove, MoveTable, effective_share, split_of
 from .order import (
     MoveOrder,
     OrderStatus,
@@ -16,13 +16,12 @@
     should_publish_status,
     status_of,
 )
+from .plan import MovePlan, Stage
 from .policy import (
     ALL_ROUTES,
     MoveAction,
     MoveDecision,
-    MovePlan,
     MoveProgress,
-    Stage,
     decide,
 )
 from .record import MoveRecord, MoveState, fact_of, has_ended
@@ -34,7 +33,6 @@
     Observation,
 )
 from .repository import MOVE_PREFIX, record_from_entry
-from .split import KnownMove, effective_share, split_of
 
 __all__ = [
     'ALL_ROUTES',
--- a/bronzesill/moves/controller.py
+++ b/bronzesill/moves/controller.py
@@ -14,8 +14,8 @@
 from ..wire import PeerClient
 from .driver import MoveDriver
 from .exposure import ExposureLimit
-from .move_table import MoveTable
-from .policy import MovePlan
+from .move_table import KnownMove, MoveTable
+from .plan import MovePlan
 from .record import MoveRecord, MoveState, fact_of
 from .reports import (
     FetchMoveTotals,
@@ -26,7 +26,6 @@
     ReportTotals,
 )
 from .repository import MoveRepository
-from .split import KnownMove
 
 __all__ = [
     'Driver',
--- a/bronzesill/moves/driver.py
+++ b/bronzesill/moves/driver.py
@@ -11,12 +11,11 @@
 from ..utils import BronzesillError, PartLogger, ResultCode
 from .evidence import Evidence
 from .exposure import ExposureLimit
-from .move_table import MoveTable
+from .move_table import KnownMove, MoveTable
 from .policy import MoveAction, MoveDecision, MoveProgress, decide
 from .record import MoveRecord, MoveState, fact_of, has_ended, rollback_fact
 from .reports import MoveReport, MoveTotals, evidence_of
 from .repository import MoveRepository, StoredMove
-from .split import KnownMove
 
 __all__ = ['MoveDriver']
 
--- a/bronzesill/moves/order.py
+++ b/bronzesill/moves/order.py
@@ -6,8 +6,8 @@
 from collections.abc import Iterable
 
 from ..store import StoreRevision
+from .move_table import KnownMove
 from .record import MoveRecord, MoveState
-from .split import KnownMove
 
 __all__ = [
     'MoveOrder',
--- a/bronzesill/moves/policy.py
+++ b/bronzesill/moves/policy.py
@@ -12,15 +12,14 @@
 )
 from .evidence import Evidence, SoundAnswers, StartedAnswers
 from .exposure import Exposure, ExposureLimit, LookWindow
+from .plan import LAST_STEP_S, MovePlan, is_short, window_s
 from .record import MoveRecord, MoveState, has_ended
 
 __all__ = [
     'ALL_ROUTES',
     'MoveAction',
     'MoveDecision',
-    'MovePlan',
     'MoveProgress',
-    'Stage',
     'decide',
 ]
 
@@ -38,27 +37,6 @@
     ROLL_BACK = 'take_back'
 
 
-@dataclasses.dataclass(frozen=True)
-class Stage:
-    """
-    One stage of a move: a share and its duration.
-
-    :param share: share of the traffic that the new version gets, 0 to 1.
-    :param time_fraction: duration as a fraction of the time window of the
-        move, 0 to 1.
-    """
-
-    share: float
-    time_fraction: float
-
-
-#: Moves with less time than this use the short schedule and thresholds.
-_SHORT_WINDOW_LIMIT_S = 25.0
-_SHORT_STAGES = (Stage(0.08, 0.25), Stage(0.2, 0.2), Stage(0.45, 0.2))
-#: Time window of a short move divided by its shortest stage.
-_SHORT_MIN_STAGE_DIVISOR = 12
-#: A decision that waits for answers is taken this long before its latest time.
-_LAST_STEP_S = 1.0
 #: Answers of the new version that are wanted before a commit.
 _WANTED_ANSWERS = 18
 #: Largest share before a commit, and before a few answers speak for it.
@@ -84,84 +62,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True)
-class MovePlan:
-    """
-    Schedule of the stages of a move.
-
-    :param stages: stages in order of increasing share.  The first takes most
-        of the time, because some faults appear only after a while.
-    :param commit_margin_s: seconds before the deadline from which a move is
-        no longer committed; at most a quarter of its time window.
-    :param min_stage_s: shortest duration of a stage in seconds.
-    """
-
-    stages: tuple[Stage, ...] = (
-        Stage(0.02, 0.7),
-        Stage(0.08, 0.02),
-        Stage(0.2, 0.03),
-        Stage(0.45, 0.055),
-    )
-    commit_margin_s: float = 16
-    min_stage_s: float = 5
-
-    @classmethod
-    def for_window(cls, window_s: float) -> 'MovePlan':
-        """
-        Return the schedule for a time window.
-
-        In a short time a small share yields too little evidence, so a short
-        move starts with a larger one.  It is still below the share of
-        requests that a bad version is allowed to receive.
-
-        :param window_s: seconds from the order to its deadline.
-        """
-        if window_s >= _SHORT_WINDOW_LIMIT_S:
-            return cls()
-        return cls(
-            stages=_SHORT_STAGES,
-            min_stage_s=window_s / _SHORT_MIN_STAGE_DIVISOR,
-        )
-
-    def stage_index(self, share: float) -> int:
-        """Return the index of the stage of a share, -1 before the first."""
-        reached = [
-            index
-            for index, stage in enumerate(self.stages)
-            if stage.share <= share
-        ]
-        return reached[-1] if reached else -1
-
-    def stage_duration_s(self, index: int, record: MoveRecord) -> float:
-        """Return the duration of a stage in seconds."""
-        planned_s = self.stages[index].time_fraction * _window_s(record)
-        return max(planned_s, self.min_stage_s)
-
-    def latest_commit_s(self, record: MoveRecord) -> float:
-        """Return the latest time of a commit, in seconds since the epoch."""
-        commit_margin_s = min(self.commit_margin_s, _window_s(record) / 4)
-        return record.deadline_at_s - commit_margin_s
-
-    def earliest_commit_s(self, record: MoveRecord) -> float:
-        """Return the time before which a move is not committed."""
-        stages_s = sum(
-            self.stage_duration_s(index, record)
-            for index in range(len(self.stages))
-        )
-        return min(
-            record.created_at_s + stages_s,
-            self.latest_commit_s(record) - _LAST_STEP_S,
-        )
-
-    def latest_start_s(self, index: int, record: MoveRecord) -> float:
-        """Return the latest start of a stage that permits a commit."""
-        remaining_s = sum(
-            self.stage_duration_s(later, record)
-            for later in range(index, len(self.stages))
-        )
-        return self.latest_commit_s(record) - remaining_s
-
-
 @dataclasses.dataclass(frozen=True)
 class MoveProgress:
     """
@@ -209,13 +109,13 @@
         :param record: record of the move.
         :param exposure_limit: requests that a bad version may get.
         """
-        window_s = _window_s(record)
-        policy = _policy_for(window_s)
+        seconds = window_s(record)
+        policy = _policy_for(seconds)
         comparison = SequentialComparison(record.new_version, policy)
         return cls(
             {ALL_ROUTES: comparison},
             record.changed_at_s,
-            MovePlan.for_window(window_s),
+            MovePlan.for_window(seconds),
             policy,
             exposure_limit=exposure_limit or ExposureLimit(),
             # No request was answered by the new version without a share.
@@ -359,7 +259,7 @@
             return MoveDecision(progress, MoveAction.HOLD, record.share)
         return _start_stage(progress, index + 1, now_s, reason)
     ends_at_s = max(
-        min(ends_at_s, plan.latest_commit_s(record) - _LAST_STEP_S),
+        min(ends_at_s, plan.latest_commit_s(record) - LAST_STEP_S),
         plan.earliest_commit_s(record),
     )
     if now_s < ends_at_s or now_s > plan.latest_commit_s(record):
@@ -378,7 +278,7 @@
         reason = f'evidence is {progress.outcome.value}'
         return MoveDecision(progress, MoveAction.COMMIT, 1, reason)
     # More answers may come until the latest commit.
-    if now_s + _LAST_STEP_S < progress.plan.latest_commit_s(record):
+    if now_s + LAST_STEP_S < progress.plan.latest_commit_s(record):
         return MoveDecision(progress, MoveAction.HOLD, record.share)
     return _roll_back(progress, missing)
 
@@ -468,11 +368,5 @@
     return MoveDecision(started, MoveAction.INCREASE_SHARE, share, reason)
 
 
-def _policy_for(window_s: float) -> ComparisonPolicy:
-    if window_s >= _SHORT_WINDOW_LIMIT_S:
-        return ComparisonPolicy()
-    return _SHORT_POLICY
-
-
-def _window_s(record: MoveRecord) -> float:
-    return record.deadline_at_s - record.created_at_s
+def _policy_for(seconds: float) -> ComparisonPolicy:
+    return _SHORT_POLICY if is_short(seconds) else ComparisonPolicy()
--- a/bronzesill/moves/tests/test_backup_driver.py
+++ b/bronzesill/moves/tests/test_backup_driver.py
@@ -13,11 +13,10 @@
 from ..driver import MoveDriver
 from ..evidence import bucket_of_s
 from ..exposure import ExposureLimit
-from ..move_table import MoveTable
+from ..move_table import KnownMove, MoveTable
 from ..record import MoveRecord
 from ..reports import EvidenceEntry, MoveReport
 from ..repository import StoredMove
-from ..split import KnownMove
 
 _WINDOW_S = 8.0
 #: Time since the order at which a commit is due or never comes.
--- a/bronzesill/moves/tests/test_policy.py
+++ b/bronzesill/moves/tests/test_policy.py
@@ -5,6 +5,7 @@
 
 from ..comparison import ComparisonOutcome, SequentialComparison
 from ..evidence import Evidence, ServerEvidence, bucket_of_s
+from ..move_table import KnownMove, effective_share, split_of
 from ..policy import MoveAction, MoveProgress, decide
 from ..record import (
     MoveRecord,
@@ -13,7 +14,6 @@
     record_from_fact,
     rollback_fact,
 )
-from ..split import KnownMove, effective_share, split_of
 
 _WINDOW_S = 3600.0
 
--- a/bronzesill/moves/tests/test_short_moves.py
+++ b/bronzesill/moves/tests/test_short_moves.py
@@ -6,6 +6,7 @@
 from ...store import StoreRevision
 from ..comparison import ComparisonOutcome
 from ..evidence import Evidence, ServerEvidence, bucket_of_s
+from ..move_table import KnownMove
 from ..order import (
     MoveOrder,
     OrderStatus,
@@ -14,7 +15,6 @@
 )
 from ..policy import MoveAction, MoveProgress, decide
 from ..record import MoveRecord, MoveState
-from ..split import KnownMove
 
 _WINDOW_S = 12.0
 _TICK_S = 0.5
