Learn no durations from streams of which only the rest was sent

Seen when reading the change: a stream that a caller resumed after its last event has no first event; it counted as one that took as long as the clock showed, and a stopping host then refused every stream for a minute. Change: only streams from their beginning, with an event, count. Evidence: test_resumed_streams_tell_nothing fails before (503) and passes now.

--- a/bronzesill/daemon/tests/test_planned_stop.py
+++ b/bronzesill/daemon/tests/test_planned_stop.py
@@ -46,12 +46,13 @@
         await self.caller.close()
         await self.fleet.__aexit__()
 
-    async def stream(self) -> HostedAnswer:
+    async def stream(self, **headers: str) -> HostedAnswer:
         return await self.caller.send_request(
             self.daemon.settings.callers,
             '/guides/1',
             body=_BODY,
             X_Token_Usage='10,200',
+            **headers,
         )
 
     async def warm_up(self) -> None:
@@ -95,6 +96,16 @@
         self.assertEqual(answer.status, _HTTP_OK)
         self.assertEqual(answer.body, self.expected)
 
+    # Guards against a prediction from the rest of a stream that was resumed
+    # after its last event: it has no first event.
+    async def test_resumed_streams_tell_nothing(self) -> None:
+        await self.warm_up()
+        await self.stream(Last_Event_Id='10')
+        self.daemon.begin_stop()
+        await asyncio.sleep(0.5)
+        answer = await self.stream()
+        self.assertEqual(answer.status, _HTTP_OK)
+
 
 class LateCallTest(_StopCase):
     """Calls that may run at most once take longer than usual calls do."""
--- a/bronzesill/gateway/forward_stream.py
+++ b/bronzesill/gateway/forward_stream.py
@@ -37,7 +37,7 @@
     :param forward: request to forward.
     :param route: route of the request.
     :param route_name: name of the route.
-    :param on_whole: called when the whole answer has been sent.
+    :param on_whole: called with its times when a whole answer has been sent.
     """
 
     def __init__(
@@ -144,7 +144,7 @@
                 event = await self._subscription.get()
                 if isinstance(event, AnswerCompleted):
                     self._log_end('whole', event.lost_attempts)
-                    self._on_whole(self._observed())
+                    self._report_whole()
                     return
                 if isinstance(event, AnswerFailed):
                     outcome = event.code.name.lower()
@@ -160,15 +160,22 @@
         now_s = asyncio.get_running_loop().time()
         self._timings = self._timings.with_arrival(token_count, now_s)
 
-    def _observed(self) -> ObservedRequest:
+    def _report_whole(self) -> None:
+        """Report the times of the stream, unless it was the rest of one."""
         timings = self._timings
+        forward = self._request.forward
+        is_rest = forward is None or forward.caller.events_received > 0
+        if is_rest or not timings.first_at_s:
+            return
         now_s = asyncio.get_running_loop().time()
-        return ObservedRequest(
-            self._size,
-            now_s,
-            timings.first_token_s,
-            now_s - timings.first_at_s,
-            timings.longest_gap_s,
+        self._on_whole(
+            ObservedRequest(
+                self._size,
+                now_s,
+                timings.first_token_s,
+                now_s - timings.first_at_s,
+                timings.longest_gap_s,
+            )
         )
 
     def _log_end(self, outcome: str, lost_attempts: str) -> None:
