--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -165,7 +165,7 @@
             self._moves.controller.answer_totals
         )
         self._metrics_server = HttpServer(metrics.make_app, settings.metrics)
-        requests = HostedRequests(
+        self._requests = HostedRequests(
             RequestContext(
                 settings,
                 self._state,
@@ -184,12 +184,13 @@
             )
         )
         self._caller_server = HttpServer(
-            requests.make_app,
+            self._requests.make_app,
             settings.callers,
             self._state.serving_limits,
             listeners.take(settings.callers.ip, settings.callers.port),
         )
         self._stop_requested = asyncio.Event()
+        self._stop_began_at_s: float | None = None
 
     @property
     def settings(self) -> HostedSettings:
@@ -254,7 +255,8 @@
         loop = asyncio.get_running_loop()
         grace_s = self._settings.bounds.grace_s - _STOP_MARGIN_S
         self._state.is_stopping = True
-        self._state.stops_at_s = loop.time() + grace_s
+        self._stop_began_at_s = loop.time()
+        self._state.stops_at_s = self._stop_began_at_s + grace_s
         self._fleet.publish_stop()
         self._stop_requested.set()
 
@@ -298,6 +300,7 @@
         stops_at_s = self._state.stops_at_s or loop.time()
         linger_until_s = min(loop.time() + _STOP_LINGER_S, stops_at_s)
         await self._fleet.deregister()
+        self._log_step('entry_removed')
         while loop.time() < stops_at_s:
             self._state.open_requests.end_before(stops_at_s, loop.time())
             is_idle = not self._caller_server.running
@@ -309,10 +312,29 @@
         now_s = asyncio.get_running_loop().time()
         remaining_s = (self._state.stops_at_s or now_s) - now_s
         flush_s = max(remaining_s, 0) + _FLUSH_S
-        shutdowns = [server.close(flush_s) for server in self._http_servers()]
-        await asyncio.gather(*shutdowns, self._peers.close())
+        self._log_step('drained', cut_streams=self._requests.log_unfinished())
+        await asyncio.gather(
+            self._close_connections(flush_s), self._close_peers()
+        )
         self._pool.close()
         self._store.close()
+        self._log_step('closed')
+
+    async def _close_connections(self, flush_s: float) -> None:
+        servers = self._http_servers()
+        await asyncio.gather(*[server.close(flush_s) for server in servers])
+        self._log_step('connections_closed')
+
+    async def _close_peers(self) -> None:
+        await self._peers.close()
+        self._log_step('peers_closed')
+
+    def _log_step(self, step: str, **fields: object) -> None:
+        """Log a step of a planned stop and the seconds since its signal."""
+        if self._stop_began_at_s is None:
+            return
+        after_s = asyncio.get_running_loop().time() - self._stop_began_at_s
+        _log.event('stop_step', step=step, after_s=round(after_s, 3), **fields)
 
     def _apply_store_changes(self, entries: tuple[StoredEntry, ...]) -> None:
         self._moves.apply_store_changes(entries, self._store_state.replica)
--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -28,6 +28,7 @@
     GenerationsController,
     LocalDirectory,
     LocationTable,
+    log_unfinished,
 )
 from ..limits import FleetRetryAllowance, RetryBounds
 from ..platform.headers import PlatformDialect
@@ -101,6 +102,13 @@
             context.settings.name, context.fleet.live_peers
         )
         context.tracker.limiter = self._limiter
+        self._generations: GenerationsController | None = None
+
+    def log_unfinished(self) -> int:
+        """Log the streams that end with this host; return their number."""
+        if self._generations is None:
+            return 0
+        return log_unfinished(self._generations.tasks_by_key.values())
 
     def make_app(self) -> Any:
         """Return the ASGI application for callers."""
@@ -117,9 +125,10 @@
             context.pool, context.dialect, servers, self._process_answer_head
         )
         allowance = self._make_allowance()
+        self._generations = self._make_generations(allowance)
         components = ForwardComponents(
             context.dialect,
-            self._make_generations(allowance),
+            self._generations,
             IdempotentCalls(sender, servers, allowance),
             AtMostOnceCalls(sender, servers),
             context.random,
--- a/bronzesill/daemon/tests/test_planned_stop.py
+++ b/bronzesill/daemon/tests/test_planned_stop.py
@@ -4,7 +4,11 @@
 import unittest
 from collections.abc import Coroutine
 from typing import Any
+from unittest import mock
 
+import aiohttp
+
+from ...generations import unfinished
 from ...standins.hosted_fleet import (
     HostedFleet,
     HostedPlan,
@@ -185,5 +189,28 @@
         self.assertEqual(answer.status, _UNKNOWN)
 
 
+class CutStreamLogTest(_StopCase):
+    """A stream outlasts the grace period."""
+
+    plan = _engines(events=400, pace_s=0.02)
+
+    # Guards against streams that end with their host without a line that
+    # tells whether a server was at work.
+    async def test_log_names_the_cut_stream(self) -> None:
+        with mock.patch.object(unfinished._log, 'event') as write:
+            stream = asyncio.create_task(self.stream(X_Attempt_Id='cut-1'))
+            await asyncio.sleep(0.5)
+            self.daemon.begin_stop()
+            with self.assertRaises(aiohttp.ClientError):
+                await stream
+        write.assert_called_once()
+        self.assertEqual(write.call_args.args, ('stream_cut',))
+        fields = write.call_args.kwargs
+        self.assertEqual(fields['request'], 'cut-1')
+        self.assertEqual(fields['phase'], 'streaming')
+        self.assertEqual(fields['server'], 'engine-a')
+        self.assertGreater(fields['at_token'], 0)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/bronzesill/generations/__init__.py
+++ b/bronzesill/generations/__init__.py
@@ -22,6 +22,7 @@
     AnswerStarted,
     Subscription,
 )
+from .unfinished import log_unfinished
 
 __all__ = [
     'AcceptedTokens',
@@ -48,4 +49,5 @@
     'StreamEvent',
     'Subscription',
     'decide',
+    'log_unfinished',
 ]
--- a/bronzesill/utils/serving.py
+++ b/bronzesill/utils/serving.py
@@ -15,6 +15,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from .addresses import Address, limit_silence
+from .logs import PartLogger
 
 __all__ = ['TARGET_KEY', 'HttpServer', 'ServingLimits']
 
@@ -24,6 +25,8 @@
 _BACKLOG = 2048
 _HEADER_OVERHEAD_BYTES = 4
 _FLUSH_POLL_S = 0.01
+_log = PartLogger('serving')
+
 _ERROR_RESPONSE = (
     'HTTP/1.1 {0}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
 )
@@ -278,8 +281,7 @@
         if server is not None:
             for listener in server.servers:
                 listener.close()
-            for connection in tuple(server.server_state.connections):
-                _close_when_written(connection)
+            self._close_written(tuple(server.server_state.connections))
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(_wait_until_closed(server), flush_s)
         await self.kill()
@@ -306,19 +308,39 @@
         await asyncio.gather(self._task, return_exceptions=True)
         self._socket.close()
 
+    def _close_written(self, connections: tuple[Any, ...]) -> None:
+        unanswered = [
+            connection
+            for connection in connections
+            if not _close_when_written(connection)
+        ]
+        if unanswered:
+            _log.event(
+                'connections_aborted',
+                address=str(self.address),
+                count=len(unanswered),
+                has_begun=sum(map(_has_begun_answer, unanswered)),
+            )
+
 
 async def _wait_until_closed(server: uvicorn.Server) -> None:
     while server.server_state.connections:
         await asyncio.sleep(_FLUSH_POLL_S)
 
 
-def _close_when_written(connection: Any) -> None:
+def _close_when_written(connection: Any) -> bool:
     """Close a connection whose request is answered, else abort it."""
     cycle = connection.cycle
-    if cycle is None or cycle.response_complete:
+    is_answered = cycle is None or bool(cycle.response_complete)
+    if is_answered:
         connection.transport.close()
     else:
         connection.transport.abort()
+    return is_answered
+
+
+def _has_begun_answer(connection: Any) -> bool:
+    return bool(connection.cycle.response_started)
 
 
 def _bind(address: Address) -> socket.socket:
