Log why a stream waits for a server

The log did not tell whether no server was free or the bound on retries held them back. not_placed tells, once for each reason.

No logic changes.

--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -237,8 +237,11 @@
             request, action, prompt_holder
         )
         choice = self.servers.choose(requirements, held_identity)
-        if choice is None or not self._may_send(generation):
-            return Placement(NoServer(), request)
+        if choice is None:
+            return _not_placed(generation, request, 'no_server')
+        if not self._may_send(generation):
+            return _not_placed(generation, request, 'retry_budget')
+        generation.unplaced_reason = ''
         self._tracker.limiter.record_choice(choice.server)
         chosen = Placement(choice, request)
         if not request.can_reconnect:
@@ -412,6 +415,22 @@
         return Placement(event, adopted)
 
 
+def _not_placed(
+    generation: GenerationTask, request: GenerationRequest, reason: str
+) -> Placement:
+    """Let a generation wait; log why, once for each reason."""
+    if generation.unplaced_reason != reason:
+        generation.unplaced_reason = reason
+        _log.event(
+            'not_placed',
+            request=request.request_id,
+            reason=reason,
+            at_token=generation.state.accepted,
+            attempt=generation.state.attempt,
+        )
+    return Placement(NoServer(), request)
+
+
 def _with_new_generation_id(request: GenerationRequest) -> GenerationRequest:
     generation_id = f'gen-{uuid.uuid4().hex}'
     return dataclasses.replace(request, generation_id=generation_id)
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -127,6 +127,8 @@
         self.mailbox: asyncio.Queue[TaskMessage] = asyncio.Queue()
         #: Servers to which the connection ended before the answer began.
         self.unanswered_losses = 0
+        #: Why no server was chosen at the last choice, empty if one was.
+        self.unplaced_reason = ''
         self._choosers = choosers
         self._observer = observer
         self._unread_timeout_s = unread_timeout_s
