Let begun answers retry when their host takes no new requests

A host's share of the fleet's bound on retries grows with the first attempts of the last ten seconds. A stopping host gets none, so its share shrinks to a part of the slack while all its long answers still run; retries of requests without an answer use up the rest. An answer whose engine ends then waits for the bound, without any server at work, until its host exits and its connection is closed.

The requests of the window before count for begun answers, as the users' rule counts them too, and a tenth of the bounds is kept for them. The sum over hosts stays within the bounds (test_limits).

--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -310,7 +310,9 @@
         if not generation.state.sends:
             # Nothing was sent yet.
             return True
-        return self.allowance.try_consume_retry(model)
+        return self.allowance.try_consume_retry(
+            model, has_begun=generation.has_begun
+        )
 
     def _return_send(self, generation: GenerationTask) -> None:
         if self.allowance is not None and generation.state.sends:
@@ -337,7 +339,9 @@
     ) -> str:
         request = generation.request
         allowance = self.allowance
-        if allowance is not None and not allowance.allows_retry(request.model):
+        if allowance is not None and not allowance.allows_retry(
+            request.model, has_begun=generation.has_begun
+        ):
             return ''
         identity = self._find_held_identity(generation, action.choice)
         requirements = self.servers.make_requirements(request, action.choice)
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -142,6 +142,11 @@
             client, find_address, observer, self.mailbox
         )
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a part of the answer has been delivered."""
+        return self.state.accepted > 0
+
     async def run(self) -> None:
         """
         Process messages until there has been no reader for the timeout.
--- a/bronzesill/limits/allowance.py
+++ b/bronzesill/limits/allowance.py
@@ -17,11 +17,23 @@
     def record_first_attempt(self, service: str) -> None:
         """Count the first attempt of a request to a service."""
 
-    def try_consume_retry(self, service: str) -> bool:
-        """Count a retry if it is allowed, and return whether it is."""
+    def try_consume_retry(
+        self, service: str, *, has_begun: bool = False
+    ) -> bool:
+        """
+        Count a retry if it is allowed, and return whether it is.
 
-    def allows_retry(self, service: str) -> bool:
-        """Return whether a retry is allowed, without counting one."""
+        :param service: service of the request.
+        :param has_begun: whether the caller has a part of the answer.
+        """
+
+    def allows_retry(self, service: str, *, has_begun: bool = False) -> bool:
+        """
+        Return whether a retry is allowed, without counting one.
+
+        :param service: service of the request.
+        :param has_begun: whether the caller has a part of the answer.
+        """
 
     def return_retry(self, service: str) -> None:
         """Take back a counted retry that was not sent."""
@@ -41,14 +53,16 @@
         """Count the first attempt of a request to a service."""
         self._budget = self._budget.with_first_attempt()
 
-    def try_consume_retry(self, service: str) -> bool:
+    def try_consume_retry(
+        self, service: str, *, has_begun: bool = False
+    ) -> bool:
         """Count a retry if it is allowed, and return whether it is."""
         if not self._budget.allows_retry:
             return False
         self._budget = self._budget.with_retry()
         return True
 
-    def allows_retry(self, service: str) -> bool:
+    def allows_retry(self, service: str, *, has_begun: bool = False) -> bool:
         """Return whether a retry is allowed, without counting one."""
         return self._budget.allows_retry
 
@@ -77,18 +91,22 @@
         window = self._window(service)
         self._windows_by_service[service] = window.with_first_attempt(_now_s())
 
-    def try_consume_retry(self, service: str) -> bool:
+    def try_consume_retry(
+        self, service: str, *, has_begun: bool = False
+    ) -> bool:
         """Count a retry if it is allowed, and return whether it is."""
-        window = self._window(service)
-        if not window.allows_retry(_now_s(), self._count_daemons()):
+        if not self.allows_retry(service, has_begun=has_begun):
             return False
+        window = self._window(service)
         self._windows_by_service[service] = window.with_retry(_now_s())
         return True
 
-    def allows_retry(self, service: str) -> bool:
+    def allows_retry(self, service: str, *, has_begun: bool = False) -> bool:
         """Return whether a retry is allowed, without counting one."""
         window = self._window(service)
-        return window.allows_retry(_now_s(), self._count_daemons())
+        return window.allows_retry(
+            _now_s(), self._count_daemons(), has_begun=has_begun
+        )
 
     def return_retry(self, service: str) -> None:
         """Take back a counted retry that was not sent."""
--- a/bronzesill/limits/retry_window.py
+++ b/bronzesill/limits/retry_window.py
@@ -17,12 +17,15 @@
     :param slack: retries allowed per window regardless of the number of first
         attempts.
     :param margin: fraction of the bounds that is used.
+    :param begun_margin: the same for retries of answers that have begun; what
+        lies above ``margin`` is kept for them.
     """
 
     ratio: float = 0.8
     window_s: float = 10
     slack: float = 150
     margin: float = 0.8
+    begun_margin: float = 0.9
 
 
 @dataclasses.dataclass(frozen=True)
@@ -54,7 +57,7 @@
 
     def without_retry(self, now_s: float) -> RetryWindow:
         """Return the window without its last retry, which was not sent."""
-        recent = list(self._recent(now_s))
+        recent = list(self._recent(now_s - self.bounds.window_s))
         for index in reversed(range(len(recent))):
             second = recent[index]
             if second.retries:
@@ -64,25 +67,38 @@
                 return dataclasses.replace(self, seconds=tuple(recent))
         return self
 
-    def allows_retry(self, now_s: float, daemons: int) -> bool:
+    def allows_retry(
+        self, now_s: float, daemons: int, *, has_begun: bool = False
+    ) -> bool:
         """
         Return whether a retry is within this daemon's share of the bounds.
 
+        Answers that have begun may outlast the window in which they were
+        requested, as on a host that takes no new requests while it stops.  So
+        the requests of the window before count for them too, if they are more.
+
         :param now_s: current time in seconds.
         :param daemons: number of live daemons, among which
             ``RetryBounds.slack`` is divided evenly.
+        :param has_begun: whether the caller has a part of the answer.
         """
         recent = self._recent(now_s)
-        first_attempts = sum(second.first_attempts for second in recent)
         retries = sum(second.retries for second in recent)
         bounds = self.bounds
+        first_attempts = _count_first_attempts(recent)
+        margin = bounds.margin
+        if has_begun:
+            before = self._recent(now_s - bounds.window_s)
+            earlier = _count_first_attempts(before) - first_attempts
+            first_attempts = max(first_attempts, earlier)
+            margin = max(margin, bounds.begun_margin)
         free_retries = bounds.slack / max(daemons, 1)
-        return retries + 1 <= bounds.margin * (
+        return retries + 1 <= margin * (
             bounds.ratio * first_attempts + free_retries
         )
 
     def _counted(self, now_s: float, **counts: int) -> RetryWindow:
-        recent = self._recent(now_s)
+        recent = self._recent(now_s - self.bounds.window_s)
         number = int(now_s)
         if recent and recent[-1].number == number:
             last = recent[-1]
@@ -102,6 +118,10 @@
         )
 
 
+def _count_first_attempts(seconds: tuple[_SecondCounts, ...]) -> int:
+    return sum(second.first_attempts for second in seconds)
+
+
 @dataclasses.dataclass(frozen=True)
 class RetryBudget:
     """
--- a/bronzesill/limits/tests/test_limits.py
+++ b/bronzesill/limits/tests/test_limits.py
@@ -167,6 +167,41 @@
             with self.subTest(now_s):
                 self.assertEqual(self.count_retries(window, now_s), 10)
 
+    # Guards against begun answers that wait until the retries of others have
+    # left the window.
+    def test_begun_answers_have_a_part_of_their_own(self) -> None:
+        for daemons in (1, 7, 59):
+            with self.subTest(daemons):
+                window = self.exhausted_window(daemons)
+                self.assertFalse(window.allows_retry(5.5, daemons))
+                begun = 0
+                while window.allows_retry(5.5, daemons, has_begun=True):
+                    window = window.with_retry(5.5)
+                    begun += 1
+                self.assertGreater(begun, 0)
+                retries = sum(second.retries for second in window.seconds)
+                self.assertLessEqual(
+                    daemons * retries, 0.8 * 100 * daemons + 150
+                )
+
+    def exhausted_window(self, daemons: int) -> RetryWindow:
+        window = RetryWindow(RetryBounds(0.8, 10, 150))
+        for _ in range(100):
+            window = window.with_first_attempt(5)
+        while window.allows_retry(5.5, daemons):
+            window = window.with_retry(5.5)
+        return window
+
+    def test_requests_of_the_window_before_count_for_begun_answers(
+        self,
+    ) -> None:
+        window = RetryWindow(RetryBounds(0.8, 10, 0))
+        for _ in range(50):
+            window = window.with_first_attempt(5)
+        self.assertFalse(window.allows_retry(16, 1))
+        self.assertTrue(window.allows_retry(16, 1, has_begun=True))
+        self.assertFalse(window.allows_retry(26, 1, has_begun=True))
+
     def count_retries(self, window: RetryWindow, now_s: float) -> int:
         retries = 0
         while window.allows_retry(now_s, 1):
