Relay through hosts that do not stop

Callers at a host whose paths to the servers are cut got 502, outcome unknown, for orders: the host that relayed their connections got SIGTERM, went on to relay new ones until it exited, and its exit broke those in use. A planned stop must cut no request.

Cause: the peers to ask for connections, and idle connections to use again, were chosen among the live hosts, leaving ones included. The fleet knows of a stop at once (HOST_LEAVING).

Now leaving peers are asked last, and idle connections through them are not used again, so that what runs through one has the grace period to end.

--- a/bronzesill/daemon/hosted_peers.py
+++ b/bronzesill/daemon/hosted_peers.py
@@ -163,9 +163,13 @@
 
     def _relay_peers(self) -> tuple[RelayPeer, ...]:
         own_domain = self._settings.failure_domain
+        view = self._peers.membership.view
         return tuple(
             RelayPeer(
-                member.name, member.peers, member.failure_domain == own_domain
+                member.name,
+                member.peers,
+                member.failure_domain == own_domain,
+                view.is_leaving(member),
             )
             for member in self._list_peers()
         )
--- a/bronzesill/relay/connector.py
+++ b/bronzesill/relay/connector.py
@@ -109,6 +109,9 @@
 
     def may_reuse(self, target: Target, connection: UpstreamConnection) -> bool:
         """Return whether an idle connection may carry another request."""
+        relayed_by = connection.relayed_by
+        if relayed_by and _is_leaving(relayed_by, self._list_peers()):
+            return False
         return self.paths.may_reuse(
             target.name,
             is_relayed=connection.is_relayed,
@@ -354,6 +357,7 @@
                 client.abort()
         if not reason:
             client.on_lost = functools.partial(self._record_loss, target, peer)
+            client.upstream.relayed_by = peer.name
             self._count('opened')
             return client.upstream
         reasons.append(reason)
@@ -429,6 +433,10 @@
         self._used_at_s_by_target.pop(target, None)
 
 
+def _is_leaving(name: str, peers: tuple[RelayPeer, ...]) -> bool:
+    return any(peer.is_leaving for peer in peers if peer.name == name)
+
+
 def _first_open(
     done: set[asyncio.Task[UpstreamConnection | None]],
 ) -> UpstreamConnection | None:
--- a/bronzesill/relay/paths.py
+++ b/bronzesill/relay/paths.py
@@ -34,11 +34,13 @@
     :param name: name of the host.
     :param address: address for other hosts.
     :param is_near: whether it is in the failure domain of this host.
+    :param is_leaving: whether it stops soon, which ends its connections.
     """
 
     name: str
     address: Address
     is_near: bool
+    is_leaving: bool = False
 
 
 class PathTable:
@@ -165,6 +167,8 @@
     """
     Return the peers to ask in order, those of the own failure domain first.
 
+    Leaving peers come last: a connection through one ends with it.
+
     :param peers: peers that may be asked.
     :param slow: names of peers that are asked last.
     :param random: generator for the choice among equals.
@@ -174,6 +178,7 @@
             _MAX_ASKED,
             peers,
             key=lambda peer: (
+                peer.is_leaving,
                 peer.name in slow,
                 not peer.is_near,
                 random.random(),
--- a/bronzesill/upstream/connection.py
+++ b/bronzesill/upstream/connection.py
@@ -48,6 +48,8 @@
         self.served = 0
         #: Whether it leads through another host.
         self.is_relayed = False
+        #: Name of the host through which it leads, empty for none.
+        self.relayed_by = ''
         #: Loop time at which it was opened or last delivered bytes.
         self.received_at_s: float = 0
         self._transport: asyncio.Transport | None = None
