Count running and failed requests in predictions of a stopping host

A stopping host takes a stream if it ends in time for certain, as far as the host knows. It knew the streams that had ended whole in the last minute only: while the load grows those are the fast ones, and those that still wait or run are missing. A stream taken so is cut at the exit; one that was sent more than three seconds after the signal breaks LOST even if a server works on it.

SlowedStreamTest: four streams run for 2 s on an engine that has slowed down, a fifth is sent 5 s before the exit: taken and cut before, refused now with a true not run.

--- a/bronzesill/calls/durations.py
+++ b/bronzesill/calls/durations.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Iterable
+import itertools
+from collections.abc import Callable, Iterable
+from typing import TypeAlias
 
 __all__ = [
     'DurationLog',
     'LatencyEstimate',
+    'Observe',
     'ObservedRequest',
     'RecentDurations',
     'RequestSize',
@@ -67,13 +70,16 @@
 @dataclasses.dataclass(frozen=True)
 class ObservedRequest:
     """
-    Times of a request that got a whole answer.
+    Times of a request.
+
+    Of a request without a whole answer they are lower bounds.
 
     :param size: size of the request.
-    :param ended_at_s: loop time of its end in seconds.
+    :param ended_at_s: loop time of its end in seconds, or of the observation.
     :param first_event_s: seconds to the first event, or to the answer.
     :param stream_s: seconds from the first event to the end, 0 for a call.
     :param longest_pause_s: longest pause between two events in seconds.
+    :param is_whole: whether it got a whole answer.
     """
 
     size: RequestSize
@@ -81,6 +87,11 @@
     first_event_s: float
     stream_s: float = 0
     longest_pause_s: float = 0
+    is_whole: bool = True
+
+
+#: Returns the times of a running request at a loop time in seconds.
+Observe: TypeAlias = Callable[[float], ObservedRequest]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -101,23 +112,31 @@
         kept = (*self.observed, request)[-_MAX_OBSERVED:]
         return RecentDurations(kept)
 
-    def predict_s(self, size: RequestSize, now_s: float) -> float | None:
+    def predict_s(
+        self,
+        size: RequestSize,
+        now_s: float,
+        running: tuple[ObservedRequest, ...] = (),
+    ) -> float | None:
         """
         Return the seconds that a request takes at most.
 
-        ``None`` if too few requests for the service ended within the last
-        minute.
+        Requests that still run count too: while the load grows, those that
+        got a whole answer are the fast ones.  ``None`` if too few requests
+        for the service got one within the last minute.
 
         :param size: size of the request.
         :param now_s: loop time in seconds.
+        :param running: requests for the service that still run.
         """
         recent = [
             request
             for request in self.observed
             if now_s - request.ended_at_s < _MAX_AGE_S
         ]
-        if len(recent) < _MIN_OBSERVED:
+        if sum(request.is_whole for request in recent) < _MIN_OBSERVED:
             return None
+        recent.extend(running)
         pause_s = max(request.longest_pause_s for request in recent)
         predicted_s = (
             _longest_start_s(recent, size.prompt_tokens)
@@ -128,13 +147,37 @@
 
 
 class DurationLog:
-    """Durations of the recent requests for each service."""
+    """Durations of the running and recent requests for each service."""
 
     def __init__(self) -> None:
         self._recent_by_service: dict[str, RecentDurations] = {}
+        self._running_by_service: dict[str, dict[int, Observe]] = {}
+        self._numbers = itertools.count()
+
+    def begin(self, service: str, observe: Observe) -> int:
+        """
+        Note a request that begins; return the number to end it by.
+
+        :param service: service of the request.
+        :param observe: returns its times, while it runs and at its end.
+        """
+        number = next(self._numbers)
+        self._running_by_service.setdefault(service, {})[number] = observe
+        return number
+
+    def end(self, service: str, number: int, now_s: float) -> None:
+        """
+        Record the end of a request.
+
+        :param service: service of the request.
+        :param number: what ``begin`` returned.
+        :param now_s: loop time in seconds.
+        """
+        observe = self._running_by_service[service].pop(number)
+        self.record(service, observe(now_s))
 
     def record(self, service: str, request: ObservedRequest) -> None:
-        """Record a request that got a whole answer of a service."""
+        """Record a request that has ended."""
         known = self._recent_by_service.get(service, RecentDurations())
         self._recent_by_service[service] = known.with_request(request)
 
@@ -149,7 +192,9 @@
         :param now_s: loop time in seconds.
         """
         known = self._recent_by_service.get(service, RecentDurations())
-        return known.predict_s(size, now_s)
+        running = self._running_by_service.get(service, {})
+        observed = tuple(observe(now_s) for observe in running.values())
+        return known.predict_s(size, now_s, observed)
 
 
 def _longest_start_s(
--- a/bronzesill/calls/tests/test_durations.py
+++ b/bronzesill/calls/tests/test_durations.py
@@ -52,6 +52,21 @@
         self.assertIsNone(old.predict_s(_SERVICE, _SMALL, _NOW_S))
         self.assertIsNone(old.predict_s('shop', _SMALL, _NOW_S))
 
+    # Guards against predictions from the streams that ended alone, which are
+    # the fast ones while the load grows.
+    def test_running_requests_count(self) -> None:
+        log = _log_of(ObservedRequest(_SMALL, _NOW_S, 0.5, 1.0))
+        waiting = ObservedRequest(_SMALL, _NOW_S, 8.0, is_whole=False)
+        number = log.begin(_SERVICE, lambda _: waiting)
+        self.assertGreaterEqual(log.predict_s(_SERVICE, _SMALL, _NOW_S) or 0, 8)
+        log.end(_SERVICE, number, _NOW_S)
+        self.assertGreaterEqual(log.predict_s(_SERVICE, _SMALL, _NOW_S) or 0, 8)
+        self.assertLess(log.predict_s('shop', _SMALL, _NOW_S) or 0, 8)
+
+    def test_requests_without_an_answer_are_no_basis(self) -> None:
+        log = _log_of(ObservedRequest(_SMALL, _NOW_S, 0.5, is_whole=False))
+        self.assertIsNone(log.predict_s(_SERVICE, _SMALL, _NOW_S))
+
     def test_memory_is_bounded(self) -> None:
         log = DurationLog()
         for number in range(1000):
--- a/bronzesill/daemon/tests/test_planned_stop.py
+++ b/bronzesill/daemon/tests/test_planned_stop.py
@@ -1,6 +1,8 @@
 """Requests that reach a host after the signal for a planned stop."""
 
 import asyncio
+import contextlib
+import dataclasses
 import unittest
 from collections.abc import Coroutine
 from typing import Any
@@ -20,6 +22,8 @@
 _BODY = b'catalogue'
 #: Seconds of grace; the host exits half a second earlier.
 _GRACE_S = 3.0
+#: For streams that are slow by intent.
+_LONG_GRACE_S = 6.0
 _WARM_UP_STREAMS = 10
 _HTTP_OK = 200
 _NOT_RUN = 503
@@ -111,6 +115,30 @@
         self.assertEqual(answer.status, _HTTP_OK)
 
 
+class SlowedStreamTest(_StopCase):
+    """An engine slows down after streams that took a tenth of a second."""
+
+    plan = dataclasses.replace(
+        _engines(events=10, pace_s=0.01), grace_s=_LONG_GRACE_S
+    )
+
+    # Guards against predictions from whole streams alone: under a load that
+    # grows those are the fast ones, and a stopping host cuts what it takes.
+    async def test_running_streams_count(self) -> None:
+        await self.warm_up()
+        engine = self.fleet.workers_by_name['engine-a']
+        engine.plan = dataclasses.replace(engine.plan, pace_s=0.6)
+        slow = [asyncio.create_task(self.stream()) for _ in range(4)]
+        await asyncio.sleep(1.5)
+        self.daemon.begin_stop()
+        await asyncio.sleep(0.5)
+        answer = await self.stream()
+        self.assertEqual(answer.status, _NOT_RUN)
+        for task in slow:
+            with contextlib.suppress(aiohttp.ClientError):
+                await task
+
+
 class LateCallTest(_StopCase):
     """Calls that may run at most once take longer than usual calls do."""
 
--- a/bronzesill/gateway/forward_stream.py
+++ b/bronzesill/gateway/forward_stream.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 
 from falcon import asgi
 
-from ..calls import ObservedRequest, RequestSize
+from ..calls import DurationLog, ObservedRequest, RequestSize
 from ..config import Route
 from ..generations import (
     AcceptedTokens,
@@ -37,7 +37,7 @@
     :param forward: request to forward.
     :param route: route of the request.
     :param route_name: name of the route.
-    :param on_whole: called with its times when a whole answer has been sent.
+    :param durations: receives the times of the stream.
     """
 
     def __init__(
@@ -46,11 +46,13 @@
         forward: ForwardRequest,
         route: Route,
         route_name: str,
-        on_whole: Callable[[ObservedRequest], None],
+        durations: DurationLog,
     ) -> None:
         now_s = asyncio.get_running_loop().time()
         self._generations = generations
-        self._on_whole = on_whole
+        self._durations = durations
+        self._service = route.service
+        self._is_whole = False
         self._size = RequestSize(
             forward.caller.prompt_tokens, forward.caller.max_output_tokens
         )
@@ -78,6 +80,7 @@
         self._answer_start: AnswerStarted | None = None
         self._timings = AttemptTimings(now_s)
         self._deadline_at_s = forward.deadline_at_s
+        self._duration_number = self._begin_duration(forward)
 
     @property
     def head(self) -> AnswerHead:
@@ -130,6 +133,10 @@
         if self._subscription is not None:
             self._generations.unsubscribe(self._request, self._subscription)
             self._subscription = None
+        if self._duration_number is not None:
+            now_s = asyncio.get_running_loop().time()
+            self._durations.end(self._service, self._duration_number, now_s)
+            self._duration_number = None
 
     async def events(self) -> AsyncIterator[bytes]:
         """
@@ -144,7 +151,7 @@
                 event = await self._subscription.get()
                 if isinstance(event, AnswerCompleted):
                     self._log_end('whole', event.lost_attempts)
-                    self._report_whole()
+                    self._is_whole = bool(self._timings.first_at_s)
                     return
                 if isinstance(event, AnswerFailed):
                     outcome = event.code.name.lower()
@@ -160,22 +167,22 @@
         now_s = asyncio.get_running_loop().time()
         self._timings = self._timings.with_arrival(token_count, now_s)
 
-    def _report_whole(self) -> None:
-        """Report the times of the stream, unless it was the rest of one."""
+    def _begin_duration(self, forward: ForwardRequest) -> int | None:
+        """Note the stream, unless it is the rest of one, which tells less."""
+        if forward.caller.events_received:
+            return None
+        return self._durations.begin(self._service, self._observe)
+
+    def _observe(self, now_s: float) -> ObservedRequest:
         timings = self._timings
-        forward = self._request.forward
-        is_rest = forward is None or forward.caller.events_received > 0
-        if is_rest or not timings.first_at_s:
-            return
-        now_s = asyncio.get_running_loop().time()
-        self._on_whole(
-            ObservedRequest(
-                self._size,
-                now_s,
-                timings.first_token_s,
-                now_s - timings.first_at_s,
-                timings.longest_gap_s,
-            )
+        first_at_s = timings.first_at_s or now_s
+        return ObservedRequest(
+            self._size,
+            now_s,
+            first_at_s - timings.opened_at_s,
+            now_s - first_at_s,
+            timings.longest_gap_s,
+            self._is_whole,
         )
 
     def _log_end(self, outcome: str, lost_attempts: str) -> None:
--- a/bronzesill/gateway/forwarding.py
+++ b/bronzesill/gateway/forwarding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import functools
 import types
@@ -17,7 +18,6 @@
     CallRequest,
     DurationLog,
     IdempotentCalls,
-    ObservedRequest,
     RequestSize,
     RoutedCall,
 )
@@ -34,9 +34,8 @@
     ResultCode,
     log_unexpected,
 )
-from .disconnect import (
-    ReceiveBufferMiddleware,
-)
+from .call_duration import CallDuration
+from .disconnect import ReceiveBufferMiddleware
 from .exchange import Exchange, RequestFilter, run_filters
 from .filters import (
     Authenticate,
@@ -154,10 +153,9 @@
         running_call = self._run_call(resp, forward, route, exchange.route_name)
         # How far a call has come is known to its attempts only.
         call = OpenRequest(_always, lambda _: forward.deadline_at_s)
-        await self._state.open_requests.run(req, running_call, call)
+        with self._observe_call(route, started_s):
+            await self._state.open_requests.run(req, running_call, call)
         self._announce_close(resp)
-        if route.idempotent:
-            self._record_call(route, started_s)
         call_type = 'repeatable' if route.idempotent else 'once'
         self._record_latency(call_type, started_s)
 
@@ -228,10 +226,13 @@
             return forward.deadline_at_s
         return min(forward.deadline_at_s, now_s + predicted_s)
 
-    def _record_call(self, route: Route, started_s: float) -> None:
-        now_s = asyncio.get_running_loop().time()
-        observed = ObservedRequest(RequestSize(), now_s, now_s - started_s)
-        self._durations.record(route.service, observed)
+    def _observe_call(
+        self, route: Route, started_s: float
+    ) -> contextlib.AbstractContextManager[None]:
+        """Observe a call that may be repeated; others are not predicted."""
+        if not route.idempotent:
+            return contextlib.nullcontext()
+        return CallDuration(self._durations, route.service, started_s)
 
     def _select_route(self, exchange: Exchange) -> Route:
         route = exchange.route
@@ -305,7 +306,7 @@
             forward,
             route,
             route_name,
-            functools.partial(self._durations.record, route.service),
+            self._durations,
         )
         opening = stream.open()
         try:
