Take running streams at their pace in predictions of a stopping host

Now a stream without a whole answer counts as long as it takes at its pace until as many events as whole answers had.

--- a/bronzesill/calls/durations.py
+++ b/bronzesill/calls/durations.py
@@ -80,6 +80,7 @@
     :param stream_s: seconds from the first event to the end, 0 for a call.
     :param longest_pause_s: longest pause between two events in seconds.
     :param is_whole: whether it got a whole answer.
+    :param events: events of its answer after the first, 0 for a call.
     """
 
     size: RequestSize
@@ -88,6 +89,18 @@
     stream_s: float = 0
     longest_pause_s: float = 0
     is_whole: bool = True
+    events: int = 0
+
+    def to_whole(self, events: int) -> ObservedRequest:
+        """
+        Return the times that it takes at its pace until a number of events.
+
+        :param events: events of a whole answer after the first.
+        """
+        if self.is_whole or not 0 < self.events < events:
+            return self
+        stream_s = self.stream_s * events / self.events
+        return dataclasses.replace(self, stream_s=stream_s)
 
 
 #: Returns the times of a running request at a loop time in seconds.
@@ -136,7 +149,9 @@
         ]
         if sum(request.is_whole for request in recent) < _MIN_OBSERVED:
             return None
+        events = max(request.events for request in recent if request.is_whole)
         recent.extend(running)
+        recent = [request.to_whole(events) for request in recent]
         pause_s = max(request.longest_pause_s for request in recent)
         predicted_s = (
             _longest_start_s(recent, size.prompt_tokens)
--- a/bronzesill/calls/tests/test_durations.py
+++ b/bronzesill/calls/tests/test_durations.py
@@ -63,6 +63,20 @@
         self.assertGreaterEqual(log.predict_s(_SERVICE, _SMALL, _NOW_S) or 0, 8)
         self.assertLess(log.predict_s('shop', _SMALL, _NOW_S) or 0, 8)
 
+    # Guards against a stream that is taken because slow ones have not run for
+    # long yet.
+    def test_running_streams_count_at_their_pace(self) -> None:
+        log = _log_of(
+            ObservedRequest(_SMALL, _NOW_S, 0.5, 1.0, is_whole=True, events=9)
+        )
+        slow = ObservedRequest(
+            _SMALL, _NOW_S, 0.5, 1.8, is_whole=False, events=3
+        )
+        log.begin(_SERVICE, lambda _: slow)
+        self.assertGreaterEqual(
+            log.predict_s(_SERVICE, _SMALL, _NOW_S) or 0, 0.5 + 5.4
+        )
+
     def test_requests_without_an_answer_are_no_basis(self) -> None:
         log = _log_of(ObservedRequest(_SMALL, _NOW_S, 0.5, is_whole=False))
         self.assertIsNone(log.predict_s(_SERVICE, _SMALL, _NOW_S))
--- a/bronzesill/gateway/forward_stream.py
+++ b/bronzesill/gateway/forward_stream.py
@@ -183,6 +183,7 @@
             now_s - first_at_s,
             timings.longest_gap_s,
             self._is_whole,
+            timings.tokens,
         )
 
     def _log_end(self, outcome: str, lost_attempts: str) -> None:
