Keep the asking of peers in a module of its own

relay/connector.py had 466 lines and two jobs: which path leads to a server, and how peers are asked for a connection.

--- a/bronzesill/relay/connector.py
+++ b/bronzesill/relay/connector.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import functools
 from collections import Counter
 from collections.abc import Callable, Collection
 from random import Random
@@ -17,17 +16,13 @@
 )
 from ..utils import PartLogger
 from ..wire import MessageRegistry
-from .connections import UNREACHABLE, RelayClient, RelayOpen
+from .asking import PeerAsker, abandon
 from .paths import PathTable, RelayPeer
 
 __all__ = ['RelayConnector']
 
 #: Time for a direct connection until a peer is asked as well.
 _HEAD_START_S = 0.06
-#: Time for one peer until the next one is asked as well.
-_NEXT_PEER_S = 0.08
-_MAX_ASKED_AT_ONCE = 2
-_ASK_TIMEOUT_S = 0.5
 _CHECK_TIMEOUT_S = 0.15
 #: Time for which it holds that only a peer reaches a server.
 _CHECK_VALID_S = 0.3
@@ -38,8 +33,6 @@
 _UNUSED_S = 15.0
 #: Servers of which the times of checks are kept.
 _MAX_NOTED = 1000
-#: Reason of a peer that does not answer.
-_SILENT = 'silent'
 
 _log = PartLogger('relay')
 
@@ -72,11 +65,11 @@
         self.on_outcome: Callable[[str], object] = _ignore
         #: Receives connections that nobody waits for any more.
         self.on_spare: Callable[[Target, UpstreamConnection], None] = _close
-        self._host = host
         self._direct = direct
-        self._registry = registry
-        self._list_peers = list_peers
         self._random = random
+        self._asker = PeerAsker(
+            host, registry, list_peers, self.paths, self._count, random
+        )
         self._used_at_s_by_target: dict[Target, float] = {}
         self._healing_by_target: dict[Target, asyncio.Task[None]] = {}
         self._checks_by_target: dict[Target, asyncio.Task[Reach]] = {}
@@ -96,7 +89,7 @@
         """
         if self.paths.is_cut(target.name):
             self._used_at_s_by_target[target] = _now_s()
-            return await self._ask_peers(target)
+            return await self._asker.connect(target)
         direct = asyncio.create_task(self._direct.connect(target, timeout_s))
         try:
             await asyncio.wait((direct,), timeout=_HEAD_START_S)
@@ -110,7 +103,7 @@
     def may_reuse(self, target: Target, connection: UpstreamConnection) -> bool:
         """Return whether an idle connection may carry another request."""
         relayed_by = connection.relayed_by
-        if relayed_by and _is_leaving(relayed_by, self._list_peers()):
+        if relayed_by and self._asker.is_leaving(relayed_by):
             return False
         return self.paths.may_reuse(
             target.name,
@@ -189,7 +182,7 @@
             self._mark_open(target)
             return connection
         try:
-            connection = await self._ask_peers(target)
+            connection = await self._asker.connect(target)
         except RequestNotSent:
             self._begin_healing(target)
             raise failure from None
@@ -199,14 +192,14 @@
     async def _race(
         self, target: Target, direct: asyncio.Task[UpstreamConnection]
     ) -> UpstreamConnection:
-        relayed = asyncio.create_task(self._ask_peers(target))
+        relayed = asyncio.create_task(self._asker.connect(target))
         winner: asyncio.Task[UpstreamConnection] | None = None
         try:
             winner = await self._find_winner(target, direct, relayed)
             return winner.result()
         finally:
             if winner is not relayed:
-                _abandon(relayed)
+                abandon(relayed)
             if winner is not direct:
                 self._learn_from(target, direct, is_served=winner is relayed)
 
@@ -280,7 +273,7 @@
 
     async def _find_relay(self, target: Target) -> Reach:
         try:
-            connection = await self._ask_peers(target)
+            connection = await self._asker.connect(target)
         except RequestNotSent:
             return Reach.NONE
         self._mark_cut(target)
@@ -288,102 +281,6 @@
         self.on_spare(target, connection)
         return Reach.PEER
 
-    async def _ask_peers(self, target: Target) -> UpstreamConnection:
-        """
-        Return a connection through the first peer that opens one.
-
-        :raises RequestNotSent: no peer opened one.
-        """
-        now_s = _now_s()
-        if not self.paths.may_ask(target.name, now_s):
-            raise RequestNotSent(f'{target.name}: no host reaches it')
-        peers = self.paths.choose(
-            target.name, self._list_peers(), self._random, now_s
-        )
-        if not peers:
-            # All have refused a moment ago.
-            self.paths.mark_unreachable(target.name, now_s)
-        reasons: list[str] = []
-        connection = await self._ask_in_turn(target, list(peers), reasons)
-        if connection is not None:
-            return connection
-        self._count('unreachable')
-        if set(reasons) == {UNREACHABLE}:
-            self.paths.mark_unreachable(target.name, _now_s())
-        raise RequestNotSent(f'{target.name}: no host reaches it')
-
-    async def _ask_in_turn(
-        self, target: Target, peers: list[RelayPeer], reasons: list[str]
-    ) -> UpstreamConnection | None:
-        asked: set[asyncio.Task[UpstreamConnection | None]] = set()
-        connection: UpstreamConnection | None = None
-        try:
-            while connection is None and (peers or asked):
-                if peers and len(asked) < _MAX_ASKED_AT_ONCE:
-                    asked.add(
-                        asyncio.create_task(
-                            self._ask(target, peers.pop(0), reasons)
-                        )
-                    )
-                done, asked = await asyncio.wait(
-                    asked,
-                    timeout=_NEXT_PEER_S if peers else None,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                connection = _first_open(done)
-        finally:
-            for task in asked:
-                _abandon(task)
-        return connection
-
-    async def _ask(
-        self, target: Target, peer: RelayPeer, reasons: list[str]
-    ) -> UpstreamConnection | None:
-        opening = RelayOpen(
-            self._host, target.name, target.address, _ASK_TIMEOUT_S
-        )
-        client = RelayClient(self._registry, opening)
-        reason = _SILENT
-        try:
-            async with asyncio.timeout(_ASK_TIMEOUT_S):
-                await asyncio.get_running_loop().create_connection(
-                    lambda: client, peer.address.ip, peer.address.port
-                )
-                reason = await asyncio.shield(client.opened)
-        except OSError:
-            reason = _SILENT
-        finally:
-            if reason:
-                client.abort()
-        if not reason:
-            client.on_lost = functools.partial(self._record_loss, target, peer)
-            client.upstream.relayed_by = peer.name
-            self._count('opened')
-            return client.upstream
-        reasons.append(reason)
-        self._record_refusal(target, peer, reason)
-        return None
-
-    def _record_refusal(
-        self, target: Target, peer: RelayPeer, reason: str
-    ) -> None:
-        self._count('refused')
-        if reason == _SILENT:
-            self.paths.mark_slow(peer.name, _now_s())
-        else:
-            self.paths.mark_refused(peer.name, target.name, _now_s())
-        _log.event(
-            'relay_not_opened',
-            peer=peer.name,
-            server=target.name,
-            reason=reason,
-        )
-
-    def _record_loss(self, target: Target, peer: RelayPeer) -> None:
-        self._count('lost')
-        self.paths.mark_slow(peer.name, _now_s())
-        _log.event('relay_lost', peer=peer.name, server=target.name)
-
     def _count(self, outcome: str) -> None:
         self.counts[outcome] += 1
         self.on_outcome(outcome)
@@ -433,34 +330,6 @@
         self._used_at_s_by_target.pop(target, None)
 
 
-def _is_leaving(name: str, peers: tuple[RelayPeer, ...]) -> bool:
-    return any(peer.is_leaving for peer in peers if peer.name == name)
-
-
-def _first_open(
-    done: set[asyncio.Task[UpstreamConnection | None]],
-) -> UpstreamConnection | None:
-    opened = [task.result() for task in done]
-    connections = [each for each in opened if each is not None]
-    for spare in connections[1:]:
-        spare.close()
-    return connections[0] if connections else None
-
-
-def _abandon(
-    attempt: asyncio.Task[UpstreamConnection]
-    | asyncio.Task[UpstreamConnection | None],
-) -> None:
-    """Cancel an attempt, or close the connection that it opened."""
-    attempt.cancel()
-    if not attempt.done() or attempt.cancelled():
-        return
-    if attempt.exception() is None:
-        connection = attempt.result()
-        if connection is not None:
-            connection.close()
-
-
 def _close(target: Target, connection: UpstreamConnection) -> None:
     """Close a spare connection; the default."""
     connection.close()
