End the process without the interpreter's own end, and in time

Callers of a stopping host saw their last answers cut when the platform killed the host at the end of its grace period: the host was still there.

Cause: after its last step (`closed`, 7.65 to 7.75 s after the signal) the process went on for 1.6 to over 4.6 s. A trace (faulthandler on SIGABRT at 8.5 s) shows "Garbage-collecting, no Python frame": the interpreter freed its objects. Nothing bounded the steps before either.

Now the process ends with os._exit once everything is closed, and a thread ends it 0.4 s before the end of the grace period when it is not done, also if the event loop is late. The log then has `exit_forced`. The flush after the last answer is 0.1 s instead of 0.2 s.

The tests run run_program in a process of its own.

--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from random import Random
 
 from ..config import HostedSettings
@@ -49,7 +50,7 @@
 _STOP_POLL_S = 0.05
 _STOP_LINGER_S = 4.0
 #: Time after the last answer for its bytes, well within the margin.
-_FLUSH_S = 0.2
+_FLUSH_S = 0.1
 
 _log = PartLogger('daemon')
 
@@ -191,6 +192,8 @@
         )
         self._stop_requested = asyncio.Event()
         self._stop_began_at_s: float | None = None
+        #: Called when a planned stop begins.
+        self.on_stop: Callable[[], object] = _ignore
 
     @property
     def settings(self) -> HostedSettings:
@@ -251,6 +254,7 @@
         """Begin a planned stop; further calls have no effect."""
         if self._stop_requested.is_set():
             return
+        self.on_stop()
         _log.info('%s received a stop request', self._settings.name)
         loop = asyncio.get_running_loop()
         grace_s = self._settings.bounds.grace_s - _STOP_MARGIN_S
@@ -345,3 +349,7 @@
 
     def _make_readiness_app(self) -> object:
         return make_readiness_app(lambda: self.is_ready)
+
+
+def _ignore() -> None:
+    """Do nothing."""
--- a/bronzesill/daemon/hosted_program.py
+++ b/bronzesill/daemon/hosted_program.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
+import sys
+import threading
 import time
 from pathlib import Path
+from typing import NoReturn
 
 from ..platform.settings import read_settings
 from ..utils import (
@@ -20,13 +24,41 @@
 
 __all__ = ['run_program']
 
+_EXIT_STOPPED = 0
 _EXIT_BAD_SETTINGS = 2
+#: Time before the end of the grace period at which a stopping process ends,
+#: whatever it is doing.
+_EXIT_MARGIN_S = 0.4
 
 _log = PartLogger('daemon')
 
 
+class _ExitDeadline:
+    """
+    Ends the process in time, also if its event loop is late or blocked.
+
+    :param grace_s: grace period in seconds, from the signal for a stop on.
+    """
+
+    def __init__(self, grace_s: float) -> None:
+        self._remaining_s = max(grace_s - _EXIT_MARGIN_S, 0)
+
+    def start(self) -> None:
+        """Start to count; to be called as soon as the stop begins."""
+        # The event loop may be blocked, so that the time is kept beside it.
+        timer = threading.Timer(self._remaining_s, self._end)
+        timer.daemon = True
+        timer.start()
+
+    def _end(self) -> None:
+        _log.event('exit_forced', after_s=self._remaining_s)
+        _end_process(_EXIT_STOPPED)
+
+
 async def _serve(path: Path, listeners: EarlySockets, started_s: float) -> None:
-    daemon = HostedDaemon(read_settings(path), listeners)
+    settings = read_settings(path)
+    daemon = HostedDaemon(settings, listeners)
+    daemon.on_stop = _ExitDeadline(settings.bounds.grace_s).start
     _log.event(
         'program_loaded', loaded_s=round(time.monotonic() - started_s, 3)
     )
@@ -34,6 +66,21 @@
     loop.add_signal_handler(signal.SIGTERM, daemon.begin_stop)
     loop.add_signal_handler(signal.SIGHUP, _reload, path)
     await daemon.run()
+    _end_process(_EXIT_STOPPED)
+
+
+def _end_process(status: int) -> NoReturn:
+    """
+    End the process at once; the system closes what it has open.
+
+    The interpreter's own end would free every object first, which takes
+    seconds on a busy machine.
+
+    :param status: exit status of the process.
+    """
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(status)
 
 
 def _reload(path: Path) -> None:
@@ -47,11 +94,12 @@
 
 def run_program(path: Path, listeners: EarlySockets, started_s: float) -> int:
     """
-    Run the daemon until a signal stops it; return the exit status.
+    Run the daemon until a signal ends the process.
 
     :param path: path of the settings file.
     :param listeners: sockets that listen already.
     :param started_s: monotonic time in seconds at which the process started.
+    :returns: the exit status if the daemon cannot be started.
     """
     configure_logging('info', is_json=True)
     filter_server_logs(BronzesillError)
@@ -64,4 +112,4 @@
     except OSError as error:
         _log.error('%s: %s', path, error)
         return _EXIT_BAD_SETTINGS
-    return 0
+    return _EXIT_STOPPED
--- /dev/null
+++ b/bronzesill/daemon/tests/test_process_end.py
@@ -0,0 +1,118 @@
+"""The end of the daemon process after a signal for a planned stop."""
+
+import subprocess
+import sys
+import unittest
+
+#: The child ends by itself only after this time, so that a process that is
+#: not ended in time is seen on a busy machine too.
+_CHILD_S = 120
+_TIMEOUT_S = 60
+
+_PREFIX = """
+import asyncio
+import atexit
+import os
+import signal
+import time
+from pathlib import Path
+from types import SimpleNamespace
+
+from bronzesill.daemon import hosted_program
+from bronzesill.daemon.early_sockets import EarlySockets
+
+
+class Daemon:
+    def __init__(self, settings, listeners):
+        self.on_stop = lambda: None
+
+    def begin_stop(self):
+        self.on_stop()
+        self.stop.set()
+
+    async def run(self):
+        self.stop = asyncio.Event()
+        os.kill(os.getpid(), signal.SIGTERM)
+        await self.stop.wait()
+        await self.close()
+
+
+bounds = SimpleNamespace(grace_s=1.0)
+hosted_program.read_settings = lambda path: SimpleNamespace(bounds=bounds)
+hosted_program.HostedDaemon = Daemon
+
+
+def run():
+    hosted_program.run_program(Path(), EarlySockets(), 0.0)
+"""
+
+
+_ENDS = """
+async def close(self):
+    print('closed')
+
+
+Daemon.close = close
+atexit.register(print, 'interpreter ends')
+run()
+"""
+
+_BLOCKS = f"""
+async def close(self):
+    time.sleep({_CHILD_S})
+
+
+Daemon.close = close
+run()
+"""
+
+_NEVER_ENDS = """
+async def close(self):
+    while True:
+        try:
+            await asyncio.sleep(1)
+        except asyncio.CancelledError:
+            pass
+
+
+Daemon.close = close
+run()
+"""
+
+
+def _run(body: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, '-c', _PREFIX + body],
+        capture_output=True,
+        timeout=_TIMEOUT_S,
+        check=False,
+        text=True,
+    )
+
+
+class ProcessEndTest(unittest.TestCase):
+    """The process ends within the grace period, whatever it has left to do."""
+
+    # Guards against hosts that are killed at the end of the grace period,
+    # seconds after their last step, while the interpreter frees its objects.
+    def test_end_does_not_wait_for_the_interpreter(self) -> None:
+        ended = _run(_ENDS)
+        self.assertEqual(ended.returncode, 0, ended.stderr)
+        self.assertIn('closed', ended.stdout)
+        self.assertNotIn('interpreter ends', ended.stdout)
+
+    # Guards against hosts that are killed as their event loop is late.
+    def test_blocked_event_loop_does_not_delay_the_end(self) -> None:
+        ended = _run(_BLOCKS)
+        self.assertEqual(ended.returncode, 0, ended.stderr)
+        self.assertIn('exit_forced', ended.stdout)
+
+    # Guards against hosts that are killed as a step of their end never ends.
+    def test_endless_step_does_not_delay_the_end(self) -> None:
+        ended = _run(_NEVER_ENDS)
+        self.assertEqual(ended.returncode, 0, ended.stderr)
+        self.assertIn('exit_forced', ended.stdout)
+
+
+if __name__ == '__main__':
+    unittest.main()
