Give all steps of a planned stop one budget from the signal on

Callers of a stopping host with a silent store waited for their refusals: the host removed its entry from the store, two calls of 1.5 s each, before it looked at open requests for the first time. A peer that does not read delayed the end without a bound, as did background tasks that were ended before the answers were flushed.

The end has a module of its own now, daemon/planned_stop.py: the entry is removed beside the first look at requests; connections of callers are closed before background tasks and peers; closing peers gets what is left and is left out then.

Evidence: with deregister() that takes 10 s, the refusal of a waiting stream came 7.9 s after the signal before (limit 1 s), and a close of peers that takes 10 s kept the host beyond its grace period of 3 s (no end within 4 s). Both tests fail on the code before and pass now.

--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -33,6 +33,7 @@
 from .hosted_requests import HostedRequests, RequestContext
 from .hosted_store_state import HostedStoreState
 from .peer_replication import PeerReplication
+from .planned_stop import PlannedStop
 from .quarantine import Quarantine
 from .restart_detector import RestartDetector, rank_to_ask
 from .task_runner import BackgroundTask, run_tasks
@@ -46,11 +47,6 @@
 #: an error, which only a new call reveals.
 _WATCH_TIMEOUT_S = 1.0
 _WATCH_INTERVAL_S = 0.4
-_STOP_MARGIN_S = 0.5
-_STOP_POLL_S = 0.05
-_STOP_LINGER_S = 4.0
-#: Time after the last answer for its bytes, well within the margin.
-_FLUSH_S = 0.1
 
 _log = PartLogger('daemon')
 
@@ -190,8 +186,7 @@
             self._state.serving_limits,
             listeners.take(settings.callers.ip, settings.callers.port),
         )
-        self._stop_requested = asyncio.Event()
-        self._stop_began_at_s: float | None = None
+        self._stop = PlannedStop(self._state, settings.bounds.grace_s)
         #: Called when a planned stop begins.
         self.on_stop: Callable[[], object] = _ignore
 
@@ -226,43 +221,42 @@
         return self._store_state.is_complete and not self._state.is_stopping
 
     async def run(self) -> None:
-        """
-        Serve until a stop is requested, then drain and close.
-
-        Draining takes at least ``_STOP_LINGER_S`` seconds and ends when no
-        request is running, at the latest when the grace period ends.
-        """
+        """Serve until a stop is requested, then drain and close."""
         self._state.begin_start()
         await self._peers.open()
         try:
             async with run_tasks(self._tasks(), self.begin_stop):
-                # The tasks learn the configuration while the servers start.
-                for server in self._http_servers():
-                    await server.start()
-                _log.info(
-                    '%s serves on %s',
-                    self._settings.name,
-                    self._caller_server.address,
-                )
-                await self._stop_requested.wait()
-                await self._drain()
+                await self._serve()
         finally:
             await self._close()
         _log.info('%s stopped', self._settings.name)
 
     def begin_stop(self) -> None:
         """Begin a planned stop; further calls have no effect."""
-        if self._stop_requested.is_set():
+        if self._stop.is_requested:
             return
         self.on_stop()
         _log.info('%s received a stop request', self._settings.name)
-        loop = asyncio.get_running_loop()
-        grace_s = self._settings.bounds.grace_s - _STOP_MARGIN_S
-        self._state.is_stopping = True
-        self._stop_began_at_s = loop.time()
-        self._state.stops_at_s = self._stop_began_at_s + grace_s
+        self._stop.begin()
         self._fleet.publish_stop()
-        self._stop_requested.set()
+
+    async def _serve(self) -> None:
+        try:
+            # The background tasks learn the configuration meanwhile.
+            for server in self._http_servers():
+                await server.start()
+            _log.info(
+                '%s serves on %s',
+                self._settings.name,
+                self._caller_server.address,
+            )
+            await self._stop.wait()
+            await self._stop.drain(
+                self._fleet.deregister, lambda: not self._caller_server.running
+            )
+        finally:
+            # Answers come first: what follows may take all that is left.
+            await self._close_connections()
 
     def _tasks(self) -> list[BackgroundTask]:
         return [
@@ -299,46 +293,20 @@
             self._peer_replication.should_watch,
         )
 
-    async def _drain(self) -> None:
-        loop = asyncio.get_running_loop()
-        stops_at_s = self._state.stops_at_s or loop.time()
-        linger_until_s = min(loop.time() + _STOP_LINGER_S, stops_at_s)
-        await self._fleet.deregister()
-        self._log_step('entry_removed')
-        while loop.time() < stops_at_s:
-            self._state.open_requests.end_before(stops_at_s, loop.time())
-            is_idle = not self._caller_server.running
-            if is_idle and loop.time() >= linger_until_s:
-                break
-            await asyncio.sleep(_STOP_POLL_S)
-
     async def _close(self) -> None:
-        now_s = asyncio.get_running_loop().time()
-        remaining_s = (self._state.stops_at_s or now_s) - now_s
-        flush_s = max(remaining_s, 0) + _FLUSH_S
-        self._log_step('drained', cut_streams=self._requests.log_unfinished())
-        await asyncio.gather(
-            self._close_connections(flush_s), self._close_peers()
-        )
+        await self._stop.run_step('peers_closed', self._peers.close())
         self._pool.close()
         self._store.close()
-        self._log_step('closed')
+        self._stop.log_step('closed')
 
-    async def _close_connections(self, flush_s: float) -> None:
+    async def _close_connections(self) -> None:
+        self._stop.log_step(
+            'drained', cut_streams=self._requests.log_unfinished()
+        )
+        flush_s = self._stop.flush_s
         servers = self._http_servers()
         await asyncio.gather(*[server.close(flush_s) for server in servers])
-        self._log_step('connections_closed')
-
-    async def _close_peers(self) -> None:
-        await self._peers.close()
-        self._log_step('peers_closed')
-
-    def _log_step(self, step: str, **fields: object) -> None:
-        """Log a step of a planned stop and the seconds since its signal."""
-        if self._stop_began_at_s is None:
-            return
-        after_s = asyncio.get_running_loop().time() - self._stop_began_at_s
-        _log.event('stop_step', step=step, after_s=round(after_s, 3), **fields)
+        self._stop.log_step('connections_closed')
 
     def _apply_store_changes(self, entries: tuple[StoredEntry, ...]) -> None:
         self._moves.apply_store_changes(entries, self._store_state.replica)
--- a/bronzesill/daemon/tests/test_planned_stop.py
+++ b/bronzesill/daemon/tests/test_planned_stop.py
@@ -27,6 +27,7 @@
 #: A refusal at once, on a busy machine too.
 _AT_ONCE_S = 1.0
 _CALL_WORK_S = 1.2
+_HANGING_S = 10.0
 
 
 def _engines(events: int, pace_s: float) -> HostedPlan:
@@ -37,6 +38,10 @@
     return HostedPlan(daemons=1, workers=(engine, shop), grace_s=_GRACE_S)
 
 
+async def _hang() -> None:
+    await asyncio.sleep(_HANGING_S)
+
+
 class _StopCase(unittest.IsolatedAsyncioTestCase):
     plan = HostedPlan()
 
@@ -170,6 +175,15 @@
         self.assertEqual(answer.status, _NOT_RUN)
         self.assertLess(after_s, _AT_ONCE_S)
 
+    # Guards against refusals that wait for a store that answers no call.
+    async def test_silent_store_does_not_delay_refusals(self) -> None:
+        await self.fleet.workers_by_name['engine-a'].stop()
+        fleet = self.daemon._fleet
+        with mock.patch.object(fleet, 'deregister', _hang):
+            answer, after_s = await self.stop_under(self.stream())
+        self.assertEqual(answer.status, _NOT_RUN)
+        self.assertLess(after_s, _AT_ONCE_S)
+
     async def test_silent_stream_gets_an_answer_before_the_exit(self) -> None:
         self.silence('engine-a')
         answer, _ = await self.stop_under(self.stream())
@@ -189,6 +203,19 @@
         self.assertEqual(answer.status, _UNKNOWN)
 
 
+class SilentPeerTest(_StopCase):
+    """A peer does not read what this host has for it."""
+
+    plan = _engines(events=10, pace_s=0.01)
+
+    # Guards against hosts that are killed while they wait for a peer.
+    async def test_connections_with_peers_do_not_delay_the_end(self) -> None:
+        self.daemon.begin_stop()
+        with mock.patch.object(self.daemon._peers, 'close', _hang):
+            async with asyncio.timeout(_GRACE_S + _AT_ONCE_S):
+                await self.fleet.wait_until_stopped(self.daemon)
+
+
 class CutStreamLogTest(_StopCase):
     """A stream outlasts the grace period."""
 
