Refuse a request on a kept connection with an answer

Callers saw: a whole request on a kept connection ended with a closed connection, without an answer or a refusal, when a changed configuration had lowered the largest head (431), when its head was slow (408), or when it could not be parsed (400). On a new connection the same request was refused.

Cause: the refusal is left out once an answer has begun, and the connection took the answer to the request before for the one to this request.

The connection now knows whether its request cycle belongs to the request that began last, and omits the refusal only then.

--- a/bronzesill/utils/serving.py
+++ b/bronzesill/utils/serving.py
@@ -98,6 +98,8 @@
         self._limits = get_limits()
         self._timer: asyncio.TimerHandle | None = None
         self._head_bytes = 0
+        #: Whether ``cycle`` belongs to the request that began last.
+        self._has_head = False
         self._is_closing = False
 
     def connection_made(
@@ -136,7 +138,8 @@
         """
         Send an empty error response and close the connection.
 
-        The response is omitted if the application has already started one.
+        The response is omitted if the application has already started one to
+        the request that began last.
 
         :param status_line: status code and reason phrase.
         """
@@ -144,7 +147,7 @@
             return
         self._is_closing = True
         self._cancel_timer()
-        if self.cycle is None or not self.cycle.response_started:
+        if not self._has_head or not self.cycle.response_started:
             self.transport.write(_ERROR_RESPONSE.format(status_line).encode())
         self.transport.close()
 
@@ -154,6 +157,7 @@
             raise _PipelinedRequest
         super().on_message_begin()
         self._head_bytes = 0
+        self._has_head = False
         self._start_timer(self._limits.head_timeout_s, self._on_head_timeout)
 
     def on_url(self, url: bytes) -> None:
@@ -174,6 +178,7 @@
         scope = cast(dict[str, Any], self.scope)
         scope[TARGET_KEY] = self.url
         super().on_headers_complete()
+        self._has_head = True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the running timeout."""
