Let a raised idle limit hold for connections that are idle already

Callers saw: a kept connection closed at the idle limit of an older configuration, before the limit in force; a request sent in that moment crossed the close and got neither an answer nor a refusal. A connection on which the rest of a body came after its refusal was never closed.

Cause: the idle timer was started with the limit of the last packet that was read, which may be as old as a stream is long, and was not looked at again. Any packet ended it, also one that begins no request.

Evidence: in bronzesill.utils.tests.test_kept_connections, the two new tests failed before (0 bytes read for the request after 0.8 s idle under a limit raised from 0.4 s to 2 s; no close within 3 s after part of a body under a limit of 0.4 s) and pass now.

The idle time has its own timer. It looks up the limit when it ends and waits on if that was raised; bytes that begin no request begin it again, and only a request ends it.

--- a/bronzesill/utils/serving.py
+++ b/bronzesill/utils/serving.py
@@ -15,6 +15,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from .addresses import Address, limit_silence
+from .idle_time import IdleTimeout
 from .logs import PartLogger
 
 __all__ = ['TARGET_KEY', 'HttpServer', 'ServingLimits']
@@ -97,6 +98,9 @@
         self._get_limits = get_limits
         self._limits = get_limits()
         self._timer: asyncio.TimerHandle | None = None
+        self._idle = IdleTimeout(
+            lambda: get_limits().idle_timeout_s, self._close_idle
+        )
         self._head_bytes = 0
         #: Whether ``cycle`` belongs to the request that began last.
         self._has_head = False
@@ -109,8 +113,7 @@
         """Start the idle timeout of the first request."""
         super().connection_made(transport)
         limit_silence(transport)
-        self._set_idle_timeout()
-        self._start_timer(self._limits.idle_timeout_s, self.transport.close)
+        self._idle.begin()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, unless a response is still outstanding."""
@@ -119,7 +122,7 @@
             self._close_after_response()
             return
         self._limits = self._get_limits()
-        self._set_idle_timeout()
+        self._idle.extend()
         try:
             super().data_received(data)
         except httptools.HttpParserUpgrade:
@@ -158,6 +161,7 @@
         super().on_message_begin()
         self._head_bytes = 0
         self._has_head = False
+        self._idle.end()
         self._start_timer(self._limits.head_timeout_s, self._on_head_timeout)
 
     def on_url(self, url: bytes) -> None:
@@ -180,9 +184,18 @@
         super().on_headers_complete()
         self._has_head = True
 
+    def on_response_complete(self) -> None:
+        """Begin the idle time before the next request."""
+        super().on_response_complete()
+        # Uvicorn's own timeout keeps the limit with which it began.
+        self._unset_keepalive_if_required()
+        if not self.transport.is_closing():
+            self._idle.begin()
+
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the running timeout."""
+        """Cancel the running timeouts."""
         self._cancel_timer()
+        self._idle.end()
         super().connection_lost(exc)
 
     @property
@@ -192,10 +205,8 @@
             return False
         return not cycle.more_body
 
-    def _set_idle_timeout(self) -> None:
-        # Uvicorn declares an int but passes the value to the event loop as is.
-        idle_s: Any = self._limits.idle_timeout_s
-        self.timeout_keep_alive = idle_s
+    def _close_idle(self) -> None:
+        self.transport.close()
 
     def _close_after_response(self) -> None:
         self._is_closing = True
--- a/bronzesill/utils/tests/test_kept_connections.py
+++ b/bronzesill/utils/tests/test_kept_connections.py
@@ -13,6 +13,7 @@
 )
 _GET = b'GET / HTTP/1.1\r\nhost: x\r\n\r\n'
 _LARGE_HEAD = b'GET / HTTP/1.1\r\nx-big: %b\r\n\r\n' % (b'a' * 1000)
+_POST_HEAD = b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n'
 _BODY = b'done'
 _END_S = 3.0
 
@@ -72,6 +73,21 @@
         answer = await self.read_rest(b'GET / HTTP/1.1\r\nx : y\r\n\r\n')
         self.assertTrue(answer.startswith(b'HTTP/1.1 400 '), answer)
 
+    # Guards against a request that crosses the close of its connection: the
+    # limit in force allowed the idle time, an earlier one did not.
+    async def test_raised_idle_limit_holds_at_once(self) -> None:
+        self.limits = dataclasses.replace(_LIMITS, idle_timeout_s=2)
+        await asyncio.sleep(2 * _LIMITS.idle_timeout_s)
+        await self.exchange()
+
+    # Guards against a connection that stays open for ever, as the rest of a
+    # body that had been answered already ended its idle time.
+    async def test_unfinished_body_does_not_keep_a_connection(self) -> None:
+        self.writer.write(_POST_HEAD)
+        async with asyncio.timeout(_END_S):
+            await self.reader.readuntil(_BODY)
+        self.assertEqual(await self.read_rest(b'x'), b'')
+
 
 if __name__ == '__main__':
     unittest.main()
