--- a/bronzesill/utils/serving.py
+++ b/bronzesill/utils/serving.py
@@ -15,6 +15,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from .addresses import Address, limit_silence
+from .idle_time import IdleTimeout
 from .logs import PartLogger
 
 __all__ = ['TARGET_KEY', 'HttpServer', 'ServingLimits']
@@ -97,7 +98,12 @@
         self._get_limits = get_limits
         self._limits = get_limits()
         self._timer: asyncio.TimerHandle | None = None
+        self._idle = IdleTimeout(
+            lambda: get_limits().idle_timeout_s, self._close_idle
+        )
         self._head_bytes = 0
+        #: Whether ``cycle`` belongs to the request that began last.
+        self._has_head = False
         self._is_closing = False
 
     def connection_made(
@@ -107,8 +113,7 @@
         """Start the idle timeout of the first request."""
         super().connection_made(transport)
         limit_silence(transport)
-        self._set_idle_timeout()
-        self._start_timer(self._limits.idle_timeout_s, self.transport.close)
+        self._idle.begin()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, unless a response is still outstanding."""
@@ -117,7 +122,7 @@
             self._close_after_response()
             return
         self._limits = self._get_limits()
-        self._set_idle_timeout()
+        self._idle.extend()
         try:
             super().data_received(data)
         except httptools.HttpParserUpgrade:
@@ -136,7 +141,8 @@
         """
         Send an empty error response and close the connection.
 
-        The response is omitted if the application has already started one.
+        The response is omitted if the application has already started one to
+        the request that began last.
 
         :param status_line: status code and reason phrase.
         """
@@ -144,7 +150,7 @@
             return
         self._is_closing = True
         self._cancel_timer()
-        if self.cycle is None or not self.cycle.response_started:
+        if not self._has_head or not self.cycle.response_started:
             self.transport.write(_ERROR_RESPONSE.format(status_line).encode())
         self.transport.close()
 
@@ -154,6 +160,8 @@
             raise _PipelinedRequest
         super().on_message_begin()
         self._head_bytes = 0
+        self._has_head = False
+        self._idle.end()
         self._start_timer(self._limits.head_timeout_s, self._on_head_timeout)
 
     def on_url(self, url: bytes) -> None:
@@ -174,10 +182,20 @@
         scope = cast(dict[str, Any], self.scope)
         scope[TARGET_KEY] = self.url
         super().on_headers_complete()
+        self._has_head = True
+
+    def on_response_complete(self) -> None:
+        """Begin the idle time before the next request."""
+        super().on_response_complete()
+        # Uvicorn's own timeout keeps the limit with which it began.
+        self._unset_keepalive_if_required()
+        if not self.transport.is_closing():
+            self._idle.begin()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the running timeout."""
+        """Cancel the running timeouts."""
         self._cancel_timer()
+        self._idle.end()
         super().connection_lost(exc)
 
     @property
@@ -187,10 +205,8 @@
             return False
         return not cycle.more_body
 
-    def _set_idle_timeout(self) -> None:
-        # Uvicorn declares an int but passes the value to the event loop as is.
-        idle_s: Any = self._limits.idle_timeout_s
-        self.timeout_keep_alive = idle_s
+    def _close_idle(self) -> None:
+        self.transport.close()
 
     def _close_after_response(self) -> None:
         self._is_closing = True
