Use an engine again when the pause that it asked for has ended

An engine that answered 503 with Retry-After got no streams for longer than it had asked for: a refusal of a stream counted as a server that does not respond. It was suspected for 3 s after the first refusal, 6 s after the second and 12 s after the third, and the peers were told that it had failed, though its answer says until when it takes nothing.

A refusal with a pause that is not over is no evidence against the engine; the pause alone keeps requests away. Refusals without one and all other losses make it suspected as before.

--- a/bronzesill/daemon/server_limiter.py
+++ b/bronzesill/daemon/server_limiter.py
@@ -102,6 +102,10 @@
         limit_s = self._limits.wait_s(server, self._position(), time.time())
         return max(pause_s, limit_s)
 
+    def is_paused(self, server: str) -> bool:
+        """Return whether a server asked for no requests until a time."""
+        return self._paused_until_s.get(server, 0) > time.monotonic()
+
     def is_brittle(self, service: str) -> bool:
         """Return whether the servers of a service say that they are brittle."""
         return service in self._rejections.by_service
--- a/bronzesill/generations/book_observer.py
+++ b/bronzesill/generations/book_observer.py
@@ -68,7 +68,7 @@
     def attempt_lost(self, server: str, cause: LossCause) -> None:
         """Mark the server as suspect for a while and count the loss."""
         self._metrics.incr(f'generations.lost.{cause.value}')
-        if cause is LossCause.BLOCKED:
+        if cause is LossCause.BLOCKED or self._is_paused(server, cause):
             return
         now_s = asyncio.get_running_loop().time()
         if cause is LossCause.UNSENT and self._is_path_suspected(server, now_s):
@@ -97,6 +97,11 @@
         record = await self._directory.find(request.key)
         return record is None or record.owner == self._daemon
 
+    def _is_paused(self, server: str, cause: LossCause) -> bool:
+        """Return whether a server said itself until when it takes nothing."""
+        is_refused = cause is LossCause.REFUSED
+        return is_refused and self._tracker.limiter.is_paused(server)
+
     def _is_path_suspected(self, server: str, now_s: float) -> bool:
         """
         Return whether the path is rather at fault than the server.
--- a/bronzesill/routing/server_tracker.py
+++ b/bronzesill/routing/server_tracker.py
@@ -4,11 +4,11 @@
 
 import dataclasses
 import statistics
-from collections.abc import Callable, Collection, Mapping
-from typing import Protocol
+from collections.abc import Callable, Mapping
 
 from ..config import BackendServer
 from .domains import DomainFailures
+from .limiter import NoLimits, RequestLimiter
 from .records import LoadReport, ServerRecord
 from .request_limits import ServerRoom
 from .use_reports import (
@@ -20,60 +20,12 @@
 )
 from .views import ServerView
 
-__all__ = ['RequestLimiter', 'ServerTracker']
+__all__ = ['ServerTracker']
 
 #: Failures up to this age are included in use reports.
 _FAILURE_REPORT_WINDOW_S = 1.0
 
 
-class RequestLimiter(Protocol):
-    """Limits that servers name for the requests of all daemons."""
-
-    def record_request(self, server: str) -> None:
-        """Count a request to a server."""
-
-    def record_demand(self, service: str) -> None:
-        """Take note of a request for any server of a service."""
-
-    def record_choice(self, server: str) -> None:
-        """Take note that a server was chosen for a request."""
-
-    def wait_s(self, server: str) -> float:
-        """Return the seconds until a server may be used, 0 if it may now."""
-
-    def is_brittle(self, service: str) -> bool:
-        """Return whether the servers of a service must not reject much."""
-
-    def room_wait_s(self, server: str, service: str, room: ServerRoom) -> float:
-        """Return the same for a server that must not reject much."""
-
-    def keep_only(self, servers: Collection[str]) -> None:
-        """Forget the limits of all other servers."""
-
-
-class _NoLimits:
-    def record_request(self, server: str) -> None:
-        """Do nothing."""
-
-    def record_demand(self, service: str) -> None:
-        """Do nothing."""
-
-    def record_choice(self, server: str) -> None:
-        """Do nothing."""
-
-    def wait_s(self, server: str) -> float:
-        return 0
-
-    def is_brittle(self, service: str) -> bool:
-        return False
-
-    def room_wait_s(self, server: str, service: str, room: ServerRoom) -> float:
-        return 0
-
-    def keep_only(self, servers: Collection[str]) -> None:
-        """Do nothing."""
-
-
 class ServerTracker:
     """
     Mutable collection of the records of all backend servers.
@@ -96,7 +48,7 @@
         self.fleet_use = FleetUse()
         self._started_at_s_by_group: Mapping[str, float] = {}
         #: Limits of servers; those without a free slot are not in views.
-        self.limiter: RequestLimiter = _NoLimits()
+        self.limiter: RequestLimiter = NoLimits()
         #: Returns whether only other daemons reach a server; such a server is
         #: not suspected for what this daemon sees of it.
         self.is_path_cut: Callable[[str], bool] = _is_never
