Log each step of a host's start

Each host now logs start_step once for: serving, store_read, peer_known, configured, ready, registered, looked_up, answered, each with the seconds since the process started and the hosts that it knew. No step costs anything after it was reached but a look-up in a set.

--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -24,6 +24,7 @@
     HttpServer,
     PartLogger,
     PrometheusMetrics,
+    StepLog,
 )
 from .early_sockets import EarlySockets
 from .hosted_fleet import HostedFleet
@@ -62,12 +63,20 @@
 
     :param settings: settings of this host.
     :param listeners: sockets that listen already; others are opened.
+    :param started_s: monotonic time in seconds at which the process started,
+        now by default.
     """
 
     def __init__(
-        self, settings: HostedSettings, listeners: EarlySockets | None = None
+        self,
+        settings: HostedSettings,
+        listeners: EarlySockets | None = None,
+        started_s: float | None = None,
     ) -> None:
         listeners = listeners or EarlySockets()
+        self._start_log = StepLog(
+            _log, 'start_step', started_s or time.monotonic()
+        )
         self._settings = settings
         self._random = Random(f'{settings.name} {time.time_ns()}')
         self._state = GatewayState()
@@ -181,6 +190,7 @@
                 self._quarantine,
                 self._fleet,
                 self._client,
+                self._log_start_step,
             )
         )
         self._caller_server = HttpServer(
@@ -189,6 +199,7 @@
             self._state.serving_limits,
             listeners.take(settings.callers.ip, settings.callers.port),
         )
+        self._log_start()
         self._stop_requested = asyncio.Event()
         self._stop_began_at_s: float | None = None
 
@@ -236,6 +247,7 @@
                 # The tasks learn the configuration while the servers start.
                 for server in self._http_servers():
                     await server.start()
+                self._log_start_step('serving')
                 _log.info(
                     '%s serves on %s',
                     self._settings.name,
@@ -295,6 +307,25 @@
             self._peer_replication.should_watch,
         )
 
+    def _log_start(self) -> None:
+        """Log the steps of the start as the components reach them."""
+        self._fleet.log_start_step = self._log_start_step
+        self._store_state.log_start_step = self._log_start_step
+        self._store_state.on_refresh = self._log_knowledge
+        self._peers.membership.listeners.append(lambda _: self._log_knowledge())
+
+    def _log_start_step(self, step: str) -> None:
+        if not self._start_log.has_reached(step):
+            self._start_log.reach(step, hosts=self.known_peers + 1)
+
+    def _log_knowledge(self) -> None:
+        if self.known_peers:
+            self._log_start_step('peer_known')
+        if self._state.document is not None:
+            self._log_start_step('configured')
+        if self.is_ready:
+            self._log_start_step('ready')
+
     async def _drain(self) -> None:
         loop = asyncio.get_running_loop()
         stops_at_s = self._state.stops_at_s or loop.time()
--- a/bronzesill/daemon/hosted_fleet.py
+++ b/bronzesill/daemon/hosted_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 import orjson
@@ -66,6 +67,8 @@
         self._random = random
         self._lease: Lease | None = None
         self._has_returned = asyncio.Event()
+        #: Called with the name of a step of the start that is reached.
+        self.log_start_step: Callable[[str], None] = _ignore
 
     async def maintain_registration(self) -> None:
         """Keep this daemon registered while it has to watch the store."""
@@ -192,6 +195,7 @@
 
         :param failure_domain: failure domain of the caller, not used.
         """
+        self.log_start_step('looked_up')
         view = self._membership.view
         available = [
             member.callers
@@ -243,6 +247,8 @@
             (Mutation(self._key, payload, lease),),
         )
         self._lease = lease if written else None
+        if written:
+            self.log_start_step('registered')
 
     async def _join_registered(self) -> None:
         listed = await self._store.snapshot(HOST_PREFIX, may_be_stale=True)
@@ -262,6 +268,10 @@
                 _log.info('%s of %s seeds accepted the join', joined, count)
 
 
+def _ignore(_: str) -> None:
+    """Ignore an event; the default callback."""
+
+
 def _decode_member(entry: StoredEntry) -> Member | None:
     try:
         return structure(orjson.loads(entry.payload), Member)
--- a/bronzesill/daemon/hosted_program.py
+++ b/bronzesill/daemon/hosted_program.py
@@ -26,7 +26,7 @@
 
 
 async def _serve(path: Path, listeners: EarlySockets, started_s: float) -> None:
-    daemon = HostedDaemon(read_settings(path), listeners)
+    daemon = HostedDaemon(read_settings(path), listeners, started_s)
     _log.event(
         'program_loaded', loaded_s=round(time.monotonic() - started_s, 3)
     )
--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
@@ -71,6 +72,7 @@
     :param quarantine: requests that crash servers.
     :param fleet: the live daemons.
     :param store: client of the store, for metrics.
+    :param log_start_step: logs that a step of the start is reached.
     """
 
     settings: HostedSettings
@@ -87,6 +89,7 @@
     quarantine: Quarantine
     fleet: HostedFleet
     store: PlatformStore
+    log_start_step: Callable[[str], None]
 
 
 class HostedRequests:
@@ -229,6 +232,7 @@
 
     def _process_answer_head(self, server: str, head: AnswerHead) -> None:
         context = self._context
+        context.log_start_step('answered')
         if context.dialect.is_misdirected(head):
             context.restart_detector.handle_other_server(server)
         else:
--- a/bronzesill/daemon/hosted_store_state.py
+++ b/bronzesill/daemon/hosted_store_state.py
@@ -66,6 +66,10 @@
         self.on_older_configuration: Callable[[int], None] = _ignore
         #: Called when the store has come back from an older copy.
         self.on_return: Callable[[], None] = _ignore
+        #: Called with the name of a step of the start that is reached.
+        self.log_start_step: Callable[[str], None] = _ignore
+        #: Called when the configuration or the listed servers have changed.
+        self.on_refresh: Callable[[], None] = _ignore
         self._configuration: _ConfigurationInForce | None = None
         #: Servers that said in an answer that they leave; their entries may
         #: not say it yet.
@@ -92,6 +96,7 @@
 
     def apply_snapshot(self, snapshot: Snapshot) -> None:
         """Replace all keys by those of a snapshot."""
+        self.log_start_step('store_read')
         self._apply_merge(merge_snapshot(self.replica, snapshot))
 
     def apply_entries(self, entries: tuple[StoredEntry, ...]) -> None:
@@ -296,6 +301,7 @@
         for name, listed in listed_by_name.items():
             is_leaving = listed.is_leaving or name in self._said_leaving
             self._tracker.set_leaving(name, is_leaving=is_leaving)
+        self.on_refresh()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/utils/__init__.py
+++ b/bronzesill/utils/__init__.py
@@ -24,6 +24,7 @@
 )
 from .logs import (
     PartLogger,
+    StepLog,
     configure_logging,
     filter_server_logs,
     log_unexpected,
@@ -44,6 +45,7 @@
     'PrometheusMetrics',
     'ResultCode',
     'ServingLimits',
+    'StepLog',
     'chain_digest',
     'configure_logging',
     'filter_server_logs',
--- a/bronzesill/utils/logs.py
+++ b/bronzesill/utils/logs.py
@@ -18,6 +18,7 @@
     'JsonFormatter',
     'LineRateLimiter',
     'PartLogger',
+    'StepLog',
     'configure_logging',
     'filter_server_logs',
     'log_unexpected',
@@ -132,6 +133,39 @@
         )
 
 
+class StepLog:
+    """
+    Logs when each step of a process is first reached.
+
+    :param logger: logger of the component.
+    :param event: kind of the lines.
+    :param began_s: monotonic time in seconds at which the process began.
+    """
+
+    def __init__(self, logger: PartLogger, event: str, began_s: float) -> None:
+        self._logger = logger
+        self._event = event
+        self._began_s = began_s
+        self._reached: set[str] = set()
+
+    def has_reached(self, step: str) -> bool:
+        """Return whether a step was logged."""
+        return step in self._reached
+
+    def reach(self, step: str, **fields: object) -> None:
+        """
+        Log a step and the seconds since the beginning, the first time only.
+
+        :param step: name of the step.
+        :param fields: what is known at that step.
+        """
+        if step in self._reached:
+            return
+        self._reached.add(step)
+        after_s = round(time.monotonic() - self._began_s, 3)
+        self._logger.event(self._event, step=step, after_s=after_s, **fields)
+
+
 _requests_log = PartLogger('requests')
 
 
