--- a/bronzesill/daemon/hosted_program.py
+++ b/bronzesill/daemon/hosted_program.py
@@ -57,7 +57,7 @@
 
 async def _serve(path: Path, listeners: EarlySockets, started_s: float) -> None:
     settings = read_settings(path)
-    daemon = HostedDaemon(settings, listeners)
+    daemon = HostedDaemon(settings, listeners, started_s)
     daemon.on_stop = _ExitDeadline(settings.bounds.grace_s).start
     _log.event(
         'program_loaded', loaded_s=round(time.monotonic() - started_s, 3)
