Answer what has arrived before a stopping host closes its connections

A caller whose request crossed the end of a stopping host saw its connection reset or closed without an answer: requests in the queue of connections that wait to be accepted, requests that were not read yet on a kept connection, last chunks of a body, and answers whose caller had sent more bytes.

Cause: HttpServer.close closed the listener with its queue, then each connection in the same step, unread bytes or not. Closing a socket with unread bytes resets the connection.

Now it accepts what waits and stops to listen, lets the loop read what has arrived, announces the close in each answer that has not begun, closes idle connections and those that are answered for writing only, and gives the caller 0.1 s to close its side. The pause of 0.1 s in uvicorn's shutdown falls away when all was closed. The connections have a module of their own, utils/connections.py.

--- a/bronzesill/utils/serving.py
+++ b/bronzesill/utils/serving.py
@@ -4,33 +4,30 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import functools
 import socket
 from collections.abc import Callable, Iterator
-from typing import Any, cast
+from typing import Any
 
-import httptools
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from .addresses import Address, limit_silence
+from .addresses import Address
+from .connections import (
+    TARGET_KEY,
+    ConnectionPhase,
+    LimitedConnection,
+    ServingLimits,
+)
 from .logs import PartLogger
 
 __all__ = ['TARGET_KEY', 'HttpServer', 'ServingLimits']
 
-#: Key of the ASGI scope that holds the unmodified request target as bytes.
-TARGET_KEY = 'bronzesill.target'
-
 _BACKLOG = 2048
-_HEADER_OVERHEAD_BYTES = 4
 _FLUSH_POLL_S = 0.01
+#: Passes of the event loop after which what has arrived is read.
+_READ_PASSES = 3
 _log = PartLogger('serving')
 
-_ERROR_RESPONSE = (
-    'HTTP/1.1 {0}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
-)
-
 
 class _Server(uvicorn.Server):
     """Uvicorn server that does not install signal handlers."""
@@ -54,174 +51,28 @@
         await super().startup(sockets=sockets)
         self.listening.set()
 
+    async def shutdown(
+        self, sockets: list[socket.socket] | None = None
+    ) -> None:
+        """Wait for requests; if all were aborted, end without a pause."""
+        if not self.force_exit:
+            await super().shutdown(sockets=sockets)
+
+    def make_connection(self) -> asyncio.Protocol:
+        """Return the protocol of a connection that was accepted."""
+        connection: asyncio.Protocol = self.config.http_protocol_class(  # type: ignore[call-arg]
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+        return connection
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Do nothing; the program installs its own signal handlers."""
         yield
 
 
-@dataclasses.dataclass(frozen=True)
-class ServingLimits:
-    """
-    Limits of a client connection.
-
-    :param max_head_bytes: maximum size of the request line and headers.
-    :param head_timeout_s: seconds within which the head has to arrive.
-    :param idle_timeout_s: seconds until an idle connection is closed.
-    """
-
-    max_head_bytes: int = 65_536
-    head_timeout_s: float = 10
-    idle_timeout_s: float = 60
-
-
-class _LimitedProtocol(HttpToolsProtocol):
-    """
-    HTTP connection with limits and without request pipelining.
-
-    The unmodified request target is stored in the ASGI scope under
-    ``TARGET_KEY``.  Data received after a complete request that has not been
-    answered is discarded, and the connection is closed after the response to
-    that request.
-
-    :param get_limits: returns the current limits.
-    """
-
-    def __init__(
-        self,
-        get_limits: Callable[[], ServingLimits],
-        *args: Any,
-        **options: Any,
-    ) -> None:
-        super().__init__(*args, **options)
-        self._get_limits = get_limits
-        self._limits = get_limits()
-        self._timer: asyncio.TimerHandle | None = None
-        self._head_bytes = 0
-        self._is_closing = False
-
-    def connection_made(
-        self,
-        transport: asyncio.Transport,  # type: ignore[override]
-    ) -> None:
-        """Start the idle timeout of the first request."""
-        super().connection_made(transport)
-        limit_silence(transport)
-        self._set_idle_timeout()
-        self._start_timer(self._limits.idle_timeout_s, self.transport.close)
-
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes, unless a response is still outstanding."""
-        if self._is_closing or self._has_unanswered_request:
-            # Pipelined data: the previous request has not been answered yet.
-            self._close_after_response()
-            return
-        self._limits = self._get_limits()
-        self._set_idle_timeout()
-        try:
-            super().data_received(data)
-        except httptools.HttpParserUpgrade:
-            self.reject('400 Bad Request')
-
-    def send_400_response(self, msg: str) -> None:
-        """Reject invalid HTTP, unless a response is outstanding."""
-        if self._is_closing:
-            return
-        if self._has_unanswered_request:
-            self._close_after_response()
-            return
-        self.reject('400 Bad Request')
-
-    def reject(self, status_line: str) -> None:
-        """
-        Send an empty error response and close the connection.
-
-        The response is omitted if the application has already started one.
-
-        :param status_line: status code and reason phrase.
-        """
-        if self._is_closing or self.transport.is_closing():
-            return
-        self._is_closing = True
-        self._cancel_timer()
-        if self.cycle is None or not self.cycle.response_started:
-            self.transport.write(_ERROR_RESPONSE.format(status_line).encode())
-        self.transport.close()
-
-    def on_message_begin(self) -> None:
-        """Start the timeout for the rest of the head."""
-        if self._has_unanswered_request:
-            raise _PipelinedRequest
-        super().on_message_begin()
-        self._head_bytes = 0
-        self._start_timer(self._limits.head_timeout_s, self._on_head_timeout)
-
-    def on_url(self, url: bytes) -> None:
-        """Add the request target to the size of the head."""
-        super().on_url(url)
-        self._count_head(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header to the size of the head."""
-        super().on_header(name, value)
-        self._count_head(len(name) + len(value))
-
-    def on_headers_complete(self) -> None:
-        """Cancel the timeout and start the application."""
-        self._cancel_timer()
-        if self._is_closing:
-            return
-        scope = cast(dict[str, Any], self.scope)
-        scope[TARGET_KEY] = self.url
-        super().on_headers_complete()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the running timeout."""
-        self._cancel_timer()
-        super().connection_lost(exc)
-
-    @property
-    def _has_unanswered_request(self) -> bool:
-        cycle = self.cycle
-        if cycle is None or cycle.response_complete:
-            return False
-        return not cycle.more_body
-
-    def _set_idle_timeout(self) -> None:
-        # Uvicorn declares an int but passes the value to the event loop as is.
-        idle_s: Any = self._limits.idle_timeout_s
-        self.timeout_keep_alive = idle_s
-
-    def _close_after_response(self) -> None:
-        self._is_closing = True
-        if self.cycle is not None:
-            self.cycle.keep_alive = False
-
-    def _on_head_timeout(self) -> None:
-        self.reject('408 Request Timeout')
-
-    def _count_head(self, count: int) -> None:
-        self._head_bytes += count + _HEADER_OVERHEAD_BYTES
-        if self._head_bytes > self._limits.max_head_bytes:
-            self.reject('431 Request Header Fields Too Large')
-
-    def _start_timer(
-        self, seconds: float, on_timeout: Callable[[], object]
-    ) -> None:
-        self._cancel_timer()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(seconds, on_timeout)
-
-    def _cancel_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
-
-class _PipelinedRequest(Exception):
-    """A request was pipelined before the previous one was answered."""
-
-
 class HttpServer:
     """
     HTTP server with one listening socket.
@@ -246,6 +97,7 @@
         self.address = Address(address.ip, self._socket.getsockname()[1])
         self._make_app = make_app
         self._get_limits = get_limits
+        self._phase = ConnectionPhase()
         self._server: _Server | None = None
         self._task: asyncio.Task[None] | None = None
 
@@ -256,7 +108,9 @@
 
     async def start(self) -> None:
         """Start to accept connections."""
-        server = _Server(_uvicorn_config(self._make_app(), self._get_limits))
+        server = _Server(
+            _uvicorn_config(self._make_app(), self._get_limits, self._phase)
+        )
         self._server = server
         self._task = asyncio.create_task(server.serve(sockets=[self._socket]))
         await server.listening.wait()
@@ -268,22 +122,29 @@
             await self._task
         self._socket.close()
 
+    def announce_close(self) -> None:
+        """Close each connection after its next answer, and say so in it."""
+        self._phase.is_ending = True
+
     async def close(self, flush_s: float) -> None:
         """
         Close all connections, and let answers that were sent arrive.
 
-        What a slow caller has not read yet is still written; requests that
-        are not answered are aborted.
+        Connections that wait to be accepted are accepted first, and requests
+        that wait to be read are read: they get an answer too.  What a slow
+        caller has not read yet is still written; requests that are not
+        answered in time are aborted.
 
         :param flush_s: longest time in seconds until all is written.
         """
         server = self._server
-        if server is not None:
-            for listener in server.servers:
-                listener.close()
-            self._close_written(tuple(server.server_state.connections))
+        if server is not None and not server.force_exit:
+            self.announce_close()
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(_wait_until_closed(server), flush_s)
+                async with asyncio.timeout(flush_s):
+                    await self._accept_waiting(server)
+                    await _end_connections(server)
+            self._log_unanswered(server)
         await self.kill()
 
     def abort_connections(self) -> None:
@@ -308,39 +169,57 @@
         await asyncio.gather(self._task, return_exceptions=True)
         self._socket.close()
 
-    def _close_written(self, connections: tuple[Any, ...]) -> None:
+    async def _accept_waiting(self, server: _Server) -> None:
+        """Stop to listen once no connection waits to be accepted."""
+        loop = asyncio.get_running_loop()
+        with self._socket.dup() as listener:
+            for accepting in server.servers:
+                accepting.close()
+            accepted = list(_accept_all(listener))
+        for connected in accepted:
+            await loop.connect_accepted_socket(
+                server.make_connection, connected
+            )
+
+    def _log_unanswered(self, server: _Server) -> None:
         unanswered = [
             connection
-            for connection in connections
-            if not _close_when_written(connection)
+            for connection in _connections(server)
+            if not connection.is_answered
         ]
         if unanswered:
             _log.event(
                 'connections_aborted',
                 address=str(self.address),
                 count=len(unanswered),
-                has_begun=sum(map(_has_begun_answer, unanswered)),
+                has_begun=sum(
+                    connection.has_begun_answer for connection in unanswered
+                ),
             )
 
 
-async def _wait_until_closed(server: uvicorn.Server) -> None:
-    while server.server_state.connections:
-        await asyncio.sleep(_FLUSH_POLL_S)
+def _connections(server: uvicorn.Server) -> tuple[LimitedConnection, ...]:
+    connections: Any = server.server_state.connections
+    return tuple(connections)
 
 
-def _close_when_written(connection: Any) -> bool:
-    """Close a connection whose request is answered, else abort it."""
-    cycle = connection.cycle
-    is_answered = cycle is None or bool(cycle.response_complete)
-    if is_answered:
-        connection.transport.close()
-    else:
-        connection.transport.abort()
-    return is_answered
+def _accept_all(listener: socket.socket) -> Iterator[socket.socket]:
+    listener.setblocking(False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            connected, _ = listener.accept()
+            connected.setblocking(False)
+            yield connected
 
 
-def _has_begun_answer(connection: Any) -> bool:
-    return bool(connection.cycle.response_started)
+async def _end_connections(server: uvicorn.Server) -> None:
+    for _ in range(_READ_PASSES):
+        # The loop reads what callers have sent.
+        await asyncio.sleep(0)
+    for connection in _connections(server):
+        connection.end()
+    while server.server_state.connections:
+        await asyncio.sleep(_FLUSH_POLL_S)
 
 
 def _bind(address: Address) -> socket.socket:
@@ -354,9 +233,11 @@
 
 
 def _uvicorn_config(
-    app: Any, get_limits: Callable[[], ServingLimits]
+    app: Any,
+    get_limits: Callable[[], ServingLimits],
+    phase: ConnectionPhase,
 ) -> uvicorn.Config:
-    protocol: Any = functools.partial(_LimitedProtocol, get_limits)
+    protocol: Any = functools.partial(LimitedConnection, get_limits, phase)
     return uvicorn.Config(
         app,
         log_config=None,
