--- a/bronzesill/soak/__main__.py
+++ b/bronzesill/soak/__main__.py
@@ -11,8 +11,9 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from .builds import extract_version
 from .report import render
-from .schedule import Plan, make_schedule
+from .schedule import Plan, make_replacement, make_schedule
 from .soak import Soak
 from .verdict import find_breaches
 
@@ -27,6 +28,11 @@
     parser.add_argument('--stops', type=int, default=4)
     parser.add_argument('--hosts', type=int, default=4)
     parser.add_argument('--calm', action='store_true', help='planned work only')
+    parser.add_argument(
+        '--replace',
+        metavar='COMMIT',
+        help='start with this version, replace all hosts one by one, and back',
+    )
     parser.add_argument('--logs', type=Path, help='folder that keeps the logs')
     return parser.parse_args()
 
@@ -41,16 +47,27 @@
         yield Path(folder)
 
 
+def _versions(commit: str | None, folder: Path) -> dict[Path, Path]:
+    """Return the version that replaces each version, by its folder."""
+    if commit is None:
+        return {}
+    old = extract_version(commit, folder.resolve() / 'version')
+    return {old: Path.cwd(), Path.cwd(): old}
+
+
 def main() -> int:
     """Run the soak and print its report; return 1 if a rule was broken."""
     options = _parse_args()
     # Connections are aborted on purpose.
     logging.getLogger('uvicorn.error').setLevel(logging.CRITICAL)
     plan = Plan(options.seed, options.stops, options.hosts, not options.calm)
-    for event in make_schedule(plan):
+    events = make_schedule(plan)
+    if options.replace:
+        events = make_replacement(plan.hosts)
+    for event in events:
         print(f'{event.at_s:.2f} s {event.kind.value} {event.hosts}')
     with _log_folder(options.logs) as folder:
-        soak = Soak(plan, folder)
+        soak = Soak(plan, folder, _versions(options.replace, folder))
         seen = asyncio.run(soak.run())
         breaches = find_breaches(seen)
         for line in render(seen, breaches, folder):
--- a/bronzesill/soak/callers.py
+++ b/bronzesill/soak/callers.py
@@ -204,6 +204,7 @@
             self.unsent += 1
             return
         is_kept = connection.served > 0
+        began_at_s = time.monotonic()
         try:
             await connection.send(request.head, request.parts, request.pause_s)
         except OSError:
@@ -214,6 +215,7 @@
             request.request_id,
             request.kind,
             connection.host,
+            began_at_s,
             time.monotonic(),
             request.timeout_s,
             is_kept,
--- a/bronzesill/soak/hosts.py
+++ b/bronzesill/soak/hosts.py
@@ -32,6 +32,8 @@
 _DOMAINS = 'abc'
 _READY_TIMEOUT_S = 30.0
 _READY_POLL_S = 0.1
+_EXIT_POLL_S = 0.02
+_NS_PER_S = 1e9
 _PROBE_TIMEOUT_S = 1.0
 
 
@@ -57,6 +59,8 @@
     seeds: tuple[str, ...]
     code: Path
     process: asyncio.subprocess.Process | None = None
+    #: Whether the process has been ready since its start.
+    has_been_ready: bool = False
 
     @property
     def name(self) -> str:
@@ -80,6 +84,7 @@
     async def start(self) -> None:
         """Start the process, without waiting until it is ready."""
         path = self.write_settings()
+        self.has_been_ready = False
         with self.log_path.open('ab') as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -105,12 +110,24 @@
 
     async def terminate(self) -> Stop:
         """Send SIGTERM, and SIGKILL at the end of the grace period."""
+        was_ready = self.has_been_ready
         signal_at_s = time.monotonic()
+        held_up_before_s = self._held_up_s()
+        held_up_s = held_up_before_s
         self._send(signal.SIGTERM)
-        was_killed = not await self._has_ended(GRACE_S)
-        if was_killed:
-            await self.kill()
-        return Stop(self.number, signal_at_s, time.monotonic(), was_killed)
+        while self.is_running and time.monotonic() < signal_at_s + GRACE_S:
+            held_up_s = self._held_up_s() or held_up_s
+            await asyncio.sleep(_EXIT_POLL_S)
+        was_killed = self.is_running
+        await self.kill()
+        return Stop(
+            self.number,
+            signal_at_s,
+            time.monotonic(),
+            was_killed,
+            was_ready,
+            held_up_s - held_up_before_s,
+        )
 
     async def kill(self) -> None:
         """Kill the process with SIGKILL and wait for its end."""
@@ -133,13 +150,25 @@
                     return b' 200 ' in await reader.readline()
         return False
 
-    async def _has_ended(self, within_s: float) -> bool:
+    async def wait_until_ready(self) -> None:
+        """
+        Wait until the process is ready.
+
+        :raises TimeoutError: it is not ready in time.
+        """
+        async with asyncio.timeout(_READY_TIMEOUT_S):
+            while not await self.is_ready():
+                await asyncio.sleep(_READY_POLL_S)
+        self.has_been_ready = True
+
+    def _held_up_s(self) -> float:
+        """Return how long the process has waited for a processor."""
         if self.process is None:
-            return True
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(within_s):
-                await self.process.wait()
-        return not self.is_running
+            return 0
+        with contextlib.suppress(OSError, IndexError):
+            path = Path(f'/proc/{self.process.pid}/schedstat')
+            return int(path.read_text().split()[1]) / _NS_PER_S
+        return 0
 
     def _send(self, number: signal.Signals) -> None:
         if self.process is not None and self.is_running:
@@ -181,10 +210,7 @@
     async def start(self) -> None:
         """Start all hosts and wait until they are ready."""
         await asyncio.gather(*(host.start() for host in self.hosts))
-        async with asyncio.timeout(_READY_TIMEOUT_S):
-            for host in self.hosts:
-                while not await host.is_ready():
-                    await asyncio.sleep(_READY_POLL_S)
+        await asyncio.gather(*(host.wait_until_ready() for host in self.hosts))
 
     async def stop(self) -> None:
         """Kill all processes that this fleet started."""
--- a/bronzesill/soak/observations.py
+++ b/bronzesill/soak/observations.py
@@ -25,6 +25,7 @@
     :param request_id: id of the request.
     :param kind: kind of request.
     :param host: number of the host that took the connection.
+    :param began_at_s: time at which the first byte was sent.
     :param sent_at_s: time at which the last byte was sent.
     :param timeout_s: time in seconds that the route and the caller allow.
     :param is_kept: whether the connection had served a request before.
@@ -34,6 +35,7 @@
     request_id: str
     kind: RequestKind
     host: int
+    began_at_s: float
     sent_at_s: float
     timeout_s: float
     is_kept: bool = False
@@ -85,12 +87,17 @@
     :param signal_at_s: time of SIGTERM.
     :param exit_at_s: time at which the process had ended.
     :param was_killed: whether the platform had to kill it.
+    :param was_ready: whether the process had been ready since its start.
+    :param held_up_s: time in seconds for which the process could run and
+        waited for a processor since the signal.
     """
 
     host: int
     signal_at_s: float
     exit_at_s: float
     was_killed: bool
+    was_ready: bool = True
+    held_up_s: float = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/soak/report.py
+++ b/bronzesill/soak/report.py
@@ -81,7 +81,11 @@
     for stop in seen.stops:
         after_s = stop.exit_at_s - stop.signal_at_s
         end = 'killed' if stop.was_killed else 'ended'
-        yield f'exit host-{stop.host} {after_s:.3f} s {end}'
+        start = '' if stop.was_ready else ', was starting'
+        yield (
+            f'exit host-{stop.host} {after_s:.3f} s {end}{start}, '
+            f'waited for a processor for {stop.held_up_s:.2f} s'
+        )
 
 
 def _render_phases(folder: Path) -> Iterator[str]:
--- a/bronzesill/soak/schedule.py
+++ b/bronzesill/soak/schedule.py
@@ -6,7 +6,13 @@
 import enum
 import random
 
-__all__ = ['Event', 'EventKind', 'Plan', 'make_schedule']
+__all__ = [
+    'Event',
+    'EventKind',
+    'Plan',
+    'make_replacement',
+    'make_schedule',
+]
 
 _WARM_UP_S = 7.0
 #: Time after SIGTERM until a host has ended, started again and is ready.
@@ -89,6 +95,19 @@
     return _Scheduler(plan).make()
 
 
+def make_replacement(hosts: int) -> tuple[Event, ...]:
+    """
+    Return the stops that replace all hosts one by one, and again.
+
+    :param hosts: number of hosts.
+    """
+    order = (*range(hosts), *range(hosts))
+    return tuple(
+        Event(_WARM_UP_S + place * _RETURN_S, EventKind.TERMINATE, (number,))
+        for place, number in enumerate(order)
+    )
+
+
 class _Scheduler:
     """
     Builds one schedule.
--- a/bronzesill/soak/soak.py
+++ b/bronzesill/soak/soak.py
@@ -5,6 +5,8 @@
 import asyncio
 import contextlib
 import time
+import types
+from collections.abc import Mapping
 from pathlib import Path
 
 from ..utils import Address
@@ -12,11 +14,18 @@
 from .callers import Traffic
 from .hosts import HostFleet, HostProcess
 from .observations import Observations, Stop
-from .schedule import Event, EventKind, Plan, make_schedule
+from .schedule import (
+    Event,
+    EventKind,
+    Plan,
+    make_replacement,
+    make_schedule,
+)
 from .servers import SoakServers
 
 __all__ = ['Soak']
 
+_NO_VERSIONS: Mapping[Path, Path] = types.MappingProxyType({})
 _ENGINES = 3
 _SERVICES = 3
 #: Time between the end of a process and the start of the next one.
@@ -32,10 +41,18 @@
 
     :param plan: what to run.
     :param folder: folder for settings and logs of the hosts.
+    :param replaced_by: folders of the versions that a host runs in turn, by
+        the folder of the version before; empty to start the same one again.
     """
 
-    def __init__(self, plan: Plan, folder: Path) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        folder: Path,
+        replaced_by: Mapping[Path, Path] = _NO_VERSIONS,
+    ) -> None:
         self._plan = plan
+        self._replaced_by = replaced_by
         self._folder = folder
         self._servers = SoakServers(_ENGINES, _SERVICES)
         self._stops: list[Stop] = []
@@ -54,6 +71,8 @@
             self._plan.hosts, self._folder, self._servers.store.address
         )
         try:
+            for host in hosts.hosts:
+                host.code = next(iter(self._replaced_by), host.code)
             await hosts.start()
             return await self._observe(hosts.hosts)
         finally:
@@ -97,10 +116,15 @@
     async def _run_events(self, hosts: list[HostProcess]) -> None:
         began_at_s = time.monotonic()
         async with asyncio.TaskGroup() as group:
-            for event in make_schedule(self._plan):
+            for event in self._schedule():
                 group.create_task(self._apply(event, began_at_s, hosts))
         await asyncio.sleep(_AFTER_LAST_S)
 
+    def _schedule(self) -> tuple[Event, ...]:
+        if self._replaced_by:
+            return make_replacement(self._plan.hosts)
+        return make_schedule(self._plan)
+
     async def _apply(
         self, event: Event, began_at_s: float, hosts: list[HostProcess]
     ) -> None:
@@ -117,11 +141,14 @@
             await self._apply_to_servers(event)
 
     async def _apply_to_host(self, kind: EventKind, host: HostProcess) -> None:
+        if not host.is_running:
+            return
         if kind is EventKind.RELOAD:
             host.reload()
             self._reloads.append((host.number, time.monotonic()))
         elif kind is EventKind.TERMINATE:
             self._stops.append(await host.terminate())
+            host.code = self._replaced_by.get(host.code, host.code)
             await _restart(host)
         else:
             await self._kill(host)
@@ -146,14 +173,22 @@
         self._disruptions.append((killed_at_s, time.monotonic()))
 
     async def _kill_all(self, hosts: list[HostProcess]) -> None:
-        await asyncio.gather(*(self._kill(host) for host in hosts))
-        self._returns_at_s.append(time.monotonic())
+        killed_at_s = time.monotonic()
+        await asyncio.gather(*(host.kill() for host in hosts))
+        await asyncio.sleep(_RESTART_S)
+        await asyncio.gather(*(host.start() for host in hosts))
+        returned_at_s = time.monotonic()
+        self._returns_at_s.append(returned_at_s)
+        self._disruptions.append((killed_at_s, returned_at_s))
         await asyncio.sleep(RECOVERY_S + _AFTER_RETURN_S)
 
 
 async def _restart(host: HostProcess) -> None:
+    """Start a host again; it may be stopped before it is ready."""
     await asyncio.sleep(_RESTART_S)
     await host.start()
+    with contextlib.suppress(TimeoutError):
+        await host.wait_until_ready()
 
 
 def _hosts_by_address(hosts: list[HostProcess]) -> dict[Address, int]:
--- a/bronzesill/soak/verdict.py
+++ b/bronzesill/soak/verdict.py
@@ -75,15 +75,17 @@
     runs = seen.runs_by_id.get(sent.request_id, ())
     is_passed_on = sent.request_id in seen.passed_on
     waited_s = answer.ended_at_s - sent.sent_at_s
-    if not is_passed_on and waited_s <= LOSS_SLACK_S:
+    stop = stop_of(seen, sent, answer)
+    # A process that was never ready had not read what waited for it.
+    is_unread = stop is not None and not stop.was_ready
+    if not is_passed_on and (is_unread or waited_s <= LOSS_SLACK_S):
         return End.CROSSED
-    if waited_s >= sent.timeout_s:
+    if answer.ended_at_s - sent.began_at_s >= sent.timeout_s:
         return End.TIMED_OUT
     if _server_broke_off(seen, runs, answer) or _is_disrupted(
         seen, sent, answer
     ):
         return End.CUT_DISRUPTED
-    stop = stop_of(seen, sent, answer)
     if stop is None:
         return _classify_beside_change(seen, sent, answer)
     if _was_at_work(stop, sent, runs):
