--- a/bronzesill/soak/callers.py
+++ b/bronzesill/soak/callers.py
@@ -82,7 +82,7 @@
                     self._hosts_by_address[address], address
                 )
             except (OSError, TimeoutError):
-                self._addresses.remove(address)
+                self._exclude(address)
         return None
 
     def keep(self, connection: CallerConnection) -> None:
@@ -103,6 +103,11 @@
         place = self._rng.randrange(len(self._idle))
         return self._idle.pop(place)
 
+    def _exclude(self, failed: Address) -> None:
+        self._addresses = [
+            address for address in self._addresses if address != failed
+        ]
+
     async def _refresh(self) -> None:
         if time.monotonic() < self._held_until_s and self._addresses:
             return
