--- a/bronzesill/daemon/tests/test_planned_stop.py
+++ b/bronzesill/daemon/tests/test_planned_stop.py
@@ -1,6 +1,8 @@
 """Requests that reach a host after the signal for a planned stop."""
 
 import asyncio
+import contextlib
+import dataclasses
 import unittest
 from collections.abc import Coroutine
 from typing import Any
@@ -8,7 +10,7 @@
 
 import aiohttp
 
-from ...generations import unfinished
+from ...generations import task
 from ...standins.hosted_fleet import (
     HostedFleet,
     HostedPlan,
@@ -20,6 +22,8 @@
 _BODY = b'catalogue'
 #: Seconds of grace; the host exits half a second earlier.
 _GRACE_S = 3.0
+#: For streams that are slow by intent.
+_LONG_GRACE_S = 6.0
 _WARM_UP_STREAMS = 10
 _HTTP_OK = 200
 _NOT_RUN = 503
@@ -27,6 +31,7 @@
 #: A refusal at once, on a busy machine too.
 _AT_ONCE_S = 1.0
 _CALL_WORK_S = 1.2
+_HANGING_S = 10.0
 
 
 def _engines(events: int, pace_s: float) -> HostedPlan:
@@ -37,6 +42,10 @@
     return HostedPlan(daemons=1, workers=(engine, shop), grace_s=_GRACE_S)
 
 
+async def _hang() -> None:
+    await asyncio.sleep(_HANGING_S)
+
+
 class _StopCase(unittest.IsolatedAsyncioTestCase):
     plan = HostedPlan()
 
@@ -111,6 +120,30 @@
         self.assertEqual(answer.status, _HTTP_OK)
 
 
+class SlowedStreamTest(_StopCase):
+    """An engine slows down after streams that took a tenth of a second."""
+
+    plan = dataclasses.replace(
+        _engines(events=10, pace_s=0.01), grace_s=_LONG_GRACE_S
+    )
+
+    # Guards against predictions from whole streams alone: under a load that
+    # grows those are the fast ones, and a stopping host cuts what it takes.
+    async def test_running_streams_count(self) -> None:
+        await self.warm_up()
+        engine = self.fleet.workers_by_name['engine-a']
+        engine.plan = dataclasses.replace(engine.plan, pace_s=0.6)
+        slow = [asyncio.create_task(self.stream()) for _ in range(4)]
+        await asyncio.sleep(1.5)
+        self.daemon.begin_stop()
+        await asyncio.sleep(0.5)
+        answer = await self.stream()
+        self.assertEqual(answer.status, _NOT_RUN)
+        for stream in slow:
+            with contextlib.suppress(aiohttp.ClientError):
+                await stream
+
+
 class LateCallTest(_StopCase):
     """Calls that may run at most once take longer than usual calls do."""
 
@@ -170,6 +203,15 @@
         self.assertEqual(answer.status, _NOT_RUN)
         self.assertLess(after_s, _AT_ONCE_S)
 
+    # Guards against refusals that wait for a store that answers no call.
+    async def test_silent_store_does_not_delay_refusals(self) -> None:
+        await self.fleet.workers_by_name['engine-a'].stop()
+        fleet = self.daemon._fleet
+        with mock.patch.object(fleet, 'deregister', _hang):
+            answer, after_s = await self.stop_under(self.stream())
+        self.assertEqual(answer.status, _NOT_RUN)
+        self.assertLess(after_s, _AT_ONCE_S)
+
     async def test_silent_stream_gets_an_answer_before_the_exit(self) -> None:
         self.silence('engine-a')
         answer, _ = await self.stop_under(self.stream())
@@ -189,6 +231,19 @@
         self.assertEqual(answer.status, _UNKNOWN)
 
 
+class SilentPeerTest(_StopCase):
+    """A peer does not read what this host has for it."""
+
+    plan = _engines(events=10, pace_s=0.01)
+
+    # Guards against hosts that are killed while they wait for a peer.
+    async def test_connections_with_peers_do_not_delay_the_end(self) -> None:
+        self.daemon.begin_stop()
+        with mock.patch.object(self.daemon._peers, 'close', _hang):
+            async with asyncio.timeout(_GRACE_S + _AT_ONCE_S):
+                await self.fleet.wait_until_stopped(self.daemon)
+
+
 class CutStreamLogTest(_StopCase):
     """A stream outlasts the grace period."""
 
@@ -197,15 +252,19 @@
     # Guards against streams that end with their host without a line that
     # tells whether a server was at work.
     async def test_log_names_the_cut_stream(self) -> None:
-        with mock.patch.object(unfinished._log, 'event') as write:
+        with mock.patch.object(task._log, 'event') as write:
             stream = asyncio.create_task(self.stream(X_Attempt_Id='cut-1'))
             await asyncio.sleep(0.5)
             self.daemon.begin_stop()
             with self.assertRaises(aiohttp.ClientError):
                 await stream
-        write.assert_called_once()
-        self.assertEqual(write.call_args.args, ('stream_cut',))
-        fields = write.call_args.kwargs
+        lines = [
+            call.kwargs
+            for call in write.call_args_list
+            if call.args == ('stream_cut',)
+        ]
+        self.assertEqual(len(lines), 1)
+        fields = lines[0]
         self.assertEqual(fields['request'], 'cut-1')
         self.assertEqual(fields['phase'], 'streaming')
         self.assertEqual(fields['server'], 'engine-a')
--- a/bronzesill/gateway/forwarding.py
+++ b/bronzesill/gateway/forwarding.py
@@ -34,9 +34,7 @@
     ResultCode,
     log_unexpected,
 )
-from .disconnect import (
-    ReceiveBufferMiddleware,
-)
+from .disconnect import ReceiveBufferMiddleware
 from .exchange import Exchange, RequestFilter, run_filters
 from .filters import (
     Authenticate,
@@ -154,10 +152,13 @@
         running_call = self._run_call(resp, forward, route, exchange.route_name)
         # How far a call has come is known to its attempts only.
         call = OpenRequest(_always, lambda _: forward.deadline_at_s)
-        await self._state.open_requests.run(req, running_call, call)
+        try:
+            await self._state.open_requests.run(req, running_call, call)
+        except BaseException:
+            self._record_call(route, started_s, is_whole=False)
+            raise
         self._announce_close(resp)
-        if route.idempotent:
-            self._record_call(route, started_s)
+        self._record_call(route, started_s, is_whole=True)
         call_type = 'repeatable' if route.idempotent else 'once'
         self._record_latency(call_type, started_s)
 
@@ -228,9 +229,16 @@
             return forward.deadline_at_s
         return min(forward.deadline_at_s, now_s + predicted_s)
 
-    def _record_call(self, route: Route, started_s: float) -> None:
+    def _record_call(
+        self, route: Route, started_s: float, *, is_whole: bool
+    ) -> None:
+        """Record a call that may be repeated; others are not predicted."""
+        if not route.idempotent:
+            return
         now_s = asyncio.get_running_loop().time()
-        observed = ObservedRequest(RequestSize(), now_s, now_s - started_s)
+        observed = ObservedRequest(
+            RequestSize(), now_s, now_s - started_s, is_whole=is_whole
+        )
         self._durations.record(route.service, observed)
 
     def _select_route(self, exchange: Exchange) -> Route:
@@ -305,7 +313,7 @@
             forward,
             route,
             route_name,
-            functools.partial(self._durations.record, route.service),
+            self._durations,
         )
         opening = stream.open()
         try:
