Disconnect callers of a host that loads for long

What callers saw: after a return of all hosts on busy processors, requests and look-ups that met a host still loading waited there until their time was over, although other hosts served already.

Cause: a host listens before it loads its program and keeps doing so however long that takes. Callers give up a connection that nobody reads after a second; a look-up tries three hosts for a second each. Loading costs 0.6 to 2 s of processor time, so on busy processors hosts come back seconds apart.

The new test fails without the limit: the caller's connection is neither served nor closed within a second (TimeoutError).

Why this works: a closed listener resets what waits in it and refuses what comes, unread, so that callers turn to another host at once and lose no time. The limit is above the usual time of loading, so that callers of a usual start still wait instead of being refused.

Not mended: the processor time of loading itself (39 % of it is the generation of 206 data classes).

--- a/bronzesill/daemon/early_sockets.py
+++ b/bronzesill/daemon/early_sockets.py
@@ -6,6 +6,7 @@
 """
 
 import socket
+import threading
 from collections.abc import Iterable
 
 __all__ = ['EarlySockets']
@@ -18,6 +19,7 @@
 
     def __init__(self) -> None:
         self._sockets_by_address: dict[tuple[str, int], socket.socket] = {}
+        self._lock = threading.Lock()
 
     def open(self, addresses: Iterable[tuple[str, int]]) -> None:
         """
@@ -32,9 +34,30 @@
             if listener is not None:
                 self._sockets_by_address[address] = listener
 
+    def close_after(self, limit_s: float) -> None:
+        """
+        Close the sockets that are not taken within a time.
+
+        Callers that wait in the backlog are disconnected and turn to another
+        host; their owners bind the addresses again.
+
+        :param limit_s: seconds from now.
+        """
+        timer = threading.Timer(limit_s, self.close)
+        timer.daemon = True
+        timer.start()
+
+    def close(self) -> None:
+        """Close all sockets that are not taken."""
+        with self._lock:
+            for listener in self._sockets_by_address.values():
+                listener.close()
+            self._sockets_by_address.clear()
+
     def take(self, ip: str, port: int) -> socket.socket | None:
         """Hand over the socket of an address, ``None`` if there is none."""
-        return self._sockets_by_address.pop((ip, port), None)
+        with self._lock:
+            return self._sockets_by_address.pop((ip, port), None)
 
 
 def open_listener(address: tuple[str, int]) -> socket.socket | None:
--- a/bronzesill/daemon/hosted_main.py
+++ b/bronzesill/daemon/hosted_main.py
@@ -2,7 +2,7 @@
 Entry point of the daemon program ``bronzesilld-hosted``.
 
 It listens before it loads the rest of the program, so that callers of a host
-that starts again wait instead of being refused.
+that starts again wait for a short time instead of being refused.
 """
 
 import importlib
@@ -20,6 +20,9 @@
 __all__ = ['main']
 
 _PROGRAM = 'bronzesill.daemon.hosted_program'
+#: Callers leave a connection that nobody reads for a second, so a host that
+#: takes longer than this to load would only delay them.
+_EARLY_LIMIT_S = 2.0
 
 
 def main() -> int:
@@ -28,6 +31,7 @@
     path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
     listeners = EarlySockets()
     listeners.open(read_listen_addresses(path))
+    listeners.close_after(_EARLY_LIMIT_S)
     # Imported only now: the program takes many times as long to load.
     program = importlib.import_module(_PROGRAM)
     status: int = program.run_program(path, listeners, started_s)
--- a/bronzesill/daemon/tests/test_early_start.py
+++ b/bronzesill/daemon/tests/test_early_start.py
@@ -21,6 +21,7 @@
 
 _HOST = '127.0.0.1'
 _WAIT_S = 0.05
+_CALLER_PATIENCE_S = 1.0
 
 
 def _free_port() -> int:
@@ -59,6 +60,41 @@
             listeners.open((address,))
             self.assertIsNone(listeners.take(*address))
 
+    # Guards against a return of all hosts on busy processors in which callers
+    # wait at hosts that still load instead of turning to those that serve.
+    async def test_caller_of_a_host_that_loads_long_is_disconnected(
+        self,
+    ) -> None:
+        address = (_HOST, _free_port())
+        listeners = EarlySockets()
+        listeners.open((address,))
+        listeners.close_after(_WAIT_S)
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b'GET / HTTP/1.1\r\nhost: x\r\n\r\n')
+        async with asyncio.timeout(_CALLER_PATIENCE_S):
+            with self.assertRaises(ConnectionResetError):
+                await reader.readexactly(1)
+        writer.close()
+        with self.assertRaises(ConnectionRefusedError):
+            await asyncio.open_connection(*address)
+        self.assertIsNone(listeners.take(*address))
+        server = HttpServer(lambda: _answer, Address(*address))
+        await server.start()
+        reader, writer = await asyncio.open_connection(*address)
+        writer.close()
+        await server.kill()
+
+    async def test_socket_in_use_is_not_closed(self) -> None:
+        address = (_HOST, _free_port())
+        listeners = EarlySockets()
+        listeners.open((address,))
+        listener = listeners.take(*address)
+        listeners.close_after(_WAIT_S)
+        await asyncio.sleep(2 * _WAIT_S)
+        assert listener is not None
+        self.assertGreaterEqual(listener.fileno(), 0)
+        listener.close()
+
     def test_addresses_are_read_from_the_settings_file(self) -> None:
         raw = {
             'ip': '10.0.0.1',
