Keep a stopping host out of look-ups when it refutes that it is gone

What callers saw: a host that had begun its planned stop was named in answers to look-ups again, so that callers connected to it up to its exit and had requests refused or cut there.

Cause: the announcement of a stop holds for one incarnation of the host, and a host that is suspected, because it is too busy to answer probes for a second, refutes this with a higher incarnation: the announcement then counts as one of an earlier process. The probability grows with load, and a stop is when it does most harm.

Evidence: eight members on a simulated network, one publishes its stop and is suspected once by another: before, 0 of 8 views had it as leaving ten seconds later (the test fails with 0 != 8); now 8 of 8.

Why this works: whether this process leaves is part of its state, and each refutation carries the announcement for the new incarnation. A process that starts again has a state of its own; the second test shows that it is not taken for one that leaves, also with a clock that went back.

--- a/bronzesill/membership/dissemination.py
+++ b/bronzesill/membership/dissemination.py
@@ -7,6 +7,7 @@
 
 from ..utils import Address
 from .events import Action, Send, ViewUpdated
+from .facts import Fact, FactKind
 from .members import Liveness, Member
 from .messages import GossipUpdates
 from .state import GossipState, Step
@@ -46,7 +47,7 @@
     Merge updates into the view and push those that changed it.
 
     A report that this daemon is suspected or gone is refuted with a higher
-    incarnation.
+    incarnation, for which its planned stop is published again.
 
     :param state: state before the merge.
     :param offered: updates from a peer, or a fact published locally.
@@ -57,7 +58,9 @@
     own = _refute(state.own, offered.members)
     if own is not state.own:
         state = dataclasses.replace(state, own=own)
-        offered = dataclasses.replace(offered, members=(*offered.members, own))
+        offered = GossipUpdates(
+            (*offered.members, own), (*offered.facts, *_announcements(state))
+        )
     change = state.view.merge(offered)
     if change.view is state.view:
         return Step(state)
@@ -140,6 +143,13 @@
     return own
 
 
+def _announcements(state: GossipState) -> tuple[Fact, ...]:
+    own = state.own
+    if not state.is_leaving:
+        return ()
+    return (Fact(FactKind.HOST_LEAVING, own.name, own.incarnation),)
+
+
 def _contradicts(member: Member, own: Member) -> bool:
     if member.incarnation > own.incarnation:
         return True
--- a/bronzesill/membership/gossip.py
+++ b/bronzesill/membership/gossip.py
@@ -8,6 +8,7 @@
 from ..utils import Address
 from .dissemination import apply_updates, refill_push_budget, select_updates
 from .events import Event, FactPublished, MessageArrived, Send, Tick
+from .facts import Fact, FactKind
 from .messages import (
     Ack,
     BucketHashes,
@@ -44,14 +45,22 @@
         case Tick():
             return _on_tick(state, now_s, random)
         case FactPublished():
-            published = GossipUpdates(facts=(event.fact,))
-            return apply_updates(state, published, None, now_s, random)
+            return _publish(state, event.fact, now_s, random)
         case MessageArrived():
             return _receive(state, event, now_s, random)
         case _:
             return apply_updates(state, event.updates, None, now_s, random)
 
 
+def _publish(
+    state: GossipState, fact: Fact, now_s: float, random: Random
+) -> Step:
+    if fact.kind == FactKind.HOST_LEAVING and fact.key == state.own.name:
+        state = dataclasses.replace(state, is_leaving=True)
+    published = GossipUpdates(facts=(fact,))
+    return apply_updates(state, published, None, now_s, random)
+
+
 def _on_tick(state: GossipState, now_s: float, random: Random) -> Step:
     elapsed_s = now_s - state.last_tick_at_s
     state = refill_push_budget(state, elapsed_s)
--- a/bronzesill/membership/state.py
+++ b/bronzesill/membership/state.py
@@ -87,6 +87,7 @@
         carry each update.
     :param last_sync_at_s: time at which bucket hashes were last sent.
     :param push_budget: push datagrams that may be sent now.
+    :param is_leaving: whether this daemon has published its planned stop.
     """
 
     own: Member
@@ -103,6 +104,7 @@
     transmissions_left_by_key: Mapping[str, int] = field(default_factory=dict)
     last_sync_at_s: float = 0
     push_budget: float = 24
+    is_leaving: bool = False
 
     @classmethod
     def from_member(
--- a/bronzesill/membership/tests/test_gossip.py
+++ b/bronzesill/membership/tests/test_gossip.py
@@ -177,6 +177,57 @@
         self.assertFalse(supersedes(gone, restarted))
 
 
+class StopTest(unittest.TestCase):
+    """A planned stop that was published holds until the daemon has ended."""
+
+    def setUp(self) -> None:
+        self.network = Network(8, seed=5)
+        self.network.run(3)
+        self.stopping = _member(0)
+        fact = Fact(FactKind.HOST_LEAVING, self.stopping.name, 1)
+        self.network.deliver(self.stopping.peers, FactPublished(fact))
+        self.network.run(3)
+
+    def count_leaving(self) -> int:
+        return sum(
+            state.view.is_leaving(
+                state.view.members_by_name[self.stopping.name]
+            )
+            for state in self.network.states.values()
+        )
+
+    # Guards against callers that are sent to a stopping host again, because
+    # it refuted that it was gone while it was too busy to answer probes.
+    def test_stop_outlasts_a_refuted_suspicion(self) -> None:
+        self.assertEqual(self.count_leaving(), 8)
+        suspected = dataclasses.replace(
+            self.stopping, liveness=Liveness.SUSPECT
+        )
+        self.network.deliver(
+            _member(1).peers, ViewFetched(GossipUpdates((suspected,)))
+        )
+        self.network.run(10)
+        state = self.network.states[self.stopping.peers]
+        self.assertGreater(state.own.incarnation, 1)
+        self.assertEqual(self.count_leaving(), 8)
+
+    def test_restarted_daemon_does_not_stop(self) -> None:
+        restarted = dataclasses.replace(self.stopping, incarnation=0)
+        self.network.states[restarted.peers] = GossipState.from_member(
+            restarted, GossipPolicy(), self.network.now_s
+        )
+        self.network.deliver(
+            restarted.peers,
+            ViewFetched(
+                self.network.states[_member(1).peers].view.all_entries()
+            ),
+        )
+        self.network.run(10)
+        state = self.network.states[restarted.peers]
+        self.assertGreater(state.own.incarnation, 1)
+        self.assertEqual(self.count_leaving(), 0)
+
+
 class DisseminationTest(unittest.TestCase):
     """Facts reach all daemons despite datagram loss; the highest rank wins."""
 
