Tell peers what a server says of its leaving

A server that said Server-Leaving to one host got further new requests from each other host, as long as its entry in the store did not say it, or the store was silent: each host had to be told by an answer of its own.

The host that is told publishes a fact of a new kind: key is the server's address (so facts do not grow with each start), its text names the server and its start time. Hosts that hear it send the server nothing new for 30 s. The word holds for that start only: a host that knows a later start ignores it, and one that is told again is not prolonged, so that a wrong or old word ends by itself.

Evidence: three hosts, the store silent, a server tells one host; 2 s later 20 requests to each other host.

--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -125,6 +125,8 @@
             self._fleet.publish_configuration
         )
         self._store_state.on_return = self._fleet.note_store_returned
+        self._store_state.on_leaving = self._fleet.publish_leaving_server
+        self._fleet.on_leaving_server = self._store_state.note_heard_leaving
         self._moves = HostedMoves(
             self._store,
             self._peers.membership,
--- a/bronzesill/daemon/hosted_fleet.py
+++ b/bronzesill/daemon/hosted_fleet.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import time
+from collections.abc import Callable
 from random import Random
 
 import orjson
@@ -12,6 +14,7 @@
     FactKind,
     Member,
     MembershipController,
+    ViewUpdated,
     choose_collectors,
     choose_watchers,
 )
@@ -25,6 +28,7 @@
     structure,
     unstructure,
 )
+from .leaving_notices import LeavingNotice, fact_of, notice_from_fact
 
 __all__ = ['HostedFleet']
 
@@ -39,6 +43,7 @@
 _JOINED_DISCOVERY_INTERVAL_S = 8.0
 _REJOIN_INTERVAL_S = 0.7
 _CONFIGURATION_FACT = 'hosted'
+_MS_PER_S = 1000
 
 _log = PartLogger('fleet')
 
@@ -66,6 +71,9 @@
         self._random = random
         self._lease: Lease | None = None
         self._has_returned = asyncio.Event()
+        #: Called with each notice that a server leaves.
+        self.on_leaving_server: Callable[[LeavingNotice], None] = _ignore
+        membership.listeners.append(self._apply_view_change)
 
     async def maintain_registration(self) -> None:
         """Keep this daemon registered while it has to watch the store."""
@@ -142,6 +150,19 @@
             Fact(FactKind.CONFIG_REVISION, _CONFIGURATION_FACT, version)
         )
 
+    def publish_leaving_server(self, notice: LeavingNotice) -> None:
+        """Publish that a server leaves, unless a peer has published it."""
+        rank = int(time.time() * _MS_PER_S)
+        fact = fact_of(notice, rank)
+        known = self._membership.view.facts_by_name.get(fact.name)
+        if known is not None:
+            known_notice = notice_from_fact(known)
+            if known_notice is not None and known_notice.covers(notice):
+                return
+            # The clock of the host that published it may be ahead.
+            fact = fact_of(notice, max(rank, known.rank + 1))
+        self._membership.publish_fact(fact)
+
     def newest_configuration(self) -> int:
         """Return the highest version that a daemon published, 0 for none."""
         name = Fact(FactKind.CONFIG_REVISION, _CONFIGURATION_FACT, 0).name
@@ -200,6 +221,12 @@
         ]
         return tuple(available) or (self._membership.own.callers,)
 
+    def _apply_view_change(self, change: ViewUpdated) -> None:
+        for fact in change.updates.facts:
+            notice = notice_from_fact(fact)
+            if notice is not None:
+                self.on_leaving_server(notice)
+
     def _join_candidates(self) -> tuple[Address, ...]:
         unreachable = tuple(
             member.peers
@@ -262,6 +289,10 @@
                 _log.info('%s of %s seeds accepted the join', joined, count)
 
 
+def _ignore(notice: LeavingNotice) -> None:
+    """Ignore a notice; the default callback."""
+
+
 def _decode_member(entry: StoredEntry) -> Member | None:
     try:
         return structure(orjson.loads(entry.payload), Member)
--- a/bronzesill/daemon/hosted_store_state.py
+++ b/bronzesill/daemon/hosted_store_state.py
@@ -29,6 +29,7 @@
 from ..routing import ServerListing, ServerRestart, ServerTracker
 from ..store import Snapshot, StoredEntry, StoreRevision
 from ..utils import DocumentInvalid, PartLogger
+from .leaving_notices import HeardNotices, LeavingNotice
 from .task_runner import handle_each
 
 __all__ = ['HostedStoreState']
@@ -70,6 +71,9 @@
         #: Servers that said in an answer that they leave; their entries may
         #: not say it yet.
         self._said_leaving: frozenset[str] = frozenset()
+        #: Called when a server has said in an answer that it leaves.
+        self.on_leaving: Callable[[LeavingNotice], None] = _ignore
+        self._heard_leaving = HeardNotices()
         #: Keys of the unreadable entries that were logged.
         self._unreadable: frozenset[str] = frozenset()
 
@@ -123,14 +127,24 @@
 
     def note_leaving(self, name: str) -> None:
         """Use a server for no further request, as its answers ask."""
-        if (
-            name in self._said_leaving
-            or name not in self.listing.listed_by_name
-        ):
+        listed = self.listing.listed_by_name.get(name)
+        if listed is None or name in self._said_leaving:
             return
         _log.event('server_leaving', server=name)
         self._said_leaving |= {name}
         self._refresh_servers()
+        self.on_leaving(LeavingNotice.from_server(listed.server, name))
+
+    def note_heard_leaving(self, notice: LeavingNotice) -> None:
+        """Use a server for no further request for a time, as a peer asks."""
+        if notice.server in self._said_leaving:
+            return
+        heard = self._heard_leaving.with_notice(notice, _now_s())
+        if heard is self._heard_leaving:
+            return
+        _log.event('server_leaving_heard', server=notice.server)
+        self._heard_leaving = heard
+        self._refresh_servers()
 
     def record_restart(self, restart: ServerRestart) -> None:
         """
@@ -163,14 +177,21 @@
             await self._changed.wait()
 
     async def drop_expired_servers(self) -> None:
-        """Periodically drop servers whose missing entry has not reappeared."""
+        """
+        Periodically drop servers whose missing entry has not reappeared.
+
+        Also drops what peers told long ago of leaving servers.
+        """
         while True:
             await asyncio.sleep(_EXPIRY_CHECK_INTERVAL_S)
             old_listing = self.listing
             self.listing = self.listing.without_expired(_now_s())
             for name in self.listing.released_names(_now_s()):
                 self._release_entry(name)
-            if self.listing is not old_listing:
+            old_heard = self._heard_leaving
+            self._heard_leaving = old_heard.without_expired(_now_s())
+            has_expired = self._heard_leaving is not old_heard
+            if has_expired or self.listing is not old_listing:
                 self._refresh_servers()
 
     def _apply_merge(self, merged: MergeResult) -> None:
@@ -294,7 +315,11 @@
         )
         self._said_leaving &= listed_by_name.keys()
         for name, listed in listed_by_name.items():
-            is_leaving = listed.is_leaving or name in self._said_leaving
+            is_leaving = (
+                listed.is_leaving
+                or name in self._said_leaving
+                or self._heard_leaving.is_leaving(listed.server, name)
+            )
             self._tracker.set_leaving(name, is_leaving=is_leaving)
 
 
--- a/bronzesill/daemon/tests/test_server_notices.py
+++ b/bronzesill/daemon/tests/test_server_notices.py
@@ -25,6 +25,9 @@
 _ALLOWED = 2
 _REQUESTS = 20
 _PAUSE_S = 0.03
+#: Time within which one host is told that a server leaves.
+_TOLD_S = 10.0
+_STORE_SILENT_S = 60.0
 _HTTP_OK = 200
 _NOT_RUN = 503
 
@@ -97,6 +100,45 @@
         self.assertEqual((await self.send('/orders/2')).status, _HTTP_OK)
 
 
+class ToldLeavingTest(_NoticeCase):
+    """Peers of a host to which a server said that it leaves know it too."""
+
+    plan = HostedPlan(daemons=3, workers=_NoticeCase.plan.workers)
+
+    # Guards against hosts that each have to be told by an answer of its own,
+    # while the store does not answer.
+    async def test_calls(self) -> None:
+        await self.check('shop-a', '/orders/1')
+
+    async def test_streams(self) -> None:
+        await self.check('engine-a', '/guides/1')
+
+    async def check(self, name: str, target: str) -> None:
+        self.fleet.store.state.faults.delay_s = _STORE_SILENT_S
+        worker = self.fleet.workers_by_name[name]
+        worker.says_leaving = True
+        async with asyncio.timeout(_TOLD_S):
+            while not worker.arrivals_s:
+                await self.send(target)
+        await asyncio.sleep(_DRAIN_S)
+        told_at_s = time.monotonic()
+        for daemon in self.fleet.daemons[1:]:
+            self.callers = daemon.settings.callers
+            self.assertEqual(set(await self.send_many(target)), {_HTTP_OK})
+        self.assertEqual(self.arrivals_since(name, told_at_s), 0)
+
+    # Guards against a server that is avoided for what an earlier start said.
+    async def test_next_start_serves_at_all_hosts(self) -> None:
+        self.fleet.workers_by_name['shop-a'].says_leaving = True
+        await self.send_many('/orders/1')
+        await self.fleet.restart_worker('shop-a', 'shop-a')
+        await self.fleet.workers_by_name['shop-b'].stop()
+        await asyncio.sleep(_DRAIN_S)
+        for daemon in self.fleet.daemons:
+            self.callers = daemon.settings.callers
+            self.assertEqual((await self.send('/orders/2')).status, _HTTP_OK)
+
+
 class RetryAfterTest(_NoticeCase):
     """A server that asks not to be called for a time is not called."""
 
--- a/bronzesill/membership/facts.py
+++ b/bronzesill/membership/facts.py
@@ -19,6 +19,7 @@
     SERVER_ORDER = 6
     # 7 is no longer used.
     SUSPECT = 8
+    SERVER_SAID_LEAVING = 9
 
 
 @dataclasses.dataclass(frozen=True)
