--- a/bronzesill/daemon/tests/test_server_notices.py
+++ b/bronzesill/daemon/tests/test_server_notices.py
@@ -54,7 +54,7 @@
 
     async def send(self, target: str) -> HostedAnswer:
         return await self.caller.send_request(
-            self.callers, target, X_Deadline_Ms='5000'
+            self.callers, target, X_Deadline_Ms='1000'
         )
 
     async def send_many(self, target: str) -> list[int]:
