Send no stream to a server after its caller was refused

A host that stops answers 503 "not run" to a stream that has no server yet. A 503 promises that a request never runs; for streams that may not be repeated this breaks the rule REFUSED.

The task of a generation handled what was left in its mailbox after its only reader had gone, also the choice of a server. Readers now leave at once, and the task ends with the next message. And the host took its word from the moment of the decision, not of the end: what was sent between them is of unknown outcome now.

test_refused_streams: before, the engine got the stream for 2 of 12 moments of the refusal, and a request sent meanwhile was called not run; now neither.

--- a/bronzesill/gateway/state.py
+++ b/bronzesill/gateway/state.py
@@ -83,6 +83,9 @@
             error = self._ended.get(task)
             if error is None:
                 raise
+            if request.has_sent():
+                # It may have been sent since the host decided to end it.
+                error = _unknown_error()
             raise error from None
         finally:
             self._by_task.pop(task, None)
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -28,7 +28,7 @@
 from .stall_detection import StallPolicy
 from .state import GenerationState
 from .stream_client import StreamClient
-from .subscription import Subscribe, Subscription, Unsubscribe
+from .subscription import Subscription
 from .task import Choosers, GenerationTask, Placement
 
 __all__ = ['GenerationSettings', 'GenerationsController']
@@ -139,7 +139,7 @@
         elif generation.fingerprint != fingerprint:
             raise _request_id_conflict()
         queue: Subscription = asyncio.Queue()
-        generation.mailbox.put_nowait(Subscribe(queue))
+        generation.subscribers.add(queue)
         return queue
 
     def unsubscribe(
@@ -148,7 +148,7 @@
         """Remove a reader from its generation, if it still exists."""
         generation = self.tasks_by_key.get(request.key)
         if generation is not None:
-            generation.mailbox.put_nowait(Unsubscribe(queue))
+            generation.subscribers.remove(queue)
 
     def has_sent(self, request: GenerationRequest) -> bool:
         """Return whether an attempt at a request was sent to a server."""
--- a/bronzesill/generations/subscription.py
+++ b/bronzesill/generations/subscription.py
@@ -17,6 +17,7 @@
     'AnswerStarted',
     'HeadArrived',
     'Subscribe',
+    'Subscribers',
     'Subscription',
     'TaskMessage',
     'Unsubscribe',
@@ -111,3 +112,30 @@
 
 
 TaskMessage: TypeAlias = Event | HeadArrived | Subscribe | Unsubscribe
+
+
+class Subscribers:
+    """
+    Readers of a generation, also those that its task does not know yet.
+
+    :param mailbox: mailbox of the generation's task.
+    """
+
+    def __init__(self, mailbox: asyncio.Queue[TaskMessage]) -> None:
+        self._mailbox = mailbox
+        self._queues: set[Subscription] = set()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether all readers have left."""
+        return not self._queues
+
+    def add(self, queue: Subscription) -> None:
+        """Add a reader, which receives the answer from its first token."""
+        self._queues.add(queue)
+        self._mailbox.put_nowait(Subscribe(queue))
+
+    def remove(self, queue: Subscription) -> None:
+        """Remove a reader; this holds at once."""
+        self._queues.discard(queue)
+        self._mailbox.put_nowait(Unsubscribe(queue))
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -42,6 +42,7 @@
     AnswerStarted,
     HeadArrived,
     Subscribe,
+    Subscribers,
     Subscription,
     TaskMessage,
     Unsubscribe,
@@ -125,6 +126,7 @@
         self.state = state
         self.accepted_tokens: list[str] = []
         self.mailbox: asyncio.Queue[TaskMessage] = asyncio.Queue()
+        self.subscribers = Subscribers(self.mailbox)
         #: Servers to which the connection ended before the answer began.
         self.unanswered_losses = 0
         #: Why no server was chosen at the last choice, empty if one was.
@@ -188,6 +190,9 @@
 
     async def _handle_next_message(self) -> None:
         message = await self._next_message()
+        if self.subscribers.is_empty and not self._unread_timeout_s:
+            # A server that was chosen meanwhile must not get the request.
+            raise TimeoutError
         try:
             self._handle_message(message)
         except Exception as error:
