--- a/bronzesill/soak/servers.py
+++ b/bronzesill/soak/servers.py
@@ -19,7 +19,7 @@
 from ..standins.store import StoreStandIn
 from ..standins.worker import WorkerPlan, WorkerStandIn
 from ..store import Mutation
-from ..utils import Address
+from ..utils import Address, BronzesillError
 from .observations import Run
 
 __all__ = ['EVENTS', 'ROUTE_TIMEOUTS_S', 'RecordedServer', 'SoakServers']
@@ -36,6 +36,7 @@
 _SERVICE_SLOTS = 24
 _SERVICE_WORK_S = 0.1
 _DOMAINS = 'abc'
+_WRITE_INTERVAL_S = 0.3
 _STORE_DELAY_S = 30.0
 #: Timeout of each route by its name.
 ROUTE_TIMEOUTS_S: Mapping[str, float] = types.MappingProxyType(
@@ -137,13 +138,9 @@
         if self._version % 2 == 0:
             added = {**document['routes'][2], 'name': 'added'}
             document['routes'].append({**added, 'prefix': '/added/'})
-        with contextlib.closing(PlatformStore(self.store.address)) as store:
-            existing = await store.get(CONFIGURATION_KEY)
-            await store.compare_and_swap(
-                CONFIGURATION_KEY,
-                existing.revision if existing else None,
-                (Mutation(CONFIGURATION_KEY, orjson.dumps(document)),),
-            )
+        document_bytes = orjson.dumps(document)
+        while not await self._has_written(document_bytes):
+            await asyncio.sleep(_WRITE_INTERVAL_S)
         self.configured_at_s.append(time.monotonic())
 
     async def silence_engines(self, for_s: float) -> None:
@@ -220,6 +217,20 @@
         for engine, prefill_s in zip(engines, itertools.cycle(times_s)):
             engine.plan = dataclasses.replace(engine.plan, prefill_s=prefill_s)
 
+    async def _has_written(self, document: bytes) -> bool:
+        """Write a configuration; return false if the store is silent."""
+        with contextlib.closing(PlatformStore(self.store.address)) as store:
+            try:
+                existing = await store.get(CONFIGURATION_KEY)
+                await store.compare_and_swap(
+                    CONFIGURATION_KEY,
+                    existing.revision if existing else None,
+                    (Mutation(CONFIGURATION_KEY, document),),
+                )
+            except BronzesillError:
+                return False
+        return True
+
     @contextlib.contextmanager
     def _disruption(self) -> Iterator[None]:
         began_at_s = time.monotonic()
