--- a/bronzesill/daemon/tests/test_process_end.py
+++ b/bronzesill/daemon/tests/test_process_end.py
@@ -23,7 +23,7 @@
 
 
 class Daemon:
-    def __init__(self, settings, listeners):
+    def __init__(self, settings, listeners, started_s):
         self.on_stop = lambda: None
 
     def begin_stop(self):
