Count the grace period from the signal, not from its handling

Callers got no whole answer from a host that was killed at the end of its grace period.

The event loop calls its signal handlers only after the callbacks that are due. The signal's time is now noted by a handler that the interpreter runs between two instructions; requests, steps and the forced end count from it.

--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -198,8 +198,8 @@
         )
         self._log_start()
         self._stop = PlannedStop(self._state, settings.bounds.grace_s)
-        #: Called when a planned stop begins.
-        self.on_stop: Callable[[], object] = _ignore
+        #: Called when a planned stop begins, with the time since its signal.
+        self.on_stop: Callable[[float], object] = _ignore
 
     @property
     def settings(self) -> HostedSettings:
@@ -242,13 +242,17 @@
             await self._close()
         _log.info('%s stopped', self._settings.name)
 
-    def begin_stop(self) -> None:
-        """Begin a planned stop; further calls have no effect."""
+    def begin_stop(self, late_s: float = 0) -> None:
+        """
+        Begin a planned stop; further calls have no effect.
+
+        :param late_s: time in seconds since the signal for the stop.
+        """
         if self._stop.is_requested:
             return
-        self.on_stop()
+        self.on_stop(late_s)
         _log.info('%s received a stop request', self._settings.name)
-        self._stop.begin()
+        self._stop.begin(late_s)
         self._fleet.publish_stop()
 
     async def _serve(self) -> None:
@@ -351,5 +355,5 @@
         return make_readiness_app(lambda: self.is_ready)
 
 
-def _ignore() -> None:
+def _ignore(late_s: float) -> None:
     """Do nothing."""
--- a/bronzesill/daemon/hosted_program.py
+++ b/bronzesill/daemon/hosted_program.py
@@ -8,6 +8,7 @@
 import sys
 import threading
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import NoReturn
 
@@ -43,10 +44,15 @@
     def __init__(self, grace_s: float) -> None:
         self._remaining_s = max(grace_s - _EXIT_MARGIN_S, 0)
 
-    def start(self) -> None:
-        """Start to count; to be called as soon as the stop begins."""
+    def start(self, late_s: float) -> None:
+        """
+        Start to count; to be called as soon as the stop begins.
+
+        :param late_s: time in seconds since the signal for the stop.
+        """
         # The event loop may be blocked, so that the time is kept beside it.
-        timer = threading.Timer(self._remaining_s, self._end)
+        remaining_s = max(self._remaining_s - late_s, 0)
+        timer = threading.Timer(remaining_s, self._end)
         timer.daemon = True
         timer.start()
 
@@ -55,6 +61,36 @@
         _end_process(_EXIT_STOPPED)
 
 
+class _StopSignal:
+    """
+    Calls a function at SIGTERM, with the time in seconds since the signal.
+
+    The loop calls its own handlers only after the callbacks that are due, and
+    the grace period runs meanwhile.
+
+    :param loop: running event loop.
+    :param begin_stop: function to call in the loop.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        begin_stop: Callable[[float], object],
+    ) -> None:
+        self._loop = loop
+        self._begin_stop = begin_stop
+
+    def watch(self) -> None:
+        """Handle the signal from now on."""
+        signal.signal(signal.SIGTERM, self._note)
+
+    def _note(self, number: int, frame: object) -> None:
+        self._loop.call_soon_threadsafe(self._begin, time.monotonic())
+
+    def _begin(self, signal_at_s: float) -> None:
+        self._begin_stop(time.monotonic() - signal_at_s)
+
+
 async def _serve(path: Path, listeners: EarlySockets, started_s: float) -> None:
     settings = read_settings(path)
     daemon = HostedDaemon(settings, listeners, started_s)
@@ -63,7 +99,7 @@
         'program_loaded', loaded_s=round(time.monotonic() - started_s, 3)
     )
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, daemon.begin_stop)
+    _StopSignal(loop, daemon.begin_stop).watch()
     loop.add_signal_handler(signal.SIGHUP, _reload, path)
     await daemon.run()
     _end_process(_EXIT_STOPPED)
--- a/bronzesill/daemon/planned_stop.py
+++ b/bronzesill/daemon/planned_stop.py
@@ -49,9 +49,13 @@
         remaining_s = (self._state.stops_at_s or now_s) - now_s
         return max(remaining_s + _FLUSH_S, 0)
 
-    def begin(self) -> None:
-        """Begin the stop: no request is taken that may outlast it."""
-        self._began_at_s = asyncio.get_running_loop().time()
+    def begin(self, late_s: float = 0) -> None:
+        """
+        Begin the stop: no request is taken that may outlast it.
+
+        :param late_s: time in seconds since the signal for the stop.
+        """
+        self._began_at_s = asyncio.get_running_loop().time() - late_s
         self._state.is_stopping = True
         self._state.stops_at_s = self._began_at_s + self._grace_s
         self._requested.set()
--- a/bronzesill/daemon/tests/test_process_end.py
+++ b/bronzesill/daemon/tests/test_process_end.py
@@ -1,5 +1,6 @@
 """The end of the daemon process after a signal for a planned stop."""
 
+import re
 import subprocess
 import sys
 import unittest
@@ -8,6 +9,8 @@
 #: not ended in time is seen on a busy machine too.
 _CHILD_S = 120
 _TIMEOUT_S = 60
+#: The child's event loop is busy for that long after the signal.
+_LATE_S = 0.7
 
 _PREFIX = """
 import asyncio
@@ -24,16 +27,20 @@
 
 class Daemon:
     def __init__(self, settings, listeners, started_s):
-        self.on_stop = lambda: None
+        self.on_stop = lambda late_s: None
 
-    def begin_stop(self):
-        self.on_stop()
+    def begin_stop(self, late_s):
+        print(f'late by {late_s:.1f} s')
+        self.on_stop(late_s)
         self.stop.set()
 
+    async def wait_for_stop(self):
+        await self.stop.wait()
+
     async def run(self):
         self.stop = asyncio.Event()
         os.kill(os.getpid(), signal.SIGTERM)
-        await self.stop.wait()
+        await self.wait_for_stop()
         await self.close()
 
 
@@ -80,6 +87,22 @@
 """
 
 
+_IS_LATE = f"""
+async def wait_for_stop(self):
+    time.sleep({_LATE_S})
+    await self.stop.wait()
+
+
+async def close(self):
+    time.sleep({_CHILD_S})
+
+
+Daemon.wait_for_stop = wait_for_stop
+Daemon.close = close
+run()
+"""
+
+
 def _run(body: str) -> subprocess.CompletedProcess[str]:
     return subprocess.run(
         [sys.executable, '-c', _PREFIX + body],
@@ -107,6 +130,16 @@
         self.assertEqual(ended.returncode, 0, ended.stderr)
         self.assertIn('exit_forced', ended.stdout)
 
+    # Guards against hosts that count the grace period from the moment at which
+    # a late event loop handles the signal.
+    def test_grace_period_counts_from_the_signal(self) -> None:
+        ended = _run(_IS_LATE)
+        self.assertEqual(ended.returncode, 0, ended.stderr)
+        self.assertIn('exit_forced', ended.stdout)
+        late = re.search(r'late by ([\d.]+) s', ended.stdout)
+        assert late is not None
+        self.assertGreaterEqual(float(late[1]), _LATE_S)
+
     # Guards against hosts that are killed as a step of their end never ends.
     def test_endless_step_does_not_delay_the_end(self) -> None:
         ended = _run(_NEVER_ENDS)
