Announce the close before a stopping host leaves

Callers that send request after request on kept connections lost some of them without an answer when a host without other requests left, 4 s after the signal: the request crossed the close of its connection, or its connection had just been accepted.

Causes: nothing told callers to stop using a connection before it was closed; asyncio drops a connection that it has accepted but not set up when its server is closed (an assertion in Server._attach); and a connection whose caller had not sent its first request yet was closed like an idle one.

Now each answer from one second before the earliest exit on announces the close; the listener is taken out of the event loop first, the loop sets up what was accepted, then what waits is accepted and the listener closed; a new connection gets 0.2 s for its first request.

--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -251,9 +251,7 @@
                 self._caller_server.address,
             )
             await self._stop.wait()
-            await self._stop.drain(
-                self._fleet.deregister, lambda: not self._caller_server.running
-            )
+            await self._stop.drain(self._fleet.deregister, self._caller_server)
         finally:
             # Answers come first: what follows may take all that is left.
             await self._close_connections()
--- a/bronzesill/daemon/hosted_program.py
+++ b/bronzesill/daemon/hosted_program.py
@@ -28,7 +28,7 @@
 _EXIT_BAD_SETTINGS = 2
 #: Time before the end of the grace period at which a stopping process ends,
 #: whatever it is doing.
-_EXIT_MARGIN_S = 0.4
+_EXIT_MARGIN_S = 0.5
 
 _log = PartLogger('daemon')
 
--- a/bronzesill/daemon/planned_stop.py
+++ b/bronzesill/daemon/planned_stop.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
-from typing import Any
+from typing import Any, Protocol
 
 from ..gateway import GatewayState
 from ..utils import PartLogger
@@ -12,15 +12,29 @@
 __all__ = ['PlannedStop']
 
 #: Time before the end of the grace period at which requests have ended.
-_STOP_MARGIN_S = 0.5
+_STOP_MARGIN_S = 0.6
 _POLL_S = 0.05
 _LINGER_S = 4.0
+#: Time before the earliest exit in which callers are told to use another
+#: connection.
+_ANNOUNCED_S = 1.0
 #: Time after the last answer for its bytes, well within the margin.
 _FLUSH_S = 0.1
 
 _log = PartLogger('daemon')
 
 
+class DrainedServer(Protocol):
+    """Serves requests of callers."""
+
+    @property
+    def running(self) -> int:
+        """Number of requests whose response is not complete."""
+
+    def announce_close(self) -> None:
+        """Close each connection after its next answer, and say so in it."""
+
+
 class PlannedStop:
     """
     Steps of a planned stop, which share one budget from the signal on.
@@ -63,7 +77,7 @@
     async def drain(
         self,
         remove_entry: Callable[[], Coroutine[Any, Any, None]],
-        is_idle: Callable[[], bool],
+        server: DrainedServer,
     ) -> None:
         """
         Wait until no request is running, or until the requests must end.
@@ -73,11 +87,11 @@
 
         :param remove_entry: removes the host from the store; requests do not
             wait for it, as the store may be silent.
-        :param is_idle: returns whether no request is running.
+        :param server: serves the requests.
         """
         removal = asyncio.create_task(self._remove(remove_entry))
         try:
-            await self._end_requests(is_idle)
+            await self._end_requests(server)
         finally:
             removal.cancel()
 
@@ -112,12 +126,14 @@
         await remove_entry()
         self.log_step('entry_removed')
 
-    async def _end_requests(self, is_idle: Callable[[], bool]) -> None:
+    async def _end_requests(self, server: DrainedServer) -> None:
         loop = asyncio.get_running_loop()
         stops_at_s = self._state.stops_at_s or loop.time()
         linger_until_s = min(loop.time() + _LINGER_S, stops_at_s)
         while loop.time() < stops_at_s:
             self._state.open_requests.end_before(stops_at_s, loop.time())
-            if is_idle() and loop.time() >= linger_until_s:
+            if loop.time() >= linger_until_s - _ANNOUNCED_S:
+                server.announce_close()
+            if not server.running and loop.time() >= linger_until_s:
                 break
             await asyncio.sleep(_POLL_S)
--- a/bronzesill/daemon/tests/test_planned_stop.py
+++ b/bronzesill/daemon/tests/test_planned_stop.py
@@ -1,6 +1,7 @@
 """Requests that reach a host after the signal for a planned stop."""
 
 import asyncio
+import re
 import unittest
 from collections.abc import Coroutine
 from typing import Any
@@ -28,6 +29,12 @@
 _AT_ONCE_S = 1.0
 _CALL_WORK_S = 1.2
 _HANGING_S = 10.0
+#: Longer than a host without requests stays.
+_LONG_GRACE_S = 8.0
+_KEPT_CALLERS = 20
+_PAUSE_STEP_S = 0.005
+_UNKNOWN_REQUEST = b'GET /unknown HTTP/1.1\r\nHost: unknown\r\n\r\n'
+_LENGTH_PATTERN = re.compile(rb'content-length: (\d+)')
 
 
 def _engines(events: int, pace_s: float) -> HostedPlan:
@@ -203,6 +210,63 @@
         self.assertEqual(answer.status, _UNKNOWN)
 
 
+class KeptConnectionTest(_StopCase):
+    """Callers send request after request until the host is gone."""
+
+    plan = HostedPlan(daemons=1, grace_s=_LONG_GRACE_S)
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.answered = 0
+        self.unanswered = 0
+
+    async def send_until_gone(self, pause_s: float) -> None:
+        """Send requests; use a new connection when a close is announced."""
+        address = self.daemon.settings.callers
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection(
+                    address.ip, address.port
+                )
+            except OSError:
+                return
+            await self.send_on(reader, writer, pause_s)
+            writer.close()
+
+    async def send_on(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        pause_s: float,
+    ) -> None:
+        is_kept = True
+        while is_kept:
+            writer.write(_UNKNOWN_REQUEST)
+            try:
+                head = await reader.readuntil(b'\r\n\r\n')
+            except (OSError, EOFError):
+                self.unanswered += 1
+                return
+            self.answered += 1
+            length = _LENGTH_PATTERN.search(head)
+            await reader.readexactly(int(length.group(1)) if length else 0)
+            is_kept = b'connection: close' not in head
+            await asyncio.sleep(pause_s)
+
+    # Guards against requests that are closed without an answer while a host
+    # without other requests leaves.
+    async def test_each_request_gets_an_answer(self) -> None:
+        callers = [
+            asyncio.create_task(self.send_until_gone(number * _PAUSE_STEP_S))
+            for number in range(_KEPT_CALLERS)
+        ]
+        await asyncio.sleep(0.5)
+        self.daemon.begin_stop()
+        await asyncio.gather(*callers)
+        self.assertGreater(self.answered, _KEPT_CALLERS)
+        self.assertEqual(self.unanswered, 0)
+
+
 class SilentPeerTest(_StopCase):
     """A peer does not read what this host has for it."""
 
--- a/bronzesill/utils/connections.py
+++ b/bronzesill/utils/connections.py
@@ -25,6 +25,8 @@
 _HEADER_OVERHEAD_BYTES = 4
 #: Time for the caller to close its side of a connection that is closed.
 _CALLER_CLOSE_S = 0.1
+#: Time for the first request on a connection that is to be closed.
+_FIRST_REQUEST_S = 0.2
 
 _ERROR_RESPONSE = (
     'HTTP/1.1 {0}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
@@ -197,12 +199,16 @@
         """
         Close the connection after the answer to the request that it carries.
 
-        Without a request it is closed now.  A request that is not complete is
-        refused: it has not been run.
+        Without a request it is closed now, or, if it never had one, after a
+        short wait for it.  A request that is not complete is refused: it has
+        not been run.
         """
         if self._is_closing and self.is_answered:
             return
-        if self.is_answered and not self._is_within_head:
+        if self.cycle is None and not self._is_within_head:
+            # The caller has just connected to send a request.
+            self._start_timer(_FIRST_REQUEST_S, self._close_for_writing)
+        elif self.is_answered and not self._is_within_head:
             self._close_for_writing()
         elif self._is_within_head or self.cycle.more_body:
             self._refuse_rest()
--- a/bronzesill/utils/serving.py
+++ b/bronzesill/utils/serving.py
@@ -25,7 +25,7 @@
 _BACKLOG = 2048
 _FLUSH_POLL_S = 0.01
 #: Passes of the event loop after which what has arrived is read.
-_READ_PASSES = 3
+_READ_PASSES = 8
 _log = PartLogger('serving')
 
 
@@ -172,6 +172,10 @@
     async def _accept_waiting(self, server: _Server) -> None:
         """Stop to listen once no connection waits to be accepted."""
         loop = asyncio.get_running_loop()
+        # A connection that was accepted is dropped if the server is closed
+        # before the event loop has set it up.
+        loop.remove_reader(self._socket)
+        await _let_loop_run()
         with self._socket.dup() as listener:
             for accepting in server.servers:
                 accepting.close()
@@ -212,10 +216,14 @@
             yield connected
 
 
-async def _end_connections(server: uvicorn.Server) -> None:
+async def _let_loop_run() -> None:
+    """Let the event loop set up connections and read what has arrived."""
     for _ in range(_READ_PASSES):
-        # The loop reads what callers have sent.
         await asyncio.sleep(0)
+
+
+async def _end_connections(server: uvicorn.Server) -> None:
+    await _let_loop_run()
     for connection in _connections(server):
         connection.end()
     while server.server_state.connections:
