--- a/bronzesill/utils/connections.py
+++ b/bronzesill/utils/connections.py
@@ -203,17 +203,23 @@
         short wait for it.  A request that is not complete is refused: it has
         not been run.
         """
-        if self._is_closing and self.is_answered:
+        if self.is_answered:
+            self._end_between_requests()
+        elif self.cycle.more_body:
+            self._refuse_rest()
+        else:
+            self._announce_close()
+
+    def _end_between_requests(self) -> None:
+        if self._is_closing:
             return
-        if self.cycle is None and not self._is_within_head:
+        if self._is_within_head:
+            self._refuse_rest()
+        elif self.cycle is None:
             # The caller has just connected to send a request.
             self._start_timer(_FIRST_REQUEST_S, self._close_for_writing)
-        elif self.is_answered and not self._is_within_head:
-            self._close_for_writing()
-        elif self._is_within_head or self.cycle.more_body:
-            self._refuse_rest()
         else:
-            self._announce_close()
+            self._close_for_writing()
 
     @property
     def _is_within_head(self) -> bool:
