--- a/bronzesill/utils/idle_time.py
+++ b/bronzesill/utils/idle_time.py
@@ -7,6 +7,9 @@
 
 __all__ = ['IdleTimeout']
 
+#: Timers may end earlier by the resolution of the clock or a rounding error.
+_TIMER_ERROR_S = 0.001
+
 
 class IdleTimeout:
     """
@@ -53,7 +56,7 @@
         self._timer = None
         idle_s = asyncio.get_running_loop().time() - self._began_at_s
         remaining_s = self._get_limit_s() - idle_s
-        if remaining_s > 0:
+        if remaining_s > _TIMER_ERROR_S:
             self._wait(remaining_s)
         else:
             self._on_timeout()
