Ignore a change of the settings while the program is loading

Callers saw: connections reset, with their requests unread in the backlog, when SIGHUP came to a process that listened already and was still loading its program (a second or so after each start).

Cause: the handler of the signal is installed once the program is loaded, and until then the signal ends the process.

The process ignores the signal from its first step on. The settings are read after the load, so nothing is missed.

--- a/bronzesill/daemon/hosted_main.py
+++ b/bronzesill/daemon/hosted_main.py
@@ -7,6 +7,7 @@
 
 import importlib
 import os
+import signal
 import sys
 import time
 from pathlib import Path
@@ -25,6 +26,9 @@
 def main() -> int:
     """Run the daemon until a signal stops it; return the exit status."""
     started_s = time.monotonic()
+    # The settings are read once the program is loaded, so there is nothing to
+    # reload; without a handler the signal would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
     listeners = EarlySockets()
     listeners.open(read_listen_addresses(path))
--- a/bronzesill/daemon/tests/test_early_start.py
+++ b/bronzesill/daemon/tests/test_early_start.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import socket
+import subprocess
+import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -21,6 +23,19 @@
 
 _HOST = '127.0.0.1'
 _WAIT_S = 0.05
+#: Runs the program with a signal in the middle of its load.
+_SIGNALLED_PROGRAM = """
+import os, signal, sys
+from unittest import mock
+from bronzesill.daemon import hosted_main
+
+def load(name):
+    os.kill(os.getpid(), signal.SIGHUP)
+    return mock.Mock(run_program=lambda *_: 0)
+
+with mock.patch('importlib.import_module', load):
+    sys.exit(hosted_main.main())
+"""
 
 
 def _free_port() -> int:
@@ -80,6 +95,18 @@
             self.assertEqual(read_listen_addresses(path), ())
 
 
+class EarlySignalTest(unittest.TestCase):
+    """Signals that arrive while the program is loading."""
+
+    # Guards against callers whose connections are reset in the backlog, as a
+    # change of the settings ended a process that was loading its program.
+    def test_changed_settings_do_not_end_a_process_that_loads(self) -> None:
+        program = subprocess.run(
+            (sys.executable, '-c', _SIGNALLED_PROGRAM), check=False
+        )
+        self.assertEqual(program.returncode, 0)
+
+
 class FirstConfigurationTest(unittest.IsolatedAsyncioTestCase):
     """Requests wait for the first configuration, but only at the start."""
 
