--- a/bronzesill/utils/connections.py
+++ b/bronzesill/utils/connections.py
@@ -152,7 +152,7 @@
         self._limits = get_limits()
         self._timer: asyncio.TimerHandle | None = None
         self._idle = IdleTimeout(
-            lambda: get_limits().idle_timeout_s, self._close_idle
+            lambda: get_limits().idle_timeout_s, lambda: self.transport.close()
         )
         self._head_bytes = 0
         #: Whether ``cycle`` belongs to the request that began last.
@@ -327,9 +327,6 @@
             return False
         return not cycle.more_body
 
-    def _close_idle(self) -> None:
-        self.transport.close()
-
     def _close_after_response(self) -> None:
         self._is_closing = True
         if self.cycle is not None:
