Don't debug the loop of in-process fleets

test_prompt_crashes.QuickCrashTest, test_crashing_calls.CrashingCallTest and the three tests of test_restored_store failed beside load: sound streams cut after their 8 s, calls answered 503 "nothing sent before the deadline", servers that the hosts no longer listed, time-outs until ready.

Cause: IsolatedAsyncioTestCase switches the debugging of its event loop on, and store, servers, hosts and callers of these tests share that one loop. Beside load the loop was behind by up to 0.64 s again and again, so that streams of 70 ms took 2 to 9 s and leases of 1.2 s ended. Hosts that run as processes are never debugged.

--- a/bronzesill/standins/hosted_fleet.py
+++ b/bronzesill/standins/hosted_fleet.py
@@ -143,6 +143,9 @@
         self._tasks_by_daemon: dict[HostedDaemon, asyncio.Task[None]] = {}
 
     async def __aenter__(self) -> HostedFleet:
+        # Test cases debug their loop, which servers, hosts and callers share;
+        # that takes over half of its time.
+        asyncio.get_running_loop().set_debug(enabled=False)
         await self.store.start()
         for worker in self.workers_by_name.values():
             worker.on_crash = self._crash_worker
