--- a/bronzesill/daemon/tests/memory_connection.py
+++ b/bronzesill/daemon/tests/memory_connection.py
@@ -11,7 +11,12 @@
 import uvicorn
 from uvicorn.server import ServerState
 
-from ...utils.serving import ServingLimits, _LimitedProtocol, _uvicorn_config
+from ...utils.connections import (
+    ConnectionPhase,
+    LimitedConnection,
+    ServingLimits,
+)
+from ...utils.serving import _uvicorn_config
 
 __all__ = ['CallerConnection', 'HostConnections']
 
@@ -25,7 +30,7 @@
     """
 
     def __init__(
-        self, protocol: _LimitedProtocol, on_data: Callable[[bytes], None]
+        self, protocol: LimitedConnection, on_data: Callable[[bytes], None]
     ) -> None:
         super().__init__()
         self._protocol = protocol
@@ -85,7 +90,7 @@
     :param protocol: protocol of the host.
     """
 
-    def __init__(self, protocol: _LimitedProtocol) -> None:
+    def __init__(self, protocol: LimitedConnection) -> None:
         self.protocol = protocol
         self.transport = _Transport(protocol, self._receive)
         self.statuses: list[int] = []
@@ -136,10 +141,13 @@
     """
 
     def __init__(self, app: Any, get_limits: Callable[[], Any]) -> None:
-        self._config: uvicorn.Config = _uvicorn_config(app, get_limits)
+        phase = ConnectionPhase()
+        self._config: uvicorn.Config = _uvicorn_config(app, get_limits, phase)
         self._config.load()
         self._state = ServerState()
-        self._make_protocol = functools.partial(_LimitedProtocol, get_limits)
+        self._make_protocol = functools.partial(
+            LimitedConnection, get_limits, phase
+        )
 
     def open(self) -> CallerConnection:
         """Open a connection."""
