Don't register a stopping host again

Hosts that ask the store for others went on to join a host that had begun its planned stop: its entry was removed, and the task that renews it wrote it anew 1.5 to 4.5 s later. Nothing told that task of the stop.

StoppingEntryTest fails before (the entry is back within 2.7 s) and passes now: absent for 4.5 s until the exit. The task ends its work with the stop; an entry that was being written as the signal came is removed again.

--- a/bronzesill/daemon/hosted_fleet.py
+++ b/bronzesill/daemon/hosted_fleet.py
@@ -70,6 +70,7 @@
         self._seeds = seeds
         self._random = random
         self._lease: Lease | None = None
+        self._is_stopping = False
         self._has_returned = asyncio.Event()
         #: Called with the name of a step of the start that is reached.
         self.log_start_step: Callable[[str], None] = _ignore
@@ -141,6 +142,7 @@
 
     def publish_stop(self) -> None:
         """Publish that this daemon begins its planned stop."""
+        self._is_stopping = True
         own = self._membership.own
         self._membership.publish_fact(
             Fact(FactKind.HOST_LEAVING, own.name, own.incarnation)
@@ -255,6 +257,8 @@
         await asyncio.sleep(_RETURN_SPREAD_S * self._random.random())
 
     async def _update_registration(self) -> None:
+        if self._is_stopping:
+            return
         if not self.watchers():
             await self._renew_registration()
         elif self._lease is not None:
@@ -275,6 +279,9 @@
         self._lease = lease if written else None
         if written:
             self.log_start_step('registered')
+        if self._is_stopping:
+            # The stop began meanwhile.
+            await self.deregister()
 
     async def _join_registered(self) -> None:
         listed = await self._store.snapshot(HOST_PREFIX, may_be_stale=True)
--- a/bronzesill/daemon/tests/test_planned_stop.py
+++ b/bronzesill/daemon/tests/test_planned_stop.py
@@ -12,6 +12,8 @@
 import aiohttp
 
 from ...generations import task
+from ...platform.servers import HOST_PREFIX
+from ...platform.store import PlatformStore
 from ...standins.hosted_fleet import (
     HostedFleet,
     HostedPlan,
@@ -151,6 +153,34 @@
                 await stream
 
 
+class StoppingEntryTest(_StopCase):
+    """The entry of a stopping host in the store."""
+
+    plan = HostedPlan(daemons=1, grace_s=_LONG_GRACE_S)
+
+    async def is_registered(self) -> bool:
+        key = f'{HOST_PREFIX}{self.daemon.settings.name}'
+        with contextlib.closing(PlatformStore(self.fleet.store.address)) as s:
+            return await s.get(key) is not None
+
+    # Guards against hosts that register again while they stop, so that others
+    # join them up to their exit.
+    async def test_host_does_not_register_again(self) -> None:
+        async with asyncio.timeout(_LONG_GRACE_S):
+            while not await self.is_registered():
+                await asyncio.sleep(0.1)
+        # Requests keep the host up until its grace period ends.
+        waiting = asyncio.create_task(self.stream())
+        self.fleet.workers_by_name['engine-a'].is_answering.clear()
+        self.fleet.workers_by_name['engine-b'].is_answering.clear()
+        self.daemon.begin_stop()
+        await asyncio.sleep(0.5)
+        for _ in range(45):
+            self.assertFalse(await self.is_registered())
+            await asyncio.sleep(0.1)
+        waiting.cancel()
+
+
 class LateCallTest(_StopCase):
     """Calls that may run at most once take longer than usual calls do."""
 
