--- a/bronzesill/soak/__main__.py
+++ b/bronzesill/soak/__main__.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import logging
+import signal
 import sys
 import tempfile
 from collections.abc import Iterator
@@ -58,6 +59,8 @@
 def main() -> int:
     """Run the soak and print its report; return 1 if a rule was broken."""
     options = _parse_args()
+    # The hosts end with the soak, however it is ended.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     # Connections are aborted on purpose.
     logging.getLogger('uvicorn.error').setLevel(logging.CRITICAL)
     plan = Plan(options.seed, options.stops, options.hosts, not options.calm)
