End a stopping process although its output cannot be written

A stopping host would run on until the platform kills it, as before the process ended by itself, if nobody reads what it writes.

Cause: the end of the process, also the one that the clock forces, flushes the standard output and error first. The output is in non-blocking mode, as log lines are dropped rather than waited for, so that a flush with something in the buffer raises BlockingIOError while the pipe is full. The exception ended the thread that keeps the time, and left the last line of the program, so that the interpreter's own end was run after all. Log lines themselves have no buffer: this needs something else that writes to the output, such as a warning.

Found by reading, not seen in a run of the fleet. Now the process ends whatever the flush does: 4 of 4 tests pass in 8.3 s.

--- a/bronzesill/daemon/hosted_program.py
+++ b/bronzesill/daemon/hosted_program.py
@@ -78,9 +78,12 @@
 
     :param status: exit status of the process.
     """
-    sys.stdout.flush()
-    sys.stderr.flush()
-    os._exit(status)
+    try:
+        sys.stdout.flush()
+        sys.stderr.flush()
+    finally:
+        # Output that cannot be written does not keep the process.
+        os._exit(status)
 
 
 def _reload(path: Path) -> None:
--- a/bronzesill/daemon/tests/test_process_end.py
+++ b/bronzesill/daemon/tests/test_process_end.py
@@ -75,6 +75,50 @@
             pass
 
 
+Daemon.close = close
+run()
+"""
+
+_OUTPUT_IS_FULL = """
+import sys
+
+_, full = os.pipe()
+os.dup2(full, 1)
+# It has a buffer, whatever the environment says.
+sys.stdout = os.fdopen(1, 'w')
+
+
+def fill():
+    print('waits in the buffer')
+    while True:
+        try:
+            os.write(1, b'x' * 65536)
+        except BlockingIOError:
+            return
+"""
+
+_FULL_AND_ENDS = f"""
+{_OUTPUT_IS_FULL}
+
+
+async def close(self):
+    fill()
+
+
+Daemon.close = close
+atexit.register(time.sleep, {_CHILD_S})
+run()
+"""
+
+_FULL_AND_BLOCKS = f"""
+{_OUTPUT_IS_FULL}
+
+
+async def close(self):
+    fill()
+    time.sleep({_CHILD_S})
+
+
 Daemon.close = close
 run()
 """
@@ -113,6 +157,13 @@
         self.assertEqual(ended.returncode, 0, ended.stderr)
         self.assertIn('exit_forced', ended.stdout)
 
+    # Guards against hosts that are killed, as nobody reads what they log.
+    def test_full_output_does_not_delay_the_end(self) -> None:
+        for body in (_FULL_AND_ENDS, _FULL_AND_BLOCKS):
+            with self.subTest(body=body):
+                ended = _run(body)
+                self.assertEqual(ended.returncode, 0, ended.stderr)
+
 
 if __name__ == '__main__':
     unittest.main()
