Go through the running requests once for all that are predicted at a time

The event loop of a stopping host with many open requests is late: each answer pauses, and steps of the stop come late.

Cause: every 0.05 s a stopping host asks for each open request when it ends. Since running requests count in predictions, each of these questions goes through all requests for the service that run, so that the time grows with the square of their number.

On the code before, test_running_requests_are_observed_once_at_a_time sees 120 observations instead of 40.

The longest times are gathered once for a service and a time of the loop, and each size is predicted from them.

--- a/bronzesill/calls/durations.py
+++ b/bronzesill/calls/durations.py
@@ -4,12 +4,13 @@
 
 import dataclasses
 import itertools
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import TypeAlias
 
 __all__ = [
     'DurationLog',
     'LatencyEstimate',
+    'LongestTimes',
     'Observe',
     'ObservedRequest',
     'RecentDurations',
@@ -107,6 +108,55 @@
 Observe: TypeAlias = Callable[[float], ObservedRequest]
 
 
+@dataclasses.dataclass(frozen=True)
+class LongestTimes:
+    """
+    Longest times of some requests, each in seconds.
+
+    :param first_event_s: time to a first event.
+    :param first_event_per_token_s: the same for each token of the prompt.
+    :param stream_s: time after a first event.
+    :param stream_per_token_s: the same for each token of the answer.
+    :param pause_s: pause between two events.
+    """
+
+    first_event_s: float
+    first_event_per_token_s: float
+    stream_s: float
+    stream_per_token_s: float
+    pause_s: float
+
+    @classmethod
+    def from_requests(cls, requests: list[ObservedRequest]) -> LongestTimes:
+        """Return the longest times of at least one request."""
+        return cls(
+            max(request.first_event_s for request in requests),
+            max(
+                request.first_event_s / max(request.size.prompt_tokens, 1)
+                for request in requests
+            ),
+            max(request.stream_s for request in requests),
+            max(
+                request.stream_s / max(request.size.output_tokens, 1)
+                for request in requests
+            ),
+            max(request.longest_pause_s for request in requests),
+        )
+
+    def predict_s(self, size: RequestSize) -> float:
+        """Return the seconds that a request of a size takes at most."""
+        start_s = max(
+            self.first_event_s,
+            size.prompt_tokens * self.first_event_per_token_s,
+        )
+        stream_s = self.stream_s
+        if size.output_tokens:
+            stream_s = size.output_tokens * self.stream_per_token_s
+        return _GROWTH_FACTOR * (
+            start_s + stream_s + _EXPECTED_PAUSES * self.pause_s
+        )
+
+
 @dataclasses.dataclass(frozen=True)
 class RecentDurations:
     """
@@ -139,6 +189,18 @@
         for the service got one within the last minute.
 
         :param size: size of the request.
+        :param now_s: loop time in seconds.
+        :param running: requests for the service that still run.
+        """
+        longest = self.longest(now_s, running)
+        return None if longest is None else longest.predict_s(size)
+
+    def longest(
+        self, now_s: float, running: tuple[ObservedRequest, ...] = ()
+    ) -> LongestTimes | None:
+        """
+        Return the longest times, from which requests of any size follow.
+
         :param now_s: loop time in seconds.
         :param running: requests for the service that still run.
         """
@@ -151,14 +213,9 @@
             return None
         events = max(request.events for request in recent if request.is_whole)
         recent.extend(running)
-        recent = [request.to_whole(events) for request in recent]
-        pause_s = max(request.longest_pause_s for request in recent)
-        predicted_s = (
-            _longest_start_s(recent, size.prompt_tokens)
-            + _longest_stream_s(recent, size.output_tokens)
-            + _EXPECTED_PAUSES * pause_s
+        return LongestTimes.from_requests(
+            [request.to_whole(events) for request in recent]
         )
-        return _GROWTH_FACTOR * predicted_s
 
 
 class DurationLog:
@@ -168,6 +225,10 @@
         self._recent_by_service: dict[str, RecentDurations] = {}
         self._running_by_service: dict[str, dict[int, Observe]] = {}
         self._numbers = itertools.count()
+        #: Longest times for each service, and the loop time they hold for.
+        self._longest_by_service: dict[
+            str, tuple[float, LongestTimes | None]
+        ] = {}
 
     def begin(self, service: str, observe: Observe) -> int:
         """
@@ -178,6 +239,7 @@
         """
         number = next(self._numbers)
         self._running_by_service.setdefault(service, {})[number] = observe
+        self._longest_by_service.pop(service, None)
         return number
 
     def end(self, service: str, number: int, now_s: float) -> None:
@@ -195,6 +257,7 @@
         """Record a request that has ended."""
         known = self._recent_by_service.get(service, RecentDurations())
         self._recent_by_service[service] = known.with_request(request)
+        self._longest_by_service.pop(service, None)
 
     def predict_s(
         self, service: str, size: RequestSize, now_s: float
@@ -206,30 +269,17 @@
         :param size: size of the request.
         :param now_s: loop time in seconds.
         """
-        known = self._recent_by_service.get(service, RecentDurations())
-        running = self._running_by_service.get(service, {})
-        observed = tuple(observe(now_s) for observe in running.values())
-        return known.predict_s(size, now_s, observed)
-
-
-def _longest_start_s(
-    requests: Iterable[ObservedRequest], prompt_tokens: int
-) -> float:
-    """Return the longest time to a first event, scaled to larger prompts."""
-    return max(
-        request.first_event_s
-        * max(1, prompt_tokens / max(request.size.prompt_tokens, 1))
-        for request in requests
-    )
-
-
-def _longest_stream_s(
-    requests: Iterable[ObservedRequest], output_tokens: int
-) -> float:
-    """Return the longest time after a first event for a number of tokens."""
-    if not output_tokens:
-        return max(request.stream_s for request in requests)
-    return output_tokens * max(
-        request.stream_s / max(request.size.output_tokens, 1)
-        for request in requests
-    )
+        # A stopping host asks for all its open requests at one time.
+        longest = self._longest(service, now_s)
+        return None if longest is None else longest.predict_s(size)
+
+    def _longest(self, service: str, now_s: float) -> LongestTimes | None:
+        """Return the longest times, computed once for each time."""
+        held_at_s, longest = self._longest_by_service.get(service, (-1.0, None))
+        if held_at_s != now_s:
+            known = self._recent_by_service.get(service, RecentDurations())
+            running = self._running_by_service.get(service, {})
+            observed = tuple(observe(now_s) for observe in running.values())
+            longest = known.longest(now_s, observed)
+            self._longest_by_service[service] = (now_s, longest)
+        return longest
--- a/bronzesill/calls/tests/test_durations.py
+++ b/bronzesill/calls/tests/test_durations.py
@@ -8,6 +8,7 @@
 _NOW_S = 100.0
 _LARGE = RequestSize(8_000, 1_000)
 _SMALL = RequestSize(2_000, 200)
+_RUNNING = 20
 
 
 def _log_of(*requests: ObservedRequest) -> DurationLog:
@@ -77,6 +78,26 @@
             log.predict_s(_SERVICE, _SMALL, _NOW_S) or 0, 0.5 + 5.4
         )
 
+    # Guards against an event loop that is late at a stop, as each open request
+    # goes through all running ones.
+    def test_running_requests_are_observed_once_at_a_time(self) -> None:
+        log = _log_of(ObservedRequest(_SMALL, _NOW_S, 0.5, 1.0))
+        observed_at_s: list[float] = []
+
+        def observe(now_s: float) -> ObservedRequest:
+            observed_at_s.append(now_s)
+            return ObservedRequest(_SMALL, now_s, 8.0, is_whole=False)
+
+        for _ in range(_RUNNING):
+            log.begin(_SERVICE, observe)
+        times_s = (_NOW_S, _NOW_S + 1)
+        for now_s in times_s:
+            for size in (_LARGE, _SMALL, RequestSize()):
+                self.assertGreaterEqual(
+                    log.predict_s(_SERVICE, size, now_s) or 0, 8
+                )
+        self.assertEqual(len(observed_at_s), len(times_s) * _RUNNING)
+
     def test_requests_without_an_answer_are_no_basis(self) -> None:
         log = _log_of(ObservedRequest(_SMALL, _NOW_S, 0.5, is_whole=False))
         self.assertIsNone(log.predict_s(_SERVICE, _SMALL, _NOW_S))
