Answer open requests at a stop also if no connection can be accepted

Callers of a stopping host that has too many files open would see their requests end without an answer.

Cause: before the host closes its connections it accepts those that wait, on a copy of the listening socket. Without a free file descriptor the copy, or the accept, raises OSError, which left HttpServer.close before a connection was ended; one server's failure also left the others and the rest of the end.

Found by reading, not seen in a run of the fleet.

--- a/bronzesill/utils/serving.py
+++ b/bronzesill/utils/serving.py
@@ -142,7 +142,7 @@
             self.announce_close()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(flush_s):
-                    await self._accept_waiting(server)
+                    await self._try_accept_waiting(server)
                     await _end_connections(server)
             self._log_unanswered(server)
         await self.kill()
@@ -169,6 +169,13 @@
         await asyncio.gather(self._task, return_exceptions=True)
         self._socket.close()
 
+    async def _try_accept_waiting(self, server: _Server) -> None:
+        try:
+            await self._accept_waiting(server)
+        except OSError as error:
+            # The connections that are open get their answers all the same.
+            _log.warning('%s: not accepted: %s', self.address, error)
+
     async def _accept_waiting(self, server: _Server) -> None:
         """Stop to listen once no connection waits to be accepted."""
         loop = asyncio.get_running_loop()
--- a/bronzesill/utils/tests/test_planned_close.py
+++ b/bronzesill/utils/tests/test_planned_close.py
@@ -1,6 +1,7 @@
 """A server that closes on purpose, under callers that read slowly."""
 
 import asyncio
+import errno
 import socket
 import struct
 import unittest
@@ -222,6 +223,23 @@
             answer = await self.close_under(waiting)
         self.assertIn(b' 503 ', answer)
 
+    # Guards against answers that are cut as a host that has too many files
+    # open accepts no more connections.
+    async def test_refused_copy_does_not_end_the_others(self) -> None:
+        await self.check_refused('dup')
+
+    async def test_refused_accept_does_not_end_the_others(self) -> None:
+        await self.check_refused('accept')
+
+    async def check_refused(self, call: str) -> None:
+        waiting = self.connect()
+        waiting.sendall(b''.join((_CHUNKED, _CHUNK)))
+        await asyncio.sleep(0.2)
+        refused = OSError(errno.EMFILE, 'too many open files')
+        with mock.patch.object(socket.socket, call, side_effect=refused):
+            answer = await self.close_under(waiting)
+        self.assertIn(b' 503 ', answer)
+
 
 def _reset_all(callers: list[socket.socket]) -> None:
     while callers:
