Keep begun answers within the fleet's bound while requests move

While requests move from stopping hosts to others both windows count: with 400 first attempts in each of two windows at other hosts 704 retries of begun answers were allowed, and the rule allows 470.

--- a/bronzesill/limits/retry_window.py
+++ b/bronzesill/limits/retry_window.py
@@ -75,7 +75,9 @@
 
         Answers that have begun may outlast the window in which they were
         requested, as on a host that takes no new requests while it stops.  So
-        the requests of the window before count for them too, if they are more.
+        a part of the requests of the window before counts for them too; the
+        sum over all hosts stays within the bounds when requests move from one
+        host to another.
 
         :param now_s: current time in seconds.
         :param daemons: number of live daemons, among which
@@ -86,16 +88,13 @@
         retries = sum(second.retries for second in recent)
         bounds = self.bounds
         first_attempts = _count_first_attempts(recent)
-        margin = bounds.margin
-        if has_begun:
-            before = self._recent(now_s - bounds.window_s)
-            earlier = _count_first_attempts(before) - first_attempts
-            first_attempts = max(first_attempts, earlier)
-            margin = max(margin, bounds.begun_margin)
-        free_retries = bounds.slack / max(daemons, 1)
-        return retries + 1 <= margin * (
-            bounds.ratio * first_attempts + free_retries
-        )
+        allowed = bounds.ratio * first_attempts + bounds.slack / max(daemons, 1)
+        if not has_begun:
+            return retries + 1 <= bounds.margin * allowed
+        before = self._recent(now_s - bounds.window_s)
+        earlier = _count_first_attempts(before) - first_attempts
+        kept = (1 - bounds.begun_margin) * bounds.ratio * earlier
+        return retries + 1 <= bounds.begun_margin * allowed + kept
 
     def _counted(self, now_s: float, **counts: int) -> RetryWindow:
         recent = self._recent(now_s - self.bounds.window_s)
--- a/bronzesill/limits/tests/test_limits.py
+++ b/bronzesill/limits/tests/test_limits.py
@@ -202,6 +202,21 @@
         self.assertTrue(window.allows_retry(16, 1, has_begun=True))
         self.assertFalse(window.allows_retry(26, 1, has_begun=True))
 
+    # Guards against hosts that count requests in two windows while these move
+    # from the hosts that stop to the others.
+    def test_begun_answers_stay_within_bounds_while_requests_move(self) -> None:
+        bounds = RetryBounds(0.8, 10, 150)
+        total = 0
+        for begun_at_s in (5, 15):
+            for _ in range(4):
+                window = RetryWindow(bounds)
+                for _ in range(100):
+                    window = window.with_first_attempt(begun_at_s)
+                while window.allows_retry(16, 8, has_begun=True):
+                    window = window.with_retry(16)
+                    total += 1
+        self.assertLessEqual(total, 0.8 * 400 + 150)
+
     def count_retries(self, window: RetryWindow, now_s: float) -> int:
         retries = 0
         while window.allows_retry(now_s, 1):
