Add a failing test of a removal that a host never learns, and list it

Callers' requests would go on to a server whose entry is gone until its lease ends at the host.

The example is a test of its own now.

--- a/bronzesill/replica/tests/test_eras.py
+++ b/bronzesill/replica/tests/test_eras.py
@@ -183,3 +183,19 @@
 
 if __name__ == '__main__':
     unittest.main()
+
+
+class LateEntriesTest(unittest.TestCase):
+    """Entries that arrive before a removal which lies between them."""
+
+    # Guards against a removal that a host never learns from its peers, as it
+    # asks for what came after the newest entry that it knows.
+    def test_removal_before_a_known_entry_is_learned(self) -> None:
+        machine = StoreEras()
+        machine.write(key='servers/a')
+        machine.follow(number=0)
+        machine.remove(key='servers/a')
+        machine.write(key='op/config')
+        machine.read_for_later()
+        machine.answer_late(number=0)
+        machine.readers_learn_what_the_store_says()
