Write the heads of a soak's callers in a stand-in

The platform's header names stood in the soak; they belong to the platform's package and to the stand-ins, which speak its protocol. No logic changes: 23 tests of the soak pass, among them the short run with real processes.

--- a/bronzesill/soak/requests.py
+++ b/bronzesill/soak/requests.py
@@ -8,7 +8,7 @@
 import types
 from collections.abc import Mapping
 
-from ..standins.hosted_fleet import HOSTED_KEY
+from ..standins.caller_head import CallerHead
 from ..standins.worker import expected_events
 from .connection import RawAnswer
 from .observations import Answer, RequestKind
@@ -19,6 +19,7 @@
 #: Host name of all routes.
 SERVICE_NAME = 'shop.example'
 _MS_PER_S = 1000
+_TOKENS_PER_EVENT = 8
 _CHUNKED_SHARE = 0.3
 _SLOW_SHARE = 0.2
 _MAX_PARTS = 4
@@ -123,23 +124,19 @@
     kind: RequestKind, request_id: str, size: int, *, is_chunked: bool
 ) -> bytes:
     route, method = _PATHS[kind]
-    timeout_ms = int(ROUTE_TIMEOUTS_S[route] * _MS_PER_S)
-    lines = [
-        f'{method} /{route}/{request_id} HTTP/1.1',
-        f'Host: {SERVICE_NAME}',
-        f'X-Attempt-Id: {request_id}',
-        f'X-Deadline-Ms: {timeout_ms}',
-        f'Authorization: Bearer {HOSTED_KEY}',
-    ]
-    if kind is RequestKind.STREAM:
-        lines.append(f'X-Token-Usage: {size},{EVENTS * 8}')
-        lines.append(f'X-Prefix-Hash: {request_id}:{size}')
-        lines.append('X-Model: m')
-    if is_chunked:
-        lines.append('Transfer-Encoding: chunked')
-    elif size:
-        lines.append(f'Content-Length: {size}')
-    return '\r\n'.join((*lines, '', '')).encode()
+    is_stream = kind is RequestKind.STREAM
+    head = CallerHead(
+        method,
+        f'/{route}/{request_id}',
+        SERVICE_NAME,
+        request_id,
+        int(ROUTE_TIMEOUTS_S[route] * _MS_PER_S),
+        size,
+        is_chunked,
+        prompt_tokens=size if is_stream else 0,
+        output_tokens=EVENTS * _TOKENS_PER_EVENT,
+    )
+    return head.encode()
 
 
 def _split(rng: random.Random, body: bytes) -> tuple[bytes, ...]:
