Count the tokens that a host keeps until it drops them

Callers would see: a host that ends for want of memory, and with it all its requests, beside an engine that sends events without end. Cause: the bytes of a stream counted against the bound on kept answers for as long as its attempt was open. When the bound ended the attempt, the count was taken back, but the generation kept its tokens, waited and went on; so 40 streams kept 103 MB after 8 s with 41 to 47 MB counted, and grew on. Change: the generation counts its tokens and keeps the count until it drops them. The largest answer is given up as a whole: its attempt is cancelled, its tokens are dropped, and a caller that reconnects gets a failure, not an empty answer. Sound streams are not touched.

--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -164,6 +164,7 @@
             context.metrics,
             context.random,
         )
+        generations.memory = context.pool.memory
         generations.servers.keeps_copies = self._keeps_copies
         generations.servers.is_usage_shared = context.usage_exchange.is_settled
         generations.refresh_usage = context.usage_exchange.refresh
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -11,6 +11,7 @@
 
 from ..limits import RetryAllowance
 from ..routing import ServerTracker
+from ..upstream import AnswerMemory
 from ..utils import Address, BronzesillError, Metrics, PartLogger, ResultCode
 from .book_observer import BookObserver
 from .locations import LocationDirectory, LocationRecord
@@ -87,6 +88,8 @@
         #: Returns the version that resumes an answer, from the model and the
         #: version that began the answer.
         self.resume_version: Callable[[str, str], str] = _same_version
+        #: Bytes of all answers that this host keeps.
+        self.memory = AnswerMemory()
         #: Retry budget for attempts after the first, or None for no limit.
         self.allowance: RetryAllowance | None = None
         #: Returns the engine that holds the prompt of a resumed request.
@@ -214,6 +217,7 @@
             choosers=Choosers(self._place, self._look, self._return_send),
             find_address=self.find_address,
             observer=self.observer,
+            memory=self.memory,
             unread_timeout_s=unread_timeout_s,
         )
         self.tasks_by_key[key] = generation
--- a/bronzesill/generations/forward_client.py
+++ b/bronzesill/generations/forward_client.py
@@ -121,11 +121,11 @@
         forward: ForwardRequest,
     ) -> AsyncIterator[StreamMessage]:
         reader = _EventReader(opening, forward)
-        body = await lease.read_kept()
+        body = await lease.read()
         while body:
             for message in reader.feed(body):
                 yield message
-            body = await lease.read_kept()
+            body = await lease.read()
         yield reader.finish()
 
     async def _send(
--- a/bronzesill/generations/subscription.py
+++ b/bronzesill/generations/subscription.py
@@ -6,7 +6,7 @@
 import dataclasses
 from typing import TypeAlias
 
-from ..upstream import AnswerHead
+from ..upstream import AnswerError, AnswerHead, AnswerMemory
 from ..utils import ResultCode
 from .messages import Event
 
@@ -15,7 +15,9 @@
     'AnswerCompleted',
     'AnswerFailed',
     'AnswerStarted',
+    'AnswerTooLarge',
     'HeadArrived',
+    'KeptTokens',
     'Subscribe',
     'Subscribers',
     'Subscription',
@@ -104,6 +106,11 @@
     queue: Subscription
 
 
+@dataclasses.dataclass(frozen=True)
+class AnswerTooLarge:
+    """The answer is the largest of more bytes than the host may keep."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Unsubscribe:
     """Remove a reader."""
@@ -111,7 +118,9 @@
     queue: Subscription
 
 
-TaskMessage: TypeAlias = Event | HeadArrived | Subscribe | Unsubscribe
+TaskMessage: TypeAlias = (
+    Event | HeadArrived | AnswerTooLarge | Subscribe | Unsubscribe
+)
 
 
 class Subscribers:
@@ -139,3 +148,45 @@
         """Remove a reader; this holds at once."""
         self._queues.discard(queue)
         self._mailbox.put_nowait(Unsubscribe(queue))
+
+
+class KeptTokens:
+    """
+    Tokens of an answer, kept for its readers and for further attempts.
+
+    :param memory: bytes of all answers that the host keeps.
+    :param mailbox: mailbox of the generation's task, which learns when the
+        answer is too large.
+    """
+
+    def __init__(
+        self, memory: AnswerMemory, mailbox: asyncio.Queue[TaskMessage]
+    ) -> None:
+        self._memory = memory
+        self._mailbox = mailbox
+        self._texts: list[str] = []
+
+    def __bool__(self) -> bool:
+        return bool(self._texts)
+
+    @property
+    def texts(self) -> tuple[str, ...]:
+        """All tokens, in order."""
+        return tuple(self._texts)
+
+    def extend(self, tokens: tuple[str, ...]) -> None:
+        """Keep further tokens."""
+        self._texts.extend(tokens)
+        try:
+            self._memory.grow(self, sum(map(len, tokens)))
+        except AnswerError as error:
+            self.fail(error)
+
+    def fail(self, error: AnswerError) -> None:
+        """Report that the answer is too large to be kept."""
+        self._mailbox.put_nowait(AnswerTooLarge())
+
+    def clear(self) -> None:
+        """Keep no token."""
+        self._texts.clear()
+        self._memory.forget(self)
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from ..upstream import AnswerMemory
 from ..utils import Address, PartLogger, ResultCode, log_unexpected
 from .attempt import AttemptRunner
 from .decisions import decide
@@ -40,7 +41,9 @@
     AnswerCompleted,
     AnswerFailed,
     AnswerStarted,
+    AnswerTooLarge,
     HeadArrived,
+    KeptTokens,
     Subscribe,
     Subscribers,
     Subscription,
@@ -106,6 +109,7 @@
     :param find_address: returns the address of a backend server by name, or
         None if the server is unknown.
     :param observer: receives notifications about attempts and tokens.
+    :param memory: bytes of all answers that the host keeps.
     :param unread_timeout_s: seconds without a reader after which the
         generation stops.
     """
@@ -119,13 +123,14 @@
         choosers: Choosers,
         find_address: Callable[[str], Address | None],
         observer: GenerationObserver,
+        memory: AnswerMemory,
         unread_timeout_s: float,
     ) -> None:
         self.request = request
         self.fingerprint = fingerprint
         self.state = state
-        self.accepted_tokens: list[str] = []
         self.mailbox: asyncio.Queue[TaskMessage] = asyncio.Queue()
+        self.accepted_tokens = KeptTokens(memory, self.mailbox)
         self.subscribers = Subscribers(self.mailbox)
         #: Servers to which the connection ended before the answer began.
         self.unanswered_losses = 0
@@ -164,6 +169,7 @@
             _log.event('no_reader_left', request=self.request.request_id)
             await self._cancel_unread()
         finally:
+            self.accepted_tokens.clear()
             await self._attempts.close()
 
     def drop_unanswered_attempt(self) -> None:
@@ -206,6 +212,21 @@
             AnswerFailed(ResultCode.GENERATION_LOST, self._lost_attempts)
         )
 
+    def _give_up_answer(self) -> None:
+        """End an answer without end, which another server would not end."""
+        state = self.state
+        if state.phase is Phase.STREAMING:
+            self._cancel_attempt(
+                CancelAttempt(
+                    state.attempt,
+                    state.server,
+                    LossCause.BROKEN,
+                    'the answer is too large to be kept',
+                )
+            )
+        self.accepted_tokens.clear()
+        self._end_unexpectedly()
+
     async def _next_message(self) -> TaskMessage:
         if self._readers:
             return await self.mailbox.get()
@@ -223,6 +244,8 @@
                 self._unread_since_s = asyncio.get_running_loop().time()
             case HeadArrived():
                 self._record_head(message)
+            case AnswerTooLarge():
+                self._give_up_answer()
             case _:
                 self._apply(message)
 
@@ -235,7 +258,7 @@
         self._readers.add(queue)
         if self.accepted_tokens:
             self._send_head(queue)
-            queue.put_nowait(AcceptedTokens(0, tuple(self.accepted_tokens)))
+            queue.put_nowait(AcceptedTokens(0, self.accepted_tokens.texts))
         if self._end is not None:
             queue.put_nowait(self._end)
 
@@ -290,7 +313,7 @@
             uses_copy=action.uses_copy,
             copy_to=action.copy_to,
         )
-        self._attempts.open(self.request, action, tuple(self.accepted_tokens))
+        self._attempts.open(self.request, action, self.accepted_tokens.texts)
 
     def _deliver(self, action: DeliverTokens) -> None:
         self._attempts.record_arrival(self.request, len(action.tokens))
@@ -360,18 +383,15 @@
             prompt_parts=self.request.shared_prompt_parts,
             detail=action.detail,
         )
-        if action.cause is LossCause.DISCONNECTED:
-            self._handle_disconnect(action)
+        is_disconnected = action.cause is LossCause.DISCONNECTED
+        if is_disconnected and self.state.accepted:
+            self._attempts.check_lost_server(action)
+        elif is_disconnected:
+            self.unanswered_losses += 1
         if action.cause is LossCause.UNSENT:
             self._choosers.return_send(self)
         self._attempts.cancel(self.request, action)
 
-    def _handle_disconnect(self, action: CancelAttempt) -> None:
-        if self.state.accepted:
-            self._attempts.check_lost_server(action)
-        else:
-            self.unanswered_losses += 1
-
     def _set_timer(self, at_s: float) -> None:
         loop = asyncio.get_running_loop()
         loop.call_at(at_s, self.mailbox.put_nowait, TimerFired())
--- a/bronzesill/upstream/__init__.py
+++ b/bronzesill/upstream/__init__.py
@@ -13,7 +13,7 @@
 from .client import HttpAnswer, HttpCall, ServiceClient
 from .connection import UpstreamConnection
 from .connectors import Connector, Dialer, DirectConnector, Reach, Target
-from .pool import ConnectionLease, ConnectionPool
+from .pool import AnswerMemory, ConnectionLease, ConnectionPool
 from .request import (
     CallerFields,
     Dialect,
@@ -27,6 +27,7 @@
 __all__ = [
     'AnswerError',
     'AnswerHead',
+    'AnswerMemory',
     'CallerFields',
     'ConnectionLease',
     'ConnectionLost',
--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -6,12 +6,13 @@
 import re
 from collections.abc import Callable
 from operator import itemgetter
+from typing import Protocol
 
 from .answer import AnswerError, AnswerHead, PathCut
 from .connection import UpstreamConnection
 from .connectors import Connector, DirectConnector, Reach, Target
 
-__all__ = ['ConnectionLease', 'ConnectionPool']
+__all__ = ['AnswerMemory', 'ConnectionLease', 'ConnectionPool']
 
 _CONNECT_TIMEOUT_S = 0.25
 #: Time without an answer after which the path to its server is checked.
@@ -25,9 +26,16 @@
 _TIMEOUT_PATTERN = re.compile(rb'timeout=(\d{1,9})')
 
 
+class AnswerKeeper(Protocol):
+    """Owner of an answer that is kept."""
+
+    def fail(self, error: AnswerError) -> None:
+        """Give the answer up; its bytes are not counted any more."""
+
+
 class AnswerMemory:
     """
-    Bytes of answers that this host keeps until they are complete.
+    Bytes of the answers that this host keeps.
 
     A faulty server may send bytes without end.  When all answers together
     exceed the limit, the largest is given up; those of sound servers are
@@ -38,31 +46,31 @@
 
     def __init__(self, max_bytes: int = _MAX_KEPT_BYTES) -> None:
         self._max_bytes = max_bytes
-        self._bytes_by_lease: dict[ConnectionLease, int] = {}
+        self._bytes_by_keeper: dict[AnswerKeeper, int] = {}
         self._total = 0
 
-    def grow(self, lease: ConnectionLease, size: int) -> None:
+    def grow(self, keeper: AnswerKeeper, size: int) -> None:
         """
         Count more bytes of an answer that are kept.
 
-        :param lease: connection of the answer.
+        :param keeper: owner of the answer.
         :param size: number of bytes.
         :raises AnswerError: the answer is the largest of too many bytes.
         """
-        known = self._bytes_by_lease
-        known[lease] = known.get(lease, 0) + size
+        known = self._bytes_by_keeper
+        known[keeper] = known.get(keeper, 0) + size
         self._total += size
         while self._total > self._max_bytes:
             largest, _ = max(known.items(), key=itemgetter(1))
             self.forget(largest)
             error = AnswerError('the answer is too large to be kept')
-            if largest is lease:
+            if largest is keeper:
                 raise error
             largest.fail(error)
 
-    def forget(self, lease: ConnectionLease) -> None:
+    def forget(self, keeper: AnswerKeeper) -> None:
         """Count an answer no longer; it was passed on or given up."""
-        self._total -= self._bytes_by_lease.pop(lease, 0)
+        self._total -= self._bytes_by_keeper.pop(keeper, 0)
 
 
 class ConnectionPool:
@@ -78,7 +86,7 @@
         self.direct.on_spare = self.add_spare
         #: Opens the connections of this pool.
         self.connector: Connector = self.direct
-        #: Answers that are kept until they are complete.
+        #: Answers that this host keeps.
         self.memory = AnswerMemory()
         self._idle_by_target: dict[Target, list[UpstreamConnection]] = {}
 
