Know up to which revision the changes of the store are complete

Callers would see: a server that was removed from the store and still gets requests from a host that follows it through its peers only. Cause: a host asked its peers for what came after the newest entry it knew. With changes missing before that entry it never learned them. Change: the replica keeps the revision up to which all changes are known, apart from its entries. The rule that found the gap stays as it was; the machine's followers now merge changes through the function that the program uses.

--- a/bronzesill/daemon/hosted_store_state.py
+++ b/bronzesill/daemon/hosted_store_state.py
@@ -22,8 +22,8 @@
     Replica,
     ReplicaAnswer,
     ReplicaEntry,
-    merge,
     merge_answer,
+    merge_changes,
     merge_snapshot,
 )
 from ..routing import ServerListing, ServerRestart, ServerTracker
@@ -104,8 +104,8 @@
         self._apply_merge(merge_snapshot(self.replica, snapshot))
 
     def apply_entries(self, entries: tuple[StoredEntry, ...]) -> None:
-        """Merge changed entries into the replica."""
-        self._apply_merge(merge(self.replica, entries))
+        """Merge the next changes of the store into the replica."""
+        self._apply_merge(merge_changes(self.replica, entries))
 
     def apply_answer(self, answer: ReplicaAnswer) -> None:
         """
--- a/bronzesill/replica/__init__.py
+++ b/bronzesill/replica/__init__.py
@@ -8,6 +8,7 @@
     answer_fetch,
     merge,
     merge_answer,
+    merge_changes,
     merge_snapshot,
 )
 
@@ -22,5 +23,6 @@
     'answer_fetch',
     'merge',
     'merge_answer',
+    'merge_changes',
     'merge_snapshot',
 ]
--- a/bronzesill/replica/state.py
+++ b/bronzesill/replica/state.py
@@ -14,6 +14,7 @@
     'answer_fetch',
     'merge',
     'merge_answer',
+    'merge_changes',
     'merge_snapshot',
 ]
 
@@ -31,24 +32,21 @@
     :param entries_by_key: newest known entry of each key.
     :param complete_from: revision of the last snapshot.  Keys that were
         removed before it may lack their entry.
+    :param last_revision: revision up to which all changes are known.  Single
+        entries may be newer, with unknown changes between.
     """
 
     entries_by_key: Mapping[str, StoredEntry] = dataclasses.field(
         default_factory=dict
     )
     complete_from: StoreRevision = _NO_REVISION
+    last_revision: StoreRevision = _NO_REVISION
 
     @property
     def era(self) -> int:
         """Era of the store that the replica shows."""
         return self.complete_from.era
 
-    @property
-    def last_revision(self) -> StoreRevision:
-        """Highest revision of the last snapshot and all entries."""
-        revisions = (entry.revision for entry in self.entries_by_key.values())
-        return max((self.complete_from, *revisions))
-
     def changed_since(self, revision: StoreRevision) -> tuple[StoredEntry, ...]:
         """Return the entries that were written after a revision."""
         return tuple(
@@ -93,11 +91,34 @@
     a later one say nothing of the keys that it lacks.
 
     :param replica: replica before the merge.
-    :param incoming: entries in any order.
+    :param incoming: entries in any order, which may lack changes between.
     """
     return _merge_after(replica, incoming, replica.complete_from)
 
 
+def merge_changes(
+    replica: Replica, changes: tuple[StoredEntry, ...]
+) -> MergeResult:
+    """
+    Merge all changes that follow a revision up to which all are known.
+
+    :param replica: replica before the merge.
+    :param changes: entries in any order, without a gap.
+    """
+    revisions = (change.revision for change in changes)
+    last = max(revisions, default=replica.last_revision)
+    return _completed(merge(replica, changes), last)
+
+
+def _completed(merged: MergeResult, revision: StoreRevision) -> MergeResult:
+    """Record up to which revision of its era a replica is complete."""
+    replica = merged.replica
+    if revision.era != replica.era or revision <= replica.last_revision:
+        return merged
+    renewed = dataclasses.replace(replica, last_revision=revision)
+    return dataclasses.replace(merged, replica=renewed)
+
+
 def _merge_after(
     replica: Replica,
     incoming: tuple[StoredEntry, ...],
@@ -149,9 +170,10 @@
     )
     complete_from = max(replica.complete_from, snapshot.revision)
     renewed = dataclasses.replace(replica, complete_from=complete_from)
-    return _merge_after(
+    merged = _merge_after(
         renewed, (*snapshot.entries, *removed), replica.complete_from
     )
+    return _completed(merged, snapshot.revision)
 
 
 def _differs(
@@ -200,4 +222,4 @@
     entries = tuple(entry.to_stored() for entry in answer.entries)
     if answer.is_snapshot:
         return merge_snapshot(replica, Snapshot(entries, answer.revision))
-    return merge(replica, entries)
+    return _completed(merge(replica, entries), answer.revision)
--- a/bronzesill/replica/tests/test_eras.py
+++ b/bronzesill/replica/tests/test_eras.py
@@ -21,6 +21,7 @@
     answer_fetch,
     merge,
     merge_answer,
+    merge_changes,
     merge_snapshot,
 )
 
@@ -107,7 +108,7 @@
         items = self.store.changes_since('', host.followed.number)
         host.followed = self.revision()
         entries = tuple(self.entry(item) for item in items)
-        host.adopt(merge(host.replica, entries))
+        host.adopt(merge_changes(host.replica, entries))
 
     @rule(number=_HOST_NUMBERS, peer=_HOST_NUMBERS)
     def ask(self, number: int, peer: int) -> None:
