Keep the messages of the platform's store in a module of their own

Change: what is read from and written into messages moves to store_messages.py under plain names; the client keeps the calls. No behaviour changes. Evidence: the tests of the platform and of the guarded store pass.

--- a/bronzesill/platform/store.py
+++ b/bronzesill/platform/store.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import base64
-import dataclasses
 from collections.abc import AsyncIterator, Callable, Mapping
 from typing import Any, TypeVar
 from urllib.parse import urlencode
@@ -32,17 +30,19 @@
     PartLogger,
     ResultCode,
     parse_integer,
-    read_flag,
-    read_integer,
+)
+from .store_messages import (
+    decode_response,
+    encode_write,
+    read_changes,
+    read_entry,
+    read_lease,
+    read_page,
+    read_revision,
+    unavailable,
 )
 
-__all__ = [
-    'ALL_KEYS',
-    'PlatformStore',
-    'StorePage',
-    'decode_changes',
-    'decode_page',
-]
+__all__ = ['ALL_KEYS', 'PlatformStore']
 
 T = TypeVar('T')
 
@@ -55,11 +55,6 @@
 _WATCH_TIMEOUT_MARGIN_S = 1.0
 _MS_PER_S = 1000
 
-#: Identifiers of leases are opaque; some stores use all of 64 bits.
-_MAX_LEASE_ID = 2**64 - 1
-#: Exceptions raised when a response does not have the expected structure.
-_DECODE_ERRORS = (ValueError, TypeError, LookupError, AttributeError)
-
 _OK = 200
 _NOT_FOUND = 404
 _GONE = 410
@@ -99,7 +94,7 @@
         response = await self._call('GET', 'kv-key', query={'key': key})
         if response.status == _NOT_FOUND:
             return None
-        return response.parse(_decode_entry)
+        return response.parse(read_entry)
 
     async def list(self, prefix: str) -> tuple[StoredEntry, ...]:
         """Read all keys below a prefix, in key order."""
@@ -123,13 +118,13 @@
         first: StoreRevision | None = None
         while True:
             response = await self._call('GET', 'kv-range', query=query)
-            page = response.parse(_decode_page)
+            page = response.parse(read_page)
             entries.extend(page.entries)
             # Later pages may contain newer writes: following changes from the
             # revision of the first page misses none of them.
             first = first or page.revision
             if response.era != first.era:
-                raise _unavailable('a new era began between two pages')
+                raise unavailable('a new era began between two pages')
             if not page.has_more:
                 return Snapshot(tuple(entries), first)
             query['after'] = entries[-1].key
@@ -158,7 +153,7 @@
         )
         if response.status == _GONE or response.era != after.era:
             return Changes((), after, has_gap=True)
-        return response.parse(_decode_changes)
+        return response.parse(read_changes)
 
     async def compare_and_swap(
         self,
@@ -202,7 +197,7 @@
                 for condition in conditions
             ],
             'write': [
-                _encode_write(mutation, mutation.payload)
+                encode_write(mutation, mutation.payload)
                 for mutation in mutations
                 if mutation.payload is not None
             ],
@@ -215,7 +210,7 @@
         response = await self._call('POST', 'kv-txn', body=body)
         if response.status in {_PRECONDITION_FAILED, _NOT_FOUND}:
             return None
-        return response.parse(_decode_revision)
+        return response.parse(read_revision)
 
     async def grant_lease(self, ttl_s: float) -> Lease:
         """
@@ -225,7 +220,7 @@
         """
         ttl_ms = int(ttl_s * _MS_PER_S)
         response = await self._call('POST', 'kv-lease', body={'ttlMs': ttl_ms})
-        return response.parse(_decode_lease)
+        return response.parse(read_lease)
 
     async def renew_lease(self, lease: Lease) -> bool:
         """Renew a lease; return false if it has expired."""
@@ -284,7 +279,7 @@
                 call, _CALL_TIMEOUT_S + wait_s + margin_s
             )
         except RequestNotSent as error:
-            raise _unavailable(str(error)) from error
+            raise unavailable(str(error)) from error
         except (AnswerError, TimeoutError) as error:
             raise BronzesillError(
                 ResultCode.STORE_ANSWER_LOST,
@@ -312,7 +307,7 @@
         self.era = era
         self._payload = answer.body
         if answer.status in _NOT_EXECUTED_STATUSES:
-            raise _unavailable(f'HTTP status {answer.status}')
+            raise unavailable(f'HTTP status {answer.status}')
 
     def require(self, status: int) -> Any:
         """
@@ -323,11 +318,11 @@
             one or the body is not JSON.
         """
         if self.status != status:
-            raise _unavailable(f'unexpected HTTP status {self.status}')
+            raise unavailable(f'unexpected HTTP status {self.status}')
         try:
             return orjson.loads(self._payload)
         except orjson.JSONDecodeError as error:
-            raise _unavailable('response body is not JSON') from error
+            raise unavailable('response body is not JSON') from error
 
     def parse(self, decode: Callable[[Any, int], T]) -> T:
         """
@@ -338,104 +333,8 @@
         :raises BronzesillError: ``STORE_UNAVAILABLE`` if the status is another
             one or the body is malformed.
         """
-        return _decode_response(decode, self.require(_OK), self.era)
-
-
-@dataclasses.dataclass(frozen=True)
-class StorePage:
-    """
-    One page of a range of keys.
-
-    :param entries: keys of the page.
-    :param revision: revision of the store.
-    :param has_more: whether another page follows.
-    """
-
-    entries: tuple[StoredEntry, ...]
-    revision: StoreRevision
-    has_more: bool
+        return decode_response(decode, self.require(_OK), self.era)
 
 
 def _decode_era(answer: HttpAnswer) -> int:
     return parse_integer(answer.head.find(_ERA_HEADER) or b'') or 0
-
-
-def _unavailable(detail: str) -> BronzesillError:
-    return BronzesillError(
-        ResultCode.STORE_UNAVAILABLE, f'key-value store unavailable: {detail}'
-    )
-
-
-def _encode_write(mutation: Mutation, payload: bytes) -> dict[str, Any]:
-    # The field `value` holds the payload in base64.
-    write: dict[str, Any] = {
-        'key': mutation.key,
-        'value': base64.b64encode(payload).decode(),
-    }
-    if mutation.lease is not None:
-        write['leaseId'] = mutation.lease.lease_id
-    return write
-
-
-def _decode_response(decode: Callable[[Any, int], T], raw: Any, era: int) -> T:
-    try:
-        return decode(raw, era)
-    except _DECODE_ERRORS as error:
-        raise _unavailable(f'malformed response: {error}') from error
-
-
-def decode_page(raw: Any, era: int) -> StorePage:
-    """
-    Decode one page of a range of keys.
-
-    :param raw: decoded JSON of the response.
-    :param era: era of the store in which it answered.
-    :raises BronzesillError: ``STORE_UNAVAILABLE``, the page is malformed.
-    """
-    return _decode_response(_decode_page, raw, era)
-
-
-def decode_changes(raw: Any, era: int) -> Changes:
-    """
-    Decode the response of a watch.
-
-    :param raw: decoded JSON of the response.
-    :param era: era of the store in which it answered.
-    :raises BronzesillError: ``STORE_UNAVAILABLE``, the response is malformed.
-    """
-    return _decode_response(_decode_changes, raw, era)
-
-
-def _decode_page(raw: Any, era: int) -> StorePage:
-    entries = tuple(_decode_entry(entry, era) for entry in raw['entries'])
-    has_more = read_flag(raw['hasMore'])
-    if has_more and not entries:
-        raise ValueError('an empty page is not the last one')
-    revision = StoreRevision(era, read_integer(raw['atRevision']))
-    return StorePage(entries, revision, has_more)
-
-
-def _decode_changes(raw: Any, era: int) -> Changes:
-    entries = tuple(_decode_entry(entry, era) for entry in raw['events'])
-    return Changes(entries, StoreRevision(era, read_integer(raw['atRevision'])))
-
-
-def _decode_revision(raw: Any, era: int) -> StoreRevision:
-    return StoreRevision(era, read_integer(raw['revision']))
-
-
-def _decode_lease(raw: Any, era: int) -> Lease:
-    return Lease(read_integer(raw['leaseId'], highest=_MAX_LEASE_ID), era)
-
-
-def _decode_entry(raw: Any, era: int) -> StoredEntry:
-    key = raw['key']
-    if not isinstance(key, str):
-        raise ValueError('expected a key')
-    # `compacted` in a watch event means that the key was removed.
-    return StoredEntry(
-        key=key,
-        payload=base64.b64decode(raw.get('value', '')),
-        revision=_decode_revision(raw, era),
-        is_removed=read_flag(raw.get('compacted', False)),
-    )
--- a/bronzesill/platform/tests/test_fuzz.py
+++ b/bronzesill/platform/tests/test_fuzz.py
@@ -27,7 +27,7 @@
 from ..rollouts import decode_order, decode_status
 from ..servers import decode_server
 from ..settings import decode_settings
-from ..store import decode_changes, decode_page
+from ..store_messages import decode_changes, decode_page
 from .test_decoding import _CONFIGURATION, _ENTRY, _SETTINGS
 from .test_orders_and_reports import _REPORT
 
