Model the evidence on a move when its driver is killed

Cause: the model of moves has no killed driver, no evidence and no lost answer of the write that ends a move, which two drivers may race for. Change: a model of its own: hosts count answers, one may restart; the primary may be killed and begins anew with nothing, the backup acts at the same time; the answer of the conditional write may be lost.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -33,6 +33,9 @@
 check 'model of moves' bash scripts/model_check.sh moves NO_COMPARE \
   COMMIT_LATE WORD_FORGOTTEN
 
+check 'model of evidence' bash scripts/model_check.sh evidence WANT_IS_PROOF \
+  COUNTED_TWICE TOLD_UNREAD NO_COMPARE
+
 check 'model of eras' bash scripts/model_check.sh eras NO_GUARD MARK_LATE \
   NUMBER_ONLY
 
