Choose hosts that stay as watchers and collectors

A host that announces its stop exits within seconds, but it could still be chosen to watch the store for its failure domain or to collect the reports of use, so that changes and reports were lost with it until its peers noticed its end. choose_watchers and choose_collectors now choose hosts that stay; hosts that leave only fill what those that stay do not. Of two hosts in a role, the one that does not leave keeps it.

choose_replicas is unchanged on purpose: nobody hands over the records of requests, of the ledger, of quotas and of suspects when a host announces its stop, and hosts look for a record at its present replicas only.

--- a/bronzesill/membership/roles.py
+++ b/bronzesill/membership/roles.py
@@ -73,7 +73,8 @@
     """
     Select the two daemons that store the replicas of a record.
 
-    The replicas are in different failure domains if possible.
+    The replicas are in different failure domains if possible.  A daemon that
+    leaves keeps its records until it has ended, as it hands none over.
 
     :param view: current view of the fleet.
     :param key: key of the record.
@@ -95,20 +96,23 @@
     """
     Select the daemons of a failure domain that watch the store.
 
-    Hosts with a slow link are selected only if there are too few others.
+    Hosts with a slow link are selected only if there are too few others, and
+    hosts that leave only if too few stay.
 
     :param view: current view of the fleet.
     :param failure_domain: name of the failure domain.
     """
     members = _live_members(view, failure_domain)
     count = max(_MIN_WATCHERS, math.ceil(len(members) / _DAEMONS_PER_WATCHER))
-    return _rank_by_link('watch', members, count)[:count]
+    return _choose_for_role(view, 'watch', members, count)
 
 
 def choose_collectors(view: FleetView) -> tuple[Member, ...]:
     """
     Select the daemons that collect the reports of use, one a failure domain.
 
+    A host that leaves is selected only if all of its failure domain leave.
+
     :param view: current view of the fleet.
     :returns: the daemons; empty in a small fleet, where all receive all
         reports.
@@ -120,7 +124,7 @@
         return ()
     domains = sorted({member.failure_domain for member in live})
     return tuple(
-        _rank_by_link('use', _live_members(view, domain), 1)[0]
+        _choose_for_role(view, 'use', _live_members(view, domain), 1)[0]
         for domain in domains
     )
 
@@ -144,6 +148,28 @@
     )
 
 
+def _choose_for_role(
+    view: FleetView, key: str, members: tuple[Member, ...], count: int
+) -> tuple[Member, ...]:
+    """
+    Choose by rendezvous hashing, without slow links if possible.
+
+    Daemons that leave are chosen only for what those that stay do not fill.
+
+    :param view: current view of the fleet.
+    :param key: key of the role.
+    :param members: daemons of one failure domain.
+    :param count: number of daemons that the role needs.
+    """
+    staying = tuple(member for member in members if not view.is_leaving(member))
+    chosen = _rank_by_link(key, staying, count)[:count]
+    if len(chosen) == count:
+        return chosen
+    leaving = tuple(member for member in members if view.is_leaving(member))
+    missing = count - len(chosen)
+    return (*chosen, *_rank_by_link(key, leaving, missing)[:missing])
+
+
 def _rank_by_link(
     key: str, members: tuple[Member, ...], count: int
 ) -> tuple[Member, ...]:
