Serve streams at a stop after an engine's pause is over

A stopping host takes a stream only if those of the last minute suggest that it ends in time. A stream that waited until its deadline for an engine that had asked for a pause (503 with Retry-After) counted with its whole wait, so the host refused all streams for up to a minute after it failed, although the engine had long served others again.

The log of durations now knows which streams failed for lack of a server. Such a stream counts until eight whole answers (as many as a prediction needs) have begun after its end; running requests and all other ones count as before.

--- a/bronzesill/calls/durations.py
+++ b/bronzesill/calls/durations.py
@@ -82,6 +82,7 @@
     :param longest_pause_s: longest pause between two events in seconds.
     :param is_whole: whether it got a whole answer.
     :param events: events of its answer after the first, 0 for a call.
+    :param has_lacked_server: whether it failed as no server took it.
     """
 
     size: RequestSize
@@ -91,6 +92,12 @@
     longest_pause_s: float = 0
     is_whole: bool = True
     events: int = 0
+    has_lacked_server: bool = False
+
+    @property
+    def began_at_s(self) -> float:
+        """Loop time of its begin in seconds."""
+        return self.ended_at_s - self.first_event_s - self.stream_s
 
     def to_whole(self, events: int) -> ObservedRequest:
         """
@@ -209,12 +216,13 @@
             for request in self.observed
             if now_s - request.ended_at_s < _MAX_AGE_S
         ]
-        if sum(request.is_whole for request in recent) < _MIN_OBSERVED:
+        whole = [request for request in recent if request.is_whole]
+        if len(whole) < _MIN_OBSERVED:
             return None
-        events = max(request.events for request in recent if request.is_whole)
-        recent.extend(running)
+        events = max(request.events for request in whole)
+        counted = [*_without_past_lacks(recent, whole), *running]
         return LongestTimes.from_requests(
-            [request.to_whole(events) for request in recent]
+            [request.to_whole(events) for request in counted]
         )
 
 
@@ -283,3 +291,24 @@
             longest = known.longest(now_s, observed)
             self._longest_by_service[service] = (now_s, longest)
         return longest
+
+
+def _without_past_lacks(
+    recent: list[ObservedRequest], whole: list[ObservedRequest]
+) -> list[ObservedRequest]:
+    """
+    Leave out requests that no server took, once servers take them again.
+
+    Servers that asked for a pause take requests again after it; how long
+    others waited for its end tells nothing of those that come later.
+
+    :param recent: recent requests.
+    :param whole: those with a whole answer, at least ``_MIN_OBSERVED``.
+    """
+    began_at_s = sorted(request.began_at_s for request in whole)
+    served_since_s = began_at_s[-_MIN_OBSERVED]
+    return [
+        request
+        for request in recent
+        if not request.has_lacked_server or request.ended_at_s > served_since_s
+    ]
--- a/bronzesill/calls/tests/test_durations.py
+++ b/bronzesill/calls/tests/test_durations.py
@@ -9,6 +9,8 @@
 _LARGE = RequestSize(8_000, 1_000)
 _SMALL = RequestSize(2_000, 200)
 _RUNNING = 20
+#: Whole answers that show that servers take requests again.
+_MIN_SERVED = 8
 
 
 def _log_of(*requests: ObservedRequest) -> DurationLog:
@@ -102,6 +104,32 @@
         log = _log_of(ObservedRequest(_SMALL, _NOW_S, 0.5, is_whole=False))
         self.assertIsNone(log.predict_s(_SERVICE, _SMALL, _NOW_S))
 
+    # Guards against a minute of refusals at a stop after an engine asked for
+    # a pause, while it takes streams again.
+    def test_streams_without_a_server_count_until_others_are_served(
+        self,
+    ) -> None:
+        usual = ObservedRequest(_SMALL, _NOW_S - 30, 0.5, 1.0)
+        lacking = ObservedRequest(
+            _SMALL, _NOW_S - 10, 20.0, is_whole=False, has_lacked_server=True
+        )
+        log = _log_of(usual)
+        log.record(_SERVICE, lacking)
+        # These began before its end, so they don't show that it is over.
+        early = ObservedRequest(_SMALL, _NOW_S - 9, 0.5, 1.0)
+        for _ in range(_RUNNING):
+            log.record(_SERVICE, early)
+        predicted_s = log.predict_s(_SERVICE, _SMALL, _NOW_S) or 0
+        self.assertGreaterEqual(predicted_s, 20)
+        later = ObservedRequest(_SMALL, _NOW_S - 1, 0.5, 1.0)
+        for _ in range(_MIN_SERVED - 1):
+            log.record(_SERVICE, later)
+        predicted_s = log.predict_s(_SERVICE, _SMALL, _NOW_S) or 0
+        self.assertGreaterEqual(predicted_s, 20)
+        log.record(_SERVICE, later)
+        predicted_s = log.predict_s(_SERVICE, _SMALL, _NOW_S) or 0
+        self.assertLess(predicted_s, 2)
+
     def test_memory_is_bounded(self) -> None:
         log = DurationLog()
         for number in range(1000):
--- a/bronzesill/gateway/forward_stream.py
+++ b/bronzesill/gateway/forward_stream.py
@@ -53,6 +53,7 @@
         self._durations = durations
         self._service = route.service
         self._is_whole = False
+        self._has_lacked_server = False
         self._size = RequestSize(
             forward.caller.prompt_tokens, forward.caller.max_output_tokens
         )
@@ -111,6 +112,7 @@
         )
         event = await self._subscription.get()
         if isinstance(event, AnswerFailed):
+            self._note_failure(event)
             raise BronzesillError(event.code, 'no server answered')
         if not isinstance(event, AnswerStarted):
             raise BronzesillError(
@@ -154,6 +156,7 @@
                     self._is_whole = bool(self._timings.first_at_s)
                     return
                 if isinstance(event, AnswerFailed):
+                    self._note_failure(event)
                     outcome = event.code.name.lower()
                     self._log_end(outcome, event.lost_attempts)
                     raise BronzesillError(event.code, 'answer incomplete')
@@ -184,8 +187,13 @@
             timings.longest_gap_s,
             self._is_whole,
             timings.tokens,
+            self._has_lacked_server,
         )
 
+    def _note_failure(self, failure: AnswerFailed) -> None:
+        is_lack = failure.code is ResultCode.INCOMPLETE_NO_SERVER
+        self._has_lacked_server = is_lack
+
     def _log_end(self, outcome: str, lost_attempts: str) -> None:
         now_s = asyncio.get_running_loop().time()
         _log.event(
