Drop announcements of stops that are over, and bound the others

The fact that a host announced its stop stayed in every view for ever, one for each name of a host that ever stopped, as did the notice of each address at which a server said that it leaves.

A merge now drops the announcement of a host that has restarted since (its record has a later incarnation) or that is gone, and takes none of these again. Of the announcements of hosts and of the notices of servers, views hold the 1,024 newest each. Both follow from the members and facts alone, so that hosts which know the same hold the same and don't exchange them again. A host that was taken for gone announces its stop anew when it refutes this, as before. Updates that were dropped meanwhile are not passed on.

A restarted host was not shunned before either: an announcement counts for its incarnation and earlier ones only. A test keeps this.

--- a/bronzesill/membership/dissemination.py
+++ b/bronzesill/membership/dissemination.py
@@ -101,14 +101,9 @@
     recipient = state.view.members_by_name.get(target)
     if recipient is not None and not recipient.is_alive:
         members = (recipient, *members)
-    facts = tuple(
-        state.view.facts_by_name[key.removeprefix(_FACT_KEY)]
-        for key in chosen
-        if key.startswith(_FACT_KEY)
-    )
     return SelectedUpdates(
         dataclasses.replace(state, transmissions_left_by_key=left),
-        GossipUpdates(members, facts),
+        GossipUpdates(members, _facts_of(state, chosen)),
     )
 
 
@@ -135,6 +130,14 @@
     return tuple(known[name] for name in names if name in known)
 
 
+def _facts_of(state: GossipState, keys: list[str]) -> tuple[Fact, ...]:
+    known = state.view.facts_by_name
+    names = (
+        key.removeprefix(_FACT_KEY) for key in keys if key.startswith(_FACT_KEY)
+    )
+    return tuple(known[name] for name in names if name in known)
+
+
 def _refute(own: Member, offered: tuple[Member, ...]) -> Member:
     for member in offered:
         is_about_own = member.name == own.name
--- a/bronzesill/membership/view.py
+++ b/bronzesill/membership/view.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 from dataclasses import field
 
 from ..utils import stable_hash
-from .facts import Fact, FactKind, fact_hash, outranks
+from .facts import Fact, FactKind, fact_hash, find_needless, outranks
 from .members import Member, member_hash, supersedes
 from .messages import GossipUpdates
 
@@ -52,19 +52,27 @@
         """
         Merge members and facts; newer entries replace older ones.
 
+        Announcements of daemons that have ended or restarted are dropped.
+
         :param offered: members and facts to merge.
         :returns: the merged view, which is this object if nothing changed,
             and the entries that were applied.
         """
         members = _newer_members(self.members_by_name, offered.members)
         facts = _newer_facts(self.facts_by_name, offered.facts)
-        if not members and not facts:
+        needless = self._find_needless(members, facts)
+        facts = {
+            name: fact for name, fact in facts.items() if name not in needless
+        }
+        dropped = needless & self.facts_by_name.keys()
+        if not members and not facts and not dropped:
             return ViewChange(self, GossipUpdates())
+        kept = self._without_facts(dropped)
         return ViewChange(
             FleetView(
-                {**self.members_by_name, **members},
-                {**self.facts_by_name, **facts},
-                self._updated_hashes(members, facts),
+                {**kept.members_by_name, **members},
+                {**kept.facts_by_name, **facts},
+                kept._updated_hashes(members, facts),
             ),
             GossipUpdates(tuple(members.values()), tuple(facts.values())),
         )
@@ -89,8 +97,7 @@
 
         An announcement for an earlier incarnation is ignored.
         """
-        name = Fact(FactKind.HOST_LEAVING, member.name, 0).name
-        fact = self.facts_by_name.get(name)
+        fact = self.facts_by_name.get(_announcement_name(member.name))
         return fact is not None and fact.rank >= member.incarnation
 
     def entries(self, buckets: tuple[int, ...]) -> GossipUpdates:
@@ -116,6 +123,33 @@
             tuple(self.facts_by_name.values()),
         )
 
+    def _find_needless(
+        self, members: Mapping[str, Member], facts: Mapping[str, Fact]
+    ) -> frozenset[str]:
+        """Return the facts that need not be held after a merge."""
+        changed = {*facts, *map(_announcement_name, members)}
+        return find_needless(
+            changed,
+            {**self.facts_by_name, **facts},
+            {**self.members_by_name, **members},
+        )
+
+    def _without_facts(self, names: Set[str]) -> FleetView:
+        """Return a view without the named facts, which must be known."""
+        if not names:
+            return self
+        hashes = list(self.hashes)
+        for removed in names:
+            hashes[bucket_of_fact(removed)] ^= _truncate(
+                fact_hash(self.facts_by_name[removed])
+            )
+        facts = {
+            name: fact
+            for name, fact in self.facts_by_name.items()
+            if name not in names
+        }
+        return FleetView(self.members_by_name, facts, tuple(hashes))
+
     def _updated_hashes(
         self, members: Mapping[str, Member], facts: Mapping[str, Fact]
     ) -> tuple[int, ...]:
@@ -157,6 +191,11 @@
     return MEMBER_BUCKETS + stable_hash('bucket', name) % fact_buckets
 
 
+def _announcement_name(host: str) -> str:
+    """Return the name of the fact that announces the stop of a daemon."""
+    return Fact(FactKind.HOST_LEAVING, host, 0).name
+
+
 def _truncate(full_hash: int) -> int:
     return full_hash >> _HASH_BITS_KEPT
 
