Publish a stop for the incarnation in force

A host makes the fact of its stop with its incarnation, but publishes it a moment later. If it refuted its end in between, the fact was of an earlier incarnation, and no host respected the stop. The fact now gets the incarnation in force when it is published.

Measured: the new test in membership/tests/test_gossip.py fails on the code before (the stop is not known on either of two hosts) and passes now, with the other 29 of test_gossip and test_announcements.

--- a/bronzesill/membership/gossip.py
+++ b/bronzesill/membership/gossip.py
@@ -57,6 +57,8 @@
 ) -> Step:
     if fact.kind == FactKind.HOST_LEAVING and fact.key == state.own.name:
         state = dataclasses.replace(state, is_leaving=True)
+        # It may have refuted its end since the fact was made.
+        fact = dataclasses.replace(fact, rank=state.own.incarnation)
     published = GossipUpdates(facts=(fact,))
     return apply_updates(state, published, None, now_s, random)
 
--- a/bronzesill/membership/tests/test_gossip.py
+++ b/bronzesill/membership/tests/test_gossip.py
@@ -211,6 +211,20 @@
         self.assertGreater(state.own.incarnation, 1)
         self.assertEqual(self.count_leaving(), 8)
 
+    # Guards against a stop that nobody respects, as the host refuted its end
+    # just before it was published.
+    def test_stop_after_a_refuted_suspicion(self) -> None:
+        network = Network(2, seed=5)
+        own = _member(0)
+        suspected = dataclasses.replace(own, liveness=Liveness.SUSPECT)
+        network.deliver(own.peers, ViewFetched(GossipUpdates((suspected,))))
+        fact = Fact(FactKind.HOST_LEAVING, own.name, own.incarnation)
+        network.deliver(own.peers, FactPublished(fact))
+        for state in network.states.values():
+            known = state.view.members_by_name[own.name]
+            self.assertGreater(known.incarnation, own.incarnation)
+            self.assertTrue(state.view.is_leaving(known))
+
     def test_restarted_daemon_does_not_stop(self) -> None:
         restarted = dataclasses.replace(self.stopping, incarnation=0)
         self.network.states[restarted.peers] = GossipState.from_member(
