Look for needless announcements only when a merge brings something new

Cause: each merge copied the members and the facts of the view, also the many that change nothing; at 68 hosts most datagrams do. Change: without a new entry nothing can have become needless. Evidence: the tests of bronzesill/membership pass.

--- a/bronzesill/membership/view.py
+++ b/bronzesill/membership/view.py
@@ -127,6 +127,8 @@
         self, members: Mapping[str, Member], facts: Mapping[str, Fact]
     ) -> frozenset[str]:
         """Return the facts that need not be held after a merge."""
+        if not members and not facts:
+            return frozenset()
         changed = {*facts, *map(_announcement_name, members)}
         return find_needless(
             changed,
