Keep the placement of attempts in a module of its own

Change: attempt_placement.py holds the placement (AttemptPlacer): the version and server of an attempt, the hold of suspected requests, the retry allowance and the claim of a location. placement.py gains the search for a server that takes over a silent run (CandidateSearch), the address of a server and the types of a placement, which were in task.py. The hooks are attributes of `GenerationsController.placer`; all users set them there. No behaviour changes. Both bounds on the modules of the daemon's program rise by this one (155, 609). Tests: five set or call the moved names at their new place (held streams, begun answers, placement, refused streams, bounds on modules); none checks less.

--- a/bronzesill/daemon/components.py
+++ b/bronzesill/daemon/components.py
@@ -234,7 +234,7 @@
             shared.random,
         )
         generations.observer.on_attempt_observed = shared.traffic.record_attempt
-        generations.pick_version = shared.traffic.pick_version
+        generations.placer.pick_version = shared.traffic.pick_version
         admission = AdmissionController(AdmissionLimits(0, 0))
         return cls(admission, servers, generations)
 
--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -24,6 +24,7 @@
 )
 from ..generations import (
     AttemptObservation,
+    AttemptPlacer,
     ForwardStreamClient,
     GenerationRequest,
     GenerationsController,
@@ -167,18 +168,22 @@
         generations.memory = context.pool.memory
         generations.servers.keeps_copies = self._keeps_copies
         generations.servers.is_usage_shared = context.usage_exchange.is_settled
-        generations.refresh_usage = context.usage_exchange.refresh
         generations.observer.on_attempt_observed = self._record_attempt
-        generations.blocked_for_s = self._find_block_s
-        generations.find_held_identity = self._find_held_identity
         context.quarantine.on_block = generations.drop_blocked
-        generations.pick_version = context.traffic.pick_version
-        generations.resume_version = context.traffic.resume_version
-        generations.allowance = allowance
-        finder = PromptFinder(context.tracker, fetch_held_parts)
-        generations.find_prompt = finder.find
+        self._connect_placer(generations.placer)
+        generations.placer.allowance = allowance
         return generations
 
+    def _connect_placer(self, placer: AttemptPlacer) -> None:
+        context = self._context
+        placer.refresh_usage = context.usage_exchange.refresh
+        placer.blocked_for_s = self._find_block_s
+        placer.find_held_identity = self._find_held_identity
+        placer.pick_version = context.traffic.pick_version
+        placer.resume_version = context.traffic.resume_version
+        finder = PromptFinder(context.tracker, fetch_held_parts)
+        placer.find_prompt = finder.find
+
     def _keeps_copies(self, model: str) -> bool:
         document = self._context.state.document
         service = document.services.get(model) if document else None
--- a/bronzesill/daemon/tests/test_program_modules.py
+++ b/bronzesill/daemon/tests/test_program_modules.py
@@ -12,13 +12,13 @@
 _PROGRAM = 'bronzesill.daemon.hosted_program'
 #: Upper bounds on the number of modules; raise them only with a reason.  The
 #: part that connects through peers has six of them.  The connectors of servers,
-#: the placement of generations, the asking of peers, the end of a planned stop,
-#: the connections of callers and the interface of limiters were parts of
-#: modules that had grown large, as were the messages of the store and the
-#: channels between hosts; what servers say of their leaving is told to other
-#: hosts by one more.
-_MAX_OWN_MODULES = 154
-_MAX_MODULES = 608
+#: the choice of servers for generations, the placement of their attempts, the
+#: asking of peers, the end of a planned stop, the connections of callers and
+#: the interface of limiters were parts of modules that had grown large, as were
+#: the messages of the store and the channels between hosts; what servers say of
+#: their leaving is told to other hosts by one more.
+_MAX_OWN_MODULES = 155
+_MAX_MODULES = 609
 #: Libraries and packages that only the native interface and the tool use.
 _UNUSED = frozenset(
     (
--- a/bronzesill/daemon/tests/test_refused_streams.py
+++ b/bronzesill/daemon/tests/test_refused_streams.py
@@ -92,7 +92,7 @@
     engine = _Engine()
     controller = _make_controller(engine)
     chosen = asyncio.Event()
-    controller.refresh_usage = chosen.wait  # type: ignore[assignment]
+    controller.placer.refresh_usage = chosen.wait  # type: ignore[assignment]
     request = _make_request()
     queue = controller.subscribe(request, 0)
     await asyncio.sleep(1)
--- a/bronzesill/generations/__init__.py
+++ b/bronzesill/generations/__init__.py
@@ -1,5 +1,6 @@
 """Generation of answers by model engines, with resume and reconnect."""
 
+from .attempt_placement import AttemptPlacer
 from .controller import GenerationsController, GenerationSettings
 from .decisions import decide
 from .event_stream import EventSplitter, StreamEvent
@@ -29,6 +30,7 @@
     'AnswerFailed',
     'AnswerStarted',
     'AttemptObservation',
+    'AttemptPlacer',
     'AttemptTimings',
     'Decision',
     'EventSplitter',
--- a/bronzesill/generations/placement.py
+++ b/bronzesill/generations/placement.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import math
 from collections.abc import Callable, Iterable
 from random import Random
+from typing import Protocol
 
 from ..routing import (
     Requirements,
@@ -15,12 +17,19 @@
     choose_held_server,
     choose_server,
 )
-from .messages import ChooseServer, ServerChosen
+from ..utils import Address
+from .messages import ChooseServer, Event, LookElsewhere, ServerChosen
 from .request import GenerationRequest
 from .stall_detection import StreamActivity, is_silence_shared
 from .state import GenerationState, Phase
+from .stream_client import StreamClient
 
-__all__ = ['ServerChoice']
+__all__ = [
+    'CandidateSearch',
+    'PlacedGeneration',
+    'Placement',
+    'ServerChoice',
+]
 
 _PREFIX_CHARS = 1024
 #: Shortest time in seconds between two counts of silent streams.
@@ -29,6 +38,37 @@
 _SILENT_FRACTION = 0.6
 
 
+@dataclasses.dataclass(frozen=True)
+class Placement:
+    """
+    Result of choosing a backend server for an attempt.
+
+    :param event: event to process in the generation.
+    :param request: request with the version and generation id to use for the
+        attempt. If another daemon already runs a generation for the same
+        request, these and the seed are taken from that generation.
+    """
+
+    event: Event
+    request: GenerationRequest
+
+
+class PlacedGeneration(Protocol):
+    """What the placement of attempts reads and sets of a generation."""
+
+    request: GenerationRequest
+    fingerprint: int
+    state: GenerationState
+    #: Servers to which the connection ended before the answer began.
+    unanswered_losses: int
+    #: Why no server was chosen at the last choice, empty if one was.
+    unplaced_reason: str
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether a part of the answer has been delivered."""
+
+
 class ServerChoice:
     """
     Chooses servers by what one daemon knows of them.
@@ -51,6 +91,11 @@
         self._surveyed_at_s = -math.inf
         self._is_shared = False
 
+    def find_address(self, server: str) -> Address | None:
+        """Return the address of a backend server, or None if unknown."""
+        backend = self._tracker.servers_by_name.get(server)
+        return backend.address if backend else None
+
     def make_requirements(
         self,
         request: GenerationRequest,
@@ -146,6 +191,64 @@
         return holder.name if holder else ''
 
 
+class CandidateSearch:
+    """
+    Looks for servers that could take over a silent run.
+
+    :param servers: choice of the servers.
+    :param client: client for engine streams, which also connects to servers.
+    """
+
+    def __init__(self, servers: ServerChoice, client: StreamClient) -> None:
+        self._servers = servers
+        self._client = client
+
+    async def accepts(
+        self, server: str, *, is_known_dead: bool = False
+    ) -> bool:
+        """
+        Return whether a server accepts a connection.
+
+        :param server: name of the server.
+        :param is_known_dead: whether it is known that the server does not.
+        """
+        address = self._servers.find_address(server)
+        if is_known_dead or address is None:
+            return False
+        return await self._client.is_alive(server, address)
+
+    async def find(
+        self,
+        request: GenerationRequest,
+        action: LookElsewhere,
+        held_identity: str,
+    ) -> str:
+        """
+        Return a server that accepts connections, empty for none.
+
+        :param request: request to answer.
+        :param action: names the silent server and the choice of another.
+        :param held_identity: identity of a request that may crash servers,
+            empty for others.
+        """
+        requirements = self._servers.make_requirements(request, action.choice)
+        if requirements.copy_holder:
+            holder = self._servers.choose(requirements, held_identity)
+            if holder is not None and await self.accepts(holder.server):
+                return holder.server
+        without_copy = dataclasses.replace(requirements, copy_holder='')
+        # All others may have lost an attempt of this generation.
+        lone = dataclasses.replace(
+            without_copy, excluded=frozenset((action.server,))
+        )
+        chosen = self._servers.choose(
+            without_copy, held_identity
+        ) or self._servers.choose(lone, held_identity)
+        if chosen is None or not await self.accepts(chosen.server):
+            return ''
+        return chosen.server
+
+
 def _never() -> bool:
     return False
 
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -5,12 +5,12 @@
 import asyncio
 import dataclasses
 from collections import Counter
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable
 
 from ..upstream import AnswerMemory
 from ..utils import Address, PartLogger, ResultCode, log_unexpected
 from .attempt import AttemptRunner
+from .attempt_placement import AttemptPlacer
 from .decisions import decide
 from .messages import (
     Action,
@@ -23,7 +23,6 @@
     DeliverTokens,
     Event,
     FailAnswer,
-    LookedElsewhere,
     LookElsewhere,
     LossCause,
     NoServer,
@@ -33,6 +32,7 @@
     TimerFired,
 )
 from .observer import GenerationObserver
+from .placement import Placement
 from .request import GenerationRequest
 from .state import GenerationState, Phase
 from .stream_client import StreamClient
@@ -51,52 +51,11 @@
     Unsubscribe,
 )
 
-__all__ = ['Choosers', 'GenerationTask', 'Placement']
+__all__ = ['GenerationTask']
 
 _log = PartLogger('generations')
 
 
-@dataclasses.dataclass(frozen=True)
-class Placement:
-    """
-    Result of choosing a backend server for an attempt.
-
-    :param event: event to process in the generation.
-    :param request: request with the version and generation id to use for the
-        attempt. If another daemon already runs a generation for the same
-        request, these and the seed are taken from that generation.
-    """
-
-    event: Event
-    request: GenerationRequest
-
-
-Chooser = Callable[
-    ['GenerationTask', ChooseServer], Coroutine[Any, Any, Placement]
-]
-
-
-Look = Callable[
-    ['GenerationTask', LookElsewhere], Coroutine[Any, Any, LookedElsewhere]
-]
-
-
-@dataclasses.dataclass(frozen=True)
-class Choosers:
-    """
-    Coroutines that choose backend servers.
-
-    :param choose: chooses the server of the next attempt.
-    :param look: finds out whether a server could take over a silent run.
-    :param return_send: takes back the retry counted for an attempt that was
-        not sent.
-    """
-
-    choose: Chooser
-    look: Look
-    return_send: Callable[[GenerationTask], None]
-
-
 class GenerationTask:
     """
     One generation from admission to its end.
@@ -105,7 +64,7 @@
     :param fingerprint: hash of the request's body.
     :param state: initial state.
     :param client: client for engine streams.
-    :param choosers: coroutines that choose backend servers.
+    :param placer: places the attempts on backend servers.
     :param find_address: returns the address of a backend server by name, or
         None if the server is unknown.
     :param observer: receives notifications about attempts and tokens.
@@ -120,7 +79,7 @@
         fingerprint: int,
         state: GenerationState,
         client: StreamClient,
-        choosers: Choosers,
+        placer: AttemptPlacer,
         find_address: Callable[[str], Address | None],
         observer: GenerationObserver,
         memory: AnswerMemory,
@@ -136,7 +95,7 @@
         self.unanswered_losses = 0
         #: Why no server was chosen at the last choice, empty if one was.
         self.unplaced_reason = ''
-        self._choosers = choosers
+        self._placer = placer
         self._observer = observer
         self._unread_timeout_s = unread_timeout_s
         self._readers: set[Subscription] = set()
@@ -340,7 +299,7 @@
 
     async def _find_server(self, action: ChooseServer) -> None:
         try:
-            placement = await self._choosers.choose(self, action)
+            placement = await self._placer.place(self, action)
         except Exception as error:
             log_unexpected(self.request.request_id, 'choosing a server', error)
             placement = Placement(NoServer(), self.request)
@@ -354,7 +313,7 @@
 
     async def _look_elsewhere(self, action: LookElsewhere) -> None:
         try:
-            looked = await self._choosers.look(self, action)
+            looked = await self._placer.look(self, action)
         except Exception as error:
             log_unexpected(self.request.request_id, 'looking elsewhere', error)
             return
@@ -389,7 +348,7 @@
         elif is_disconnected:
             self.unanswered_losses += 1
         if action.cause is LossCause.UNSENT:
-            self._choosers.return_send(self)
+            self._placer.return_send(self)
         self._attempts.cancel(self.request, action)
 
     def _set_timer(self, at_s: float) -> None:
--- a/bronzesill/generations/tests/test_begun_answers.py
+++ b/bronzesill/generations/tests/test_begun_answers.py
@@ -79,7 +79,7 @@
             NullMetrics(),
             Random(1),
         )
-        self.controller.allowance = FleetRetryAllowance(
+        self.controller.placer.allowance = FleetRetryAllowance(
             RetryBounds(ratio=0.8, window_s=10, slack=150), lambda: _DAEMONS
         )
 
--- a/bronzesill/generations/tests/test_held_streams.py
+++ b/bronzesill/generations/tests/test_held_streams.py
@@ -143,7 +143,7 @@
             NullMetrics(),
             Random(number),
         )
-        host.find_held_identity = self._hold_after_crashes
+        host.placer.find_held_identity = self._hold_after_crashes
         return host
 
     def _hold_after_crashes(
@@ -219,7 +219,7 @@
     def test_repeats_share_an_engine(self) -> None:
         async def play(fleet: _Fleet) -> None:
             for host in fleet.hosts:
-                host.find_held_identity = _hold_always
+                host.placer.find_held_identity = _hold_always
             await asyncio.gather(
                 *(fleet.send(host, b'suspect') for host in fleet.hosts)
             )
@@ -233,7 +233,7 @@
     def test_streams_that_were_lost_together_come_apart(self) -> None:
         async def play(fleet: _Fleet) -> None:
             host = fleet.hosts[0]
-            host.find_held_identity = _hold_always
+            host.placer.find_held_identity = _hold_always
             for number in range(2 * _ENGINES):
                 await fleet.send(host, b'suspect %d' % number)
             servers = set(fleet.engines.arrivals)
@@ -248,7 +248,7 @@
             judged_at_s = asyncio.get_running_loop().time() + (
                 _MANY_CRASHES * _CRASH_S + _JUDGEMENT_S
             )
-            host.blocked_for_s = lambda _: (
+            host.placer.blocked_for_s = lambda _: (
                 _BLOCKED_S
                 if asyncio.get_running_loop().time() > judged_at_s
                 else 0
--- a/bronzesill/generations/tests/test_placement.py
+++ b/bronzesill/generations/tests/test_placement.py
@@ -26,8 +26,8 @@
     ServerChosen,
 )
 from ..peer_directory import HomeDaemon, PeerDirectory
+from ..placement import Placement
 from ..request import GenerationRequest
-from ..task import Placement
 
 _REQUEST = GenerationRequest(
     'r1', 'gen-own', 'shop-1', 'guide', 'v1', 'prompt', 1, 50, 60, True
@@ -79,7 +79,7 @@
             Random(1),
         )
         action = ChooseServer(frozenset(), is_resume)
-        return await controller._place(cast('Any', _Generation()), action)
+        return await controller.placer.place(cast('Any', _Generation()), action)
 
     async def test_answer_with_tokens_gets_a_new_generation_id(self) -> None:
         placement = await self.place(is_resume=True)
@@ -149,10 +149,11 @@
             NullMetrics(),
             Random(1),
         )
+        placer = controller.placer
         silent = mock.Mock(return_value=True)
-        controller._is_silence_shared = silent  # type: ignore[method-assign]
+        placer._is_silence_shared = silent  # type: ignore[method-assign]
         choice = ChooseServer(frozenset(('engine-1',)), is_resume=True)
-        looked = await controller._look(
+        looked = await placer.look(
             cast('Any', _Generation()), LookElsewhere(1, 'engine-1', choice)
         )
         self.assertEqual(looked, LookedElsewhere(1, 'engine-2', is_alive=False))
