Keep the readers of an answer beside the messages they receive

Change: AnswerReaders in subscription.py adds and removes the readers, sends them the head, the tokens and the end, and ends the wait for messages when no reader is left. The task calls it. No behaviour changes.

--- a/bronzesill/generations/subscription.py
+++ b/bronzesill/generations/subscription.py
@@ -1,4 +1,4 @@
-"""Messages between a generation's task and the readers of its answer."""
+"""Readers of a generation's answer, and the messages they receive."""
 
 from __future__ import annotations
 
@@ -14,6 +14,7 @@
     'AcceptedTokens',
     'AnswerCompleted',
     'AnswerFailed',
+    'AnswerReaders',
     'AnswerStarted',
     'AnswerTooLarge',
     'HeadArrived',
@@ -190,3 +191,85 @@
         """Keep no token."""
         self._texts.clear()
         self._memory.forget(self)
+
+
+class AnswerReaders:
+    """
+    Readers that the task of a generation knows, and what they receive.
+
+    :param mailbox: mailbox of the generation's task.
+    :param accepted_tokens: tokens of the answer, which grow by each delivery.
+    :param unread_timeout_s: seconds without a reader after which the
+        generation stops.
+    """
+
+    def __init__(
+        self,
+        mailbox: asyncio.Queue[TaskMessage],
+        accepted_tokens: KeptTokens,
+        unread_timeout_s: float,
+    ) -> None:
+        self.unread_timeout_s = unread_timeout_s
+        self._mailbox = mailbox
+        self._accepted_tokens = accepted_tokens
+        self._queues: set[Subscription] = set()
+        self._unread_since_s = asyncio.get_running_loop().time()
+        self._answer_started: AnswerStarted | None = None
+        self._end: AnswerCompleted | AnswerFailed | None = None
+
+    @property
+    def has_end(self) -> bool:
+        """Whether the end of the answer is known to the readers."""
+        return self._end is not None
+
+    async def next_message(self) -> TaskMessage:
+        """
+        Return the next message of the mailbox.
+
+        :raises TimeoutError: there has been no reader for the timeout.
+        """
+        if self._queues:
+            return await self._mailbox.get()
+        async with asyncio.timeout_at(
+            self._unread_since_s + self.unread_timeout_s
+        ):
+            return await self._mailbox.get()
+
+    def add(self, queue: Subscription) -> None:
+        """Add a reader; send it what is known of the answer."""
+        self._queues.add(queue)
+        if self._accepted_tokens:
+            self._send_head(queue)
+            queue.put_nowait(AcceptedTokens(0, self._accepted_tokens.texts))
+        if self._end is not None:
+            queue.put_nowait(self._end)
+
+    def remove(self, queue: Subscription) -> None:
+        """Remove a reader."""
+        self._queues.discard(queue)
+        self._unread_since_s = asyncio.get_running_loop().time()
+
+    def record_head(self, head: AnswerHead) -> None:
+        """Record the head of the current attempt until a token is accepted."""
+        if not self._accepted_tokens:
+            self._answer_started = AnswerStarted(head)
+
+    def deliver(self, delivery: AcceptedTokens) -> None:
+        """Keep further tokens and send them to the readers."""
+        self._accepted_tokens.extend(delivery.tokens)
+        for queue in self._queues:
+            if not delivery.offset:
+                self._send_head(queue)
+            queue.put_nowait(delivery)
+
+    def finish(self, end: AnswerCompleted | AnswerFailed) -> None:
+        """Send the end of the answer to the readers."""
+        self._end = end
+        for queue in self._queues:
+            if isinstance(end, AnswerCompleted) and not end.total:
+                self._send_head(queue)
+            queue.put_nowait(end)
+
+    def _send_head(self, queue: Subscription) -> None:
+        if self._answer_started is not None:
+            queue.put_nowait(self._answer_started)
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -1,4 +1,4 @@
-"""Task of one generation: owns its stream, accepted tokens and readers."""
+"""Task of one generation: decides on its events and performs the actions."""
 
 from __future__ import annotations
 
@@ -40,13 +40,12 @@
     AcceptedTokens,
     AnswerCompleted,
     AnswerFailed,
-    AnswerStarted,
+    AnswerReaders,
     AnswerTooLarge,
     HeadArrived,
     KeptTokens,
     Subscribe,
     Subscribers,
-    Subscription,
     TaskMessage,
     Unsubscribe,
 )
@@ -97,11 +96,9 @@
         self.unplaced_reason = ''
         self._placer = placer
         self._observer = observer
-        self._unread_timeout_s = unread_timeout_s
-        self._readers: set[Subscription] = set()
-        self._unread_since_s = asyncio.get_running_loop().time()
-        self._end: AnswerCompleted | AnswerFailed | None = None
-        self._answer_started: AnswerStarted | None = None
+        self._readers = AnswerReaders(
+            self.mailbox, self.accepted_tokens, unread_timeout_s
+        )
         self._answered_attempt = 0
         self._lost_by_cause: Counter[str] = Counter()
         self._attempts = AttemptRunner(
@@ -154,8 +151,8 @@
         )
 
     async def _handle_next_message(self) -> None:
-        message = await self._next_message()
-        if self.subscribers.is_empty and not self._unread_timeout_s:
+        message = await self._readers.next_message()
+        if self.subscribers.is_empty and not self._readers.unread_timeout_s:
             # A server that was chosen meanwhile must not get the request.
             raise TimeoutError
         try:
@@ -167,7 +164,7 @@
     def _end_unexpectedly(self) -> None:
         failed = dataclasses.replace(self.state, phase=Phase.FAILED)
         self.state = failed
-        self._finish(
+        self._readers.finish(
             AnswerFailed(ResultCode.GENERATION_LOST, self._lost_attempts)
         )
 
@@ -186,21 +183,12 @@
         self.accepted_tokens.clear()
         self._end_unexpectedly()
 
-    async def _next_message(self) -> TaskMessage:
-        if self._readers:
-            return await self.mailbox.get()
-        async with asyncio.timeout_at(
-            self._unread_since_s + self._unread_timeout_s
-        ):
-            return await self.mailbox.get()
-
     def _handle_message(self, message: TaskMessage) -> None:
         match message:
             case Subscribe():
-                self._add_reader(message.queue)
+                self._readers.add(message.queue)
             case Unsubscribe():
-                self._readers.discard(message.queue)
-                self._unread_since_s = asyncio.get_running_loop().time()
+                self._readers.remove(message.queue)
             case HeadArrived():
                 self._record_head(message)
             case AnswerTooLarge():
@@ -210,16 +198,8 @@
 
     def _record_head(self, message: HeadArrived) -> None:
         self._answered_attempt = message.attempt
-        if message.attempt == self.state.attempt and not self.accepted_tokens:
-            self._answer_started = AnswerStarted(message.head)
-
-    def _add_reader(self, queue: Subscription) -> None:
-        self._readers.add(queue)
-        if self.accepted_tokens:
-            self._send_head(queue)
-            queue.put_nowait(AcceptedTokens(0, self.accepted_tokens.texts))
-        if self._end is not None:
-            queue.put_nowait(self._end)
+        if message.attempt == self.state.attempt:
+            self._readers.record_head(message.head)
 
     def _apply(self, event: Event) -> None:
         now_s = asyncio.get_running_loop().time()
@@ -234,13 +214,15 @@
                 self._deliver(action)
             case CompleteAnswer():
                 self._attempts.record_end(self.request, is_failed=False)
-                self._finish(
+                self._readers.finish(
                     AnswerCompleted(
                         action.total, action.reason, self._lost_attempts
                     )
                 )
             case FailAnswer():
-                self._finish(AnswerFailed(action.code, self._lost_attempts))
+                self._readers.finish(
+                    AnswerFailed(action.code, self._lost_attempts)
+                )
             case CountDropped():
                 self._observer.tokens_dropped(action.late, action.repeated)
             case _:
@@ -279,23 +261,7 @@
         self._observer.tokens_accepted(
             len(action.tokens), is_first=not self.accepted_tokens
         )
-        self.accepted_tokens.extend(action.tokens)
-        delivery = AcceptedTokens(action.offset, action.tokens)
-        for queue in self._readers:
-            if not action.offset:
-                self._send_head(queue)
-            queue.put_nowait(delivery)
-
-    def _send_head(self, queue: Subscription) -> None:
-        if self._answer_started is not None:
-            queue.put_nowait(self._answer_started)
-
-    def _finish(self, end: AnswerCompleted | AnswerFailed) -> None:
-        self._end = end
-        for queue in self._readers:
-            if isinstance(end, AnswerCompleted) and not end.total:
-                self._send_head(queue)
-            queue.put_nowait(end)
+        self._readers.deliver(AcceptedTokens(action.offset, action.tokens))
 
     async def _find_server(self, action: ChooseServer) -> None:
         try:
@@ -356,7 +322,7 @@
         loop.call_at(at_s, self.mailbox.put_nowait, TimerFired())
 
     async def _cancel_unread(self) -> None:
-        is_running = self._end is None and bool(self.state.server)
+        is_running = not self._readers.has_end and bool(self.state.server)
         if is_running and await self._observer.may_cancel(self.request):
             await self._attempts.cancel_stream(
                 self.request, self.state.server, self.state.attempt
