--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -1,16 +1,16 @@
-"""Task of one generation: owns its stream, accepted tokens and readers."""
+"""Task of one generation: decides on its events and performs the actions."""
 
 from __future__ import annotations
 
 import asyncio
 import dataclasses
 from collections import Counter
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable
 
 from ..upstream import AnswerMemory
 from ..utils import Address, PartLogger, ResultCode, log_unexpected
 from .attempt import AttemptRunner
+from .attempt_placement import AttemptPlacer
 from .decisions import decide
 from .messages import (
     Action,
@@ -23,7 +23,6 @@
     DeliverTokens,
     Event,
     FailAnswer,
-    LookedElsewhere,
     LookElsewhere,
     LossCause,
     NoServer,
@@ -33,6 +32,7 @@
     TimerFired,
 )
 from .observer import GenerationObserver
+from .placement import Placement
 from .request import GenerationRequest
 from .state import GenerationState, Phase
 from .stream_client import StreamClient
@@ -40,63 +40,21 @@
     AcceptedTokens,
     AnswerCompleted,
     AnswerFailed,
-    AnswerStarted,
+    AnswerReaders,
     AnswerTooLarge,
     HeadArrived,
     KeptTokens,
     Subscribe,
     Subscribers,
-    Subscription,
     TaskMessage,
     Unsubscribe,
 )
 
-__all__ = ['Choosers', 'GenerationTask', 'Placement']
+__all__ = ['GenerationTask']
 
 _log = PartLogger('generations')
 
 
-@dataclasses.dataclass(frozen=True)
-class Placement:
-    """
-    Result of choosing a backend server for an attempt.
-
-    :param event: event to process in the generation.
-    :param request: request with the version and generation id to use for the
-        attempt. If another daemon already runs a generation for the same
-        request, these and the seed are taken from that generation.
-    """
-
-    event: Event
-    request: GenerationRequest
-
-
-Chooser = Callable[
-    ['GenerationTask', ChooseServer], Coroutine[Any, Any, Placement]
-]
-
-
-Look = Callable[
-    ['GenerationTask', LookElsewhere], Coroutine[Any, Any, LookedElsewhere]
-]
-
-
-@dataclasses.dataclass(frozen=True)
-class Choosers:
-    """
-    Coroutines that choose backend servers.
-
-    :param choose: chooses the server of the next attempt.
-    :param look: finds out whether a server could take over a silent run.
-    :param return_send: takes back the retry counted for an attempt that was
-        not sent.
-    """
-
-    choose: Chooser
-    look: Look
-    return_send: Callable[[GenerationTask], None]
-
-
 class GenerationTask:
     """
     One generation from admission to its end.
@@ -105,7 +63,7 @@
     :param fingerprint: hash of the request's body.
     :param state: initial state.
     :param client: client for engine streams.
-    :param choosers: coroutines that choose backend servers.
+    :param placer: places the attempts on backend servers.
     :param find_address: returns the address of a backend server by name, or
         None if the server is unknown.
     :param observer: receives notifications about attempts and tokens.
@@ -120,7 +78,7 @@
         fingerprint: int,
         state: GenerationState,
         client: StreamClient,
-        choosers: Choosers,
+        placer: AttemptPlacer,
         find_address: Callable[[str], Address | None],
         observer: GenerationObserver,
         memory: AnswerMemory,
@@ -136,13 +94,11 @@
         self.unanswered_losses = 0
         #: Why no server was chosen at the last choice, empty if one was.
         self.unplaced_reason = ''
-        self._choosers = choosers
+        self._placer = placer
         self._observer = observer
-        self._unread_timeout_s = unread_timeout_s
-        self._readers: set[Subscription] = set()
-        self._unread_since_s = asyncio.get_running_loop().time()
-        self._end: AnswerCompleted | AnswerFailed | None = None
-        self._answer_started: AnswerStarted | None = None
+        self._readers = AnswerReaders(
+            self.mailbox, self.accepted_tokens, unread_timeout_s
+        )
         self._answered_attempt = 0
         self._lost_by_cause: Counter[str] = Counter()
         self._attempts = AttemptRunner(
@@ -195,8 +151,8 @@
         )
 
     async def _handle_next_message(self) -> None:
-        message = await self._next_message()
-        if self.subscribers.is_empty and not self._unread_timeout_s:
+        message = await self._readers.next_message()
+        if self.subscribers.is_empty and not self._readers.unread_timeout_s:
             # A server that was chosen meanwhile must not get the request.
             raise TimeoutError
         try:
@@ -208,7 +164,7 @@
     def _end_unexpectedly(self) -> None:
         failed = dataclasses.replace(self.state, phase=Phase.FAILED)
         self.state = failed
-        self._finish(
+        self._readers.finish(
             AnswerFailed(ResultCode.GENERATION_LOST, self._lost_attempts)
         )
 
@@ -227,21 +183,12 @@
         self.accepted_tokens.clear()
         self._end_unexpectedly()
 
-    async def _next_message(self) -> TaskMessage:
-        if self._readers:
-            return await self.mailbox.get()
-        async with asyncio.timeout_at(
-            self._unread_since_s + self._unread_timeout_s
-        ):
-            return await self.mailbox.get()
-
     def _handle_message(self, message: TaskMessage) -> None:
         match message:
             case Subscribe():
-                self._add_reader(message.queue)
+                self._readers.add(message.queue)
             case Unsubscribe():
-                self._readers.discard(message.queue)
-                self._unread_since_s = asyncio.get_running_loop().time()
+                self._readers.remove(message.queue)
             case HeadArrived():
                 self._record_head(message)
             case AnswerTooLarge():
@@ -251,16 +198,8 @@
 
     def _record_head(self, message: HeadArrived) -> None:
         self._answered_attempt = message.attempt
-        if message.attempt == self.state.attempt and not self.accepted_tokens:
-            self._answer_started = AnswerStarted(message.head)
-
-    def _add_reader(self, queue: Subscription) -> None:
-        self._readers.add(queue)
-        if self.accepted_tokens:
-            self._send_head(queue)
-            queue.put_nowait(AcceptedTokens(0, self.accepted_tokens.texts))
-        if self._end is not None:
-            queue.put_nowait(self._end)
+        if message.attempt == self.state.attempt:
+            self._readers.record_head(message.head)
 
     def _apply(self, event: Event) -> None:
         now_s = asyncio.get_running_loop().time()
@@ -275,13 +214,15 @@
                 self._deliver(action)
             case CompleteAnswer():
                 self._attempts.record_end(self.request, is_failed=False)
-                self._finish(
+                self._readers.finish(
                     AnswerCompleted(
                         action.total, action.reason, self._lost_attempts
                     )
                 )
             case FailAnswer():
-                self._finish(AnswerFailed(action.code, self._lost_attempts))
+                self._readers.finish(
+                    AnswerFailed(action.code, self._lost_attempts)
+                )
             case CountDropped():
                 self._observer.tokens_dropped(action.late, action.repeated)
             case _:
@@ -320,27 +261,11 @@
         self._observer.tokens_accepted(
             len(action.tokens), is_first=not self.accepted_tokens
         )
-        self.accepted_tokens.extend(action.tokens)
-        delivery = AcceptedTokens(action.offset, action.tokens)
-        for queue in self._readers:
-            if not action.offset:
-                self._send_head(queue)
-            queue.put_nowait(delivery)
-
-    def _send_head(self, queue: Subscription) -> None:
-        if self._answer_started is not None:
-            queue.put_nowait(self._answer_started)
-
-    def _finish(self, end: AnswerCompleted | AnswerFailed) -> None:
-        self._end = end
-        for queue in self._readers:
-            if isinstance(end, AnswerCompleted) and not end.total:
-                self._send_head(queue)
-            queue.put_nowait(end)
+        self._readers.deliver(AcceptedTokens(action.offset, action.tokens))
 
     async def _find_server(self, action: ChooseServer) -> None:
         try:
-            placement = await self._choosers.choose(self, action)
+            placement = await self._placer.place(self, action)
         except Exception as error:
             log_unexpected(self.request.request_id, 'choosing a server', error)
             placement = Placement(NoServer(), self.request)
@@ -354,7 +279,7 @@
 
     async def _look_elsewhere(self, action: LookElsewhere) -> None:
         try:
-            looked = await self._choosers.look(self, action)
+            looked = await self._placer.look(self, action)
         except Exception as error:
             log_unexpected(self.request.request_id, 'looking elsewhere', error)
             return
@@ -389,7 +314,7 @@
         elif is_disconnected:
             self.unanswered_losses += 1
         if action.cause is LossCause.UNSENT:
-            self._choosers.return_send(self)
+            self._placer.return_send(self)
         self._attempts.cancel(self.request, action)
 
     def _set_timer(self, at_s: float) -> None:
@@ -397,7 +322,7 @@
         loop.call_at(at_s, self.mailbox.put_nowait, TimerFired())
 
     async def _cancel_unread(self) -> None:
-        is_running = self._end is None and bool(self.state.server)
+        is_running = not self._readers.has_end and bool(self.state.server)
         if is_running and await self._observer.may_cancel(self.request):
             await self._attempts.cancel_stream(
                 self.request, self.state.server, self.state.attempt
