Count an answer no longer once its connection is discarded

Callers would see: sound answers that are cut off at a host that has run for long. Cause: the count of kept bytes was taken back when a lease is released; the look whether a server has restarted discards its lease only, so that each health answer counted for good (20 looks at 1,000 bytes left 20,000, seen in a review). About 770 of them at 64 KiB fill the 48 MiB; from then on each growth gives up the largest sound answer. Change: a discarded lease counts no longer. Evidence: the new test fails without the change, and passes with it.

--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -308,6 +308,7 @@
 
     def discard(self) -> None:
         """Close the connection; a later ``release`` does not pool it."""
+        self._pool.memory.forget(self)
         self._connection.close()
 
     async def give_up_when_cut(self, silence_s: float) -> None:
