Count the part of an event that a host keeps until the rest arrives

Callers would see: a host that ends for want of memory, beside engines that begin events and never end them. Change: the lease of the stream counts just these bytes. Evidence: the new test fails without the change, and passes with it; test_endless_answers passes.

--- a/bronzesill/generations/event_stream.py
+++ b/bronzesill/generations/event_stream.py
@@ -44,6 +44,11 @@
         """Whether the bytes received so far end with an incomplete event."""
         return bool(self._pending)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Number of bytes of the incomplete event at the end, 0 for none."""
+        return len(self._pending)
+
     def feed(self, body: bytes) -> list[StreamEvent]:
         """
         Append bytes and return the events completed by them.
--- a/bronzesill/generations/forward_client.py
+++ b/bronzesill/generations/forward_client.py
@@ -125,6 +125,7 @@
         while body:
             for message in reader.feed(body):
                 yield message
+            lease.keep(reader.partial_bytes)
             body = await lease.read()
         yield reader.finish()
 
@@ -164,6 +165,11 @@
         self._has_ids = self._next_offset + self._first_event_id > 1
         self._splitter = EventSplitter()
 
+    @property
+    def partial_bytes(self) -> int:
+        """Number of bytes of the incomplete event that is kept."""
+        return self._splitter.partial_bytes
+
     def feed(self, body: bytes) -> Iterator[TokensArrived]:
         """
         Append bytes of the body and yield one message for each event.
--- a/bronzesill/generations/tests/test_close_delimited.py
+++ b/bronzesill/generations/tests/test_close_delimited.py
@@ -11,6 +11,7 @@
 from ...platform.headers import PlatformDialect
 from ...upstream import (
     AnswerError,
+    AnswerMemory,
     CallerFields,
     ConnectionLost,
     ConnectionPool,
@@ -24,6 +25,7 @@
 
 _HEAD = b'HTTP/1.1 200 OK\r\nX-Attempt-Id: r\r\n\r\n'
 _EVENT = b'id: 1\ndata: x\n\n'
+_MAX_KEPT_BYTES = 10_000
 
 
 class CloseDelimitedTest(unittest.IsolatedAsyncioTestCase):
@@ -43,6 +45,7 @@
         server = await asyncio.start_server(answer, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
         pool = ConnectionPool()
+        pool.memory = AnswerMemory(_MAX_KEPT_BYTES)
         client = ForwardStreamClient(pool, PlatformDialect(), lambda *_: None)
         caller = CallerFields(request_id='r', events_received=events_received)
         deadline_at_s = asyncio.get_running_loop().time() + 5
@@ -70,6 +73,12 @@
         with self.assertRaises(AnswerError):
             await self.read(b'%bid: 2\nda' % _EVENT)
 
+    # Guards against engines that send parts of events which nothing counts.
+    async def test_part_of_an_event_counts_as_kept(self) -> None:
+        part = b'data: %b' % (b'x' * 2 * _MAX_KEPT_BYTES)
+        with self.assertRaisesRegex(AnswerError, 'too large to be kept'):
+            await self.read(part)
+
     # Guards against an engine that crashed before its first event being taken
     # for one that answered with nothing.
     async def test_end_before_the_first_event_is_a_loss(self) -> None:
--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -274,13 +274,20 @@
             keeps too many bytes of answers.
         """
         body = await self.read()
-        try:
-            self._pool.memory.grow(self, len(body))
-        except AnswerError:
-            self.discard()
-            raise
+        self._count(len(body))
         return body
 
+    def keep(self, size: int) -> None:
+        """
+        Count the bytes that are kept of an answer, and no others of it.
+
+        :param size: number of bytes.
+        :raises AnswerError: the host keeps too many bytes of answers.
+        """
+        self._pool.memory.forget(self)
+        if size:
+            self._count(size)
+
     def fail(self, error: AnswerError) -> None:
         """Close the connection; its reader gets an error."""
         self._connection.fail(error)
@@ -339,6 +346,13 @@
         if is_cut and may_give_up():
             self._connection.fail(PathCut('path to the server is cut'))
 
+    def _count(self, size: int) -> None:
+        try:
+            self._pool.memory.grow(self, size)
+        except AnswerError:
+            self.discard()
+            raise
+
 
 def _keep_alive_s(head: AnswerHead) -> float:
     match = _TIMEOUT_PATTERN.search(head.find(b'keep-alive') or b'')
