Wake those who wait for changes when only the revision is later

Callers would see: nothing but a change that arrives up to a second late. Change: a later revision wakes them. Evidence: the new test times out without the change, and passes with it.

--- a/bronzesill/daemon/hosted_store_state.py
+++ b/bronzesill/daemon/hosted_store_state.py
@@ -203,7 +203,11 @@
         if merged.ignored_entries:
             _log_ignored(merged)
         has_returned = 0 < self.replica.era < merged.replica.era
+        is_later = merged.replica.last_revision > self.replica.last_revision
         self.replica = merged.replica
+        if is_later:
+            self._changed.set()
+            self._changed = asyncio.Event()
         if not merged.newer_entries:
             return
         old_listing = self.listing
@@ -218,8 +222,6 @@
         )
         if self.listing is not old_listing:
             self._refresh_servers()
-        self._changed.set()
-        self._changed = asyncio.Event()
         self._on_new_entries(merged.newer_entries)
 
     def _apply_entry(self, entry: StoredEntry, *, may_be_older: bool) -> None:
