Let only streams of a like size end a lack of servers

Callers would see: a stopping host that takes a large stream and cannot finish it. Change: only answers of at least half its size count as served since. Evidence: the new test fails without the change, and passes with it; the test of streams after a pause passes.

--- a/bronzesill/calls/durations.py
+++ b/bronzesill/calls/durations.py
@@ -67,6 +67,13 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
 
+    def is_like(self, other: RequestSize) -> bool:
+        """Return whether it is at least half as large as another one."""
+        return (
+            2 * self.prompt_tokens >= other.prompt_tokens
+            and 2 * self.output_tokens >= other.output_tokens
+        )
+
 
 @dataclasses.dataclass(frozen=True)
 class ObservedRequest:
@@ -305,10 +312,19 @@
     :param recent: recent requests.
     :param whole: those with a whole answer, at least ``_MIN_OBSERVED``.
     """
-    began_at_s = sorted(request.began_at_s for request in whole)
-    served_since_s = began_at_s[-_MIN_OBSERVED]
     return [
         request
         for request in recent
-        if not request.has_lacked_server or request.ended_at_s > served_since_s
+        if not request.has_lacked_server or not _is_past(request, whole)
+    ]
+
+
+def _is_past(lack: ObservedRequest, whole: list[ObservedRequest]) -> bool:
+    """Return whether servers took such requests again after a lack."""
+    later = [
+        request
+        for request in whole
+        if request.began_at_s >= lack.ended_at_s
+        and request.size.is_like(lack.size)
     ]
+    return len(later) >= _MIN_OBSERVED
--- a/bronzesill/calls/tests/test_durations.py
+++ b/bronzesill/calls/tests/test_durations.py
@@ -130,6 +130,19 @@
         predicted_s = log.predict_s(_SERVICE, _SMALL, _NOW_S) or 0
         self.assertLess(predicted_s, 2)
 
+    # Guards against a stopping host that takes large streams for which there
+    # is no room, because small ones are served.
+    def test_small_streams_do_not_end_a_lack_of_large_ones(self) -> None:
+        lacking = ObservedRequest(
+            _LARGE, _NOW_S - 10, 20.0, is_whole=False, has_lacked_server=True
+        )
+        log = DurationLog()
+        log.record(_SERVICE, lacking)
+        for _ in range(_MIN_SERVED):
+            log.record(_SERVICE, ObservedRequest(_SMALL, _NOW_S - 1, 0.5, 1.0))
+        predicted_s = log.predict_s(_SERVICE, _LARGE, _NOW_S) or 0
+        self.assertGreaterEqual(predicted_s, 20)
+
     def test_memory_is_bounded(self) -> None:
         log = DurationLog()
         for number in range(1000):
