--- a/bronzesill/daemon/hosted_program.py
+++ b/bronzesill/daemon/hosted_program.py
@@ -93,13 +93,15 @@
 
 async def _serve(path: Path, listeners: EarlySockets, started_s: float) -> None:
     settings = read_settings(path)
+    loop = asyncio.get_running_loop()
+    # The loop begins the stop only once this function waits, so a signal
+    # during the construction of the daemon is kept for it.
+    _StopSignal(loop, lambda late_s: daemon.begin_stop(late_s)).watch()
     daemon = HostedDaemon(settings, listeners, started_s)
     daemon.on_stop = _ExitDeadline(settings.bounds.grace_s).start
     _log.event(
         'program_loaded', loaded_s=round(time.monotonic() - started_s, 3)
     )
-    loop = asyncio.get_running_loop()
-    _StopSignal(loop, daemon.begin_stop).watch()
     loop.add_signal_handler(signal.SIGHUP, _reload, path)
     await daemon.run()
     _end_process(_EXIT_STOPPED)
--- a/bronzesill/daemon/tests/test_process_end.py
+++ b/bronzesill/daemon/tests/test_process_end.py
@@ -147,6 +147,23 @@
 """
 
 
+_STOPPED_AS_IT_IS_BUILT = """
+class Stopped(Daemon):
+    def __init__(self, *arguments):
+        os.kill(os.getpid(), signal.SIGTERM)
+        super().__init__(*arguments)
+
+    async def run(self):
+        self.stop = asyncio.Event()
+        await self.stop.wait()
+        print('closed')
+
+
+hosted_program.HostedDaemon = Stopped
+run()
+"""
+
+
 def _run(body: str) -> subprocess.CompletedProcess[str]:
     return subprocess.run(
         [sys.executable, '-c', _PREFIX + body],
@@ -184,6 +201,13 @@
         assert late is not None
         self.assertGreaterEqual(float(late[1]), _LATE_S)
 
+    # Guards against requests that are reset, as the signal comes between the
+    # load of the program and the daemon's first step.
+    def test_signal_during_the_construction_begins_a_planned_stop(self) -> None:
+        ended = _run(_STOPPED_AS_IT_IS_BUILT)
+        self.assertEqual(ended.returncode, 0, ended.stderr)
+        self.assertIn('closed', ended.stdout)
+
     # Guards against hosts that are killed as a step of their end never ends.
     def test_endless_step_does_not_delay_the_end(self) -> None:
         ended = _run(_NEVER_ENDS)
--- a/bronzesill/platform/listen_addresses.py
+++ b/bronzesill/platform/listen_addresses.py
@@ -8,13 +8,16 @@
 import json
 from pathlib import Path
 
-__all__ = ['SETTINGS_VARIABLE', 'read_listen_addresses']
+__all__ = ['HTTP_ADDRESS_COUNT', 'SETTINGS_VARIABLE', 'read_listen_addresses']
 
 #: Environment variable that holds the path of the settings file.
 SETTINGS_VARIABLE = 'BRONZESILL_SETTINGS'
 
 _LISTEN_FIELDS = ('frontend', 'registry', 'readiness')
 
+#: The first addresses serve HTTP, the one that follows serves other hosts.
+HTTP_ADDRESS_COUNT = len(_LISTEN_FIELDS)
+
 
 def read_listen_addresses(path: Path) -> tuple[tuple[str, int], ...]:
     """
