Merge the view of each seed as it arrives

Cause: a join waited for the answers of all its seeds before it merged any. One seed that took connections and was silent kept a starting host from knowing the others for a second, in which its look-ups named itself only.

Change: each view is merged as soon as it arrives. The join as a whole still waits for all seeds, so that the next one is not begun beside it.

--- a/bronzesill/membership/controller.py
+++ b/bronzesill/membership/controller.py
@@ -98,25 +98,30 @@
         :param seeds: peer addresses of daemons, some of which may be down.
         :returns: number of seeds that answered.
         """
-        answers = await asyncio.gather(*(self._fetch(seed) for seed in seeds))
-        for view in answers:
-            if view is not None:
-                self._mailbox.put_nowait(ViewFetched(view.updates))
-        return len(answers) - answers.count(None)
+        answered = await asyncio.gather(*(self._fetch(seed) for seed in seeds))
+        return sum(answered)
 
     def handle_fetch_view(self, request: FetchView) -> View:
         """Merge the record of a joining daemon and return the full view."""
         self._mailbox.put_nowait(ViewFetched(GossipUpdates((request.sender,))))
         return View(self.state.view.all_entries())
 
-    async def _fetch(self, seed: Address) -> View | None:
+    async def _fetch(self, seed: Address) -> bool:
+        """
+        Merge the view of a seed as soon as it arrives.
+
+        :returns: whether the seed answered.
+        """
         try:
             answer = await self._client.request(
                 seed, FetchView(self.own), _FETCH_TIMEOUT_S
             )
         except BronzesillError:
-            return None
-        return answer if isinstance(answer, View) else None
+            return False
+        if not isinstance(answer, View):
+            return False
+        self._mailbox.put_nowait(ViewFetched(answer.updates))
+        return True
 
     async def _next_event(self, wait_s: float) -> Event | None:
         if wait_s <= 0:
