Let the first look-ups at a starting host wait for another host

Cause: a host answered look-ups as soon as it served, with itself only until it knew another host. After a return of the whole fleet about half of 68 hosts did so, most of them 0.01 s before they knew another one, and their callers kept that answer for 2 to 6 s.

Change: in the first 0.3 s of a host its directory waits for the first other host, whoever names it (seeds, store, a host that joins). A stop ends the wait. After that it answers in any case, so that a host that is alone, or whose store is down, is found; an answer of the first 5 s that names this host only may be kept for 1 s instead of 2.

--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -43,7 +43,6 @@
 __all__ = ['HostedDaemon']
 
 _MS_PER_S = 1000
-_ADDRESS_TTL_S = 2.0
 #: Bounds each watch call: a watch may have stopped delivering changes without
 #: an error, which only a new call reveals.
 _WATCH_TIMEOUT_S = 1.0
@@ -95,7 +94,7 @@
             self._state, self._tracker, self._apply_store_changes
         )
         self._directory_server = HttpServer(
-            lambda: make_directory_app(self._fleet.addresses, _ADDRESS_TTL_S),
+            lambda: make_directory_app(self._fleet.look_up),
             settings.directory,
             listener=listeners.take(
                 settings.directory.ip, settings.directory.port
--- a/bronzesill/daemon/hosted_fleet.py
+++ b/bronzesill/daemon/hosted_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Callable
 from random import Random
@@ -18,6 +19,7 @@
     choose_collectors,
     choose_watchers,
 )
+from ..platform.http_apps import ListedAddresses
 from ..platform.servers import HOST_PREFIX
 from ..store import KeyValueStore, Lease, Mutation, StoredEntry
 from ..utils import (
@@ -42,6 +44,13 @@
 _DISCOVERY_INTERVAL_S = 0.4
 _JOINED_DISCOVERY_INTERVAL_S = 8.0
 _REJOIN_INTERVAL_S = 0.7
+_ADDRESS_TTL_S = 2.0
+#: Time from the start on in which look-ups wait for the first other host.
+_FIRST_PEER_LIMIT_S = 0.3
+#: Time from the start on in which other hosts are likely to be found, and for
+#: which callers keep an answer that names this host only.
+_LONELY_START_S = 5.0
+_LONELY_TTL_S = 1.0
 _CONFIGURATION_FACT = 'hosted'
 _MS_PER_S = 1000
 
@@ -72,6 +81,9 @@
         self._lease: Lease | None = None
         self._is_stopping = False
         self._has_returned = asyncio.Event()
+        self._started_s = asyncio.get_running_loop().time()
+        #: Set once look-ups need not wait any longer for another host.
+        self._may_list = asyncio.Event()
         #: Called with the name of a step of the start that is reached.
         self.log_start_step: Callable[[str], None] = _ignore
         #: Called with each notice that a server leaves.
@@ -143,6 +155,7 @@
     def publish_stop(self) -> None:
         """Publish that this daemon begins its planned stop."""
         self._is_stopping = True
+        self._may_list.set()
         own = self._membership.own
         self._membership.publish_fact(
             Fact(FactKind.HOST_LEAVING, own.name, own.incarnation)
@@ -209,15 +222,27 @@
             if member.is_alive and member.name != own.name
         )
 
-    def addresses(self, failure_domain: str) -> tuple[Address, ...]:
+    async def look_up(self, failure_domain: str) -> ListedAddresses:
         """
         Return the caller addresses of daemons that accept new requests.
 
-        If there is none, the address of this daemon is returned.
+        If there is none, the address of this daemon is returned.  A daemon
+        that has just started waits for a short time until it knows another.
 
         :param failure_domain: failure domain of the caller, not used.
         """
+        await self._wait_for_first_peer()
         self.log_start_step('looked_up')
+        return ListedAddresses(self._available_addresses(), self._ttl_s())
+
+    async def _wait_for_first_peer(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(
+                self._started_s + _FIRST_PEER_LIMIT_S
+            ):
+                await self._may_list.wait()
+
+    def _available_addresses(self) -> tuple[Address, ...]:
         view = self._membership.view
         available = [
             member.callers
@@ -226,7 +251,16 @@
         ]
         return tuple(available) or (self._membership.own.callers,)
 
+    def _ttl_s(self) -> float:
+        """Return for how long callers may keep an answer given now."""
+        age_s = asyncio.get_running_loop().time() - self._started_s
+        if age_s < _LONELY_START_S and not self.live_peers():
+            return _LONELY_TTL_S
+        return _ADDRESS_TTL_S
+
     def _apply_view_change(self, change: ViewUpdated) -> None:
+        if self.live_peers():
+            self._may_list.set()
         for fact in change.updates.facts:
             notice = notice_from_fact(fact)
             if notice is not None:
--- a/bronzesill/platform/http_apps.py
+++ b/bronzesill/platform/http_apps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -9,16 +10,34 @@
 
 from ..utils import Address
 
-__all__ = ['ListAddresses', 'make_directory_app', 'make_readiness_app']
+__all__ = [
+    'ListedAddresses',
+    'LookUp',
+    'make_directory_app',
+    'make_readiness_app',
+]
 
 _READY = 200
 _NOT_READY = 503
 
 
-class ListAddresses(Protocol):
-    """Function that returns the addresses a caller may use."""
+@dataclasses.dataclass(frozen=True)
+class ListedAddresses:
+    """
+    Answer to a look-up.
+
+    :param addresses: addresses that a caller may use.
+    :param ttl_s: seconds for which it may keep them.
+    """
+
+    addresses: tuple[Address, ...]
+    ttl_s: float
+
+
+class LookUp(Protocol):
+    """Function that answers a look-up."""
 
-    def __call__(self, failure_domain: str) -> tuple[Address, ...]:
+    async def __call__(self, failure_domain: str) -> ListedAddresses:
         """
         Return the addresses of daemons that accept new work.
 
@@ -27,15 +46,14 @@
 
 
 class _LookupResource:
-    def __init__(self, list_addresses: ListAddresses, ttl_s: float) -> None:
-        self._list_addresses = list_addresses
-        self._ttl_s = ttl_s
+    def __init__(self, look_up: LookUp) -> None:
+        self._look_up = look_up
 
     async def on_get(self, req: asgi.Request, resp: asgi.Response) -> None:
-        addresses = self._list_addresses(req.get_param('zone') or '')
+        listed = await self._look_up(req.get_param('zone') or '')
         resp.media = {
-            'addresses': [str(address) for address in addresses],
-            'ttlS': self._ttl_s,
+            'addresses': [str(address) for address in listed.addresses],
+            'ttlS': listed.ttl_s,
         }
 
 
@@ -47,17 +65,14 @@
         resp.status = _READY if self._is_ready() else _NOT_READY
 
 
-def make_directory_app(
-    list_addresses: ListAddresses, ttl_s: float
-) -> asgi.App[Any, Any]:
+def make_directory_app(look_up: LookUp) -> asgi.App[Any, Any]:
     """
     Return the application from which callers look up addresses.
 
-    :param list_addresses: returns the addresses for a failure domain.
-    :param ttl_s: seconds for which callers may cache a response.
+    :param look_up: answers the look-ups.
     """
     app: asgi.App[Any, Any] = asgi.App()
-    app.add_route('/v1/lookup', _LookupResource(list_addresses, ttl_s))
+    app.add_route('/v1/lookup', _LookupResource(look_up))
     return app
 
 
