Keep the ranks and roles of hosts until the members change

Cause: eight times a second, each host ranked all live hosts for each listed server that had not answered of late, to learn whether it is the one that asks the server. Most servers are never asked by this host, so they were always due. With 68 hosts and 100 servers that was the largest cost of a quiet host; the list of live peers, the watchers and the collectors were made anew for each use as well.

Change: a host counts the hosts that rank before it instead of sorting them all, and keeps the result until the names of the live hosts change. Live peers, watchers and collectors are kept as long as the view has the same members. What is asked, and by whom, is unchanged; the rank, which is cheap now, is looked at before the activity of a server.

--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -36,7 +36,7 @@
 from .peer_replication import PeerReplication
 from .planned_stop import PlannedStop
 from .quarantine import Quarantine
-from .restart_detector import RestartDetector, rank_to_ask
+from .restart_detector import AskingRanks, RestartDetector
 from .task_runner import BackgroundTask, run_tasks
 from .usage_exchange import UsageExchange
 
@@ -155,9 +155,7 @@
             self._pool,
             self._dialect,
             settings.bounds.reuse_s,
-            lambda server: rank_to_ask(
-                settings.name, self._fleet.live_peers(), server
-            ),
+            AskingRanks(settings.name, self._fleet.live_peers).rank,
         )
         self._usage_exchange.on_restart = self._store_state.record_restart
         self._peers.handlers_by_type[FetchUse] = (
--- a/bronzesill/daemon/hosted_fleet.py
+++ b/bronzesill/daemon/hosted_fleet.py
@@ -12,11 +12,10 @@
 from ..membership import (
     Fact,
     FactKind,
+    FleetRoles,
     Member,
     MembershipController,
     ViewUpdated,
-    choose_collectors,
-    choose_watchers,
 )
 from ..platform.servers import HOST_PREFIX
 from ..store import KeyValueStore, Lease, Mutation, StoredEntry
@@ -69,6 +68,7 @@
         self._membership = membership
         self._seeds = seeds
         self._random = random
+        self._known_roles = FleetRoles(membership.view, membership.own)
         self._lease: Lease | None = None
         self._is_stopping = False
         self._has_returned = asyncio.Event()
@@ -179,11 +179,7 @@
 
         :returns: the daemons; empty if this daemon is to watch the store.
         """
-        own = self._membership.own
-        watchers = choose_watchers(self._membership.view, own.failure_domain)
-        if any(member.name == own.name for member in watchers):
-            return ()
-        return watchers
+        return self._roles().other_watchers
 
     def collectors(self) -> tuple[Member, ...]:
         """
@@ -191,23 +187,11 @@
 
         The result is empty if all daemons receive all reports.
         """
-        own_domain = self._membership.own.failure_domain
-        collectors = choose_collectors(self._membership.view)
-        return tuple(
-            sorted(
-                collectors,
-                key=lambda member: member.failure_domain != own_domain,
-            )
-        )
+        return self._roles().collectors
 
     def live_peers(self) -> tuple[Member, ...]:
         """Return the other daemons that are alive."""
-        own = self._membership.own
-        return tuple(
-            member
-            for member in self._membership.view.members_by_name.values()
-            if member.is_alive and member.name != own.name
-        )
+        return self._roles().peers
 
     def addresses(self, failure_domain: str) -> tuple[Address, ...]:
         """
@@ -246,6 +230,12 @@
     def _key(self) -> str:
         return f'{HOST_PREFIX}{self._membership.own.name}'
 
+    def _roles(self) -> FleetRoles:
+        view = self._membership.view
+        if not self._known_roles.are_of(view):
+            self._known_roles = FleetRoles(view, self._membership.own)
+        return self._known_roles
+
     async def _pause(self, pause_s: float) -> None:
         """Pause, but not long after a return of the store."""
         try:
--- a/bronzesill/daemon/restart_detector.py
+++ b/bronzesill/daemon/restart_detector.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from ..config import RegisteredServer
 from ..membership import Member
@@ -18,10 +18,10 @@
     Target,
     uptime_s,
 )
-from ..utils import rank_by_rendezvous
+from ..utils import stable_hash
 from .hosted_store_state import HostedStoreState
 
-__all__ = ['CHECK_INTERVAL_S', 'RestartDetector', 'rank_to_ask']
+__all__ = ['CHECK_INTERVAL_S', 'AskingRanks', 'RestartDetector']
 
 #: Well below the gap between two checks that counts as a pause of the process.
 CHECK_INTERVAL_S = 0.12
@@ -36,6 +36,8 @@
 _MAX_IDLE_S = 4.0
 _HTTP_OK = 200
 _MAX_HEALTH_BYTES = 64 * 1024
+#: Ranks kept at a time; restarted servers have new names.
+_MAX_RANKS = 4096
 
 
 class RestartDetector:
@@ -135,11 +137,9 @@
         candidates = (
             server
             for server, listed in listing.listed_by_name.items()
-            if not listed.is_leaving and self._is_due(server)
-        )
-        return tuple(
-            server for server in candidates if self._rank(server) < askers
+            if not listed.is_leaving and self._rank(server) < askers
         )
+        return tuple(server for server in candidates if self._is_due(server))
 
     def _is_due(self, server: str) -> bool:
         """Return whether nothing was heard of a server for an interval."""
@@ -244,13 +244,51 @@
     }
 
 
-def rank_to_ask(own_name: str, peers: Iterable[Member], server: str) -> int:
+class AskingRanks:
     """
-    Return the rank of a host among those that may ask a server.
+    Ranks of a host among those that may ask each server.
+
+    A rank depends only on the names of the live hosts, so it is kept until
+    they change.
 
     :param own_name: name of the host.
-    :param peers: the other live hosts.
-    :param server: name of the server.
+    :param list_peers: returns the other live hosts.
     """
-    names = (own_name, *(member.name for member in peers))
-    return rank_by_rendezvous(server, names).index(own_name)
+
+    def __init__(
+        self, own_name: str, list_peers: Callable[[], tuple[Member, ...]]
+    ) -> None:
+        self._own_name = own_name
+        self._list_peers = list_peers
+        self._peers: tuple[Member, ...] = ()
+        self._peer_names: tuple[str, ...] = ()
+        self._rank_by_server: dict[str, int] = {}
+
+    def rank(self, server: str) -> int:
+        """Return the rank of the host for a server, 0 for the first."""
+        self._note_peers(self._list_peers())
+        rank = self._rank_by_server.get(server)
+        if rank is None:
+            rank = _rank_to_ask(self._own_name, self._peer_names, server)
+            self._keep(server, rank)
+        return rank
+
+    def _note_peers(self, peers: tuple[Member, ...]) -> None:
+        if peers is self._peers:
+            return
+        self._peers = peers
+        names = tuple(member.name for member in peers)
+        if names != self._peer_names:
+            self._peer_names = names
+            self._rank_by_server.clear()
+
+    def _keep(self, server: str, rank: int) -> None:
+        if len(self._rank_by_server) >= _MAX_RANKS:
+            self._rank_by_server.clear()
+        self._rank_by_server[server] = rank
+
+
+def _rank_to_ask(own_name: str, peers: tuple[str, ...], server: str) -> int:
+    """Return the rank of a host by rendezvous hashing, without sorting."""
+    own_weight = stable_hash(server, own_name)
+    return sum(stable_hash(server, peer) > own_weight for peer in peers)
--- a/bronzesill/membership/__init__.py
+++ b/bronzesill/membership/__init__.py
@@ -23,6 +23,7 @@
     View,
 )
 from .roles import (
+    FleetRoles,
     choose_collectors,
     choose_entries,
     choose_replicas,
@@ -40,6 +41,7 @@
     'FactKind',
     'FactPublished',
     'FetchView',
+    'FleetRoles',
     'FleetView',
     'GossipPolicy',
     'GossipState',
--- a/bronzesill/membership/roles.py
+++ b/bronzesill/membership/roles.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import math
 
 from ..utils import rank_by_rendezvous
@@ -9,6 +10,7 @@
 from .view import FleetView
 
 __all__ = [
+    'FleetRoles',
     'choose_collectors',
     'choose_entries',
     'choose_replicas',
@@ -136,6 +138,56 @@
     return any(member.name == own.name for member in watchers)
 
 
+class FleetRoles:
+    """
+    The live members of a view and their roles, as one daemon sees them.
+
+    Each list is made when it is first used; the same object is returned
+    from then on.
+
+    :param view: view of the fleet.
+    :param own: member record of the daemon; only its name and failure domain
+        matter.
+    """
+
+    def __init__(self, view: FleetView, own: Member) -> None:
+        self._view = view
+        self._own = own
+
+    def are_of(self, view: FleetView) -> bool:
+        """Return whether the members of a view are those of these roles."""
+        # A change of the members makes a new mapping.
+        return view.members_by_name is self._view.members_by_name
+
+    @functools.cached_property
+    def peers(self) -> tuple[Member, ...]:
+        """The other daemons that are alive."""
+        return tuple(
+            member
+            for member in self._view.members_by_name.values()
+            if member.is_alive and member.name != self._own.name
+        )
+
+    @functools.cached_property
+    def other_watchers(self) -> tuple[Member, ...]:
+        """Watchers of the own failure domain, empty if this daemon is one."""
+        watchers = choose_watchers(self._view, self._own.failure_domain)
+        if any(member.name == self._own.name for member in watchers):
+            return ()
+        return watchers
+
+    @functools.cached_property
+    def collectors(self) -> tuple[Member, ...]:
+        """Collectors of reports of use, those of the own domain first."""
+        own_domain = self._own.failure_domain
+        return tuple(
+            sorted(
+                choose_collectors(self._view),
+                key=lambda member: member.failure_domain != own_domain,
+            )
+        )
+
+
 def _live_members(view: FleetView, failure_domain: str) -> tuple[Member, ...]:
     return tuple(
         member
