Look up the fields of a message type once

Cause: the library's hooks for sequences of values look up the fields of a data class, and the hook of each field, for every instance. A report of use holds an instance for each server, and each choice of a server may fetch one. Numbers and texts went through all checks for other types as well.

Change: the hooks of the fields are looked up once for each data class, and a value of exactly the wanted type is only checked for its range. The form of messages is the same.

--- a/bronzesill/utils/converter.py
+++ b/bronzesill/utils/converter.py
@@ -7,10 +7,12 @@
 
 from __future__ import annotations
 
+import dataclasses
 import enum
 import math
 import re
 import reprlib
+from collections.abc import Callable
 from typing import Any, TypeVar
 
 import cattrs
@@ -89,9 +91,57 @@
     )
     # Without it, a number is converted to as many bytes.
     converter.register_structure_hook(bytes, _structure_primitive)
+    converter.register_structure_hook_factory(
+        dataclasses.is_dataclass,
+        lambda data_class: (
+            _FieldHooks(data_class, converter.get_structure_hook).read
+        ),
+    )
+    converter.register_unstructure_hook_factory(
+        dataclasses.is_dataclass,
+        lambda data_class: (
+            _FieldHooks(data_class, converter.get_unstructure_hook).write
+        ),
+    )
     return converter
 
 
+class _FieldHooks:
+    """
+    Hooks that convert the values of the fields of a data class, in order.
+
+    The library would look up the fields again for each instance.
+
+    :param data_class: data class of the instances.
+    :param find_hook: returns the hook for a type.
+    """
+
+    def __init__(
+        self, data_class: Any, find_hook: Callable[[Any], Any]
+    ) -> None:
+        self._data_class = data_class
+        self._hooks = tuple(
+            (field.name, field.type, find_hook(field.type))
+            for field in dataclasses.fields(data_class)
+        )
+
+    def read(self, values: Any, _: object) -> Any:
+        """Build an instance from a sequence; surplus values are ignored."""
+        read = [
+            hook(value, field_type)
+            for (_name, field_type, hook), value in zip(
+                self._hooks, values, strict=False
+            )
+        ]
+        return self._data_class(*read)
+
+    def write(self, instance: object) -> tuple[Any, ...]:
+        """Return the converted values of an instance."""
+        return tuple(
+            [hook(getattr(instance, name)) for name, _type, hook in self._hooks]
+        )
+
+
 def _register_hooks(converter: cattrs.Converter) -> cattrs.Converter:
     converter.register_structure_hook(
         Address, lambda text, _: Address.from_text(_require_text(text))
@@ -109,22 +159,30 @@
     return raw
 
 
-def _structure_primitive(raw: object, primitive: type) -> object:
+def _structure_primitive(raw: Any, primitive: type) -> object:
+    # Nearly all values are of the type itself; the rest takes longer to check.
+    if raw.__class__ is primitive and _is_in_range(raw):
+        return raw
+    return _structure_other(raw, primitive)
+
+
+def _structure_other(raw: object, primitive: type) -> object:
     accepted = (int, float) if primitive is float else (primitive,)
     is_unexpected_bool = isinstance(raw, bool) and primitive is not bool
     if is_unexpected_bool or not isinstance(raw, accepted):
         # A value may be nested too deeply, or be too large, for its full text.
         shown = reprlib.repr(raw)
         raise TypeError(f'expected {primitive.__name__}, got {shown}')
-    if isinstance(raw, int | float) and not _is_in_range(raw):
+    if not _is_in_range(raw):
         raise ValueError(f'expected a finite {primitive.__name__} of 64 bits')
     return primitive(raw)
 
 
-def _is_in_range(number: float) -> bool:
-    if isinstance(number, int):
-        return abs(number) <= _MAX_WIRE_INTEGER
-    return math.isfinite(number)
+def _is_in_range(raw: object) -> bool:
+    """Return whether a value is no number or one that fits into 64 bits."""
+    if isinstance(raw, int):
+        return -_MAX_WIRE_INTEGER <= raw <= _MAX_WIRE_INTEGER
+    return not isinstance(raw, float) or math.isfinite(raw)
 
 
 _MAP_CONVERTER = _make_map_converter()
