Keep roles only while neither members nor facts of the view change

Callers would see: hosts that follow a watcher which is about to exit. Cause: two changes met: watchers and collectors depend on announcements of stops now, and the roles of a view are kept while its members are the same. Change: the kept roles end with a change of the facts as well. Evidence: the tests of bronzesill/membership (44), early start and watchers pass; the new case shows that an announcement ends the kept roles.

--- a/bronzesill/daemon/hosted_fleet.py
+++ b/bronzesill/daemon/hosted_fleet.py
@@ -78,6 +78,7 @@
         self._seeds = seeds
         self._random = random
         self._known_roles = FleetRoles(membership.view, membership.own)
+        self._key = f'{HOST_PREFIX}{membership.own.name}'
         self._lease: Lease | None = None
         self._is_stopping = False
         self._has_returned = asyncio.Event()
@@ -260,10 +261,6 @@
             return unreachable
         return (*self._seeds, *unreachable)
 
-    @property
-    def _key(self) -> str:
-        return f'{HOST_PREFIX}{self._membership.own.name}'
-
     def _roles(self) -> FleetRoles:
         view = self._membership.view
         if not self._known_roles.are_of(view):
--- a/bronzesill/membership/roles.py
+++ b/bronzesill/membership/roles.py
@@ -159,9 +159,13 @@
         self._own = own
 
     def are_of(self, view: FleetView) -> bool:
-        """Return whether the members of a view are those of these roles."""
-        # A change of the members makes a new mapping.
-        return view.members_by_name is self._view.members_by_name
+        """Return whether a view has the members and facts of these roles."""
+        # A change of them makes a new mapping.
+        known = self._view
+        return (
+            view.members_by_name is known.members_by_name
+            and view.facts_by_name is known.facts_by_name
+        )
 
     @functools.cached_property
     def peers(self) -> tuple[Member, ...]:
--- a/bronzesill/membership/tests/test_roles_at_stops.py
+++ b/bronzesill/membership/tests/test_roles_at_stops.py
@@ -6,7 +6,12 @@
 from ..facts import Fact, FactKind
 from ..members import Member
 from ..messages import GossipUpdates
-from ..roles import choose_collectors, choose_replicas, choose_watchers
+from ..roles import (
+    FleetRoles,
+    choose_collectors,
+    choose_replicas,
+    choose_watchers,
+)
 from ..view import FleetView
 
 _DOMAINS = 4
@@ -55,6 +60,13 @@
             if member.failure_domain == 'domain-0'
         )
 
+    # Guards against roles that are kept although a host has announced a stop.
+    def test_kept_roles_end_with_an_announcement(self) -> None:
+        roles = FleetRoles(self.view, self.domain[0])
+        self.assertTrue(roles.are_of(self.view))
+        announced = _announce(self.view, self.domain[1:2])
+        self.assertFalse(roles.are_of(announced))
+
     # Guards against a failure domain whose hosts follow hosts that are about
     # to exit, so that changes reach it late.
     def test_leaving_hosts_do_not_watch(self) -> None:
