Keep the registration of a worker stand-in in a module of its own

A test called a private method for them. Change: registration.py writes what a worker says of itself; the method that the test of endless answers calls is public. No behaviour changes, no check changes. Evidence: test_standins, test_endless_answers and test_odd_entries pass (16).

--- a/bronzesill/daemon/tests/test_endless_answers.py
+++ b/bronzesill/daemon/tests/test_endless_answers.py
@@ -54,7 +54,7 @@
             self._serve, address.ip, address.port
         )
         self._registration = asyncio.create_task(
-            self._worker._maintain_registration()
+            self._worker.maintain_registration()
         )
 
     def stop(self) -> None:
--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
 import time
 from collections import Counter
@@ -12,21 +11,16 @@
 
 import aiohttp
 import falcon
-import orjson
 from falcon import asgi
 
 from ..gateway import ReceiveBufferMiddleware, read_body, watch_disconnect
-from ..platform.servers import SERVER_PREFIX
-from ..platform.store import PlatformStore
-from ..store import Lease, Mutation
-from ..utils import Address, BronzesillError, stable_hash
+from ..utils import Address, stable_hash
 from .brittle import BrittlePlan, BrittleState
 from .http_standin import HttpStandIn
+from .registration import maintain_registration
 
 __all__ = ['WorkerPlan', 'WorkerStandIn', 'expected_events']
 
-_HEARTBEAT_INTERVAL_S = 0.4
-_LEASE_TTL_S = 1.2
 _MS_PER_S = 1000
 _COPY_TIMEOUT_S = 1.0
 #: Time within which a crashing worker is stopped.
@@ -137,7 +131,7 @@
     async def start(self) -> None:
         """Start the server and the registration heartbeat."""
         await super().start()
-        self._task = asyncio.create_task(self._maintain_registration())
+        self._task = asyncio.create_task(self.maintain_registration())
 
     async def stop(self) -> None:
         """Stop immediately, as a process crash does."""
@@ -145,6 +139,12 @@
             self._task.cancel()
         await super().stop()
 
+    async def maintain_registration(self) -> None:
+        """Register the worker and renew its lease until cancelled."""
+        await maintain_registration(
+            self._store_address, self.plan.name, self._registration
+        )
+
     async def on_request(
         self, req: asgi.Request, resp: asgi.Response | None, **_: Any
     ) -> None:
@@ -344,43 +344,10 @@
             except (aiohttp.ClientError, TimeoutError):
                 return
 
-    async def _maintain_registration(self) -> None:
-        with contextlib.closing(PlatformStore(self._store_address)) as store:
-            lease: Lease | None = None
-            sequence = 0
-            while True:
-                if self.is_silent:
-                    await asyncio.sleep(_HEARTBEAT_INTERVAL_S)
-                    continue
-                sequence += 1
-                try:
-                    lease = await self._renew_registration(
-                        store, lease, sequence
-                    )
-                except BronzesillError:
-                    lease = None
-                await asyncio.sleep(_HEARTBEAT_INTERVAL_S)
-
-    async def _renew_registration(
-        self, store: PlatformStore, lease: Lease | None, sequence: int
-    ) -> Lease:
-        is_kept = lease is not None and await store.renew_lease(lease)
-        if lease is None or not is_kept:
-            lease = await store.grant_lease(_LEASE_TTL_S)
-        key = f'{SERVER_PREFIX}{self.plan.name}'
-        existing = await store.get(key)
-        registration = self._registration(sequence)
-        is_known = existing and _says_the_same(existing.payload, registration)
-        if is_kept and is_known:
-            return lease
-        await store.compare_and_swap(
-            key,
-            existing.revision if existing else None,
-            (Mutation(key, orjson.dumps(registration), lease),),
-        )
-        return lease
-
-    def _registration(self, sequence: int) -> dict[str, Any]:
+    def _registration(self) -> dict[str, Any] | None:
+        """Return the registration, none while nothing is written."""
+        if self.is_silent:
+            return None
         return {
             'service': self.plan.service,
             'address': str(self.address),
@@ -389,7 +356,6 @@
             'slots': self.plan.slots,
             'state': 'draining' if self.is_leaving else 'ready',
             'coldRemainingMs': 0,
-            'sequence': sequence,
             'born': self._started_at_ms,
         }
 
@@ -413,11 +379,6 @@
     }
 
 
-def _says_the_same(payload: bytes, registration: dict[str, Any]) -> bool:
-    stored = orjson.loads(payload)
-    return {**stored, 'sequence': 0} == {**registration, 'sequence': 0}
-
-
 def _event(body: bytes, number: int) -> bytes:
     token = stable_hash(body.decode('latin-1'), str(number))
     return b'id: %d\ndata: %x\n\n' % (number, token)
