--- a/bronzesill/daemon/tests/test_planned_stop.py
+++ b/bronzesill/daemon/tests/test_planned_stop.py
@@ -15,19 +15,17 @@
 from ...platform.servers import HOST_PREFIX
 from ...platform.store import PlatformStore
 from ...standins.hosted_fleet import (
-    HostedFleet,
     HostedPlan,
     make_configuration,
 )
-from ...standins.worker import WorkerPlan, expected_events
-from .hosted_caller import HostedAnswer, HostedCaller
+from ...standins.worker import WorkerPlan
+from .hosted_caller import HostedAnswer
+from .stop_case import StopCase
 
-_BODY = b'catalogue'
 #: Seconds of grace; the host exits half a second earlier.
 _GRACE_S = 3.0
 #: For streams that are slow by intent.
 _LONG_GRACE_S = 6.0
-_WARM_UP_STREAMS = 10
 _HTTP_OK = 200
 _NOT_RUN = 503
 _UNKNOWN = 502
@@ -55,36 +53,7 @@
     await asyncio.sleep(_HANGING_S)
 
 
-class _StopCase(unittest.IsolatedAsyncioTestCase):
-    plan = HostedPlan()
-
-    async def asyncSetUp(self) -> None:
-        self.fleet = await HostedFleet(self.plan).__aenter__()
-        self.caller = HostedCaller()
-        self.daemon = self.fleet.daemons[0]
-        self.expected = expected_events(_BODY, self.plan.workers[0].events)
-
-    async def asyncTearDown(self) -> None:
-        await self.caller.close()
-        await self.fleet.__aexit__()
-
-    async def stream(self, **headers: str) -> HostedAnswer:
-        return await self.caller.send_request(
-            self.daemon.settings.callers,
-            '/guides/1',
-            body=_BODY,
-            X_Token_Usage='10,200',
-            **headers,
-        )
-
-    async def warm_up(self) -> None:
-        """Let the host see how long streams take."""
-        streams = [self.stream() for _ in range(_WARM_UP_STREAMS)]
-        for answer in await asyncio.gather(*streams):
-            self.assertEqual(answer.body, self.expected)
-
-
-class SlowStreamTest(_StopCase):
+class SlowStreamTest(StopCase):
     """Streams take two seconds, twice as long as their size suggests."""
 
     plan = _engines(events=40, pace_s=0.05)
@@ -105,7 +74,7 @@
         self.assertEqual(answer.status, _NOT_RUN)
 
 
-class FastStreamTest(_StopCase):
+class FastStreamTest(StopCase):
     """Streams take a tenth of a second."""
 
     plan = _engines(events=10, pace_s=0.01)
@@ -129,7 +98,7 @@
         self.assertEqual(answer.status, _HTTP_OK)
 
 
-class SlowedStreamTest(_StopCase):
+class SlowedStreamTest(StopCase):
     """An engine slows down after streams that took a tenth of a second."""
 
     plan = dataclasses.replace(
@@ -153,7 +122,7 @@
                 await stream
 
 
-class StoppingEntryTest(_StopCase):
+class StoppingEntryTest(StopCase):
     """The entry of a stopping host in the store."""
 
     plan = HostedPlan(daemons=1, grace_s=_LONG_GRACE_S)
@@ -181,7 +150,7 @@
         waiting.cancel()
 
 
-class LateCallTest(_StopCase):
+class LateCallTest(StopCase):
     """Calls that may run at most once take longer than usual calls do."""
 
     plan = _engines(events=10, pace_s=0.01)
@@ -206,7 +175,7 @@
         self.assertEqual(answer.status, _HTTP_OK)
 
 
-class UnansweredTest(_StopCase):
+class UnansweredTest(StopCase):
     """Requests that are still without an answer when the host exits."""
 
     plan = HostedPlan(
@@ -268,7 +237,7 @@
         self.assertEqual(answer.status, _UNKNOWN)
 
 
-class KeptConnectionTest(_StopCase):
+class KeptConnectionTest(StopCase):
     """Callers send request after request until the host is gone."""
 
     plan = HostedPlan(daemons=1, grace_s=_LONG_GRACE_S)
@@ -325,7 +294,7 @@
         self.assertEqual(self.unanswered, 0)
 
 
-class SilentPeerTest(_StopCase):
+class SilentPeerTest(StopCase):
     """A peer does not read what this host has for it."""
 
     plan = _engines(events=10, pace_s=0.01)
@@ -338,7 +307,7 @@
                 await self.fleet.wait_until_stopped(self.daemon)
 
 
-class CutStreamLogTest(_StopCase):
+class CutStreamLogTest(StopCase):
     """A stream outlasts the grace period."""
 
     plan = _engines(events=400, pace_s=0.02)
--- a/bronzesill/generations/tests/test_begun_answers.py
+++ b/bronzesill/generations/tests/test_begun_answers.py
@@ -16,15 +16,15 @@
 from ...limits import FleetRetryAllowance, RetryBounds
 from ...routing import ServerTracker
 from ...standins.virtual_time import run_in_virtual_time
-from ...upstream import ConnectionLost, ForwardRequest
+from ...upstream import ConnectionLost
 from ...utils import Address, NullMetrics
 from ..controller import GenerationsController
 from ..locations import LocalDirectory, LocationTable
 from ..messages import EndArrived, TokensArrived
-from ..request import GenerationRequest
 from ..stall_detection import StallPolicy
 from ..stream_client import StreamMessage, StreamOpening
 from ..subscription import AcceptedTokens, AnswerCompleted
+from .sample_requests import make_request
 
 _DAEMONS = 8
 _STREAMS = 48
@@ -90,7 +90,7 @@
 
     async def longest_pause_s(self, number: int) -> float:
         """Run a stream to its end; return its longest pause in seconds."""
-        request = _make_request(f'request-{number}')
+        request = make_request(f'request-{number}', _DEADLINE_S)
         queue = self.controller.subscribe(request, 0, _POLICY)
         loop = asyncio.get_running_loop()
         pause_s = 0.0
@@ -118,23 +118,6 @@
     }
 
 
-def _make_request(request_id: str) -> GenerationRequest:
-    return GenerationRequest(
-        request_id,
-        f'gen-{request_id}',
-        'huka',
-        'guide',
-        'v1',
-        '',
-        1,
-        0,
-        _DEADLINE_S,
-        forward=ForwardRequest(
-            request_id, 'POST', b'/guides', (), b'', 'huka', _DEADLINE_S
-        ),
-    )
-
-
 async def _lose_engine_late() -> list[float]:
     host = _Host()
     loop = asyncio.get_running_loop()
--- a/bronzesill/generations/tests/test_endless_streams.py
+++ b/bronzesill/generations/tests/test_endless_streams.py
@@ -15,12 +15,11 @@
 from ...config import BackendServer
 from ...routing import ServerTracker
 from ...standins.virtual_time import run_in_virtual_time
-from ...upstream import AnswerMemory, ForwardRequest
+from ...upstream import AnswerMemory
 from ...utils import Address, NullMetrics
 from ..controller import GenerationsController
 from ..locations import LocalDirectory, LocationTable
 from ..messages import EndArrived, TokensArrived
-from ..request import GenerationRequest
 from ..stall_detection import StallPolicy
 from ..stream_client import StreamMessage, StreamOpening
 from ..subscription import (
@@ -29,6 +28,7 @@
     AnswerFailed,
     Subscription,
 )
+from .sample_requests import make_request
 
 _MAX_KEPT_BYTES = 40_000
 _EVENT = 'x' * 100
@@ -85,24 +85,6 @@
     return controller
 
 
-def _make_request(request_id: str) -> GenerationRequest:
-    return GenerationRequest(
-        request_id,
-        f'gen-{request_id}',
-        'huka',
-        'guide',
-        'v1',
-        '',
-        1,
-        0,
-        _DEADLINE_S,
-        can_reconnect=True,
-        forward=ForwardRequest(
-            request_id, 'POST', b'/guides', (), b'', 'huka', _DEADLINE_S
-        ),
-    )
-
-
 class _Host:
     """A host whose only engine does not end all its answers."""
 
@@ -113,7 +95,9 @@
     def subscribe(self, request_id: str) -> Subscription:
         """Begin a request."""
         return self.controller.subscribe(
-            _make_request(request_id), 0, StallPolicy(max_attempts=5)
+            make_request(request_id, _DEADLINE_S, can_reconnect=True),
+            0,
+            StallPolicy(max_attempts=5),
         )
 
     async def read(self, request_id: str) -> _Read:
--- a/bronzesill/generations/tests/test_held_streams.py
+++ b/bronzesill/generations/tests/test_held_streams.py
@@ -16,7 +16,7 @@
 from ...config import BackendServer
 from ...routing import ServerTracker
 from ...standins.virtual_time import run_in_virtual_time
-from ...upstream import ConnectionLost, ForwardRequest
+from ...upstream import ConnectionLost
 from ...utils import Address, NullMetrics
 from ..controller import GenerationsController
 from ..locations import LocalDirectory, LocationTable
@@ -25,6 +25,7 @@
 from ..stall_detection import StallPolicy
 from ..stream_client import AttemptRefused, StreamMessage, StreamOpening
 from ..subscription import AnswerCompleted, AnswerFailed
+from .sample_requests import make_request
 
 _CRASHING = b'look up slot 13'
 _HOSTS = 3
@@ -120,7 +121,7 @@
     ) -> AnswerCompleted | AnswerFailed:
         """Send a stream at a host and return its end."""
         self._sent += 1
-        request = _make_request(f'request-{self._sent}', body)
+        request = make_request(f'request-{self._sent}', _DEADLINE_S, body=body)
         queue = host.subscribe(request, 0, _POLICY)
         while True:
             event = await queue.get()
@@ -156,23 +157,6 @@
         return ''
 
 
-def _make_request(request_id: str, body: bytes) -> GenerationRequest:
-    return GenerationRequest(
-        request_id,
-        f'gen-{request_id}',
-        'huka',
-        'guide',
-        'v1',
-        '',
-        1,
-        0,
-        _DEADLINE_S,
-        forward=ForwardRequest(
-            request_id, 'POST', b'/guides', (), body, 'huka', _DEADLINE_S
-        ),
-    )
-
-
 def _body(request: GenerationRequest) -> bytes:
     assert request.forward is not None
     return request.forward.body
