Let a host read the store once its knowledge is too old (CONFIG)

Callers got what an older configuration says at hosts in touch: both hosts that watch the store for a domain had lost it in silence, and a follower took the time of their answers for the time of what is in them. Class: evidence without a time.

The host that reads the store keeps until when the store has spoken, and each answer to a follower hands that on, counted from the arrival of the request, so that time on the way makes knowledge older, never younger. A long poll ends at the next confirmation. Answers of older builds count as before.

--- a/bronzesill/daemon/hosted_store_state.py
+++ b/bronzesill/daemon/hosted_store_state.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import functools
+import math
 from collections.abc import Callable
 from operator import attrgetter
 
@@ -22,6 +23,7 @@
     Replica,
     ReplicaAnswer,
     ReplicaEntry,
+    complete_to,
     merge_answer,
     merge_changes,
     merge_snapshot,
@@ -58,6 +60,8 @@
         on_new_entries: Callable[[tuple[StoredEntry, ...]], None],
     ) -> None:
         self.replica = Replica()
+        #: Time at which the store last confirmed what is known here.
+        self.confirmed_at_s = -math.inf
         self.listing = ServerListing()
         self._state = state
         self._tracker = tracker
@@ -117,6 +121,20 @@
         if answer.configuration is not None:
             self._adopt_document(answer.configuration.to_stored())
 
+    def confirm(self, revision: StoreRevision, confirmed_at_s: float) -> None:
+        """
+        Record that the store confirmed what is known here.
+
+        :param revision: revision up to which the store told of all changes.
+        :param confirmed_at_s: time at which it did, at this host or another.
+        """
+        if revision.era != self.replica.era:
+            return
+        self.replica = complete_to(self.replica, revision)
+        if confirmed_at_s > self.confirmed_at_s:
+            self.confirmed_at_s = confirmed_at_s
+            self._wake_waiting()
+
     def set_store_reachable(self, is_reachable: bool) -> None:
         """Record whether the store answers."""
         self.listing = self.listing.with_store_state(
@@ -176,9 +194,17 @@
         entry = document.services.get(service) if document else None
         return entry.health_path if entry else ''
 
-    async def wait_for_change_after(self, revision: StoreRevision) -> None:
-        """Wait until the replica holds a revision above the given one."""
-        while self.replica.last_revision <= revision:
+    async def wait_for_news(self, revision: StoreRevision) -> None:
+        """
+        Wait for a revision above the given one, or for a confirmation.
+
+        :param revision: revision up to which all changes are known.
+        """
+        confirmed_at_s = self.confirmed_at_s
+        while (
+            self.replica.last_revision <= revision
+            and self.confirmed_at_s <= confirmed_at_s
+        ):
             await self._changed.wait()
 
     async def drop_expired_servers(self) -> None:
@@ -199,6 +225,10 @@
             if has_expired or self.listing is not old_listing:
                 self._refresh_servers()
 
+    def _wake_waiting(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _apply_merge(self, merged: MergeResult) -> None:
         if merged.ignored_entries:
             _log_ignored(merged)
@@ -206,8 +236,7 @@
         is_later = merged.replica.last_revision > self.replica.last_revision
         self.replica = merged.replica
         if is_later:
-            self._changed.set()
-            self._changed = asyncio.Event()
+            self._wake_waiting()
         if not merged.newer_entries:
             return
         old_listing = self.listing
--- a/bronzesill/daemon/peer_replication.py
+++ b/bronzesill/daemon/peer_replication.py
@@ -5,12 +5,18 @@
 import asyncio
 import contextlib
 import dataclasses
+import math
 import zlib
 from collections.abc import Callable
 from random import Random
 
 from ..membership import Member
-from ..replica import FetchReplica, ReplicaAnswer, answer_fetch
+from ..replica import (
+    FetchReplica,
+    FreshnessBudget,
+    ReplicaAnswer,
+    answer_fetch,
+)
 from ..utils import BronzesillError, PartLogger
 from ..wire import PeerClient
 from .hosted_store_state import HostedStoreState
@@ -21,13 +27,15 @@
 #: Allows for the transfer of a whole replica over a slow link.
 _TRANSFER_TIMEOUT_S = 1.5
 #: Longest time for which a request waits for changes.
-_LONG_POLL_S = 1.0
+#: A watcher answers at its next confirmation, so this is rarely reached.
+_LONG_POLL_S = 1.25
 #: A watcher that has not answered so long after the end of a long poll may be
-#: frozen; another one is asked meanwhile.  With the long poll itself this has
-#: to stay well below the time in which a configuration comes into force.
+#: frozen; another one is asked meanwhile.
 _SILENCE_S = 0.25
-#: Without a reply for this long, this daemon follows the store directly.
-_MAX_UPDATE_AGE_S = 2.0
+#: Longest age of knowledge that is told; it stands for any longer one.
+_LONGEST_AGE_S = 3600.0
+#: A shorter time until the store has to be read is none.
+_CLOCK_STEP_S = 0.001
 
 _log = PartLogger('knowledge')
 
@@ -38,7 +46,9 @@
 
     A daemon that watches the store polls a random peer, and only while the
     store does not answer or its own state is incomplete.  Any other daemon
-    follows one of the watchers by long polling.
+    follows one of the watchers by long polling.  An answer says when the store
+    last confirmed what is in it; a daemon whose knowledge gets too old follows
+    the store directly until a watcher knows better.
 
     :param store_state: replica of the store on this daemon.
     :param client: client for requests to peers.
@@ -48,6 +58,7 @@
     :param find_newest_version: returns the highest version of the
         configuration that a daemon told of, 0 for none.
     :param random: generator for the choice of peers and for jitter.
+    :param apply_s: seconds in which a configuration has to be in force.
     """
 
     def __init__(
@@ -58,6 +69,7 @@
         list_watchers: Callable[[], tuple[Member, ...]],
         find_newest_version: Callable[[], int],
         random: Random,
+        apply_s: float,
     ) -> None:
         self._store_state = store_state
         self._client = client
@@ -65,16 +77,26 @@
         self._list_watchers = list_watchers
         self._find_newest_version = find_newest_version
         self._random = random
-        self._last_update_s = -_MAX_UPDATE_AGE_S
+        self._budget = FreshnessBudget.from_apply_s(apply_s)
+        #: Time at which the store last confirmed what peers told.
+        self._confirmed_at_s = -math.inf
         self._watcher: Member | None = None
+        #: Name of the watcher that was last given up.
+        self._left_watcher = ''
         #: Era in which a peer last answered, none before the first answer.
         self._answered_era: int | None = None
 
     def should_watch(self) -> bool:
         """Return whether this daemon has to follow the store directly."""
+        return not self.watch_due_in_s()
+
+    def watch_due_in_s(self) -> float:
+        """Return the seconds until it has to, 0 if it has to now."""
         if not self._list_watchers() or not self._store_state.is_complete:
-            return True
-        return _now_s() - self._last_update_s > _MAX_UPDATE_AGE_S
+            return 0
+        age_s = _now_s() - self._confirmed_at_s
+        due_in_s = self._budget.max_age_s - age_s
+        return due_in_s if due_in_s > _CLOCK_STEP_S else 0
 
     async def run(self) -> None:
         """Replicate from peers until cancelled."""
@@ -86,12 +108,13 @@
         """
         Return the entries that changed after the revision of a request.
 
-        Without such entries the reply waits for a change, at most as long
-        as the request allows.
+        Without such entries the reply waits for a change or for the store to
+        confirm that there is none, at most as long as the request allows.
         """
+        arrived_at_s = _now_s()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(min(request.wait_s, _LONG_POLL_S)):
-                await self._store_state.wait_for_change_after(request.after)
+                await self._store_state.wait_for_news(request.after)
         is_unreachable = self._store_state.listing.is_store_unreachable
         answer = answer_fetch(
             self._store_state.replica,
@@ -101,7 +124,12 @@
         configuration = self._store_state.configuration_newer_than(
             request.configuration_version
         )
-        return dataclasses.replace(answer, configuration=configuration)
+        confirmed_after_s = self._store_state.confirmed_at_s - arrived_at_s
+        return dataclasses.replace(
+            answer,
+            configuration=configuration,
+            confirmed_after_s=max(confirmed_after_s, -_LONGEST_AGE_S),
+        )
 
     async def _poll_peers_when_stale(self) -> None:
         while True:
@@ -119,12 +147,22 @@
                 await asyncio.sleep(_POLL_INTERVAL_S)
                 continue
             reply = await self._fetch_or_ask_another(watcher)
-            if reply is None or not reply.is_store_reachable:
-                self._watcher = None
-                await asyncio.sleep(_POLL_INTERVAL_S * self._random.random())
+            is_reached = reply is not None and reply.is_store_reachable
+            if is_reached and not self.should_watch():
+                self._store_state.set_store_reachable(True)
                 continue
-            self._last_update_s = _now_s()
-            self._store_state.set_store_reachable(True)
+            self._leave_watcher(watcher, is_silent=reply is None)
+            await asyncio.sleep(_POLL_INTERVAL_S * self._random.random())
+
+    def _leave_watcher(self, watcher: Member, *, is_silent: bool) -> None:
+        _log.event(
+            'watcher_left',
+            watcher=watcher.name,
+            is_silent=is_silent,
+            age_s=round(_now_s() - self._confirmed_at_s, 3),
+        )
+        self._left_watcher = watcher.name
+        self._watcher = None
 
     async def _fetch_or_ask_another(
         self, watcher: Member
@@ -172,7 +210,12 @@
         if self._watcher not in watchers:
             self._watcher = None
         if self._watcher is None and watchers:
-            self._watcher = self._random.choice(watchers)
+            others = tuple(
+                watcher
+                for watcher in watchers
+                if watcher.name != self._left_watcher
+            )
+            self._watcher = self._random.choice(others or watchers)
         return self._watcher
 
     def _is_fallback_needed(self) -> bool:
@@ -192,6 +235,7 @@
             wait_s,
             self._store_state.configuration_version,
         )
+        sent_at_s = _now_s()
         try:
             reply = await self._client.request(
                 peer.peers, request, wait_s + _TRANSFER_TIMEOUT_S
@@ -201,17 +245,30 @@
             return None
         if not isinstance(reply, ReplicaAnswer):
             return None
-        self._apply(reply)
+        self._apply(reply, sent_at_s)
         self._answered_era = self._store_state.replica.era
         return reply
 
-    def _apply(self, reply: ReplicaAnswer) -> None:
+    def _apply(self, reply: ReplicaAnswer, sent_at_s: float) -> None:
         try:
             self._store_state.apply_answer(reply)
         except zlib.error as error:
             _log.warning(
                 'store entries from a peer cannot be decompressed: %s', error
             )
+            return
+        confirmed_at_s = _find_confirmation_s(reply, sent_at_s)
+        if reply.revision.era == self._store_state.replica.era:
+            self._confirmed_at_s = max(self._confirmed_at_s, confirmed_at_s)
+        self._store_state.confirm(reply.revision, confirmed_at_s)
+
+
+def _find_confirmation_s(reply: ReplicaAnswer, sent_at_s: float) -> float:
+    """Return when the store last confirmed an answer, or a time before."""
+    if reply.confirmed_after_s is not None:
+        return sent_at_s + reply.confirmed_after_s
+    # A daemon of an older build does not tell.
+    return _now_s() if reply.is_store_reachable else -math.inf
 
 
 def _now_s() -> float:
--- a/bronzesill/replica/messages.py
+++ b/bronzesill/replica/messages.py
@@ -80,6 +80,9 @@
     :param configuration: configuration in force on the answering daemon, if
         it has a higher version than the requesting daemon's.  It may be of an
         earlier era than the other entries.
+    :param confirmed_after_s: time at which the store last confirmed all this,
+        in seconds after the request arrived, so negative if it was before;
+        ``None`` if the answering daemon does not tell.
     """
 
     entries: tuple[ReplicaEntry, ...]
@@ -87,3 +90,4 @@
     is_snapshot: bool = False
     is_store_reachable: bool = False
     configuration: ReplicaEntry | None = None
+    confirmed_after_s: float | None = None
--- a/bronzesill/replica/state.py
+++ b/bronzesill/replica/state.py
@@ -12,6 +12,7 @@
     'MergeResult',
     'Replica',
     'answer_fetch',
+    'complete_to',
     'merge',
     'merge_answer',
     'merge_changes',
@@ -110,12 +111,20 @@
     return _completed(merge(replica, changes), last)
 
 
-def _completed(merged: MergeResult, revision: StoreRevision) -> MergeResult:
-    """Record up to which revision of its era a replica is complete."""
-    replica = merged.replica
+def complete_to(replica: Replica, revision: StoreRevision) -> Replica:
+    """
+    Record up to which revision of its era a replica is complete.
+
+    :param replica: replica that holds all changes up to the revision.
+    :param revision: the revision; one of another era says nothing.
+    """
     if revision.era != replica.era or revision <= replica.last_revision:
-        return merged
-    renewed = dataclasses.replace(replica, last_revision=revision)
+        return replica
+    return dataclasses.replace(replica, last_revision=revision)
+
+
+def _completed(merged: MergeResult, revision: StoreRevision) -> MergeResult:
+    renewed = complete_to(merged.replica, revision)
     return dataclasses.replace(merged, replica=renewed)
 
 
