Let a cut host search the whole fleet for a way to the servers (RECOVER)

Callers of hosts that had lost their links to the backend servers were served far worse than others on a fleet of 59 hosts. A host asked three peers of its own failure domain a call; those that refused were asked again, for the next server or a second later, before any other domain was. Class: a host takes its own domain for the fleet; what an answer says is not kept.

A peer that opened a connection is asked first for all servers, then one that a refusing peer names as its own way (RelayRefused.relay), then peers that did not refuse; the own domain is preferred only while none of it has refused. A call searches on within 0.4 s, with twelve further choices of three peers at once and five a second for each host, so that asks do not grow with the fleet.

--- a/bronzesill/daemon/hosted_peers.py
+++ b/bronzesill/daemon/hosted_peers.py
@@ -159,6 +159,7 @@
             f'relay.served.{outcome}'
         )
         server.is_cut = connector.paths.is_cut
+        server.find_relay = connector.find_relay
         self._peers.server.channels_by_type[RelayOpen] = server.serve
 
     def _relay_peers(self) -> tuple[RelayPeer, ...]:
--- a/bronzesill/relay/asking.py
+++ b/bronzesill/relay/asking.py
@@ -10,7 +10,7 @@
 from ..upstream import RequestNotSent, Target, UpstreamConnection
 from ..utils import PartLogger
 from ..wire import MessageRegistry
-from .connections import UNREACHABLE, RelayClient, RelayOpen
+from .connections import CUT, UNREACHABLE, RelayClient, RelayOpen
 from .paths import PathTable, RelayPeer
 
 __all__ = ['PeerAsker', 'abandon']
@@ -19,6 +19,8 @@
 _NEXT_PEER_S = 0.08
 _MAX_ASKED_AT_ONCE = 2
 _ASK_TIMEOUT_S = 0.5
+#: Time from the first ask of a call to its last choice of peers.
+_SEARCH_LIMIT_S = 0.4
 #: Reason of a peer that does not answer.
 _SILENT = 'silent'
 
@@ -66,24 +68,38 @@
 
         :raises RequestNotSent: no peer opened one.
         """
-        now_s = _now_s()
-        if not self._paths.may_ask(target.name, now_s):
+        if not self._paths.may_ask(target.name, _now_s()):
             raise RequestNotSent(f'{target.name}: no host reaches it')
-        peers = self._paths.choose(
-            target.name, self._list_peers(), self._random, now_s
-        )
-        if not peers:
-            # All have refused a moment ago.
-            self._paths.mark_unreachable(target.name, now_s)
         reasons: list[str] = []
-        connection = await self._ask_in_turn(target, list(peers), reasons)
+        connection = await self._search(target, reasons)
         if connection is not None:
             return connection
         self._on_outcome('unreachable')
-        if set(reasons) == {UNREACHABLE}:
+        if set(reasons) <= {UNREACHABLE}:
             self._paths.mark_unreachable(target.name, _now_s())
         raise RequestNotSent(f'{target.name}: no host reaches it')
 
+    def find_relay(self) -> str:
+        """Return a host through which this one reaches servers, if any."""
+        return self._paths.find_relay(self._random, _now_s())
+
+    async def _search(
+        self, target: Target, reasons: list[str]
+    ) -> UpstreamConnection | None:
+        """Ask peers until one opens a connection or too many have not."""
+        ends_s = _now_s() + _SEARCH_LIMIT_S
+        while True:
+            peers = self._paths.choose(
+                target.name, self._list_peers(), self._random, _now_s()
+            )
+            if not peers:
+                return None
+            connection = await self._ask_in_turn(target, list(peers), reasons)
+            if connection is not None or _now_s() > ends_s:
+                return connection
+            if not self._paths.may_search_on(_now_s()):
+                return None
+
     async def _ask_in_turn(
         self, target: Target, peers: list[RelayPeer], reasons: list[str]
     ) -> UpstreamConnection | None:
@@ -130,25 +146,29 @@
         if not reason:
             client.on_lost = functools.partial(self._record_loss, target, peer)
             client.upstream.relayed_by = peer.name
+            self._paths.mark_opened(peer.name, _now_s())
             self._on_outcome('opened')
             return client.upstream
         reasons.append(reason)
-        self._record_refusal(target, peer, reason)
+        self._record_refusal(target, peer, reason, client.told)
         return None
 
     def _record_refusal(
-        self, target: Target, peer: RelayPeer, reason: str
+        self, target: Target, peer: RelayPeer, reason: str, told: str
     ) -> None:
         self._on_outcome('refused')
         if reason == _SILENT:
             self._paths.mark_slow(peer.name, _now_s())
         else:
             self._paths.mark_refused(peer.name, target.name, _now_s())
+        if reason in {CUT, UNREACHABLE}:
+            self._paths.mark_failed(peer.name, _now_s(), told)
         _log.event(
             'relay_not_opened',
             peer=peer.name,
             server=target.name,
             reason=reason,
+            told=told,
         )
 
     def _record_loss(self, target: Target, peer: RelayPeer) -> None:
--- a/bronzesill/relay/connections.py
+++ b/bronzesill/relay/connections.py
@@ -14,6 +14,7 @@
 from ..wire import InvalidMessage, MessageRegistry
 
 __all__ = [
+    'CUT',
     'MAX_DATA_BYTES',
     'RELAY_TYPES_BY_NUMBER',
     'UNREACHABLE',
@@ -27,6 +28,8 @@
 
 #: Bytes of a connection that one message carries.
 MAX_DATA_BYTES = 64 * 1024
+#: Reason of a host that knows that only others reach the server.
+CUT = 'cut'
 #: Reason of a host that could not connect to the server either.
 UNREACHABLE = 'unreachable'
 #: Time after which a peer that acknowledges nothing, as one without power,
@@ -63,9 +66,12 @@
     The connection was not opened.
 
     :param reason: why, in a word.
+    :param relay: name of a host through which the refusing one reaches
+        servers itself, if any.
     """
 
     reason: str
+    relay: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
@@ -112,6 +118,8 @@
     """
 
     def __init__(self, registry: MessageRegistry, opening: RelayOpen) -> None:
+        #: Name of a host that a refusing peer uses itself, if any.
+        self.told = ''
         #: Result: empty if the server is connected, else the reason.
         self.opened: asyncio.Future[str] = (
             asyncio.get_running_loop().create_future()
@@ -165,6 +173,7 @@
 
     def _process(self, message: Any) -> None:
         if isinstance(message, RelayRefused):
+            self.told = message.relay
             self._settle(message.reason or 'refused')
         elif isinstance(message, RelayOpened):
             self._open()
--- a/bronzesill/relay/connector.py
+++ b/bronzesill/relay/connector.py
@@ -149,6 +149,10 @@
         """Return whether it is known that only another host reaches it."""
         return self.paths.is_cut(target.name)
 
+    def find_relay(self) -> str:
+        """Return a host through which this one reaches servers, if any."""
+        return self._asker.find_relay()
+
     def keep_only(self, servers: Collection[str]) -> None:
         """Forget all other servers."""
         self.paths.keep_only(servers)
--- a/bronzesill/relay/paths.py
+++ b/bronzesill/relay/paths.py
@@ -22,8 +22,14 @@
 _PEER_PAUSE_S = 1.0
 #: Time for which no peer is asked for a server that none of them reached.
 _NO_PEER_PAUSE_S = 0.3
-#: Peers that are asked for one connection.
+#: Peers that are asked before the next choice.
 _MAX_ASKED = 3
+#: Time for which a peer that opened a connection, or was named by another one,
+#: is asked first.
+_RELAY_VALID_S = 5.0
+#: Further choices for calls whose first peers refused: at once, and a second.
+_MAX_SEARCHES = 12
+_SEARCHES_PER_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -56,6 +62,13 @@
         self._paused_until_s_by_server: dict[str, float] = {}
         self._paused_until_s_by_peer: dict[tuple[str, str], float] = {}
         self._slow_until_s_by_peer: dict[str, float] = {}
+        #: Peers that reached a server of late, and those named by others.
+        self._relay_until_s_by_peer: dict[str, float] = {}
+        self._told_until_s_by_peer: dict[str, float] = {}
+        #: Peers that did not reach some server.
+        self._failed_until_s_by_peer: dict[str, float] = {}
+        self._searches_left: float = _MAX_SEARCHES
+        self._counted_at_s: float = 0
 
     @property
     def cut_servers(self) -> Collection[str]:
@@ -115,10 +128,50 @@
         self._cut_since_s_by_server.pop(server, None)
         self._paused_until_s_by_server[server] = now_s + _NO_PEER_PAUSE_S
 
+    def mark_opened(self, peer: str, now_s: float) -> None:
+        """Record that a peer reached a server."""
+        self._relay_until_s_by_peer[peer] = now_s + _RELAY_VALID_S
+        self._told_until_s_by_peer.pop(peer, None)
+
     def mark_refused(self, peer: str, server: str, now_s: float) -> None:
         """Record that a peer refused to connect to a server."""
         self._paused_until_s_by_peer[peer, server] = now_s + _PEER_PAUSE_S
 
+    def mark_failed(self, peer: str, now_s: float, told: str) -> None:
+        """
+        Record that a peer does not reach some server itself.
+
+        :param peer: name of the peer.
+        :param now_s: current time in seconds.
+        :param told: name of a host that the peer uses itself, if any.
+        """
+        self._failed_until_s_by_peer[peer] = now_s + _PEER_PAUSE_S
+        self._relay_until_s_by_peer.pop(peer, None)
+        self._told_until_s_by_peer.pop(peer, None)
+        if told and told not in self._failed_until_s_by_peer:
+            self._told_until_s_by_peer[told] = now_s + _RELAY_VALID_S
+
+    def find_relay(self, random: Random, now_s: float) -> str:
+        """Return a peer that reached a server of late, or nothing."""
+        relays = _unexpired(self._relay_until_s_by_peer, now_s)
+        return random.choice(tuple(relays)) if relays else ''
+
+    def may_search_on(self, now_s: float) -> bool:
+        """
+        Return whether more peers may be asked after a choice has refused.
+
+        The number of such searches is bounded, also if nobody can help.
+        """
+        elapsed_s = now_s - self._counted_at_s
+        self._counted_at_s = now_s
+        self._searches_left = min(
+            self._searches_left + elapsed_s * _SEARCHES_PER_S, _MAX_SEARCHES
+        )
+        if self._searches_left < 1:
+            return False
+        self._searches_left -= 1
+        return True
+
     def mark_slow(self, peer: str, now_s: float) -> None:
         """Record that a peer did not answer; others are asked first."""
         self._slow_until_s_by_peer[peer] = now_s + _PEER_PAUSE_S
@@ -144,10 +197,28 @@
         self._slow_until_s_by_peer = _unexpired(
             self._slow_until_s_by_peer, now_s
         )
+        self._relay_until_s_by_peer = _unexpired(
+            self._relay_until_s_by_peer, now_s
+        )
+        self._told_until_s_by_peer = _unexpired(
+            self._told_until_s_by_peer, now_s
+        )
+        self._failed_until_s_by_peer = _unexpired(
+            self._failed_until_s_by_peer, now_s
+        )
         paused = self._paused_until_s_by_peer
         return choose_peers(
             tuple(peer for peer in peers if (peer.name, server) not in paused),
-            self._slow_until_s_by_peer.keys(),
+            PeerRecords(
+                self._slow_until_s_by_peer.keys(),
+                self._relay_until_s_by_peer.keys(),
+                self._told_until_s_by_peer.keys(),
+                self._failed_until_s_by_peer.keys(),
+                is_domain_cut=any(
+                    peer.is_near and peer.name in self._failed_until_s_by_peer
+                    for peer in peers
+                ),
+            ),
             random,
         )
 
@@ -161,16 +232,38 @@
                 by_server.pop(server)
 
 
+@dataclasses.dataclass(frozen=True)
+class PeerRecords:
+    """
+    Names of peers by what they answered of late.
+
+    :param slow: those that did not answer.
+    :param relays: those that reached a server.
+    :param told: those that other hosts named.
+    :param failed: those that did not reach some server.
+    :param is_domain_cut: whether one of the own failure domain did not.
+    """
+
+    slow: Collection[str] = ()
+    relays: Collection[str] = ()
+    told: Collection[str] = ()
+    failed: Collection[str] = ()
+    is_domain_cut: bool = False
+
+
 def choose_peers(
-    peers: tuple[RelayPeer, ...], slow: Collection[str], random: Random
+    peers: tuple[RelayPeer, ...], records: PeerRecords, random: Random
 ) -> tuple[RelayPeer, ...]:
     """
-    Return the peers to ask in order, those of the own failure domain first.
+    Return the peers to ask in order.
 
-    Leaving peers come last: a connection through one ends with it.
+    Those come first that are known to reach servers, then those of the own
+    failure domain, unless one of it did not reach a server: a domain may be
+    cut as a whole.  Leaving peers come last: a connection through one ends
+    with it.
 
     :param peers: peers that may be asked.
-    :param slow: names of peers that are asked last.
+    :param records: what peers answered of late.
     :param random: generator for the choice among equals.
     """
     return tuple(
@@ -179,8 +272,11 @@
             peers,
             key=lambda peer: (
                 peer.is_leaving,
-                peer.name in slow,
-                not peer.is_near,
+                peer.name in records.slow,
+                peer.name not in records.relays,
+                peer.name not in records.told,
+                peer.name in records.failed,
+                not (peer.is_near or records.is_domain_cut),
                 random.random(),
             ),
         )
--- a/bronzesill/relay/server.py
+++ b/bronzesill/relay/server.py
@@ -13,6 +13,7 @@
 from ..utils import PartLogger
 from ..wire import PeerChannel
 from .connections import (
+    CUT,
     MAX_DATA_BYTES,
     UNREACHABLE,
     RelayData,
@@ -68,6 +69,8 @@
     ) -> None:
         #: Returns whether this host does not reach a server itself.
         self.is_cut: Callable[[str], bool] = _is_never
+        #: Returns a host through which this one reaches servers, if any.
+        self.find_relay: Callable[[], str] = _find_none
         #: Connections by outcome: opened, refused.
         self.counts: Counter[str] = Counter()
         #: Called with each outcome.
@@ -102,7 +105,7 @@
         if not self._may_connect(opening):
             return 'unlisted'
         if self.is_cut(opening.server):
-            return 'cut'
+            return CUT
         is_full = (
             self._open_by_ip[ip] >= self._bounds.per_host
             or self._open_by_ip.total() >= self._bounds.total
@@ -119,7 +122,7 @@
             server=opening.server,
             reason=reason,
         )
-        channel.send(RelayRefused(reason))
+        channel.send(RelayRefused(reason, self.find_relay()))
         await channel.close()
 
     def _count(self, outcome: str) -> None:
@@ -240,5 +243,10 @@
     return False
 
 
+def _find_none() -> str:
+    """Return nothing; the default of ``find_relay``."""
+    return ''
+
+
 def _do_nothing() -> None:
     """Do nothing; the default of ``on_bytes``."""
--- a/bronzesill/relay/tests/test_paths.py
+++ b/bronzesill/relay/tests/test_paths.py
@@ -109,6 +109,33 @@
             chosen = paths.choose(_SERVER, peers, Random(seed), 1.5)
             self.assertEqual(chosen[-1].name, 'host-3')
 
+    def test_peer_that_another_one_names_is_asked_first(self) -> None:
+        paths = PathTable()
+        peers = _peers(59)
+        paths.mark_failed('host-3', 1, told='host-17')
+        for seed in range(_ROUNDS):
+            chosen = paths.choose(_SERVER, peers, Random(seed), 1.5)
+            self.assertEqual(chosen[0].name, 'host-17')
+
+    # Guards against the search in a domain that is cut as a whole.
+    def test_other_domains_are_asked_after_a_peer_that_is_cut(self) -> None:
+        paths = PathTable()
+        peers = _peers(59)
+        paths.mark_failed('host-3', 1, told='')
+        paths.mark_refused('host-3', _SERVER, 1)
+        far = [
+            not peer.is_near
+            for seed in range(_ROUNDS)
+            for peer in paths.choose(_SERVER, peers, Random(seed), 1.5)
+        ]
+        self.assertGreater(sum(far), len(far) / 2)
+
+    def test_full_peer_says_nothing_of_its_domain(self) -> None:
+        paths = PathTable()
+        paths.mark_refused('host-3', _SERVER, 1)
+        chosen = paths.choose(_SERVER, _peers(59), Random(1), 1.5)
+        self.assertTrue(all(peer.is_near for peer in chosen))
+
     # Guards against a flood of the hosts that still reach the servers.
     def test_hosts_that_reach_servers_are_asked_evenly(self) -> None:
         """A whole domain is cut; each host in it asks once."""
