--- a/bronzesill/daemon/hosted_store_state.py
+++ b/bronzesill/daemon/hosted_store_state.py
@@ -265,6 +265,12 @@
                 'configuration removed from the store; keeping the last one'
             )
             return
+        in_force = self._configuration
+        if in_force is not None and in_force.entry.payload == entry.payload:
+            # The answer of a peer holds it twice, and a return of the store
+            # shows it again.
+            self._configuration = in_force.with_entry(entry)
+            return
         try:
             versioned = decode_document(entry.payload)
         except DocumentInvalid as error:
@@ -372,6 +378,12 @@
     version: int
     entry: StoredEntry
 
+    def with_entry(self, entry: StoredEntry) -> _ConfigurationInForce:
+        """Return it as read from another entry, if that is newer."""
+        if entry.revision <= self.entry.revision:
+            return self
+        return dataclasses.replace(self, entry=entry)
+
 
 def _ignore(*_: object) -> None:
     """Ignore an event; the default callback."""
