Hold knowledge of leaving servers to the bound of their drain as well

The same chain carries configurations, leaving servers and the rest of the store; its budget came from the time to apply a configuration alone.

--- a/bronzesill/config/hosted.py
+++ b/bronzesill/config/hosted.py
@@ -46,6 +46,11 @@
     exposure_ratio: float = 0.1
     exposure_slack: float = 50
 
+    @property
+    def knowledge_s(self) -> float:
+        """Seconds within which what the store says has to be heeded."""
+        return min(self.apply_s, self.drain_s)
+
 
 @dataclasses.dataclass(frozen=True)
 class HostedSettings:
--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -122,7 +122,7 @@
             self._fleet.watchers,
             self._fleet.newest_configuration,
             self._random,
-            settings.bounds.apply_s,
+            settings.bounds.knowledge_s,
         )
         self._store_state.on_older_configuration = (
             self._fleet.publish_configuration
@@ -290,7 +290,7 @@
     def _make_follower(self) -> StoreFollower:
         # Each poll ends soon, as a watch may have stopped delivering changes
         # without an error, which only a new call reveals.
-        budget = FreshnessBudget.from_apply_s(self._settings.bounds.apply_s)
+        budget = FreshnessBudget.from_bound(self._settings.bounds.knowledge_s)
         return StoreFollower(
             self._store,
             ALL_KEYS,
--- a/bronzesill/daemon/peer_replication.py
+++ b/bronzesill/daemon/peer_replication.py
@@ -58,7 +58,7 @@
     :param find_newest_version: returns the highest version of the
         configuration that a daemon told of, 0 for none.
     :param random: generator for the choice of peers and for jitter.
-    :param apply_s: seconds in which a configuration has to be in force.
+    :param bound_s: seconds within which what the store says has to be heeded.
     """
 
     def __init__(
@@ -69,7 +69,7 @@
         list_watchers: Callable[[], tuple[Member, ...]],
         find_newest_version: Callable[[], int],
         random: Random,
-        apply_s: float,
+        bound_s: float,
     ) -> None:
         self._store_state = store_state
         self._client = client
@@ -77,7 +77,7 @@
         self._list_watchers = list_watchers
         self._find_newest_version = find_newest_version
         self._random = random
-        self._budget = FreshnessBudget.from_apply_s(apply_s)
+        self._budget = FreshnessBudget.from_bound(bound_s)
         #: Time at which the store last confirmed what peers told.
         self._confirmed_at_s = -math.inf
         self._watcher: Member | None = None
--- a/bronzesill/daemon/tests/test_age_of_knowledge.py
+++ b/bronzesill/daemon/tests/test_age_of_knowledge.py
@@ -1,9 +1,9 @@
 """
-How late a host may learn of a configuration, in virtual time.
+How late a host may learn of a change in the store, in virtual time.
 
 Pattern: hosts that watch the store for their failure domain lose the store or
 the other hosts, freeze, end or turn slow, also twice in a row, while
-configurations change.
+configurations change and servers leave.
 """
 
 import asyncio
@@ -12,7 +12,12 @@
 
 from ...config import FleetBounds
 from ...standins.virtual_time import run_in_virtual_time
-from .virtual_replicas import Disturbance, VirtualReplicas, version_lags
+from .virtual_replicas import (
+    Disturbance,
+    VirtualReplicas,
+    leaving_lags,
+    version_lags,
+)
 
 #: Part of the bound that an undisturbed host may use.
 _MAX_SHARE = 0.75
@@ -33,20 +38,22 @@
 ) -> float:
     """Return the longest lag of a host that nothing disturbs."""
     fleet = VirtualReplicas(hosts, domains, bounds, disturbances, seed)
-    await _change_configurations(fleet, Random(seed))
+    await _change_store(fleet, Random(seed))
     hit = frozenset[int]().union(*(each.hosts for each in disturbances))
     undisturbed = frozenset(range(hosts)) - hit
-    return max(version_lags(fleet, undisturbed, _ENDS_S), default=0)
+    lags = (
+        *version_lags(fleet, undisturbed, _ENDS_S),
+        *leaving_lags(fleet, undisturbed, _ENDS_S),
+    )
+    return max(lags, default=0)
 
 
-async def _change_configurations(
-    fleet: VirtualReplicas, random: Random
-) -> None:
+async def _change_store(fleet: VirtualReplicas, random: Random) -> None:
     loop = asyncio.get_running_loop()
     running = asyncio.create_task(fleet.run(_ENDS_S))
     while loop.time() < _ENDS_S - _CONTACT_S:
         await asyncio.sleep(random.choice((0.1, 0.3, 1.0, 1.7)))
-        fleet.configure()
+        random.choice((fleet.configure, fleet.configure, fleet.leave))()
     await running
 
 
@@ -64,7 +71,11 @@
                 )
                 lag_s = run_in_virtual_time(
                     _find_longest_lag_s(
-                        3, 1, FleetBounds(apply_s=apply_s), (cut,), seed
+                        3,
+                        1,
+                        FleetBounds(apply_s=apply_s, drain_s=apply_s),
+                        (cut,),
+                        seed,
                     )
                 )
                 with self.subTest(apply_s=apply_s, seed=seed):
@@ -90,7 +101,7 @@
             _find_longest_lag_s(
                 hosts,
                 domains,
-                FleetBounds(apply_s=apply_s),
+                FleetBounds(apply_s=apply_s, drain_s=apply_s),
                 disturbances,
                 seed,
             )
--- a/bronzesill/daemon/tests/virtual_replicas.py
+++ b/bronzesill/daemon/tests/virtual_replicas.py
@@ -38,7 +38,7 @@
 from ..hosted_store_state import HostedStoreState
 from ..peer_replication import PeerReplication
 
-__all__ = ['Disturbance', 'VirtualReplicas', 'version_lags']
+__all__ = ['Disturbance', 'VirtualReplicas', 'leaving_lags', 'version_lags']
 
 _STORE_DELAY_S = 0.004
 _PEER_DELAY_S = 0.002
@@ -46,19 +46,16 @@
 #: Time after which the client of the store fails a call without an answer.
 _STORE_TIMEOUT_S = 1.5
 _POLL_S = 0.01
-_SERVER = orjson.dumps(
-    {
-        'service': 'shop',
-        'address': '127.0.0.1:1',
-        'zone': 'a',
-        'version': 'v1',
-        'slots': 8,
-        'state': 'ready',
-        'coldRemainingMs': 0,
-        'sequence': 1,
-        'born': 1,
-    }
-)
+_SERVERS = 12
+_SERVER = {
+    'service': 'shop',
+    'zone': 'a',
+    'version': 'v1',
+    'slots': 8,
+    'coldRemainingMs': 0,
+    'sequence': 1,
+    'born': 1,
+}
 
 
 @dataclasses.dataclass(frozen=True)
@@ -110,7 +107,10 @@
         #: Calls that hosts made to the store.
         self.store_calls = 0
         self._entries: list[StoredEntry] = []
-        self._write(f'{SERVER_PREFIX}shop-a', _SERVER)
+        #: Times at which the store acknowledged that servers leave, by number.
+        self.acknowledged_s_by_leaving: dict[int, float] = {}
+        for number in range(_SERVERS):
+            self._write_server(number, 'ready')
         self.configure()
         self.members = tuple(
             _member(number, f'domain-{number % domains}')
@@ -128,6 +128,13 @@
         document = {**make_configuration(), 'version': version}
         self._write(CONFIGURATION_KEY, orjson.dumps(document))
 
+    def leave(self) -> None:
+        """Acknowledge that the next server leaves, if there is one."""
+        number = len(self.acknowledged_s_by_leaving)
+        if number < _SERVERS:
+            self.acknowledged_s_by_leaving[number] = _now_s()
+            self._write_server(number, 'draining')
+
     def watchers_of(self, number: int) -> tuple[int, ...]:
         """Return the numbers of the hosts that watch in a host's domain."""
         domain = self.members[number].failure_domain
@@ -167,6 +174,14 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _write_server(self, number: int, state: str) -> None:
+        entry = {
+            **_SERVER,
+            'address': f'127.0.0.1:{number + 1}',
+            'state': state,
+        }
+        self._write(f'{SERVER_PREFIX}{_server(number)}', orjson.dumps(entry))
+
     def _write(self, key: str, payload: bytes) -> None:
         self.revision += 1
         revision = StoreRevision(1, self.revision)
@@ -183,12 +198,13 @@
     ) -> None:
         #: Times at which versions came into force.
         self.adopted_s_by_version: dict[int, float] = {}
-        self._fleet = fleet
-        self._number = number
+        #: Times at which servers were known to leave.
+        self.left_s_by_server: dict[int, float] = {}
+        self._tracker = ServerTracker()
         self.state = HostedStoreState(
-            GatewayState(), ServerTracker(), lambda _: None
+            GatewayState(), self._tracker, lambda _: None
         )
-        self.state.on_refresh = self._note_version
+        self.state.on_refresh = self._note_state
         self.state.apply_snapshot(fleet.snapshot())
         peers = tuple(
             m for m in fleet.members if m is not fleet.members[number]
@@ -202,22 +218,25 @@
             lambda: tuple(fleet.members[watcher] for watcher in followed),
             _no_version,
             random,
-            bounds.apply_s,
+            bounds.knowledge_s,
         )
         self.follower = StoreFollower(
             _HostStore(fleet, number),
             ALL_KEYS,
             FollowPolicy.from_budget(
-                FreshnessBudget.from_apply_s(bounds.apply_s)
+                FreshnessBudget.from_bound(bounds.knowledge_s)
             ),
             self.state,
             random,
             self.replication.watch_due_in_s,
         )
 
-    def _note_version(self) -> None:
+    def _note_state(self) -> None:
         version = self.state.configuration_version
         self.adopted_s_by_version.setdefault(version, _now_s())
+        for number in range(_SERVERS):
+            if _server(number) in self._tracker.leaving:
+                self.left_s_by_server.setdefault(number, _now_s())
 
 
 class _Client:
@@ -349,6 +368,28 @@
     )
 
 
+def leaving_lags(
+    fleet: VirtualReplicas, undisturbed: Collection[int], until_s: float
+) -> tuple[float, ...]:
+    """
+    Return how long after its acknowledgement each leaving server was known.
+
+    :param fleet: the fleet after its run.
+    :param undisturbed: numbers of the hosts that count.
+    :param until_s: time at which the fleet ended.
+    """
+    return tuple(
+        fleet.hosts[number].left_s_by_server.get(server, until_s)
+        - acknowledged_s
+        for number in undisturbed
+        for server, acknowledged_s in fleet.acknowledged_s_by_leaving.items()
+    )
+
+
+def _server(number: int) -> str:
+    return f'shop-{number}'
+
+
 def _first_at_s(host: _Host, version: int, until_s: float) -> float:
     """Return when a version or a later one came into force."""
     return min(
--- a/bronzesill/replica/freshness.py
+++ b/bronzesill/replica/freshness.py
@@ -1,4 +1,4 @@
-"""How the time in which a configuration comes into force is spent."""
+"""How the time until what the store says is heeded is spent."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 __all__ = ['FreshnessBudget', 'confirmation_time_s']
 
-#: Parts of the time in which a configuration has to be in force.
+#: Parts of the time within which what the store says has to be heeded.
 _RENEWAL_SHARE = 0.5
 _MAX_AGE_SHARE = 0.625
 #: A store that falls silent is noticed at the end of a poll.
@@ -33,18 +33,18 @@
     max_age_s: float
 
     @classmethod
-    def from_apply_s(cls, apply_s: float) -> FreshnessBudget:
+    def from_bound(cls, bound_s: float) -> FreshnessBudget:
         """
-        Divide the time in which a configuration has to be in force.
+        Divide the time within which what the store says has to be heeded.
 
         What is left after the highest age is for the read itself and for
         hosts and links that are slow.
 
-        :param apply_s: that time in seconds.
+        :param bound_s: that time in seconds.
         """
         return cls(
-            min(_MAX_RENEWAL_S, _RENEWAL_SHARE * apply_s),
-            _MAX_AGE_SHARE * apply_s,
+            min(_MAX_RENEWAL_S, _RENEWAL_SHARE * bound_s),
+            _MAX_AGE_SHARE * bound_s,
         )
 
 
