--- a/bronzesill/daemon/tests/test_age_of_knowledge.py
+++ b/bronzesill/daemon/tests/test_age_of_knowledge.py
@@ -39,6 +39,7 @@
     """Return the longest lag of a host that nothing disturbs."""
     fleet = VirtualReplicas(hosts, domains, bounds, disturbances, seed)
     await _change_store(fleet, Random(seed))
+    assert not any(host.regressions for host in fleet.hosts)
     hit = frozenset[int]().union(*(each.hosts for each in disturbances))
     undisturbed = frozenset(range(hosts)) - hit
     lags = (
--- a/bronzesill/daemon/tests/virtual_replicas.py
+++ b/bronzesill/daemon/tests/virtual_replicas.py
@@ -198,6 +198,8 @@
     ) -> None:
         #: Times at which versions came into force.
         self.adopted_s_by_version: dict[int, float] = {}
+        #: Number of times at which an older version came into force.
+        self.regressions = 0
         #: Times at which servers were known to leave.
         self.left_s_by_server: dict[int, float] = {}
         self._tracker = ServerTracker()
@@ -233,6 +235,7 @@
 
     def _note_state(self) -> None:
         version = self.state.configuration_version
+        self.regressions += version < max(self.adopted_s_by_version, default=0)
         self.adopted_s_by_version.setdefault(version, _now_s())
         for number in range(_SERVERS):
             if _server(number) in self._tracker.leaving:
