Choose relays in proportion to their links

A few hosts that still reach the servers carry all requests of a cut domain; links differ by a factor of twenty (5 and 100 Mbit/s), and the choice among equals was even. Now equals are drawn in proportion to the bandwidth that the members' records hold already.

--- a/bronzesill/daemon/hosted_peers.py
+++ b/bronzesill/daemon/hosted_peers.py
@@ -171,6 +171,7 @@
                 member.peers,
                 member.failure_domain == own_domain,
                 view.is_leaving(member),
+                member.link_mbps,
             )
             for member in self._list_peers()
         )
--- a/bronzesill/relay/paths.py
+++ b/bronzesill/relay/paths.py
@@ -27,6 +27,7 @@
 #: Time for which a peer that opened a connection, or was named by another one,
 #: is asked first.
 _RELAY_VALID_S = 5.0
+_USUAL_LINK_MBPS = 100.0
 #: Further choices for calls whose first peers refused: at once, and a second.
 _MAX_SEARCHES = 12
 _SEARCHES_PER_S = 5.0
@@ -41,12 +42,14 @@
     :param address: address for other hosts.
     :param is_near: whether it is in the failure domain of this host.
     :param is_leaving: whether it stops soon, which ends its connections.
+    :param link_mbps: bandwidth of its link in Mbit/s, 0 if unknown.
     """
 
     name: str
     address: Address
     is_near: bool
     is_leaving: bool = False
+    link_mbps: float = 0
 
 
 class PathTable:
@@ -264,7 +267,7 @@
 
     :param peers: peers that may be asked.
     :param records: what peers answered of late.
-    :param random: generator for the choice among equals.
+    :param random: generator for the choice among equals, by their links.
     """
     return tuple(
         heapq.nsmallest(
@@ -277,12 +280,17 @@
                 peer.name not in records.told,
                 peer.name in records.failed,
                 not (peer.is_near or records.is_domain_cut),
-                random.random(),
+                _draw(peer, random),
             ),
         )
     )
 
 
+def _draw(peer: RelayPeer, random: Random) -> float:
+    """Draw a number that is the lowest of some in proportion to the links."""
+    return random.expovariate(peer.link_mbps or _USUAL_LINK_MBPS)
+
+
 def _unexpired(
     until_s_by_key: Mapping[KeyT, float], now_s: float
 ) -> dict[KeyT, float]:
--- a/bronzesill/relay/tests/test_paths.py
+++ b/bronzesill/relay/tests/test_paths.py
@@ -1,5 +1,6 @@
 """What a host concludes about its paths, and which peers it asks."""
 
+import dataclasses
 import unittest
 from collections import Counter
 from random import Random
@@ -149,6 +150,25 @@
             self.assertEqual(asked.total(), len(cut))
             self.assertLessEqual(max(asked.values()), mean + 4 * mean**0.5 + 3)
 
+    # Guards against hosts that carry more than their narrow links bear.
+    def test_wide_links_carry_more(self) -> None:
+        """Known relays with links of 5 and 100 Mbit/s share the requests."""
+        peers = tuple(
+            dataclasses.replace(peer, link_mbps=(5, 100)[number % 2])
+            for number, peer in enumerate(_peers(9))
+        )
+        paths = PathTable()
+        for peer in peers:
+            paths.mark_opened(peer.name, 1)
+        near = [peer for peer in peers if peer.is_near]
+        narrow = sum(
+            paths.choose(_SERVER, peers, Random(seed), 1)[0].link_mbps < 100
+            for seed in range(_ROUNDS)
+        )
+        even = sum(peer.link_mbps < 100 for peer in near) / len(near)
+        self.assertGreater(even, 0.3)
+        self.assertLess(narrow, _ROUNDS * even / 2)
+
     # Guards against asks that grow with the fleet if nobody can help.
     def test_asks_are_bounded_if_few_or_none_reach_servers(self) -> None:
         for hosts in _FLEET_SIZES:
