Search the fleet for a relay only while paths are cut

It goes on now to leave the own domain, or if a peer is cut and uses a peer itself, or if other servers are behind cuts. The stand-in peers of the test now say that they are cut only once they know.

--- a/bronzesill/relay/asking.py
+++ b/bronzesill/relay/asking.py
@@ -97,7 +97,9 @@
             connection = await self._ask_in_turn(target, list(peers), reasons)
             if connection is not None or _now_s() > ends_s:
                 return connection
-            if not self._paths.may_search_on(_now_s()):
+            if not self._paths.may_search_on(
+                peers, is_cut=CUT in reasons, now_s=_now_s()
+            ):
                 return None
 
     async def _ask_in_turn(
--- a/bronzesill/relay/paths.py
+++ b/bronzesill/relay/paths.py
@@ -159,12 +159,24 @@
         relays = _unexpired(self._relay_until_s_by_peer, now_s)
         return random.choice(tuple(relays)) if relays else ''
 
-    def may_search_on(self, now_s: float) -> bool:
+    def may_search_on(
+        self, asked: tuple[RelayPeer, ...], *, is_cut: bool, now_s: float
+    ) -> bool:
         """
         Return whether more peers may be asked after a choice has refused.
 
+        They may while something says that paths are cut, and to leave the own
+        failure domain; a server that ended is not sought in the whole fleet.
         The number of such searches is bounded, also if nobody can help.
+
+        :param asked: the peers that were asked last.
+        :param is_cut: whether one of them is cut from the server and uses a
+            peer itself.
+        :param now_s: current time in seconds.
         """
+        is_domain_only = all(peer.is_near for peer in asked)
+        if not (is_cut or is_domain_only or self._cut_since_s_by_server):
+            return False
         elapsed_s = now_s - self._counted_at_s
         self._counted_at_s = now_s
         self._searches_left = min(
--- a/bronzesill/relay/tests/test_cut_fleets.py
+++ b/bronzesill/relay/tests/test_cut_fleets.py
@@ -11,6 +11,7 @@
 from random import Random
 
 from ...utils import Address
+from ..connections import CUT, UNREACHABLE
 from ..paths import PathTable, RelayPeer
 
 _SERVER = 'shop-a'
@@ -23,6 +24,7 @@
 _MAX_ASKS = 60
 #: Sizes of the failure domains.
 _FLEETS = ((3, 2, 2), (18, 21, 20), (39, 39, 39, 39, 39))
+_OPENED = 'opened'
 _WHOLE_DOMAIN = 0.0
 _ALL_BUT_ONE = 1.0
 _CUTS = (_WHOLE_DOMAIN, 0.3, 0.6, 0.75, 0.9, _ALL_BUT_ONE)
@@ -87,27 +89,36 @@
             for other in self.hosts
             if other is not host
         )
-        is_first = True
-        while is_first or host.paths.may_search_on(now_s):
-            is_first = False
+        if not host.paths.may_ask(_SERVER, now_s):
+            return False
+        reasons: list[str] = []
+        is_searching = True
+        while is_searching:
             chosen = host.paths.choose(_SERVER, peers, host.random, now_s)
-            if not chosen:
-                return False
-            for peer in chosen:
-                if self._ask(host, peer, now_s):
-                    return True
+            reasons += [self._ask(host, peer, now_s) for peer in chosen]
+            if _OPENED in reasons:
+                return True
+            is_cut = CUT in reasons
+            is_searching = bool(chosen) and host.paths.may_search_on(
+                chosen, is_cut=is_cut, now_s=now_s
+            )
+        if not is_cut:
+            host.paths.mark_unreachable(_SERVER, now_s)
         return False
 
-    def _ask(self, host: _Host, peer: RelayPeer, now_s: float) -> bool:
+    def _ask(self, host: _Host, peer: RelayPeer, now_s: float) -> str:
+        """Ask a peer and return its answer."""
         key = (host.name, int(now_s))
         self.asks[key] = self.asks.get(key, 0) + 1
         if peer.name not in self.cut:
             host.paths.mark_opened(peer.name, now_s)
-            return True
-        told = self.by_name[peer.name].paths.find_relay(host.random, now_s)
+            host.paths.mark_cut(_SERVER, now_s)
+            return _OPENED
+        asked = self.by_name[peer.name]
+        told = asked.paths.find_relay(host.random, now_s)
         host.paths.mark_refused(peer.name, _SERVER, now_s)
         host.paths.mark_failed(peer.name, now_s, told)
-        return False
+        return CUT if asked.paths.is_cut(_SERVER) else UNREACHABLE
 
 
 class CutFleetTest(unittest.TestCase):
@@ -133,5 +144,19 @@
                 self.assertLessEqual(max(fleet.asks.values()), _MAX_ASKS)
 
 
+class EndedServerTest(unittest.TestCase):
+    """A server that has ended refuses all hosts, none of which is cut."""
+
+    # Guards against a search of the whole fleet whenever a server ends.
+    def test_few_peers_are_asked(self) -> None:
+        for domains in _FLEETS:
+            fleet = _Fleet(domains, _ALL_BUT_ONE, 1)
+            fleet.cut = frozenset(fleet.by_name)
+            fleet.run()
+            with self.subTest(domains=domains):
+                # Two choices of three for each of four calls.
+                self.assertLessEqual(max(fleet.asks.values()), 24)
+
+
 if __name__ == '__main__':
     unittest.main()
