--- a/bronzesill/relay/paths.py
+++ b/bronzesill/relay/paths.py
@@ -272,10 +272,10 @@
     """
     Return the peers to ask in order.
 
-    Those come first that are known to reach servers, then those of the own
-    failure domain, unless one of it did not reach a server: a domain may be
-    cut as a whole.  Leaving peers come last: a connection through one ends
-    with it.
+    While some do not reach servers, those come first that are known to.  Those
+    of the own failure domain follow, unless one of it did not reach a server:
+    a domain may be cut as a whole.  Leaving peers come last: a connection
+    through one ends with it.
 
     :param peers: peers that may be asked.
     :param records: what peers answered of late.
@@ -288,7 +288,7 @@
             key=lambda peer: (
                 peer.is_leaving,
                 peer.name in records.slow,
-                peer.name not in records.relays,
+                bool(records.failed) and peer.name not in records.relays,
                 peer.name not in records.told,
                 peer.name in records.failed,
                 not (peer.is_near or records.is_domain_cut),
--- a/bronzesill/relay/tests/test_paths.py
+++ b/bronzesill/relay/tests/test_paths.py
@@ -150,6 +150,20 @@
             self.assertEqual(asked.total(), len(cut))
             self.assertLessEqual(max(asked.values()), mean + 4 * mean**0.5 + 3)
 
+    # Guards against one peer that carries all requests of a cut host.
+    def test_lone_cut_host_uses_all_near_peers(self) -> None:
+        paths = PathTable()
+        peers = _peers(59)
+        random = Random(1)
+        used: Counter[str] = Counter()
+        for request in range(_ROUNDS):
+            now_s = 1 + request * 0.1
+            chosen = paths.choose(_SERVER, peers, random, now_s)[0]
+            paths.mark_opened(chosen.name, now_s)
+            used[chosen.name] += 1
+        near = sum(peer.is_near for peer in peers)
+        self.assertLessEqual(max(used.values()), 3 * _ROUNDS / near)
+
     # Guards against hosts that carry more than their narrow links bear.
     def test_wide_links_carry_more(self) -> None:
         """Known relays with links of 5 and 100 Mbit/s share the requests."""
