Share the unused calls of stores in tests, and list the changes

The calls that a store of a test leaves out stood in two modules; the lags of configurations and of leaving servers are found by one function.

--- a/bronzesill/daemon/tests/test_age_of_knowledge.py
+++ b/bronzesill/daemon/tests/test_age_of_knowledge.py
@@ -12,12 +12,7 @@
 
 from ...config import FleetBounds
 from ...standins.virtual_time import run_in_virtual_time
-from .virtual_replicas import (
-    Disturbance,
-    VirtualReplicas,
-    leaving_lags,
-    version_lags,
-)
+from .virtual_replicas import Disturbance, VirtualReplicas, find_lags_s
 
 #: Part of the bound that an undisturbed host may use.
 _MAX_SHARE = 0.75
@@ -42,11 +37,7 @@
     assert not any(host.regressions for host in fleet.hosts)
     hit = frozenset[int]().union(*(each.hosts for each in disturbances))
     undisturbed = frozenset(range(hosts)) - hit
-    lags = (
-        *version_lags(fleet, undisturbed, _ENDS_S),
-        *leaving_lags(fleet, undisturbed, _ENDS_S),
-    )
-    return max(lags, default=0)
+    return max(find_lags_s(fleet, undisturbed, _ENDS_S), default=0)
 
 
 async def _change_store(fleet: VirtualReplicas, random: Random) -> None:
--- a/bronzesill/daemon/tests/virtual_replicas.py
+++ b/bronzesill/daemon/tests/virtual_replicas.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import AsyncIterator, Collection
+from collections.abc import Collection
 from random import Random
 from typing import Any, cast
 
@@ -23,12 +23,11 @@
     ReplicaAnswer,
     StoreFollower,
 )
+from ...replica.tests.read_only_store import ReadOnlyStore
 from ...routing import ServerTracker
 from ...standins.hosted_fleet import make_configuration
 from ...store import (
     Changes,
-    Lease,
-    Mutation,
     Snapshot,
     StoredEntry,
     StoreRevision,
@@ -38,7 +37,7 @@
 from ..hosted_store_state import HostedStoreState
 from ..peer_replication import PeerReplication
 
-__all__ = ['Disturbance', 'VirtualReplicas', 'leaving_lags', 'version_lags']
+__all__ = ['Disturbance', 'VirtualReplicas', 'find_lags_s']
 
 _STORE_DELAY_S = 0.004
 _PEER_DELAY_S = 0.002
@@ -277,39 +276,13 @@
             await asyncio.Event().wait()
 
 
-class _HostStore:
+class _HostStore(ReadOnlyStore):
     """The store as one host reaches it."""
 
     def __init__(self, fleet: VirtualReplicas, number: int) -> None:
         self._fleet = fleet
         self._number = number
 
-    async def get(self, key: str) -> StoredEntry | None:
-        raise NotImplementedError
-
-    async def list(self, prefix: str) -> tuple[StoredEntry, ...]:
-        raise NotImplementedError
-
-    async def compare_and_swap(
-        self,
-        key: str,
-        expected: StoreRevision | None,
-        mutations: tuple[Mutation, ...],
-    ) -> StoreRevision | None:
-        raise NotImplementedError
-
-    async def grant_lease(self, ttl_s: float) -> Lease:
-        raise NotImplementedError
-
-    async def renew_lease(self, lease: Lease) -> bool:
-        raise NotImplementedError
-
-    async def revoke_lease(self, lease: Lease) -> None:
-        raise NotImplementedError
-
-    def watch(self, prefix: str) -> AsyncIterator[StoredEntry]:
-        raise NotImplementedError
-
     async def snapshot(self, prefix: str, *, may_be_stale: bool) -> Snapshot:
         """Return all keys."""
         return cast(Snapshot, await self._call(self._fleet.snapshot, 0))
@@ -354,39 +327,30 @@
     return 0
 
 
-def version_lags(
+def find_lags_s(
     fleet: VirtualReplicas, undisturbed: Collection[int], until_s: float
 ) -> tuple[float, ...]:
     """
-    Return how long after its acknowledgement each version was in force.
+    Return how long after its acknowledgement each change was known.
 
-    :param fleet: the fleet after its run.
-    :param undisturbed: numbers of the hosts that count.
-    :param until_s: time at which the fleet ended.
-    """
-    return tuple(
-        _first_at_s(fleet.hosts[number], version, until_s) - acknowledged_s
-        for number in undisturbed
-        for version, acknowledged_s in fleet.acknowledged_s_by_version.items()
-    )
-
-
-def leaving_lags(
-    fleet: VirtualReplicas, undisturbed: Collection[int], until_s: float
-) -> tuple[float, ...]:
-    """
-    Return how long after its acknowledgement each leaving server was known.
+    Changes are versions of the configuration and servers that leave.
 
     :param fleet: the fleet after its run.
     :param undisturbed: numbers of the hosts that count.
     :param until_s: time at which the fleet ended.
     """
-    return tuple(
-        fleet.hosts[number].left_s_by_server.get(server, until_s)
-        - acknowledged_s
-        for number in undisturbed
+    hosts = [fleet.hosts[number] for number in undisturbed]
+    versions = [
+        _first_at_s(host, version, until_s) - acknowledged_s
+        for host in hosts
+        for version, acknowledged_s in fleet.acknowledged_s_by_version.items()
+    ]
+    leaving = [
+        host.left_s_by_server.get(server, until_s) - acknowledged_s
+        for host in hosts
         for server, acknowledged_s in fleet.acknowledged_s_by_leaving.items()
-    )
+    ]
+    return (*versions, *leaving)
 
 
 def _server(number: int) -> str:
--- a/bronzesill/replica/tests/test_follower.py
+++ b/bronzesill/replica/tests/test_follower.py
@@ -8,14 +8,11 @@
 
 import asyncio
 import unittest
-from collections.abc import AsyncIterator
 from random import Random
 
 from ...standins.virtual_time import run_in_virtual_time
 from ...store import (
     Changes,
-    Lease,
-    Mutation,
     Snapshot,
     StoredEntry,
     StoreRevision,
@@ -23,6 +20,7 @@
 from ...utils import BronzesillError, ResultCode
 from ..follower import FollowPolicy, StoreFollower
 from ..state import Replica
+from .read_only_store import ReadOnlyStore
 
 _KEY = 'op/config'
 _FIRST = StoreRevision(1, 1)
@@ -39,35 +37,9 @@
 _SEEDS = 40
 
 
-class _SilentStore:
+class _SilentStore(ReadOnlyStore):
     """Store that leaves calls unanswered that arrive during its outage."""
 
-    async def get(self, key: str) -> StoredEntry | None:
-        raise NotImplementedError
-
-    async def list(self, prefix: str) -> tuple[StoredEntry, ...]:
-        raise NotImplementedError
-
-    async def compare_and_swap(
-        self,
-        key: str,
-        expected: StoreRevision | None,
-        mutations: tuple[Mutation, ...],
-    ) -> StoreRevision | None:
-        raise NotImplementedError
-
-    async def grant_lease(self, ttl_s: float) -> Lease:
-        raise NotImplementedError
-
-    async def renew_lease(self, lease: Lease) -> bool:
-        raise NotImplementedError
-
-    async def revoke_lease(self, lease: Lease) -> None:
-        raise NotImplementedError
-
-    def watch(self, prefix: str) -> AsyncIterator[StoredEntry]:
-        raise NotImplementedError
-
     async def snapshot(self, prefix: str, *, may_be_stale: bool) -> Snapshot:
         return Snapshot((), _FIRST)
 
