--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -247,7 +247,8 @@
         if load is not None:
             now_s = asyncio.get_running_loop().time()
             running = load.running + load.waiting
-            context.tracker.reported(server, LoadReport(running, '', now_s))
+            report = LoadReport(running, '', now_s, load.slowdown)
+            context.tracker.reported(server, report)
         self._limiter.handle_answer(server, context.dialect.request_limit(head))
         self._process_brittleness(server, head)
 
--- a/bronzesill/platform/headers.py
+++ b/bronzesill/platform/headers.py
@@ -34,9 +34,14 @@
 _MAX_TOKENS = 2**31
 #: Further parts of a prompt are forwarded, but not considered here.
 _MAX_SHARED_PARTS = 256
-#: Numbers in the load of a server, and the highest of them.
+#: Numbers in the load of any server, and the highest of them.
 _LOAD_FIELDS = 3
 _MAX_LOAD = 1_000_000
+#: Value of the fourth number while work takes as long as usual.
+_USUAL_SLOWDOWN = 100
+#: Slowdowns outside of this range are taken for its nearest end.
+_MIN_SLOWDOWN = 0.1
+_MAX_SLOWDOWN = 20.0
 
 #: Identifies the request; clients send a new identifier with each attempt.
 _REQUEST_ID = b'x-attempt-id'
@@ -241,16 +246,21 @@
         """
         Return the load reported in an answer.
 
+        Three numbers are required.  Some servers add the slowdown of their
+        machine; a malformed one, and further numbers, are ignored.
+
         :returns: the load, none if the header is missing or malformed.
         """
-        parts = (head.find(_INSTANCE_LOAD) or b'').split(b',', _LOAD_FIELDS)
+        parts = (head.find(_INSTANCE_LOAD) or b'').split(b',')
+        required, further = parts[:_LOAD_FIELDS], parts[_LOAD_FIELDS:]
         numbers = [
-            parse_integer(part.strip(), highest=_MAX_LOAD) for part in parts
+            parse_integer(part.strip(), highest=_MAX_LOAD) for part in required
         ]
         if len(numbers) != _LOAD_FIELDS or None in numbers:
             return None
         running, waiting, slots = (number or 0 for number in numbers)
-        return ReportedLoad(running, waiting, slots)
+        slowdown = _parse_slowdown(further[0]) if further else None
+        return ReportedLoad(running, waiting, slots, slowdown)
 
     def request_limit(self, head: AnswerHead) -> float | None:
         """
@@ -324,6 +334,13 @@
     return float(text)
 
 
+def _parse_slowdown(text: bytes) -> float | None:
+    number = parse_integer(text.strip(), highest=_MAX_LOAD)
+    if not number:
+        return None
+    return min(max(number / _USUAL_SLOWDOWN, _MIN_SLOWDOWN), _MAX_SLOWDOWN)
+
+
 def _parse_token_usage(text: bytes) -> tuple[int, int]:
     prompt, _, output = text.partition(b',')
     if not prompt.isdigit() or not output.isdigit():
--- a/bronzesill/platform/tests/test_headers.py
+++ b/bronzesill/platform/tests/test_headers.py
@@ -8,6 +8,7 @@
     ForwardRequest,
     Header,
     KvCacheCopy,
+    ReportedLoad,
     SendPlan,
 )
 from ...utils import Address, BronzesillError, ResultCode
@@ -153,3 +154,32 @@
         self.assertEqual((load.running, load.waiting, load.slots), (3, 1, 8))
         malformed = AnswerHead(200, _headers(b'X-Instance-Load: 3,x'), True)
         self.assertIsNone(self.dialect.load(malformed))
+
+
+class LoadTest(unittest.TestCase):
+    """Load of a server, as told in the head of an answer."""
+
+    def test_three_numbers_tell_no_slowdown(self) -> None:
+        self.assertEqual(self._load(b'3,0,8'), ReportedLoad(3, 0, 8))
+
+    def test_fourth_number_is_the_slowdown(self) -> None:
+        """A load of four numbers was dropped, so that no load was known."""
+        self.assertEqual(
+            self._load(b'3, 1, 8, 250'), ReportedLoad(3, 1, 8, 2.5)
+        )
+
+    def test_malformed_slowdown_leaves_the_load_known(self) -> None:
+        for text in (b'3,0,8,', b'3,0,8,x', b'3,0,8,-1', b'3,0,8,0'):
+            with self.subTest(text):
+                self.assertEqual(self._load(text), ReportedLoad(3, 0, 8))
+
+    def test_slowdown_is_bounded(self) -> None:
+        self.assertEqual(self._load(b'3,0,8,999999'), ReportedLoad(3, 0, 8, 20))
+        self.assertEqual(self._load(b'3,0,8,1'), ReportedLoad(3, 0, 8, 0.1))
+
+    def test_further_numbers_are_ignored(self) -> None:
+        self.assertEqual(self._load(b'3,0,8,100,7'), ReportedLoad(3, 0, 8, 1))
+
+    def _load(self, text: bytes) -> ReportedLoad | None:
+        head = AnswerHead(200, (Header(b'x-instance-load', text),), True, 0)
+        return PlatformDialect().load(head)
--- a/bronzesill/routing/records.py
+++ b/bronzesill/routing/records.py
@@ -22,11 +22,14 @@
     :param running: number of streams running on the server.
     :param version: version that the server runs.
     :param at_s: time in seconds at which the report was read.
+    :param slowdown: how many times as long as usual work takes on the server's
+        machine, ``None`` if not told.
     """
 
     running: int
     version: str
     at_s: float
+    slowdown: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/routing/server_tracker.py
+++ b/bronzesill/routing/server_tracker.py
@@ -11,6 +11,7 @@
 from .limiter import NoLimits, RequestLimiter
 from .records import LoadReport, ServerRecord
 from .request_limits import ServerRoom
+from .server_speed import ServerSpeeds
 from .use_reports import (
     FleetUse,
     ServerRestart,
@@ -43,6 +44,8 @@
         self.leaving: frozenset[str] = frozenset()
         #: Restarted servers that are not listed yet.
         self.restarts: tuple[ServerRestart, ...] = ()
+        #: Speeds of the servers, where they tell their slowdown.
+        self.speeds = ServerSpeeds()
         self._domains = DomainFailures()
         #: Reports of the other daemons.
         self.fleet_use = FleetUse()
@@ -67,6 +70,7 @@
         self._records_by_name = {name: self._record(name) for name in by_name}
         self.candidates = frozenset(by_name)
         self.limiter.keep_only(by_name)
+        self.speeds.replace_servers(by_name)
         self._started_at_s_by_group = _started_at_s_by_group(by_name)
 
     def forget(self, name: str) -> None:
@@ -114,6 +118,7 @@
     def reported(self, name: str, report: LoadReport) -> None:
         """Record a load report of a server."""
         self._update_record(name, self._record(name).reported(report))
+        self.speeds.reported(name, report)
 
     def suspect(self, name: str, now_s: float) -> None:
         """
--- a/bronzesill/upstream/request.py
+++ b/bronzesill/upstream/request.py
@@ -116,11 +116,14 @@
     :param running: number of running requests.
     :param waiting: number of queued requests.
     :param slots: maximum number of concurrent requests.
+    :param slowdown: how many times as long as usual work takes on the server's
+        machine at this moment, ``None`` if not told.
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 class HealthDialect(Protocol):
