Measure the paces of servers and share them between hosts

Cause: each relative speed was 1, so that engines of speed 0.6 and 1.6 got the same load.

Change: each stream tells the time between its events after ten gaps, and again every ten; an answered plain call tells its duration. Events that share a read tell one gap. Where a service's servers tell their slowdown, the samples are divided by it and kept for two minutes, the latest 15 of a server; the pace is their 0.4 quantile. Reports of use carry what this host measured in the last two seconds, totals of a collector what all measured, as an optional last field. Speeds are bounded to 0.25 to 4 and drawn to 1 while there are few samples. Nothing chooses by them yet.

Measured: unit tests only.

--- a/bronzesill/calls/servers.py
+++ b/bronzesill/calls/servers.py
@@ -244,6 +244,8 @@
         if end is CallEnd.LOST:
             self._tracker.suspect(name, now_s)
         elif end is not CallEnd.GIVEN_UP:
+            if end is CallEnd.GOOD:
+                self._tracker.speeds.measured(name, latency_s, now_s)
             is_failure = end is CallEnd.FAILURE
             self._tracker.answered(name, is_failure=is_failure)
         self._on_call_end(
--- a/bronzesill/generations/attempt.py
+++ b/bronzesill/generations/attempt.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from ..routing import EventPace
 from ..upstream import ConnectionLost, PathCut, RequestNotSent
 from ..utils import Address, log_unexpected
 from .messages import (
@@ -28,9 +29,9 @@
 __all__ = ['AttemptRunner']
 
 
-class _FirstTokenTracker:
+class _ArrivalTracker:
     """
-    Reports the first token of an attempt to the observer, once.
+    Reports the first token of an attempt, and the pace of those that follow.
 
     :param server: backend server that runs the attempt.
     :param observer: receives the notification.
@@ -40,12 +41,16 @@
         self.has_begun = False
         self._server = server
         self._observer = observer
+        self._pace = EventPace()
 
     def tokens_received(self) -> None:
         """Record that tokens were received."""
         if not self.has_begun:
             self.has_begun = True
             self._observer.first_token_received(self._server)
+        gap_s = self._pace.arrived(asyncio.get_running_loop().time())
+        if gap_s is not None:
+            self._observer.pace_measured(self._server, gap_s)
 
 
 class AttemptRunner:
@@ -221,7 +226,7 @@
 
     async def _read(self, opening: StreamOpening, usage: AttemptUsage) -> None:
         self._observer.stream_opened(usage)
-        tracker = _FirstTokenTracker(usage.server, self._observer)
+        tracker = _ArrivalTracker(usage.server, self._observer)
         try:
             lost = await self._read_to_end(opening, tracker)
         except Exception as error:
@@ -233,7 +238,7 @@
             self._mailbox.put_nowait(lost)
 
     async def _read_to_end(
-        self, opening: StreamOpening, tracker: _FirstTokenTracker
+        self, opening: StreamOpening, tracker: _ArrivalTracker
     ) -> AttemptLost | None:
         try:
             async for message in self._client.read(opening):
--- a/bronzesill/generations/book_observer.py
+++ b/bronzesill/generations/book_observer.py
@@ -56,6 +56,11 @@
         """Record that a stream on the server has produced its first token."""
         self._tracker.response_started(server)
 
+    def pace_measured(self, server: str, gap_s: float) -> None:
+        """Record the pace of a server."""
+        now_s = asyncio.get_running_loop().time()
+        self._tracker.speeds.measured(server, gap_s, now_s)
+
     def stream_closed(self, usage: AttemptUsage, *, has_begun: bool) -> None:
         """Remove the stream and its memory from the servers it uses."""
         self._tracker.closed(usage.server, has_response_started=has_begun)
--- a/bronzesill/generations/observer.py
+++ b/bronzesill/generations/observer.py
@@ -64,6 +64,14 @@
     def first_token_received(self, server: str) -> None:
         """Record the first token of a stream on a backend server."""
 
+    def pace_measured(self, server: str, gap_s: float) -> None:
+        """
+        Record the time between the latest events of a stream.
+
+        :param server: backend server that runs the stream.
+        :param gap_s: low quantile of the seconds between two events.
+        """
+
     def stream_closed(self, usage: AttemptUsage, *, has_begun: bool) -> None:
         """
         Record a stream closed on a backend server.
--- a/bronzesill/routing/__init__.py
+++ b/bronzesill/routing/__init__.py
@@ -7,6 +7,7 @@
     choose_prompt_holder,
     choose_server,
 )
+from .event_pace import EventPace
 from .listing import ServerListing
 from .records import LoadReport, ServerRecord
 from .request_limits import (
@@ -20,6 +21,7 @@
 from .use_reports import (
     FetchUse,
     FleetUse,
+    ServerPace,
     ServerRestart,
     ServerUse,
     SharedNews,
@@ -33,6 +35,7 @@
 from .views import ServerView
 
 __all__ = [
+    'EventPace',
     'FetchUse',
     'FleetPosition',
     'FleetUse',
@@ -42,6 +45,7 @@
     'RequestLimits',
     'Requirements',
     'ServerListing',
+    'ServerPace',
     'ServerRecord',
     'ServerRestart',
     'ServerRoom',
--- a/bronzesill/routing/server_speed.py
+++ b/bronzesill/routing/server_speed.py
@@ -2,15 +2,32 @@
 
 from __future__ import annotations
 
+import statistics
 from collections.abc import Mapping
 
 from ..config import BackendServer
+from .event_pace import PaceSample
+from .fleet_paces import FleetPaces
 from .records import LoadReport
+from .use_reports import ServerPace, UseReport
 
 __all__ = ['ServerSpeeds']
 
 #: A slowdown changes several times a second and counts up to this age.
 _SLOWDOWN_VALID_S = 0.3
+#: Paces measured this recently are in each report; a datagram may be lost.
+_REPORTED_AGE_S = 2.0
+#: Keeps a report of this daemon within a datagram.
+_MAX_REPORTED = 20
+_MIN_PACE_S = 1e-4
+_MAX_PACE_S = 60.0
+_MIN_SPEED = 0.25
+_MAX_SPEED = 4.0
+#: Samples of a typical pace that those of each server are weighed against.
+_PRIOR_SAMPLES = 1
+#: Most samples that one report of another daemon counts for.
+_MAX_WEIGHT = 1000
+_US_PER_S = 1e6
 
 
 class ServerSpeeds:
@@ -25,6 +42,8 @@
         self._servers_by_name: Mapping[str, BackendServer] = {}
         self._reports_by_name: dict[str, LoadReport] = {}
         self._services: frozenset[str] = frozenset()
+        self._paces = FleetPaces()
+        self._speeds_by_service: dict[str, dict[str, float]] = {}
 
     def replace_servers(self, by_name: Mapping[str, BackendServer]) -> None:
         """
@@ -35,6 +54,14 @@
         self._servers_by_name = by_name
         for name in self._reports_by_name.keys() - by_name.keys():
             del self._reports_by_name[name]
+        self._paces.keep_only(by_name)
+        self._speeds_by_service.clear()
+
+    def forget(self, name: str) -> None:
+        """Forget a server that has been restarted."""
+        self._reports_by_name.pop(name, None)
+        self._paces.forget(name)
+        self._speeds_by_service.clear()
 
     def reported(self, name: str, report: LoadReport) -> None:
         """Record a load report, which may tell a slowdown."""
@@ -44,11 +71,75 @@
         self._reports_by_name[name] = report
         self._services |= {server.service_name}
 
+    def measured(self, name: str, work_s: float, now_s: float) -> None:
+        """
+        Record how long one unit of work took on a server.
+
+        Has no effect on a server whose service does not use speed.
+
+        :param name: name of the server.
+        :param work_s: seconds between events of a stream, or for a plain call.
+        :param now_s: current time in seconds.
+        """
+        if self.is_known_for(name):
+            pace_s = work_s / self.slowdown(name, now_s)
+            if _MIN_PACE_S <= pace_s <= _MAX_PACE_S:
+                self._paces.add_own(name, PaceSample(pace_s, now_s))
+                self._changed(name)
+
+    def heard(self, report: UseReport, now_s: float) -> None:
+        """Record the paces that another daemon measured."""
+        for told in report.paces:
+            pace_s = told.pace_us / _US_PER_S
+            server = self._servers_by_name.get(told.server)
+            is_plausible = told.samples > 0 and told.age_s >= 0
+            if server is None or not is_plausible:
+                continue
+            if not _MIN_PACE_S <= pace_s <= _MAX_PACE_S:
+                continue
+            # Daemons send paces only of services whose servers tell slowdowns.
+            self._services |= {server.service_name}
+            weight = min(told.samples, _MAX_WEIGHT)
+            sample = PaceSample(pace_s, now_s - told.age_s, weight)
+            self._paces.add_heard(told.server, report.daemon, sample)
+            self._changed(told.server)
+
+    def measured_paces(self, now_s: float) -> tuple[ServerPace, ...]:
+        """Return the paces that this daemon measured recently."""
+        recent = self._paces.own_since(now_s - _REPORTED_AGE_S)
+        latest = sorted(
+            recent, key=lambda name: recent[name].at_s, reverse=True
+        )[:_MAX_REPORTED]
+        return tuple(_to_told(name, recent[name], now_s) for name in latest)
+
+    def known_paces(
+        self, excluded_daemon: str, now_s: float
+    ) -> tuple[ServerPace, ...]:
+        """
+        Return the paces by this and all other daemons.
+
+        :param excluded_daemon: daemon whose measurements are left out.
+        :param now_s: current time in seconds.
+        """
+        known = (
+            (name, self._paces.combined(name, now_s, excluded_daemon))
+            for name in self._paces.names
+        )
+        return tuple(
+            _to_told(name, pace, now_s)
+            for name, pace in known
+            if pace is not None
+        )
+
     def is_known_for(self, name: str) -> bool:
         """Return whether speed counts for the service of a server."""
         server = self._servers_by_name.get(name)
         return server is not None and server.service_name in self._services
 
+    def is_used_by(self, service: str) -> bool:
+        """Return whether speed counts for a service or model."""
+        return service in self._services
+
     def slowdown(self, name: str, now_s: float) -> float:
         """
         Return how many times as long as usual work takes on a server now.
@@ -71,4 +162,59 @@
         :param name: name of the server.
         :returns: the relative speed, 1 if unknown.
         """
-        return 1
+        server = self._servers_by_name.get(name)
+        if server is None or server.service_name not in self._services:
+            return 1
+        service = server.service_name
+        speeds = self._speeds_by_service.get(service)
+        if speeds is None:
+            speeds = _relative_speeds(self._known_paces_of(service))
+            self._speeds_by_service[service] = speeds
+        return speeds.get(name, 1)
+
+    def typical_pace_s(self, service: str) -> float | None:
+        """Return the median pace of a service, ``None`` if unknown."""
+        paces = self._known_paces_of(service)
+        return _median_pace_s(paces) if paces else None
+
+    def _known_paces_of(self, service: str) -> dict[str, PaceSample]:
+        return {
+            name: pace
+            for name, pace in self._paces.latest().items()
+            if self._servers_by_name[name].service_name == service
+        }
+
+    def _changed(self, name: str) -> None:
+        service = self._servers_by_name[name].service_name
+        self._speeds_by_service.pop(service, None)
+
+
+def _median_pace_s(paces: Mapping[str, PaceSample]) -> float:
+    return statistics.median(pace.pace_s for pace in paces.values())
+
+
+def _relative_speeds(paces: Mapping[str, PaceSample]) -> dict[str, float]:
+    """Return the speed by server; few samples tell little of a server."""
+    if not paces:
+        return {}
+    median_s = _median_pace_s(paces)
+    return {
+        name: _bounded(
+            (median_s / pace.pace_s)
+            ** (pace.weight / (pace.weight + _PRIOR_SAMPLES))
+        )
+        for name, pace in paces.items()
+    }
+
+
+def _bounded(speed: float) -> float:
+    return min(max(speed, _MIN_SPEED), _MAX_SPEED)
+
+
+def _to_told(name: str, pace: PaceSample, now_s: float) -> ServerPace:
+    return ServerPace(
+        name,
+        round(pace.pace_s * _US_PER_S),
+        pace.weight,
+        round(max(now_s - pace.at_s, 0)),
+    )
--- a/bronzesill/routing/server_tracker.py
+++ b/bronzesill/routing/server_tracker.py
@@ -76,6 +76,7 @@
     def forget(self, name: str) -> None:
         """Discard the record of a server that has been restarted."""
         self._records_by_name.pop(name, None)
+        self.speeds.forget(name)
         self.set_leaving(name, is_leaving=False)
 
     @property
@@ -174,7 +175,15 @@
             if record.is_used
         )
         failed = self.failed_since(now_s - _FAILURE_REPORT_WINDOW_S)
-        return UseReport(daemon, sequence, uses, failed, self.restarts, valid_s)
+        return UseReport(
+            daemon,
+            sequence,
+            uses,
+            failed,
+            self.restarts,
+            valid_s,
+            self.speeds.measured_paces(now_s),
+        )
 
     def build_totals(
         self, report: UseReport, requester: str, now_s: float
@@ -195,6 +204,7 @@
             uses=tuple(totals.values()),
             failed=tuple(sorted(news.failed)),
             restarts=tuple(news.restarts),
+            paces=self.speeds.known_paces(requester, now_s),
         )
 
     def failed_since(self, since_s: float) -> tuple[str, ...]:
@@ -219,6 +229,7 @@
         self.fleet_use = previous_use.with_report(report, now_s)
         if self.fleet_use is previous_use:
             return
+        self.speeds.heard(report, now_s)
         already_reported = previous_use.reported_failures(report.daemon, now_s)
         for name in report.failed:
             if name not in already_reported:
--- a/bronzesill/routing/use_reports.py
+++ b/bronzesill/routing/use_reports.py
@@ -16,6 +16,7 @@
 __all__ = [
     'FetchUse',
     'FleetUse',
+    'ServerPace',
     'ServerRestart',
     'ServerUse',
     'SharedNews',
@@ -73,6 +74,23 @@
     new_name: str
 
 
+@dataclasses.dataclass(frozen=True)
+class ServerPace:
+    """
+    Pace of one server, by the measurements of one or several daemons.
+
+    :param server: name of the server.
+    :param pace_us: microseconds for an event of a stream, or for a plain call.
+    :param samples: number of measurements.
+    :param age_s: age of the last one in seconds.
+    """
+
+    server: str
+    pace_us: int
+    samples: int
+    age_s: int = 0
+
+
 @dataclasses.dataclass(frozen=True)
 class UseReport:
     """
@@ -84,6 +102,7 @@
     :param failed: names of servers that recently did not respond to it.
     :param restarts: restarted servers that are not listed yet.
     :param valid_s: seconds until the report expires if no newer one arrives.
+    :param paces: paces of servers that were measured recently.
     """
 
     daemon: str
@@ -92,11 +111,12 @@
     failed: tuple[str, ...] = ()
     restarts: tuple[ServerRestart, ...] = ()
     valid_s: float = _DEFAULT_VALID_S
+    paces: tuple[ServerPace, ...] = ()
 
     @property
     def is_empty(self) -> bool:
-        """Whether the report contains no use, failure or restart."""
-        return not (self.uses or self.failed or self.restarts)
+        """Whether the report contains no use, failure, restart or pace."""
+        return not (self.uses or self.failed or self.restarts or self.paces)
 
 
 @dataclasses.dataclass(frozen=True)
