Choose servers of streams by the expected time where speeds are known

Cause: the fill weighs all servers alike, so that engines of speed 0.6 got a fifth of the streams while faster ones had few.

Change: where servers tell their slowdown, choose_server and choose_copy_holder compare seconds: prompts read before, the prompt and the answer at the speed of the server, the delay that the prompt causes to the streams there, the prompts of others to be expected meanwhile, shortage of memory (assumed half of the slots if its size is unknown) and the path to another domain. Servers within 3 % of the lowest cost rank equally. Without slowdowns the same code runs as before.

--- a/bronzesill/generations/attempt.py
+++ b/bronzesill/generations/attempt.py
@@ -79,6 +79,8 @@
         self._stream: asyncio.Task[None] | None = None
         self._server = ''
         self._timings = AttemptTimings(0)
+        self._has_prefilled = False
+        self._is_first_part = False
 
     def open(
         self,
@@ -98,6 +100,8 @@
         """
         self._server = action.server
         self._timings = AttemptTimings(asyncio.get_running_loop().time())
+        self._has_prefilled = not (action.is_attach or action.uses_copy)
+        self._is_first_part = self._has_prefilled and not action.offset
         address = self._find_address(action.server)
         if address is None:
             lost = AttemptLost(action.attempt, LossCause.UNSENT)
@@ -129,7 +133,10 @@
             first_token_s = self._timings.first_token_s
             self._observer.attempt_observed(
                 AttemptObservation(
-                    request, self._server, first_token_s=first_token_s
+                    request,
+                    self._server,
+                    first_token_s=first_token_s,
+                    has_prefilled=self._has_prefilled,
                 )
             )
 
@@ -142,6 +149,7 @@
     ) -> None:
         """Report the end of the attempt and its mean token gap."""
         now_s = asyncio.get_running_loop().time()
+        is_whole = self._is_first_part and not is_failed
         self._observer.attempt_observed(
             AttemptObservation(
                 request,
@@ -153,6 +161,7 @@
                     has_disconnected and not self._timings.first_at_s
                 ),
                 token_gap_s=self._timings.token_gap_s,
+                answer_events=self._timings.tokens + 1 if is_whole else 0,
             )
         )
 
--- a/bronzesill/generations/book_observer.py
+++ b/bronzesill/generations/book_observer.py
@@ -68,6 +68,7 @@
 
     def attempt_observed(self, observation: AttemptObservation) -> None:
         """Pass an observation to the ``on_attempt_observed`` callback."""
+        self._record_rates(observation)
         self.on_attempt_observed(observation)
 
     def attempt_lost(self, server: str, cause: LossCause) -> None:
@@ -102,6 +103,20 @@
         record = await self._directory.find(request.key)
         return record is None or record.owner == self._daemon
 
+    def _record_rates(self, observation: AttemptObservation) -> None:
+        speeds = self._tracker.speeds
+        forward = observation.request.forward
+        has_started = observation.first_token_s is not None
+        if has_started and observation.has_prefilled and forward is not None:
+            speeds.answer_began(
+                observation.server,
+                forward.caller.prompt_tokens,
+                observation.first_token_s or 0,
+                asyncio.get_running_loop().time(),
+            )
+        if observation.answer_events:
+            speeds.answer_ended(observation.server, observation.answer_events)
+
     def _is_paused(self, server: str, cause: LossCause) -> bool:
         """Return whether a server said itself until when it takes nothing."""
         is_refused = cause is LossCause.REFUSED
--- a/bronzesill/generations/observer.py
+++ b/bronzesill/generations/observer.py
@@ -27,6 +27,9 @@
     :param lasted_s: seconds from opening the stream to its end.
     :param token_gap_s: mean gap between tokens in seconds, or None if not
         measured.
+    :param has_prefilled: whether the server had to prefill the prompt.
+    :param answer_events: tokens of a whole answer that the attempt gave from
+        its first on, 0 for any other end.
     """
 
     request: GenerationRequest
@@ -37,6 +40,8 @@
     lasted_s: float = 0
     first_token_s: float | None = None
     token_gap_s: float | None = None
+    has_prefilled: bool = False
+    answer_events: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/generations/placement.py
+++ b/bronzesill/generations/placement.py
@@ -13,6 +13,7 @@
     Requirements,
     ServerTracker,
     ServerView,
+    StreamSize,
     choose_copy_holder,
     choose_held_server,
     choose_server,
@@ -121,6 +122,8 @@
             is_usage_shared=self.is_usage_shared()
             # All daemons would meet at the server with the lowest cost.
             and not self._tracker.limiter.is_brittle(request.model),
+            size=_size_of(request),
+            rates=self._tracker.speeds.rates(request.model),
         )
 
     def choose(
@@ -249,6 +252,13 @@
         return chosen.server
 
 
+def _size_of(request: GenerationRequest) -> StreamSize:
+    if request.forward is None:
+        return StreamSize(0, request.max_tokens)
+    caller = request.forward.caller
+    return StreamSize(caller.prompt_tokens, caller.max_output_tokens)
+
+
 def _never() -> bool:
     return False
 
--- a/bronzesill/routing/__init__.py
+++ b/bronzesill/routing/__init__.py
@@ -8,6 +8,7 @@
     choose_server,
 )
 from .event_pace import EventPace
+from .expected_time import ExpectedTime, ServiceRates, StreamSize
 from .listing import ServerListing
 from .records import LoadReport, ServerRecord
 from .request_limits import (
@@ -36,6 +37,7 @@
 
 __all__ = [
     'EventPace',
+    'ExpectedTime',
     'FetchUse',
     'FleetPosition',
     'FleetUse',
@@ -52,8 +54,10 @@
     'ServerTracker',
     'ServerUse',
     'ServerView',
+    'ServiceRates',
     'SharedNews',
     'SharingPeers',
+    'StreamSize',
     'TrafficSplit',
     'UseReport',
     'choose_copy_holder',
--- a/bronzesill/routing/choose.py
+++ b/bronzesill/routing/choose.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from random import Random
 
 from ..utils import rank_by_rendezvous
+from .expected_time import ExpectedTime, ServiceRates, StreamSize
 from .views import ServerView
 
 __all__ = [
@@ -32,6 +33,9 @@
 _RESUME_FILL_LIMIT = 4.0
 #: The last available servers of a model are not risked.
 _MIN_AVAILABLE = 1
+#: Servers whose costs differ by at most this part rank equally, so that hosts
+#: which see the same servers don't all choose the same one.
+_TIE_PART = 0.03
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,6 +57,9 @@
         none.
     :param is_usage_shared: whether daemons exchange their server use
         immediately; otherwise load information is stale when it arrives.
+    :param size: size of the stream.
+    :param rates: rates of the servers where their speed is used; the expected
+        time then decides in place of the fill.
     """
 
     model: str
@@ -64,6 +71,8 @@
     copy_holder: str = ''
     prompt_holder: str = ''
     is_usage_shared: bool = False
+    size: StreamSize = dataclasses.field(default_factory=StreamSize)
+    rates: ServiceRates | None = None
 
 
 def choose_copy_holder(
@@ -93,9 +102,12 @@
     ]
     if not eligible:
         return None
-    return _pick_lowest_cost(
-        eligible, requirements, _DomainCost(views, _COPY_COST_PER_RANK), random
-    )
+    domains = _DomainCost(views, _COPY_COST_PER_RANK)
+    if requirements.rates is not None:
+        expected = _expect(requirements, requirements.rates, eligible)
+        costs_s = _ExpectedCosts(expected.copy_cost_s, expected, domains)
+        return _pick_fastest(eligible, requirements, costs_s, random)
+    return _pick_lowest_cost(eligible, requirements, domains, random)
 
 
 def choose_server(
@@ -129,9 +141,12 @@
     preferred = _find_prefix_server(eligible, requirements)
     if preferred is not None:
         return preferred
-    return _pick_lowest_cost(
-        eligible, requirements, _DomainCost(views, _RUN_COST_PER_RANK), random
-    )
+    domains = _DomainCost(views, _RUN_COST_PER_RANK)
+    if requirements.rates is not None:
+        expected = _expect(requirements, requirements.rates, eligible)
+        costs_s = _ExpectedCosts(expected.cost_s, expected, domains)
+        return _pick_fastest(eligible, requirements, costs_s, random)
+    return _pick_lowest_cost(eligible, requirements, domains, random)
 
 
 def choose_held_server(
@@ -222,6 +237,53 @@
     )
 
 
+def _expect(
+    requirements: Requirements,
+    rates: ServiceRates,
+    eligible: Sequence[ServerView],
+) -> ExpectedTime:
+    return ExpectedTime(
+        rates, requirements.size, requirements.home_domain, eligible
+    )
+
+
+def _pick_fastest(
+    eligible: Sequence[ServerView],
+    requirements: Requirements,
+    costs_s: _ExpectedCosts,
+    random: Random,
+) -> ServerView:
+    if not requirements.is_usage_shared:
+        sampled = random.sample(eligible, min(2, len(eligible)))
+        return min(sampled, key=costs_s.server_s)
+    ranked = [(costs_s.total_s(view), view) for view in eligible]
+    lowest_s = min(cost_s for cost_s, _ in ranked)
+    tied = [
+        view for cost_s, view in ranked if cost_s <= lowest_s * (1 + _TIE_PART)
+    ]
+    return random.choice(tied)
+
+
+@dataclasses.dataclass(frozen=True)
+class _ExpectedCosts:
+    """
+    Costs of servers in seconds.
+
+    :param server_s: returns the cost of a server without its domain.
+    :param expected: expected time of the stream.
+    :param domains: costs of the failure domains.
+    """
+
+    server_s: Callable[[ServerView], float]
+    expected: ExpectedTime
+    domains: _DomainCost
+
+    def total_s(self, view: ServerView) -> float:
+        """Return the cost of a server with that of its domain."""
+        domain_s = self.domains.cost(view) * self.expected.s_per_fill
+        return self.server_s(view) + domain_s
+
+
 class _DomainCost:
     """
     Placement cost of failure domains, ranked by start time.
--- a/bronzesill/routing/event_pace.py
+++ b/bronzesill/routing/event_pace.py
@@ -33,10 +33,12 @@
     weight: int = 1
 
 
-def low_quantile(samples: Iterable[PaceSample]) -> float:
+def low_quantile(
+    samples: Iterable[PaceSample], quantile: float = _QUANTILE
+) -> float:
     """Return the weighted quantile of at least one sample, in seconds."""
     ordered = sorted(samples, key=lambda sample: sample.pace_s)
-    rank = _QUANTILE * sum(sample.weight for sample in ordered)
+    rank = quantile * sum(sample.weight for sample in ordered)
     position = 0
     while position < len(ordered) - 1 and rank > ordered[position].weight:
         rank -= ordered[position].weight
--- a/bronzesill/routing/fleet_paces.py
+++ b/bronzesill/routing/fleet_paces.py
@@ -12,6 +12,7 @@
 _PACE_VALID_S = 120.0
 #: Paces expire unless another measurement arrives; checked this often.
 _EXPIRY_CHECK_S = 5.0
+_LITTLE_CHANGE = 0.02
 
 
 class FleetPaces:
@@ -36,8 +37,11 @@
 
     def add_heard(self, name: str, daemon: str, sample: PaceSample) -> None:
         """Replace the pace that another daemon told."""
-        self._heard_by_name.setdefault(name, {})[daemon] = sample
-        self._changed(name, sample.at_s)
+        heard_by_daemon = self._heard_by_name.setdefault(name, {})
+        previous = heard_by_daemon.get(daemon)
+        heard_by_daemon[daemon] = sample
+        if previous is None or not _is_about_equal(previous, sample):
+            self._changed(name, sample.at_s)
 
     def own_since(self, since_s: float) -> dict[str, PaceSample]:
         """Return the paces that this daemon measured after a time."""
@@ -51,15 +55,13 @@
             if pace is not None and pace.at_s > since_s
         }
 
-    def combined(
-        self, name: str, now_s: float, excluded_daemon: str = ''
-    ) -> PaceSample | None:
-        """Return the pace of a server by all daemons but one."""
+    def combined(self, name: str, now_s: float) -> PaceSample | None:
+        """Return the pace of a server by all daemons."""
         since_s = now_s - _PACE_VALID_S
         known = [
             sample
-            for daemon, sample in self._heard_by_name.get(name, {}).items()
-            if daemon != excluded_daemon and sample.at_s > since_s
+            for sample in self._heard_by_name.get(name, {}).values()
+            if sample.at_s > since_s
         ]
         own = self._own_by_name.get(name)
         pace = own.combined(since_s) if own else None
@@ -103,3 +105,10 @@
     def _changed(self, name: str, at_s: float) -> None:
         self._now_s = max(self._now_s, at_s)
         self._latest_by_name.pop(name, None)
+
+
+def _is_about_equal(before: PaceSample, now: PaceSample) -> bool:
+    """Return whether a pace changed too little to compute speeds again."""
+    if now.weight > 2 * before.weight:
+        return False
+    return abs(now.pace_s - before.pace_s) < _LITTLE_CHANGE * before.pace_s
--- a/bronzesill/routing/server_speed.py
+++ b/bronzesill/routing/server_speed.py
@@ -7,8 +7,10 @@
 
 from ..config import BackendServer
 from .event_pace import PaceSample
+from .expected_time import ServiceRates
 from .fleet_paces import FleetPaces
 from .records import LoadReport
+from .service_rates import RateSamples
 from .use_reports import ServerPace, UseReport
 
 __all__ = ['ServerSpeeds']
@@ -44,6 +46,7 @@
         self._services: frozenset[str] = frozenset()
         self._paces = FleetPaces()
         self._speeds_by_service: dict[str, dict[str, float]] = {}
+        self._rates_by_service: dict[str, RateSamples] = {}
 
     def replace_servers(self, by_name: Mapping[str, BackendServer]) -> None:
         """
@@ -87,6 +90,30 @@
                 self._paces.add_own(name, PaceSample(pace_s, now_s))
                 self._changed(name)
 
+    def answer_began(
+        self, name: str, prompt_tokens: int, first_event_s: float, now_s: float
+    ) -> None:
+        """
+        Record the first event of an answer whose prompt was prefilled.
+
+        :param name: name of the server.
+        :param prompt_tokens: length of the prompt, 0 if not stated.
+        :param first_event_s: seconds from the request to the event.
+        :param now_s: current time in seconds.
+        """
+        server = self._servers_by_name.get(name)
+        if server is not None and self.is_known_for(name):
+            usual_s = first_event_s / self.slowdown(name, now_s)
+            self._samples(server.service_name).add_first_event(
+                prompt_tokens, usual_s * self.relative_speed(name)
+            )
+
+    def answer_ended(self, name: str, events: int) -> None:
+        """Record the number of events of a whole answer."""
+        server = self._servers_by_name.get(name)
+        if server is not None and self.is_known_for(name):
+            self._samples(server.service_name).add_answer(events)
+
     def heard(self, report: UseReport, now_s: float) -> None:
         """Record the paces that another daemon measured."""
         for told in report.paces:
@@ -112,23 +139,11 @@
         )[:_MAX_REPORTED]
         return tuple(_to_told(name, recent[name], now_s) for name in latest)
 
-    def known_paces(
-        self, excluded_daemon: str, now_s: float
-    ) -> tuple[ServerPace, ...]:
-        """
-        Return the paces by this and all other daemons.
-
-        :param excluded_daemon: daemon whose measurements are left out.
-        :param now_s: current time in seconds.
-        """
-        known = (
-            (name, self._paces.combined(name, now_s, excluded_daemon))
-            for name in self._paces.names
-        )
+    def known_paces(self, now_s: float) -> tuple[ServerPace, ...]:
+        """Return the paces by this and all other daemons."""
         return tuple(
             _to_told(name, pace, now_s)
-            for name, pace in known
-            if pace is not None
+            for name, pace in self._paces.latest().items()
         )
 
     def is_known_for(self, name: str) -> bool:
@@ -136,10 +151,6 @@
         server = self._servers_by_name.get(name)
         return server is not None and server.service_name in self._services
 
-    def is_used_by(self, service: str) -> bool:
-        """Return whether speed counts for a service or model."""
-        return service in self._services
-
     def slowdown(self, name: str, now_s: float) -> float:
         """
         Return how many times as long as usual work takes on a server now.
@@ -177,6 +188,15 @@
         paces = self._known_paces_of(service)
         return _median_pace_s(paces) if paces else None
 
+    def rates(self, service: str) -> ServiceRates | None:
+        """Return the typical rates of a model, ``None`` without speeds."""
+        if service not in self._services:
+            return None
+        return self._samples(service).rates(self.typical_pace_s(service))
+
+    def _samples(self, service: str) -> RateSamples:
+        return self._rates_by_service.setdefault(service, RateSamples())
+
     def _known_paces_of(self, service: str) -> dict[str, PaceSample]:
         return {
             name: pace
--- a/bronzesill/routing/server_tracker.py
+++ b/bronzesill/routing/server_tracker.py
@@ -204,7 +204,7 @@
             uses=tuple(totals.values()),
             failed=tuple(sorted(news.failed)),
             restarts=tuple(news.restarts),
-            paces=self.speeds.known_paces(requester, now_s),
+            paces=self.speeds.known_paces(now_s),
         )
 
     def failed_since(self, since_s: float) -> tuple[str, ...]:
@@ -333,6 +333,9 @@
             is_leaving=name in self.leaving,
             is_suspected=is_suspected,
             failure_rate=record.failure_rate,
+            speed=self.speeds.relative_speed(name),
+            slowdown=self.speeds.slowdown(name, now_s),
+            is_speed_used=self.speeds.is_known_for(name),
         )
 
 
--- a/bronzesill/routing/views.py
+++ b/bronzesill/routing/views.py
@@ -38,6 +38,10 @@
     :param is_suspected: whether the server or its failure domain recently
         failed to respond.
     :param failure_rate: exponentially smoothed fraction of failed requests.
+    :param speed: speed relative to the median of the service, 1 if unknown.
+    :param slowdown: how many times as long as usual work takes on the server
+        now, 1 if unknown.
+    :param is_speed_used: whether speed is used for the server's service.
     """
 
     name: str
@@ -58,23 +62,30 @@
     is_leaving: bool = False
     is_suspected: bool = False
     failure_rate: float = 0
+    speed: float = 1
+    slowdown: float = 1
+    is_speed_used: bool = False
 
     @property
-    def fill(self) -> float:
+    def running(self) -> float:
         """
-        Estimated streams per unit of capacity; it may exceed 1.
+        Estimated number of streams.
 
         The weight of the last load report decays with its age.
         """
         report_weight = math.exp2(-self.report_age_s / _REPORT_HALF_LIFE_S)
         reported = report_weight * self.reported_running
         known_running = self.own_running + self.others_running
-        running = max(reported + self.own_opened_since_report, known_running)
+        return max(reported + self.own_opened_since_report, known_running)
+
+    @property
+    def fill(self) -> float:
+        """Estimated streams per unit of capacity; it may exceed 1."""
         # Prefill of a prompt delays all concurrent streams on the server.
         prefilling = _PREFILL_WEIGHT * (
             self.own_prefilling + self.others_prefilling
         )
-        return (running + prefilling) / self.capacity
+        return (self.running + prefilling) / self.capacity
 
     @property
     def memory_fill(self) -> float:
