Order the servers of calls, and hedge, by the time expected of each

Cause: calls went to servers by their use alone and were hedged after the same time on fast and slow servers.

Change: where speed is used, the order is by the expected time of a call in typical times of one, less 1: (1 + running / slots) * slowdown / speed - 1. The unit stays requests per slot. A route learns its latency as on a server of typical speed and hedges after it times slowdown / speed of the server called last, bounded to 0.5 to 3. Elsewhere each factor is 1.

The stand-ins for the servers in test_stale_refusals and test_cut_paths have the new method too. Tests of calls pass.

--- a/bronzesill/calls/durations.py
+++ b/bronzesill/calls/durations.py
@@ -53,6 +53,14 @@
         estimate_s = self.quantile_s * (1 - _STEP_RATIO * gradient)
         return LatencyEstimate(max(estimate_s, _MIN_ESTIMATE_S))
 
+    def expected_quantile_s(self, ratio: float) -> float:
+        """
+        Return the percentile on a server that is not of typical speed.
+
+        :param ratio: how many times as long as typical a response takes there.
+        """
+        return max(self.quantile_s * ratio, _MIN_ESTIMATE_S)
+
 
 @dataclasses.dataclass(frozen=True)
 class RequestSize:
--- a/bronzesill/calls/idempotent.py
+++ b/bronzesill/calls/idempotent.py
@@ -129,6 +129,7 @@
     async def _send(self, routed: RoutedCall, server: str) -> SendOutcome:
         loop = asyncio.get_running_loop()
         started_s = loop.time()
+        expected_ratio = self._servers.expected_ratio(server)
         try:
             self._servers.call_started(server)
         except BronzesillError as error:
@@ -141,10 +142,12 @@
         finally:
             self._servers.call_ended(server, routed, outcome, started_s)
         if _is_success(outcome):
-            self._record_latency(routed, loop.time() - started_s)
+            latency_s = loop.time() - started_s
+            self._record_latency(routed, latency_s / expected_ratio)
         return outcome
 
     def _record_latency(self, routed: RoutedCall, latency_s: float) -> None:
+        """Record a latency, as it would be on a server of typical speed."""
         estimate = self._estimates_by_route.get(
             routed.route_name, LatencyEstimate()
         )
@@ -160,7 +163,8 @@
         estimate = self._estimates_by_route.get(
             routed.route_name, LatencyEstimate()
         )
-        return estimate.quantile_s
+        ratio = self._servers.expected_ratio(plan.last_server)
+        return estimate.expected_quantile_s(ratio)
 
 
 class _AttemptPlan:
@@ -176,6 +180,8 @@
     def __init__(self, max_attempts: int) -> None:
         #: Names of the servers, the next one first.
         self.servers: list[str] = []
+        #: Name of the server that was taken last, empty before the first.
+        self.last_server = ''
         #: Progress of the attempts whose outcome is not recorded.
         self.progress_by_task: dict[
             asyncio.Task[SendOutcome], SendProgress
@@ -202,7 +208,8 @@
     def take(self) -> str:
         """Return the next server, and count an attempt."""
         self._left -= 1
-        return self.servers.pop(0)
+        self.last_server = self.servers.pop(0)
+        return self.last_server
 
     def record(self, done: set[asyncio.Task[SendOutcome]]) -> None:
         """Record the outcomes of attempts that have ended."""
--- a/bronzesill/calls/servers.py
+++ b/bronzesill/calls/servers.py
@@ -32,6 +32,9 @@
 #: Weight of a server's failure rate relative to its utilization.
 _FAILURE_WEIGHT = 0.6
 _SERVER_ERROR = 500
+#: Bounds of the ratio of times, so that a wrong speed does little harm.
+_MIN_RATIO = 0.5
+_MAX_RATIO = 3
 #: Time in seconds after which a call that was not run may be sent again.
 RETRY_AFTER_S = 0.2
 #: Servers lost under a call from which on it does not risk the last one.
@@ -198,6 +201,12 @@
             )
         return server.address
 
+    def expected_ratio(self, name: str) -> float:
+        """Return how many times as long as typical a call takes on a server."""
+        speeds = self._tracker.speeds
+        ratio = speeds.slowdown(name, _now_s()) / speeds.relative_speed(name)
+        return min(max(ratio, _MIN_RATIO), _MAX_RATIO)
+
     def note_unreachable(self, name: str) -> None:
         """Mark a server as suspect because it accepted no connection."""
         self._tracker.suspect(name, _now_s())
@@ -295,7 +304,19 @@
 
 
 def _cost(view: ServerView) -> tuple[bool, float]:
-    return view.is_suspected, view.fill + _FAILURE_WEIGHT * view.failure_rate
+    """
+    Return what servers are ordered by, in requests per slot.
+
+    Where speed is used, it is the expected time of a call in typical times of
+    one, less 1; it equals the requests per slot at typical speed.
+    """
+    load = _expected_load(view) if view.is_speed_used else view.fill
+    return view.is_suspected, load + _FAILURE_WEIGHT * view.failure_rate
+
+
+def _expected_load(view: ServerView) -> float:
+    call_time = view.slowdown / view.speed
+    return call_time * (1 + view.running / view.capacity) - 1
 
 
 def is_disconnected(outcome: CallAnswer | BronzesillError | None) -> bool:
--- a/bronzesill/calls/tests/test_cut_paths.py
+++ b/bronzesill/calls/tests/test_cut_paths.py
@@ -79,6 +79,7 @@
         servers.order.return_value = tuple(self.addresses)
         servers.address.side_effect = self.addresses.__getitem__
         servers.may_retry.return_value = True
+        servers.expected_ratio.return_value = 1
         sender = ForwardSender(
             self.pool, PlatformDialect(), servers, ignore_call_end
         )
--- a/bronzesill/calls/tests/test_stale_refusals.py
+++ b/bronzesill/calls/tests/test_stale_refusals.py
@@ -75,6 +75,9 @@
     def may_retry(self, routed: RoutedCall, losses: int) -> bool:
         return True
 
+    def expected_ratio(self, name: str) -> float:
+        return 1
+
     def call_started(self, name: str) -> None:
         """Count nothing."""
 
