Log and document choices by expected time, and weigh losses higher

Cause: no line told by which speeds a server was chosen, and a rank of a failure domain weighed a sixth of a running stream on idle servers, where it had weighed as much as one.

A loss counts 2 s besides the prompt, as its pause may be longer than permitted, so that a rank weighs a third of a running stream on idle servers and 0.7 with four streams on each.

--- a/bronzesill/generations/attempt_placement.py
+++ b/bronzesill/generations/attempt_placement.py
@@ -9,7 +9,7 @@
 from typing import TypeAlias
 
 from ..limits import RetryAllowance
-from ..routing import ServerTracker
+from ..routing import ServerTracker, ServiceRates
 from ..utils import PartLogger, ResultCode
 from .locations import LocationDirectory, LocationRecord
 from .messages import (
@@ -20,6 +20,7 @@
     LookElsewhere,
     NoServer,
     PlacementRefused,
+    ServerChosen,
 )
 from .placement import (
     CandidateSearch,
@@ -121,6 +122,8 @@
             return _not_placed(generation, request, 'retry_budget')
         generation.unplaced_reason = ''
         self._tracker.limiter.record_choice(choice.server)
+        if requirements.rates is not None:
+            self._log_choice(request, choice, requirements.rates)
         return await self._claim_location(
             generation, Placement(choice, request), choice.server, action
         )
@@ -272,6 +275,28 @@
         event: Event = Attached(current.server, current.attempt)
         return Placement(event, adopted)
 
+    def _log_choice(
+        self,
+        request: GenerationRequest,
+        choice: ServerChosen,
+        rates: ServiceRates,
+    ) -> None:
+        now_s = asyncio.get_running_loop().time()
+        known = self._tracker.speeds.known(choice.server, now_s)
+        _log.event(
+            'server_chosen',
+            request=request.request_id,
+            server=choice.server,
+            copy_to=choice.copy_to,
+            fill=round(choice.fill, 2),
+            speed=round(known.speed, 2),
+            slowdown=round(known.slowdown, 2),
+            samples=known.samples,
+            age_s=None if known.age_s is None else round(known.age_s, 1),
+            prefill_tokens_per_s=round(rates.prefill_tokens_per_s),
+            event_s=round(rates.event_s, 4),
+        )
+
     def _may_send(self, generation: PlacedGeneration) -> bool:
         if self.allowance is None:
             return True
--- a/bronzesill/generations/book_observer.py
+++ b/bronzesill/generations/book_observer.py
@@ -58,8 +58,13 @@
 
     def pace_measured(self, server: str, gap_s: float) -> None:
         """Record the pace of a server."""
-        now_s = asyncio.get_running_loop().time()
-        self._tracker.speeds.measured(server, gap_s, now_s)
+        speeds = self._tracker.speeds
+        speeds.measured(server, gap_s, asyncio.get_running_loop().time())
+        known = speeds.known_speeds()
+        if known:
+            self._metrics.gauge('speed.known_servers', len(known))
+            self._metrics.gauge('speed.slowest', min(known))
+            self._metrics.gauge('speed.fastest', max(known))
 
     def stream_closed(self, usage: AttemptUsage, *, has_begun: bool) -> None:
         """Remove the stream and its memory from the servers it uses."""
--- a/bronzesill/routing/expected_time.py
+++ b/bronzesill/routing/expected_time.py
@@ -25,8 +25,9 @@
 _PATH_S = 0.1
 #: Part of the copies from which an answer resumes.
 _RESUMED_PART = 0.25
-#: Until the loss of a server is noticed and another one is found.
-_LOSS_NOTICE_S = 0.5
+#: Until the loss of a server is noticed and another one is found, and more as
+#: the pause may be longer than the route permits.
+_LOSS_S = 2.0
 #: Memory is short from this part on; runs rarely need all of their maximum.
 _SHORT_MEMORY_FILL = 0.8
 _MAX_SHORTAGE = 2.0
@@ -97,7 +98,7 @@
         self._decode_s = rates.answer_events * rates.event_s
         running = sum(view.running for view in candidates) / len(candidates)
         # A resume prefills again and delays the streams of the new server.
-        self._resume_s = _LOSS_NOTICE_S + self._prefill_s * (
+        self._resume_s = _LOSS_S + self._prefill_s * (
             1 + _PREFILL_STALL * running
         )
 
--- a/bronzesill/routing/server_speed.py
+++ b/bronzesill/routing/server_speed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import statistics
 from collections.abc import Mapping
 
@@ -13,7 +14,7 @@
 from .service_rates import RateSamples
 from .use_reports import ServerPace, UseReport
 
-__all__ = ['ServerSpeeds']
+__all__ = ['KnownSpeed', 'ServerSpeeds']
 
 #: A slowdown changes several times a second and counts up to this age.
 _SLOWDOWN_VALID_S = 0.3
@@ -32,6 +33,24 @@
 _US_PER_S = 1e6
 
 
+@dataclasses.dataclass(frozen=True)
+class KnownSpeed:
+    """
+    What is known of the speed of one server.
+
+    :param speed: speed relative to the median of the service, 1 if unknown.
+    :param slowdown: how many times as long as usual work takes now, 1 if
+        unknown.
+    :param samples: number of measurements of its pace by all daemons.
+    :param age_s: seconds since the last of them, ``None`` without any.
+    """
+
+    speed: float
+    slowdown: float
+    samples: int = 0
+    age_s: float | None = None
+
+
 class ServerSpeeds:
     """
     Mutable collection of the speeds of all backend servers.
@@ -183,6 +202,19 @@
             self._speeds_by_service[service] = speeds
         return speeds.get(name, 1)
 
+    def known(self, name: str, now_s: float) -> KnownSpeed:
+        """Return what is known of the speed of a server."""
+        speed = self.relative_speed(name)
+        slowdown = self.slowdown(name, now_s)
+        pace = self._paces.latest().get(name)
+        if pace is None:
+            return KnownSpeed(speed, slowdown)
+        return KnownSpeed(speed, slowdown, pace.weight, now_s - pace.at_s)
+
+    def known_speeds(self) -> tuple[float, ...]:
+        """Return the relative speeds of all servers of known pace."""
+        return tuple(self.relative_speed(name) for name in self._paces.latest())
+
     def typical_pace_s(self, service: str) -> float | None:
         """Return the median pace of a service, ``None`` if unknown."""
         paces = self._known_paces_of(service)
--- a/bronzesill/routing/tests/test_event_pace.py
+++ b/bronzesill/routing/tests/test_event_pace.py
@@ -96,6 +96,8 @@
     def test_speeds_are_relative_to_the_median(self) -> None:
         self.measure(self.trackers[0], 1.0)
         self.assert_speeds(self.trackers[0])
+        known = self.trackers[0].speeds.known('s0', 4.0)
+        self.assertEqual((known.samples, known.age_s), (10, 3))
 
     def test_slowdown_known_at_the_time_does_not_count(self) -> None:
         tracker = self.trackers[0]
