Share the probes of engines between the streams of a host

Each probe of an engine opens a connection, also when the engine is sending events to other streams of the host, and all streams of an engine that is silent probe it at the same time.

Where the speed of engines is known, an engine that sent an event to any stream of the host within the last 200 ms now counts as alive without a probe, and streams that ask within 200 ms share one probe. A silent engine is probed unless it sent an event within 100 ms: at the first look, 182 ms after the last event, that event must not hide that the engine went down. Elsewhere nothing changes.

In the new test four streams that ask at once open one connection instead of four, and none while events arrive. Each of its five tests fails with the rule that it covers taken out. All 70 tests of generations pass, with test_refused_streams, test_crash_waves and test_attempt_log of daemon.

--- a/bronzesill/generations/attempt_placement.py
+++ b/bronzesill/generations/attempt_placement.py
@@ -135,9 +135,7 @@
         :param action: names the silent server and the choice of another.
         """
         alive, candidate = await asyncio.gather(
-            self._search.accepts(
-                action.server, is_known_dead=action.has_refused
-            ),
+            self._search.is_silent_alive(action),
             self._find_candidate(generation, action),
         )
         # Another server that accepts where this one refuses clears the path.
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -10,11 +10,13 @@
 from ..routing import ServerTracker
 from ..upstream import AnswerMemory
 from ..utils import BronzesillError, Metrics, ResultCode
+from .activity_lookup import ActivityLookup
 from .attempt_placement import AttemptPlacer
 from .book_observer import BookObserver
 from .locations import LocationDirectory
 from .placement import CandidateSearch, ServerChoice
 from .request import GenerationRequest
+from .shared_probes import ProbeSharingClient
 from .stall_detection import StallPolicy
 from .state import GenerationState
 from .stream_client import StreamClient
@@ -69,17 +71,18 @@
         self.memory = AnswerMemory()
         #: Chooses the servers of attempts.
         self.servers = ServerChoice(failure_domain, tracker, random)
+        activities = ActivityLookup(tracker, self._list_states)
+        self._client: StreamClient = ProbeSharingClient(client, activities)
         #: Places the attempts of the generations.
         self.placer = AttemptPlacer(
             daemon,
             tracker,
             self.servers,
-            CandidateSearch(self.servers, client),
+            CandidateSearch(self.servers, self._client),
             directory,
             self._list_states,
         )
         self.tasks_by_key: dict[str, GenerationTask] = {}
-        self._client = client
         self._tasks: set[asyncio.Task[None]] = set()
 
     def subscribe(
--- a/bronzesill/generations/placement.py
+++ b/bronzesill/generations/placement.py
@@ -20,9 +20,9 @@
 from ..utils import Address
 from .messages import ChooseServer, Event, LookElsewhere, ServerChosen
 from .request import GenerationRequest
+from .shared_probes import ProbeSharingClient
 from .stall_detection import StreamActivity, is_silence_shared
 from .state import GenerationState, Phase
-from .stream_client import StreamClient
 
 __all__ = [
     'CandidateSearch',
@@ -196,26 +196,24 @@
     Looks for servers that could take over a silent run.
 
     :param servers: choice of the servers.
-    :param client: client for engine streams, which also connects to servers.
+    :param client: client that connects to servers.
     """
 
-    def __init__(self, servers: ServerChoice, client: StreamClient) -> None:
+    def __init__(
+        self, servers: ServerChoice, client: ProbeSharingClient
+    ) -> None:
         self._servers = servers
         self._client = client
 
-    async def accepts(
-        self, server: str, *, is_known_dead: bool = False
-    ) -> bool:
+    async def is_silent_alive(self, action: LookElsewhere) -> bool:
         """
-        Return whether a server accepts a connection.
+        Return whether a silent server accepts a connection.
 
-        :param server: name of the server.
-        :param is_known_dead: whether it is known that the server does not.
+        :param action: names the server.
         """
-        address = self._servers.find_address(server)
-        if is_known_dead or address is None:
+        if action.has_refused:
             return False
-        return await self._client.is_alive(server, address)
+        return await self._accepts(action.server, is_silent=True)
 
     async def find(
         self,
@@ -234,7 +232,7 @@
         requirements = self._servers.make_requirements(request, action.choice)
         if requirements.copy_holder:
             holder = self._servers.choose(requirements, held_identity)
-            if holder is not None and await self.accepts(holder.server):
+            if holder is not None and await self._accepts(holder.server):
                 return holder.server
         without_copy = dataclasses.replace(requirements, copy_holder='')
         # All others may have lost an attempt of this generation.
@@ -244,10 +242,16 @@
         chosen = self._servers.choose(
             without_copy, held_identity
         ) or self._servers.choose(lone, held_identity)
-        if chosen is None or not await self.accepts(chosen.server):
+        if chosen is None or not await self._accepts(chosen.server):
             return ''
         return chosen.server
 
+    async def _accepts(self, server: str, *, is_silent: bool = False) -> bool:
+        address = self._servers.find_address(server)
+        if address is None:
+            return False
+        return await self._client.is_alive(server, address, is_silent=is_silent)
+
 
 def _never() -> bool:
     return False
