Judge silent streams by the work that is known of their engine

A stream was given up after a silence of 0.52 of the longest pause of its route (364 of 700 ms), whatever its engine was doing. An engine that prefills a prompt sends its other streams an event only every 0.25 s or, on a slow machine, every 1.04 s, so that sound engines were left and prompts were prefilled again.

Where the speed of engines is known, timers, choices and looks now carry a `ServerActivity`: prompts being prefilled by this host and the others, slowdown, speed, and the last event of another stream of the host. A stream whose engine accepts connections and has such work waits as long as a move can still end the pause in time: up to 0.75 of the longest pause with a copy. Without a copy it waits until the expected next event is overdue by the time that the move takes. The timeout for the first event follows the prompts ahead, up to twice its usual length. Events of other streams postpone the look, and a stream that may wait looks half as often. An engine that has just sent an event to another stream is not suspected for a move. Elsewhere nothing changes.

Each new test fails with the rule that it covers taken out. All 81 tests of generations pass.

--- a/bronzesill/generations/attempt_placement.py
+++ b/bronzesill/generations/attempt_placement.py
@@ -11,6 +11,7 @@
 from ..limits import RetryAllowance
 from ..routing import ServerTracker
 from ..utils import PartLogger, ResultCode
+from .activity_lookup import ActivityLookup
 from .locations import LocationDirectory, LocationRecord
 from .messages import (
     Attached,
@@ -50,6 +51,7 @@
     :param search: looks for servers that could take over a silent run.
     :param directory: location records of generations.
     :param list_states: returns the states of all generations of this daemon.
+    :param activities: looks up the work of servers.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         search: CandidateSearch,
         directory: LocationDirectory,
         list_states: Callable[[], Iterable[GenerationState]],
+        activities: ActivityLookup,
     ) -> None:
         #: Returns the version for a request without accepted tokens.
         self.pick_version: PickVersion = _requested_version
@@ -82,6 +85,8 @@
         )
         #: Brings the engine use of the other daemons up to date.
         self.refresh_usage: Callable[[], Awaitable[None]] = _do_nothing
+        #: Work of the servers whose speed is known.
+        self.activities = activities
         self._daemon = daemon
         self._tracker = tracker
         self._servers = servers
--- a/bronzesill/generations/book_observer.py
+++ b/bronzesill/generations/book_observer.py
@@ -12,6 +12,7 @@
 from .messages import LossCause
 from .observer import AttemptObservation, AttemptUsage
 from .request import GenerationRequest
+from .server_activity import MoveReason
 
 #: Age in seconds up to which failed connections count as simultaneous.
 _UNSENT_WINDOW_S = 0.6
@@ -75,6 +76,14 @@
             return
         self._tracker.suspect(server, now_s)
 
+    def run_moved(self, reason: MoveReason) -> None:
+        """Count a silent run that is moved to another server."""
+        self._metrics.incr(f'generations.moves.{reason.value}')
+
+    def wait_ended(self) -> None:
+        """Count a silence that ended by itself after a look."""
+        self._metrics.incr('generations.waits.ended')
+
     def tokens_accepted(self, token_count: int, *, is_first: bool) -> None:
         """Count a generation as started when its first tokens arrive."""
         self._token_at_s = asyncio.get_running_loop().time()
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -81,6 +81,7 @@
             CandidateSearch(self.servers, self._client),
             directory,
             self._list_states,
+            activities,
         )
         self.tasks_by_key: dict[str, GenerationTask] = {}
         self._tasks: set[asyncio.Task[None]] = set()
--- a/bronzesill/generations/decisions.py
+++ b/bronzesill/generations/decisions.py
@@ -10,6 +10,8 @@
 import types
 
 from ..utils import ResultCode, chain_digest
+from .look_messages import WaitEnded
+from .look_results import after_look, move_basis, with_activity
 from .messages import (
     Action,
     Attached,
@@ -67,7 +69,7 @@
     if state.has_ended:
         return Decision(state)
     if isinstance(event, TimerFired):
-        state = state.without_due_timer(now_s)
+        state = with_activity(state.without_due_timer(now_s), event.activity)
     return _with_needed_timers(_decide(state, event, now_s))
 
 
@@ -157,6 +159,7 @@
         copy_holder='' if uses_copy else state.copy_holder,
         uses_copy=uses_copy,
     )
+    opened = with_activity(opened, event.activity)
     return Decision(
         opened,
         (
@@ -233,11 +236,14 @@
         last_activity_at_s=now_s,
         refused_since_s=None,
         evidence=None,
+        activity=None,
     )
-    delivery = DeliverTokens(state.accepted, new_tokens)
+    actions: tuple[Action, ...] = (DeliverTokens(state.accepted, new_tokens),)
     if repeated:
-        return Decision(progressed, (CountDropped(repeated=repeated), delivery))
-    return Decision(progressed, (delivery,))
+        actions = (CountDropped(repeated=repeated), *actions)
+    if state.activity is not None and state.evidence is not None:
+        actions = (*actions, WaitEnded())
+    return Decision(progressed, actions)
 
 
 def _handle_end(
@@ -265,6 +271,7 @@
         event.cause,
         event.detail,
         is_shared=evidence is not None and evidence.is_shared,
+        basis=move_basis(state, evidence, now_s),
     )
     if now_s >= state.deadline_at_s:
         next_decision = _fail_answer(
@@ -315,13 +322,7 @@
 ) -> Decision:
     if not state.is_current(event.attempt):
         return Decision(state)
-    update = state.accepting if event.is_alive else state.refused
-    known = dataclasses.replace(
-        update(now_s), evidence=event, evidence_at_s=now_s
-    )
-    if not event.is_alive and not event.candidate:
-        known = dataclasses.replace(known, unreachable_at_s=now_s)
-    return _handle_silence(known, now_s)
+    return _handle_silence(after_look(state, event, now_s), now_s)
 
 
 def _handle_silence(state: GenerationState, now_s: float) -> Decision:
--- a/bronzesill/generations/look_messages.py
+++ b/bronzesill/generations/look_messages.py
@@ -4,7 +4,9 @@
 
 import dataclasses
 
-__all__ = ['ChooseServer', 'LookElsewhere', 'LookedElsewhere']
+from .server_activity import ServerActivity
+
+__all__ = ['ChooseServer', 'LookElsewhere', 'LookedElsewhere', 'WaitEnded']
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,9 +61,39 @@
     :param is_alive: whether the silent server accepted a connection.
     :param is_shared: whether servers of several failure domains are silent at
         once, which is no evidence against one of them.
+    :param activity: work of the silent server, None where speed is unknown.
+    :param candidate_activity: work of the candidate, None likewise or without
+        a candidate.
     """
 
     attempt: int
     candidate: str
     is_alive: bool
     is_shared: bool = False
+    activity: ServerActivity | None = None
+    candidate_activity: ServerActivity | None = None
+
+    def move_s(self, cost_s: float) -> float:
+        """
+        Return the time from a move to the candidate until its first event.
+
+        :param cost_s: time to read the prompt anew on an idle server, 0 if the
+            candidate holds a copy.
+        """
+        if self.candidate_activity is None:
+            return cost_s
+        return self.candidate_activity.move_s(cost_s)
+
+    @property
+    def lets_wait(self) -> bool:
+        """Whether the silent server is alive and the path is not suspected."""
+        return self.is_alive and not self.is_shared
+
+
+@dataclasses.dataclass(frozen=True)
+class WaitEnded:
+    """
+    Count a silence that ended by itself after a look for another server.
+
+    Only where the speed of servers is known.
+    """
--- a/bronzesill/generations/messages.py
+++ b/bronzesill/generations/messages.py
@@ -7,7 +7,13 @@
 from typing import TypeAlias
 
 from ..utils import ResultCode
-from .look_messages import ChooseServer, LookedElsewhere, LookElsewhere
+from .look_messages import (
+    ChooseServer,
+    LookedElsewhere,
+    LookElsewhere,
+    WaitEnded,
+)
+from .server_activity import MoveBasis, ServerActivity
 
 __all__ = [
     'Action',
@@ -93,11 +99,13 @@
     :param fill: estimated streams per unit of its capacity.
     :param copy_to: server that keeps a copy of the run's memory, empty for
         none.
+    :param activity: work of the server, None where speed is unknown.
     """
 
     server: str
     fill: float = 0
     copy_to: str = ''
+    activity: ServerActivity | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -180,7 +188,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class TimerFired:
-    """The time given in :class:`SetTimer` has been reached."""
+    """
+    The time given in :class:`SetTimer` has been reached.
+
+    :param activity: work of the attempt's server, None without an attempt or
+        where speed is unknown.
+    """
+
+    activity: ServerActivity | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -259,6 +274,7 @@
     :param detail: error text for the log.
     :param is_shared: whether servers of several failure domains were silent
         at once.
+    :param basis: why a silent stream is moved, None where speed is unknown.
     """
 
     attempt: int
@@ -266,10 +282,13 @@
     cause: LossCause
     detail: str = ''
     is_shared: bool = False
+    basis: MoveBasis | None = None
 
     @property
     def is_failure(self) -> bool:
         """Whether the attempt counts as a failure of its version."""
+        if self.basis is not None and self.basis.is_server_alive:
+            return False
         return not self.is_shared and self.cause is not LossCause.PATH
 
     @property
@@ -350,4 +369,5 @@
     | FailAnswer
     | SetTimer
     | CountDropped
+    | WaitEnded
 )
--- a/bronzesill/generations/observer.py
+++ b/bronzesill/generations/observer.py
@@ -7,6 +7,7 @@
 
 from .messages import LossCause
 from .request import GenerationRequest
+from .server_activity import MoveReason
 
 __all__ = ['AttemptObservation', 'AttemptUsage', 'GenerationObserver']
 
@@ -78,6 +79,12 @@
     def attempt_lost(self, server: str, cause: LossCause) -> None:
         """Record an attempt that was lost or refused."""
 
+    def run_moved(self, reason: MoveReason) -> None:
+        """Record that a silent run is moved to another server."""
+
+    def wait_ended(self) -> None:
+        """Record that a silence ended by itself after a look."""
+
     def tokens_accepted(self, token_count: int, *, is_first: bool) -> None:
         """
         Record accepted tokens.
--- a/bronzesill/generations/stall_detection.py
+++ b/bronzesill/generations/stall_detection.py
@@ -70,6 +70,9 @@
     :param look_after_s: silence after which another server is looked for, or
         None to leave a silent server without evidence that one is better.
     :param move_cost_s: time to read the prompt anew, in seconds.
+    :param max_pause_s: longest acceptable pause between events, 0 if the route
+        names none.
+    :param prompt_tokens: number of tokens in the prompt, 0 if unknown.
     """
 
     min_silence_s: float = 1.4
@@ -83,6 +86,8 @@
     probe_interval_s: float | None = None
     look_after_s: float | None = None
     move_cost_s: float = 0
+    max_pause_s: float = 0
+    prompt_tokens: int = 0
 
     @classmethod
     def from_weight(cls, resume_latency_weight: float) -> StallPolicy:
@@ -131,6 +136,8 @@
             max_attempts=max_attempts,
             look_after_s=_LOOK_FRACTION * silence_s,
             move_cost_s=min(prefill_s, _MAX_MOVE_COST_S),
+            max_pause_s=max_pause_s,
+            prompt_tokens=prompt_tokens,
         )
 
 
--- a/bronzesill/generations/state.py
+++ b/bronzesill/generations/state.py
@@ -7,12 +7,17 @@
 import math
 
 from .messages import Action, ChooseServer, LookedElsewhere, LossCause
+from .server_activity import ServerActivity
 from .stall_detection import USUAL_SILENCE_S, GapEstimate, StallPolicy
 
 #: Age in seconds up to which a connection accepted by another server is
 #: evidence that it can take over.
 _EVIDENCE_MAX_AGE_S = 0.1
 _LOOK_INTERVAL_S = 0.3
+#: The same while the server was found alive and its work explains the silence.
+_WAITING_LOOK_INTERVAL_S = 0.6
+#: Time before a move at which a look is made; its result is still evidence.
+_LOOK_LEAD_S = 0.05
 #: Part of the work lost by a move for which a server has to refuse connections.
 _REFUSED_FRACTION = 0.5
 #: Time in seconds added to the doubled silence for bytes sent again.
@@ -89,6 +94,8 @@
         connection.
     :param evidence: result of the last look, None if tokens came since.
     :param evidence_at_s: time of that result.
+    :param activity: work of the attempt's server as last known, None if tokens
+        came since or where speed is unknown.
     """
 
     deadline_at_s: float
@@ -118,6 +125,7 @@
     timer_at_s: float = math.inf
     unreachable_at_s: float = -math.inf
     refused_at_s: float = -math.inf
+    activity: ServerActivity | None = None
 
     @property
     def has_ended(self) -> bool:
@@ -131,6 +139,10 @@
             self.policy, self.fill, uses_copy=self.uses_copy
         )
         if not self.is_memory_begun:
+            if self.activity is not None:
+                allowed_s = self.activity.first_event_s(
+                    allowed_s, self.policy, uses_copy=self.uses_copy
+                )
             allowed_s += self.hindered_s
         return self.last_activity_at_s + allowed_s
 
@@ -150,7 +162,12 @@
     @property
     def next_check_at_s(self) -> float:
         """Earliest of the deadline, the next probe and a step on silence."""
-        return min(self.deadline_at_s, self.probe_at_s, self._silence_at_s)
+        return min(
+            self.deadline_at_s,
+            self.probe_at_s,
+            self.look_at_s,
+            self.leave_at_s,
+        )
 
     @property
     def may_leave(self) -> bool:
@@ -179,7 +196,14 @@
         first_s = self.stall_at_s
         if self.is_memory_begun:
             first_s = self.last_activity_at_s + self.policy.look_after_s
-        return max(first_s, self.last_look_at_s + _LOOK_INTERVAL_S)
+            if self.activity is not None:
+                first_s = self.activity.look_at_s(
+                    self.last_activity_at_s, self.policy, _LOOK_LEAD_S
+                )
+        interval_s = _LOOK_INTERVAL_S
+        if self._working_server and self.evidence and self.evidence.lets_wait:
+            interval_s = _WAITING_LOOK_INTERVAL_S
+        return max(first_s, self.last_look_at_s + interval_s)
 
     @property
     def leave_at_s(self) -> float:
@@ -240,6 +264,7 @@
             refused_since_s=None,
             hindered_s=0,
             evidence=None,
+            activity=None,
             sends=self.sends + 1,
         )
 
@@ -252,7 +277,7 @@
         is_copy_unused = is_unsent and self.uses_copy
         return dataclasses.replace(
             self,
-            losses=self.losses + int(self._is_counted(cause)),
+            losses=self.losses + int(_is_counted(cause, self.accepted)),
             sends=self.sends - int(is_unsent),
             unsent=self.unsent + 1 if is_unsent else 0,
             excluded=excluded,
@@ -296,24 +321,33 @@
             return self
         return dataclasses.replace(self, timer_at_s=math.inf)
 
-    def _is_counted(self, cause: LossCause) -> bool:
-        """
-        Return whether the attempt ran on a server that may be sound.
-
-        After tokens it takes a look at the server to tell: see
-        ``LostServerAlive``.
-        """
-        if cause is LossCause.DISCONNECTED:
-            return not self.accepted
-        return cause not in _UNCOUNTED
-
-    @property
-    def _silence_at_s(self) -> float:
-        return min(self.look_at_s, self.leave_at_s)
-
     def _move_at_s(self, evidence: LookedElsewhere) -> float:
         is_by_copy = evidence.candidate == self.usable_copy
         cost_s = 0 if is_by_copy else self.policy.move_cost_s
+        usual_at_s = self._usual_move_at_s(evidence, cost_s)
+        silent_since_s = self.last_activity_at_s
+        activity = self._working_server
+        if activity is None or not evidence.lets_wait:
+            return usual_at_s
+        return silent_since_s + activity.leave_after_s(
+            self.policy,
+            evidence.move_s(cost_s),
+            usual_at_s - silent_since_s,
+        )
+
+    @property
+    def _working_server(self) -> ServerActivity | None:
+        """Activity of the server if it may explain a silence after tokens."""
+        activity = self.activity
+        if activity is None or not self.is_memory_begun:
+            return None
+        since_s = self.last_activity_at_s
+        return activity if activity.is_working(since_s, self.policy) else None
+
+    def _usual_move_at_s(
+        self, evidence: LookedElsewhere, cost_s: float
+    ) -> float:
+        is_by_copy = evidence.candidate == self.usable_copy
         if evidence.is_shared:
             at_s = self._leave_after(max(cost_s, USUAL_SILENCE_S))
             return at_s if is_by_copy else max(at_s, self._resent_at_s)
@@ -365,3 +399,15 @@
 
     state: GenerationState
     actions: tuple[Action, ...] = ()
+
+
+def _is_counted(cause: LossCause, accepted: int) -> bool:
+    """
+    Return whether an attempt ran on a server that may be sound.
+
+    After tokens it takes a look at the server to tell: see
+    ``LostServerAlive``.
+    """
+    if cause is LossCause.DISCONNECTED:
+        return not accepted
+    return cause not in _UNCOUNTED
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -12,6 +12,8 @@
 from .attempt import AttemptRunner
 from .attempt_placement import AttemptPlacer
 from .decisions import decide
+from .look_messages import WaitEnded
+from .look_results import after_look
 from .messages import (
     Action,
     AttemptLost,
@@ -23,6 +25,7 @@
     DeliverTokens,
     Event,
     FailAnswer,
+    LookedElsewhere,
     LookElsewhere,
     LossCause,
     NoServer,
@@ -34,6 +37,7 @@
 from .observer import GenerationObserver
 from .placement import Placement
 from .request import GenerationRequest
+from .server_activity import finite_s
 from .state import GenerationState, Phase
 from .stream_client import StreamClient
 from .subscription import (
@@ -203,7 +207,8 @@
 
     def _apply(self, event: Event) -> None:
         now_s = asyncio.get_running_loop().time()
-        decision = decide(self.state, event, now_s)
+        informed = self._placer.activities.inform(event, self.state)
+        decision = decide(self.state, informed, now_s)
         self.state = decision.state
         for action in decision.actions:
             self._perform(action)
@@ -225,6 +230,8 @@
                 )
             case CountDropped():
                 self._observer.tokens_dropped(action.late, action.repeated)
+            case WaitEnded():
+                self._observer.wait_ended()
             case _:
                 self._perform_attempt(action)
 
@@ -280,6 +287,7 @@
     async def _look_elsewhere(self, action: LookElsewhere) -> None:
         try:
             looked = await self._placer.look(self, action)
+            looked = self._placer.activities.inform_look(looked, self.state)
         except Exception as error:
             log_unexpected(self.request.request_id, 'looking elsewhere', error)
             return
@@ -291,10 +299,28 @@
             is_alive=looked.is_alive,
             candidate=looked.candidate,
             is_shared=looked.is_shared,
+            **self._describe_wait(looked),
         )
         self.mailbox.put_nowait(looked)
 
+    def _describe_wait(
+        self, looked: LookedElsewhere
+    ) -> dict[str, float | None]:
+        """Return log fields on how long the server may be silent."""
+        activity = looked.activity
+        if activity is None or not self.state.is_current(looked.attempt):
+            return {}
+        now_s = asyncio.get_running_loop().time()
+        known = after_look(self.state, looked, now_s)
+        leave_after_s = known.leave_at_s - known.last_activity_at_s
+        return {
+            'silent_s': round(now_s - known.last_activity_at_s, 3),
+            'leave_after_s': finite_s(leave_after_s),
+            **activity.log_fields(now_s),
+        }
+
     def _cancel_attempt(self, action: CancelAttempt) -> None:
+        now_s = asyncio.get_running_loop().time()
         self._lost_by_cause[action.cause.value] += 1
         _log.event(
             'attempt_lost',
@@ -307,7 +333,10 @@
             had_head=self._answered_attempt == action.attempt,
             prompt_parts=self.request.shared_prompt_parts,
             detail=action.detail,
+            **(action.basis.log_fields(now_s) if action.basis else {}),
         )
+        if action.basis is not None:
+            self._observer.run_moved(action.basis.reason)
         is_disconnected = action.cause is LossCause.DISCONNECTED
         if is_disconnected and self.state.accepted:
             self._attempts.check_lost_server(action)
--- a/bronzesill/routing/server_tracker.py
+++ b/bronzesill/routing/server_tracker.py
@@ -224,14 +224,24 @@
             if name not in already_reported:
                 self._mark_suspected(name, now_s)
 
-    def views(self, now_s: float) -> tuple[ServerView, ...]:
-        """Return views of all candidate servers for server selection."""
+    def views(self, now_s: float, only: str = '') -> tuple[ServerView, ...]:
+        """
+        Return views of all candidate servers for server selection.
+
+        :param now_s: current time in seconds.
+        :param only: the server to view, candidate or not; empty for all
+            candidates.
+        """
         use_by_server = self.fleet_use.totals_by_server(now_s)
         return tuple(
             self._view(name, now_s, use_by_server.get(name))
             for name in self._servers_by_name
-            if name in self.candidates
-            and not self.wait_s(name, now_s, use_by_server)
+            if name == only
+            or (
+                not only
+                and name in self.candidates
+                and not self.wait_s(name, now_s, use_by_server)
+            )
         )
 
     def service_views(self, service: str, now_s: float) -> list[ServerView]:
