Probe the engine of a lost stream whatever was known before

After a stream was disconnected, the host probes its engine to tell a crash from a fault of the request. Since probes are shared, an event of another stream or a probe within 200 ms before the crash passed for a sign of life: each stream of the crashed engine would have counted as lost on a sound one, up to the limit of attempts. This check now always opens a connection.

--- a/bronzesill/generations/attempt.py
+++ b/bronzesill/generations/attempt.py
@@ -21,8 +21,9 @@
 )
 from .observer import AttemptObservation, AttemptUsage, GenerationObserver
 from .request import GenerationRequest
+from .shared_probes import ProbeSharingClient
 from .stall_detection import AttemptTimings
-from .stream_client import AttemptRefused, StreamClient, StreamOpening
+from .stream_client import AttemptRefused, StreamOpening
 from .subscription import TaskMessage
 
 __all__ = ['AttemptRunner']
@@ -61,7 +62,7 @@
 
     def __init__(
         self,
-        client: StreamClient,
+        client: ProbeSharingClient,
         find_address: Callable[[str], Address | None],
         observer: GenerationObserver,
         mailbox: asyncio.Queue[TaskMessage],
@@ -209,7 +210,7 @@
         address = self._find_address(action.server)
         if address is None:
             return
-        if await self._client.is_alive(action.server, address):
+        if await self._client.is_left_alive(action.server, address):
             self._mailbox.put_nowait(LostServerAlive(action.attempt))
 
     async def _probe(self, action: ProbeServer) -> None:
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -72,7 +72,7 @@
         #: Chooses the servers of attempts.
         self.servers = ServerChoice(failure_domain, tracker, random)
         activities = ActivityLookup(tracker, self._list_states)
-        self._client: StreamClient = ProbeSharingClient(client, activities)
+        self._client = ProbeSharingClient(client, activities)
         #: Places the attempts of the generations.
         self.placer = AttemptPlacer(
             daemon,
--- a/bronzesill/generations/shared_probes.py
+++ b/bronzesill/generations/shared_probes.py
@@ -71,6 +71,17 @@
         # One of the streams that wait may end before the probe does.
         return await asyncio.shield(self._probe(server, address, now_s))
 
+    async def is_left_alive(self, server: str, address: Address) -> bool:
+        """
+        Return whether an engine accepts a connection after a lost stream.
+
+        What was known before the loss says nothing of the time after it.
+
+        :param server: name of the engine.
+        :param address: address of the engine.
+        """
+        return await self._client.is_alive(server, address)
+
     def _probe(
         self, server: str, address: Address, now_s: float
     ) -> asyncio.Task[bool]:
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -38,8 +38,8 @@
 from .placement import Placement
 from .request import GenerationRequest
 from .server_activity import finite_s
+from .shared_probes import ProbeSharingClient
 from .state import GenerationState, Phase
-from .stream_client import StreamClient
 from .subscription import (
     AcceptedTokens,
     AnswerCompleted,
@@ -81,7 +81,7 @@
         request: GenerationRequest,
         fingerprint: int,
         state: GenerationState,
-        client: StreamClient,
+        client: ProbeSharingClient,
         placer: AttemptPlacer,
         find_address: Callable[[str], Address | None],
         observer: GenerationObserver,
--- a/bronzesill/generations/tests/test_shared_probes.py
+++ b/bronzesill/generations/tests/test_shared_probes.py
@@ -117,6 +117,18 @@
 
         self.assertEqual(run_in_virtual_time(run()), 1)
 
+    # All streams of an engine that crashes end within a few ms. If their last
+    # events passed for a sign of life, each would count as lost on a sound
+    # engine, and their answers would be cut after a few crashes.
+    def test_engine_of_a_lost_stream_is_probed(self) -> None:
+        async def run() -> int:
+            host = _Host()
+            await host.client.is_left_alive('e-1', _ADDRESS)
+            await host.client.is_left_alive('e-1', _ADDRESS)
+            return host.engine.probes
+
+        self.assertEqual(run_in_virtual_time(run()), 2)
+
     # Engines that report no slowdown are probed as often as before.
     def test_probes_of_other_engines_are_not_shared(self) -> None:
         async def run() -> int:
