Count new connections to servers by purpose

Cause: hosts open 1.8 connections per request on one deployment, and only the total was known, without the connections that a host opens for peers.

Change: each attempt to connect has a purpose (call, stream, probe, health, relay) and is counted in the metrics as connections.<purpose>; ServiceClient, the client of the store, counts none.

--- a/bronzesill/daemon/hosted_peers.py
+++ b/bronzesill/daemon/hosted_peers.py
@@ -150,6 +150,9 @@
         )
         tracker.is_path_cut = connector.paths.is_cut
         pool.connector = connector
+        pool.direct.counts.on_attempt = lambda purpose: metrics.incr(
+            f'connections.{purpose.value}'
+        )
         server = RelayServer(
             pool.direct.dialer,
             self._is_peer,
@@ -158,6 +161,7 @@
         server.on_outcome = lambda outcome: metrics.incr(
             f'relay.served.{outcome}'
         )
+        server.attempts = pool.direct.counts
         server.is_cut = connector.paths.is_cut
         server.find_relay = connector.find_relay
         self._peers.server.channels_by_type[RelayOpen] = server.serve
--- a/bronzesill/daemon/restart_detector.py
+++ b/bronzesill/daemon/restart_detector.py
@@ -14,6 +14,7 @@
     ConnectionLease,
     ConnectionPool,
     HealthDialect,
+    Purpose,
     RequestNotSent,
     Target,
     uptime_s,
@@ -203,7 +204,9 @@
         self, server: str, listed: RegisteredServer
     ) -> AnswerHead:
         target = Target(server, listed.server.address)
-        lease = await self._pool.acquire(target, max_idle_s=_MAX_IDLE_S)
+        lease = await self._pool.acquire(
+            target, max_idle_s=_MAX_IDLE_S, purpose=Purpose.HEALTH
+        )
         try:
             return await self._check_health(lease, listed)
         finally:
--- a/bronzesill/generations/forward_client.py
+++ b/bronzesill/generations/forward_client.py
@@ -15,6 +15,7 @@
     ForwardRequest,
     KvCacheCopy,
     OnAnswerHead,
+    Purpose,
     RequestNotSent,
     SendPlan,
     Target,
@@ -77,7 +78,9 @@
         forward = _require_forward_request(opening)
         target = Target(opening.server, opening.address)
         try:
-            lease = await self._pool.acquire(target, max_idle_s=_MAX_IDLE_S)
+            lease = await self._pool.acquire(
+                target, max_idle_s=_MAX_IDLE_S, purpose=Purpose.STREAM
+            )
             async for message in self._exchange(lease, opening, forward):
                 yield message
         except RequestNotSent as error:
--- a/bronzesill/relay/connector.py
+++ b/bronzesill/relay/connector.py
@@ -9,6 +9,7 @@
 
 from ..upstream import (
     DirectConnector,
+    Purpose,
     Reach,
     RequestNotSent,
     Target,
@@ -78,19 +79,22 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def connect(
-        self, target: Target, timeout_s: float
+        self, target: Target, timeout_s: float, purpose: Purpose = Purpose.CALL
     ) -> UpstreamConnection:
         """
         Open a connection, through a peer if need be.
 
         :param target: server to connect to.
         :param timeout_s: seconds until a direct attempt fails.
+        :param purpose: what the connection is for.
         :raises RequestNotSent: neither this host nor a peer connected.
         """
         if self.paths.is_cut(target.name):
             self._used_at_s_by_target[target] = _now_s()
             return await self._asker.connect(target)
-        direct = asyncio.create_task(self._direct.connect(target, timeout_s))
+        direct = asyncio.create_task(
+            self._direct.connect(target, timeout_s, purpose)
+        )
         try:
             await asyncio.wait((direct,), timeout=_HEAD_START_S)
         except asyncio.CancelledError:
@@ -267,7 +271,7 @@
         if not self.paths.is_cut(target.name):
             try:
                 connection = await self._direct.connect(
-                    target, _CHECK_TIMEOUT_S
+                    target, _CHECK_TIMEOUT_S, Purpose.PROBE
                 )
             except RequestNotSent:
                 return await self._find_relay(target)
@@ -321,7 +325,7 @@
             )
             try:
                 connection = await self._direct.connect(
-                    target, _CHECK_TIMEOUT_S
+                    target, _CHECK_TIMEOUT_S, Purpose.RELAY
                 )
             except RequestNotSent:
                 continue
--- a/bronzesill/relay/server.py
+++ b/bronzesill/relay/server.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import cast
 
-from ..upstream import Dialer
+from ..upstream import ConnectionCounts, Dialer, Purpose
 from ..utils import PartLogger
 from ..wire import PeerChannel
 from .connections import (
@@ -75,6 +75,8 @@
         self.counts: Counter[str] = Counter()
         #: Called with each outcome.
         self.on_outcome: Callable[[str], object] = _ignore
+        #: Receives the attempts to connect to servers.
+        self.attempts = ConnectionCounts()
         self._dialer = dialer
         self._is_member = is_member
         self._may_connect = may_connect
@@ -130,6 +132,7 @@
         self.on_outcome(outcome)
 
     async def _connect(self, opening: RelayOpen, channel: PeerChannel) -> None:
+        self.attempts.add(Purpose.RELAY)
         try:
             bridge = await self._dialer.open(
                 opening.address, lambda: _Bridge(channel), _CONNECT_TIMEOUT_S
--- a/bronzesill/upstream/__init__.py
+++ b/bronzesill/upstream/__init__.py
@@ -14,6 +14,7 @@
 from .connection import UpstreamConnection
 from .connectors import Connector, Dialer, DirectConnector, Reach, Target
 from .pool import AnswerMemory, ConnectionLease, ConnectionPool
+from .purposes import ConnectionCounts, Purpose
 from .request import (
     CallerFields,
     Dialect,
@@ -29,6 +30,7 @@
     'AnswerHead',
     'AnswerMemory',
     'CallerFields',
+    'ConnectionCounts',
     'ConnectionLease',
     'ConnectionLost',
     'ConnectionPool',
@@ -44,6 +46,7 @@
     'KvCacheCopy',
     'OnAnswerHead',
     'PathCut',
+    'Purpose',
     'Reach',
     'ReportedLoad',
     'RequestNotSent',
--- a/bronzesill/upstream/connectors.py
+++ b/bronzesill/upstream/connectors.py
@@ -11,6 +11,7 @@
 from ..utils import Address, PartLogger
 from .answer import RequestNotSent
 from .connection import UpstreamConnection
+from .purposes import ConnectionCounts, Purpose
 
 __all__ = ['Connector', 'Dialer', 'DirectConnector', 'Reach', 'Target']
 
@@ -78,13 +79,14 @@
     """Opens connections to servers."""
 
     async def connect(
-        self, target: Target, timeout_s: float
+        self, target: Target, timeout_s: float, purpose: Purpose = Purpose.CALL
     ) -> UpstreamConnection:
         """
         Open a connection.
 
         :param target: server to connect to.
         :param timeout_s: seconds until a direct attempt fails.
+        :param purpose: what the connection is for.
         :raises RequestNotSent: the connection could not be established.
         """
 
@@ -112,23 +114,24 @@
 
     def __init__(self) -> None:
         self.dialer = Dialer()
-        #: Number of connection attempts so far, including failed ones.
-        self.opened = 0
+        #: Connection attempts so far, including failed ones.
+        self.counts = ConnectionCounts()
         #: Receives connections that were opened to find out who can.
         self.on_spare: Callable[[Target, UpstreamConnection], None] = _close
         self._unreachable_since_s_by_target: dict[Target, float] = {}
 
     async def connect(
-        self, target: Target, timeout_s: float
+        self, target: Target, timeout_s: float, purpose: Purpose = Purpose.CALL
     ) -> UpstreamConnection:
         """
         Open a connection.
 
         :param target: server to connect to.
         :param timeout_s: seconds until the attempt fails.
+        :param purpose: what the connection is for.
         :raises RequestNotSent: the connection could not be established.
         """
-        self.opened += 1
+        self.counts.add(purpose)
         try:
             connection = await self.dialer.open(
                 target.address, UpstreamConnection, timeout_s
@@ -146,7 +149,9 @@
     async def check(self, target: Target) -> Reach:
         """Find out whether this host reaches a server."""
         try:
-            connection = await self.connect(target, _PROBE_TIMEOUT_S)
+            connection = await self.connect(
+                target, _PROBE_TIMEOUT_S, Purpose.PROBE
+            )
         except RequestNotSent:
             return Reach.NONE
         self.on_spare(target, connection)
--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -11,6 +11,7 @@
 from .answer import AnswerError, AnswerHead, PathCut
 from .connection import UpstreamConnection
 from .connectors import Connector, DirectConnector, Reach, Target
+from .purposes import Purpose
 
 __all__ = ['AnswerMemory', 'ConnectionLease', 'ConnectionPool']
 
@@ -93,10 +94,14 @@
     @property
     def opened(self) -> int:
         """Number of direct connection attempts, including failed ones."""
-        return self.direct.opened
+        return self.direct.counts.total
 
     async def acquire(
-        self, target: Target, *, max_idle_s: float
+        self,
+        target: Target,
+        *,
+        max_idle_s: float,
+        purpose: Purpose = Purpose.CALL,
     ) -> ConnectionLease:
         """
         Return an idle connection, or open one if none may be reused.
@@ -104,6 +109,7 @@
         :param target: server to connect to.
         :param max_idle_s: longest time in seconds for which a reused
             connection may have been idle.
+        :param purpose: what the connection is for.
         :raises RequestNotSent: the connection could not be established.
         """
         now_s = asyncio.get_running_loop().time()
@@ -119,18 +125,20 @@
                 return ConnectionLease(self, target, connection)
             connection.close()
         connection = await self.connector.connect(
-            target, self._connect_timeout_s
+            target, self._connect_timeout_s, purpose
         )
         return ConnectionLease(self, target, connection)
 
     async def acquire_direct(self, target: Target) -> ConnectionLease:
         """
-        Open a connection that does not lead through another host.
+        Open a connection for a health check, never through another host.
 
         :param target: server to connect to.
         :raises RequestNotSent: the connection could not be established.
         """
-        connection = await self.direct.connect(target, self._connect_timeout_s)
+        connection = await self.direct.connect(
+            target, self._connect_timeout_s, Purpose.HEALTH
+        )
         return ConnectionLease(self, target, connection)
 
     async def probe(self, target: Target) -> bool:
