Use idle connections for as long as servers state, and as proof of life

Cause: an order uses only a connection that was active within the last second, also where its server states that it keeps idle ones for longer; a look at a server opens a connection though one to it has just been active.

Change: where a pool saves connections, plain calls use a connection until one second before the timeout that its server states, at most 30 s, after a check (poll, no wait) that the kernel holds no end or data of it. Streams and health checks keep their limit of 4 s. An idle connection that was opened or delivered bytes within 0.2 s answers the question of a stream whether its server accepts connections; the check after a lost connection, which counts crashes, still connects. Nothing sets the switch yet.

--- a/bronzesill/generations/forward_client.py
+++ b/bronzesill/generations/forward_client.py
@@ -91,7 +91,10 @@
 
     async def is_alive(self, server: str, address: Address) -> bool:
         """Return whether an engine accepts a connection soon."""
-        probe = asyncio.create_task(self._pool.probe(Target(server, address)))
+        target = Target(server, address)
+        if self._pool.is_proven_alive(target):
+            return True
+        probe = asyncio.create_task(self._pool.probe(target))
         self._probes.add(probe)
         probe.add_done_callback(self._probes.discard)
         # A longer probe, which tries other paths, ends in the background.
--- a/bronzesill/upstream/connection.py
+++ b/bronzesill/upstream/connection.py
@@ -17,6 +17,7 @@
     RequestNotSent,
     uptime_s,
 )
+from .idle_check import has_pending_end
 
 __all__ = ['UpstreamConnection']
 
@@ -45,6 +46,8 @@
         #: Loop time after which the server may close the connection, 0 if
         #: unknown.
         self.usable_until_s: float = 0
+        #: Whether the server stated that time.
+        self.is_timeout_stated = False
         self.served = 0
         #: Whether it leads through another host.
         self.is_relayed = False
@@ -68,6 +71,12 @@
             and not transport.is_closing()
         )
 
+    @property
+    def has_pending_end(self) -> bool:
+        """Whether an end or data of an idle connection was not read yet."""
+        transport = self._transport
+        return transport is not None and has_pending_end(transport)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the established connection."""
         limit_silence(transport)
--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -12,6 +12,7 @@
 from .connection import UpstreamConnection
 from .connectors import Connector, DirectConnector, Reach, Target
 from .purposes import Purpose
+from .reuse import IdleLimit, is_proven_alive
 
 __all__ = ['AnswerMemory', 'ConnectionLease', 'ConnectionPool']
 
@@ -87,6 +88,9 @@
         self.direct.on_spare = self.add_spare
         #: Opens the connections of this pool.
         self.connector: Connector = self.direct
+        #: Returns whether new connections to a server are saved: calls go by
+        #: the idle timeout that it states, and known life replaces probes.
+        self.saves_connections: Callable[[str], bool] = _is_never
         #: Answers that this host keeps.
         self.memory = AnswerMemory()
         self._idle_by_target: dict[Target, list[UpstreamConnection]] = {}
@@ -108,20 +112,18 @@
 
         :param target: server to connect to.
         :param max_idle_s: longest time in seconds for which a reused
-            connection may have been idle.
+            connection may have been idle; calls go by the timeout that the
+            server states where connections are saved.
         :param purpose: what the connection is for.
         :raises RequestNotSent: the connection could not be established.
         """
         now_s = asyncio.get_running_loop().time()
+        limit = self._find_limit(target, max_idle_s, purpose)
         idle = self._idle_by_target.get(target, [])
         while idle:
             connection = idle.pop()
-            is_fresh = (
-                now_s - connection.idle_since_s <= max_idle_s
-                and now_s < connection.usable_until_s
-                and self.connector.may_reuse(target, connection)
-            )
-            if connection.is_reusable and is_fresh:
+            may_use = limit.allows(connection, now_s)
+            if may_use and self.connector.may_reuse(target, connection):
                 return ConnectionLease(self, target, connection)
             connection.close()
         connection = await self.connector.connect(
@@ -129,6 +131,36 @@
         )
         return ConnectionLease(self, target, connection)
 
+    def has_idle(self, target: Target, *, max_idle_s: float) -> bool:
+        """
+        Return whether ``acquire`` would reuse a connection for a call.
+
+        :param target: server to connect to.
+        :param max_idle_s: as for ``acquire``.
+        """
+        now_s = asyncio.get_running_loop().time()
+        limit = self._find_limit(target, max_idle_s, Purpose.CALL)
+        return any(
+            limit.allows(connection, now_s)
+            and self.connector.may_reuse(target, connection)
+            for connection in self._idle_by_target.get(target, ())
+        )
+
+    def is_proven_alive(self, target: Target) -> bool:
+        """
+        Return whether an idle connection makes a probe of a server needless.
+
+        :param target: server to connect to.
+        """
+        if not self.saves_connections(target.name):
+            return False
+        now_s = asyncio.get_running_loop().time()
+        return any(
+            is_proven_alive(connection, now_s)
+            and self.connector.may_reuse(target, connection)
+            for connection in self._idle_by_target.get(target, ())
+        )
+
     async def acquire_direct(self, target: Target) -> ConnectionLease:
         """
         Open a connection for a health check, never through another host.
@@ -191,6 +223,14 @@
         self.connector.close()
         self.close_unlisted(frozenset())
 
+    def _find_limit(
+        self, target: Target, max_idle_s: float, purpose: Purpose
+    ) -> IdleLimit:
+        is_stated_enough = purpose is Purpose.CALL and self.saves_connections(
+            target.name
+        )
+        return IdleLimit(max_idle_s, is_stated_enough)
+
 
 class ConnectionLease:
     """
@@ -210,7 +250,7 @@
         self._pool = pool
         self._target = target
         self._connection = connection
-        self._keep_alive_s = _DEFAULT_KEEP_ALIVE_S
+        self._stated_s: float | None = None
         self._is_fully_read = False
         #: Whether the connection has carried an earlier request.
         self.is_reused = connection.served > 0
@@ -241,7 +281,7 @@
                 head = await self._connection.send(request, is_head=is_head)
             finally:
                 watch.cancel()
-        self._keep_alive_s = _keep_alive_s(head)
+        self._stated_s = _stated_timeout_s(head)
         return head
 
     async def read(self) -> bytes:
@@ -309,14 +349,14 @@
         """
         connection = self._connection
         connection.served += 1
+        connection.is_timeout_stated = self._stated_s is not None
+        keep_alive_s = _DEFAULT_KEEP_ALIVE_S
+        if self._stated_s is not None:
+            keep_alive_s = self._stated_s - _KEEP_ALIVE_MARGIN_S
         self._pool.memory.forget(self)
-        if (
-            self._is_fully_read
-            and connection.is_reusable
-            and self._keep_alive_s > 0
-        ):
+        if self._is_fully_read and connection.is_reusable and keep_alive_s > 0:
             now_s = asyncio.get_running_loop().time()
-            connection.usable_until_s = now_s + self._keep_alive_s
+            connection.usable_until_s = now_s + keep_alive_s
             self._pool.put_idle(self._target, connection)
         else:
             connection.close()
@@ -362,8 +402,12 @@
             raise
 
 
-def _keep_alive_s(head: AnswerHead) -> float:
+def _stated_timeout_s(head: AnswerHead) -> float | None:
+    """Return the idle timeout that a server states, none if it does not."""
     match = _TIMEOUT_PATTERN.search(head.find(b'keep-alive') or b'')
-    if match is None:
-        return _DEFAULT_KEEP_ALIVE_S
-    return int(match.group(1)) - _KEEP_ALIVE_MARGIN_S
+    return None if match is None else int(match.group(1))
+
+
+def _is_never(name: str) -> bool:
+    """Return ``False``; the default of ``saves_connections``."""
+    return False
