Keep the plain calls of a host to servers with an open connection

Cause: the weight of a server's last load falls with its age, so a host that sends 1.7 calls a second to 4 servers took the one that it had not called for longest; its connection had been idle for too long for an order.

Change: where speed is known for a service, servers whose cost exceeds the lowest by one request at most are ordered so that those with a usable idle connection come first, and both groups by rendezvous hashing of host and server. Suspected servers stay last; brittle services are ordered as before. Connections are saved for these services (timeouts that servers state).

--- a/bronzesill/calls/forward_sender.py
+++ b/bronzesill/calls/forward_sender.py
@@ -22,8 +22,9 @@
 __all__ = ['ForwardSender']
 
 _IDEMPOTENT_MAX_IDLE_S = 4.0
-#: Calls that must not be repeated use recently active connections only: the
-#: server may have closed one that was idle for longer, unnoticed here.
+#: Calls that must not be repeated use recently active connections only, unless
+#: the pool goes by the timeout that the server states: the server may have
+#: closed one that was idle for longer, unnoticed here.
 _AT_MOST_ONCE_MAX_IDLE_S = 1.0
 #: Time in seconds before the deadline at which a connection that is not open
 #: is given up: an answer could hardly arrive in time.
@@ -73,12 +74,7 @@
             raise _not_run_error('the call has no request to forward')
         routed.progress.may_have_run = False
         is_idempotent = routed.route.idempotent
-        max_idle_s = (
-            _IDEMPOTENT_MAX_IDLE_S
-            if is_idempotent
-            else _AT_MOST_ONCE_MAX_IDLE_S
-        )
-        lease = await self._connect(server, routed, max_idle_s)
+        lease = await self._connect(server, routed)
         try:
             answer = await self._exchange(lease, server, routed, forward)
             _check_status(answer, is_idempotent=is_idempotent)
@@ -93,15 +89,22 @@
         finally:
             lease.release()
 
+    def has_connection(self, server: str, routed: RoutedCall) -> bool:
+        """Return whether an idle connection may be used for a call."""
+        target = Target(server, self._servers.address(server))
+        return self._pool.has_idle(target, max_idle_s=_max_idle_s(routed))
+
     async def _connect(
-        self, server: str, routed: RoutedCall, max_idle_s: float
+        self, server: str, routed: RoutedCall
     ) -> ConnectionLease:
         target = Target(server, self._servers.address(server))
         try:
             async with asyncio.timeout_at(
                 routed.deadline_at_s - _DEADLINE_MARGIN_S
             ):
-                return await self._pool.acquire(target, max_idle_s=max_idle_s)
+                return await self._pool.acquire(
+                    target, max_idle_s=_max_idle_s(routed)
+                )
         except TimeoutError:
             unsent = RequestNotSent(f'{server}: no connection in time')
             raise _not_run_error(str(unsent)) from unsent
@@ -139,6 +142,12 @@
         return CallAnswer(head.status, '', body, headers=response_headers)
 
 
+def _max_idle_s(routed: RoutedCall) -> float:
+    if routed.route.idempotent:
+        return _IDEMPOTENT_MAX_IDLE_S
+    return _AT_MOST_ONCE_MAX_IDLE_S
+
+
 def _check_status(answer: CallAnswer, *, is_idempotent: bool) -> None:
     """
     Reject a status that promises callers what the server has not stated.
--- a/bronzesill/calls/servers.py
+++ b/bronzesill/calls/servers.py
@@ -11,6 +11,7 @@
 from ..routing import ServerTracker, ServerView, TrafficSplit, pick_version
 from ..upstream import ConnectionLost, ForwardRequest, RequestNotSent
 from ..utils import Address, BronzesillError, PartLogger, ResultCode
+from .connection_order import prefer_connected
 from .held_calls import (
     MIN_AVAILABLE,
     CallQuarantine,
@@ -120,6 +121,11 @@
         self._random = random
         #: Brings the use of servers by the other daemons up to date.
         self.refresh_usage: Callable[[], Awaitable[None]] = _do_nothing
+        #: Returns whether an idle connection to a server may be used for a
+        #: call.
+        self.has_connection: Callable[[str, RoutedCall], bool] = _has_none
+        #: Name of this host, by which hosts spread over equal servers.
+        self.host = ''
 
     async def prepare(self, routed: RoutedCall) -> None:
         """Learn the use of the servers of a call by all daemons, if needed."""
@@ -148,11 +154,13 @@
                 identity = self._quarantine.identity(routed.forward)
                 return (choose_held(identity, available),)
         version = pick_version(split, routed.request_id)
-        views = self._find_views(service, version)
+        views = self._arrange(routed, self._find_views(service, version))
         is_new_version = bool(version) and version == split.new_version
         if is_new_version and routed.route.idempotent:
             # Try the new version once only; retries go to the old version.
-            old_views = self._find_views(service, split.old_version)
+            old_views = self._arrange(
+                routed, self._find_views(service, split.old_version)
+            )
             views = [*views[:1], *old_views]
         if not views:
             raise BronzesillError(
@@ -287,11 +295,35 @@
             views.sort(key=_cost)
         return views
 
+    def _arrange(
+        self, routed: RoutedCall, views: list[ServerView]
+    ) -> list[ServerView]:
+        """Keep to servers with an open connection, where speed is known."""
+        if self._tracker.limiter.is_brittle(routed.route.service):
+            return views
+        if not any(
+            self._tracker.speeds.is_known_for(view.name) for view in views
+        ):
+            return views
+        connected = [
+            view.name
+            for view in views
+            if self.has_connection(view.name, routed)
+        ]
+        return prefer_connected(
+            views, lambda view: _cost(view)[1], self.host, connected
+        )
+
 
 async def _do_nothing() -> None:
     """Leave the use as it is known."""
 
 
+def _has_none(name: str, routed: RoutedCall) -> bool:
+    """Return ``False``; the default of ``has_connection``."""
+    return False
+
+
 def _cost(view: ServerView) -> tuple[bool, float]:
     return view.is_suspected, view.fill + _FAILURE_WEIGHT * view.failure_rate
 
--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -127,6 +127,9 @@
         sender = ForwardSender(
             context.pool, context.dialect, servers, self._process_answer_head
         )
+        servers.has_connection = sender.has_connection
+        servers.host = context.settings.name
+        context.pool.saves_connections = context.tracker.speeds.is_known_for
         allowance = self._make_allowance()
         self._generations = self._make_generations(allowance)
         components = ForwardComponents(
--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -90,6 +90,8 @@
     #: Text of ``Retry-After`` with which all requests are rejected, empty to
     #: serve them.
     retry_after = ''
+    #: Slowdown that the worker adds to its load, in percent, empty for none.
+    slowdown = ''
 
     def __init__(
         self, plan: WorkerPlan, address: Address, store: Address
@@ -248,10 +250,10 @@
             resp.set_header('Server-Leaving', '1')
 
     def _set_load(self, resp: asgi.Response) -> None:
-        resp.set_header(
-            'X-Instance-Load',
-            f'{self._running},{self._waiting},{self.plan.slots}',
-        )
+        load = f'{self._running},{self._waiting},{self.plan.slots}'
+        if self.slowdown:
+            load = f'{load},{self.slowdown}'
+        resp.set_header('X-Instance-Load', load)
 
     def _has_room(self) -> bool:
         waiting = self.brittle.waiting(time.monotonic())
