Show a row for each service in bronzesill status

Cause: an operator could not see from one place whether callers wait for slots, for a server that pauses or for slow machines, nor what connections are opened for.

Change: the page of metrics shows for each service servers, slots, running and waiting requests as reported, paused, suspected and leaving servers, ranges of relative speed and slowdown, and new connections by purpose. bronzesill status reads the pages of all listed hosts (port 9102, or as the tool's settings say) and shows a row for each service. Load reports keep the waiting requests apart.

Measured: tests of cli (19), upstream (32), calls (67), relay (36), daemon.tests.test_connections, test_hosted and test_cut_hosts pass.

--- a/bronzesill/cli/context.py
+++ b/bronzesill/cli/context.py
@@ -28,12 +28,15 @@
     :param store: address of the platform's key-value service.
     :param daemons: addresses of some daemons, from which the other daemons
         are discovered.
+    :param metrics: addresses of the pages of metrics of hosted daemons; by
+        default the usual port of all listed hosts.
     :param operator: name of the operator.
     :param key: secret key of the operator.
     """
 
     store: Address
     daemons: list[Address] = dataclasses.field(default_factory=list)
+    metrics: list[Address] = dataclasses.field(default_factory=list)
     operator: str = ''
     key: str = ''
 
--- a/bronzesill/cli/hosted_commands.py
+++ b/bronzesill/cli/hosted_commands.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import time
 
 import orjson
 
 from ..config import RegisteredServer
+from ..membership import Member
 from ..moves import (
     MOVE_PREFIX,
     MoveRecord,
@@ -29,13 +31,15 @@
     decode_server,
     server_name,
 )
+from ..platform.settings import METRICS_PORT
 from ..platform.store import ALL_KEYS
 from ..store import ERA_PREFIX, StoredEntry
-from ..utils import ResultCode
+from ..utils import Address, DocumentInvalid, ResultCode, structure
 from .context import Context
 from .output import show, show_table
+from .service_rows import fetch_service_rows
 
-__all__ = ['list_roll_outs', 'show_roll_out', 'status']
+__all__ = ['list_roll_outs', 'metrics_addresses', 'show_roll_out', 'status']
 
 _LEAVING = 'leaving'
 _READY = 'ready'
@@ -66,13 +70,14 @@
 
 
 async def status(context: Context) -> ResultCode:
-    """Show the configuration, hosts and backend servers in the store."""
+    """Show the store's configuration, hosts and servers, and the services."""
     snapshot = await context.store.snapshot(ALL_KEYS, may_be_stale=True)
     rows = [
         *_era_rows(snapshot.entries),
         *_configuration_rows(snapshot.entries),
         *_host_rows(snapshot.entries),
     ]
+    rows.extend(await _service_rows(context, snapshot.entries))
     rows.extend(await _server_rows(context, snapshot.entries))
     show_table(rows, context.options.output)
     return ResultCode.DONE
@@ -94,6 +99,21 @@
     return ResultCode.MOVE_UNKNOWN
 
 
+def metrics_addresses(entries: tuple[StoredEntry, ...]) -> list[Address]:
+    """
+    Return the usual addresses of the pages of metrics of all listed hosts.
+
+    :param entries: entries of the store.
+    """
+    addresses = []
+    for entry in entries:
+        if entry.key.startswith(HOST_PREFIX):
+            with contextlib.suppress(DocumentInvalid, ValueError):
+                host = structure(orjson.loads(entry.payload), Member)
+                addresses.append(Address(host.peers.ip, METRICS_PORT))
+    return addresses
+
+
 def _era_rows(entries: tuple[StoredEntry, ...]) -> list[_StatusRow]:
     marks = [entry for entry in entries if entry.key.startswith(ERA_PREFIX)]
     if not marks:
@@ -130,6 +150,21 @@
     ]
 
 
+async def _service_rows(
+    context: Context, entries: tuple[StoredEntry, ...]
+) -> list[_StatusRow]:
+    pages = context.settings.metrics or metrics_addresses(entries)
+    return [
+        _StatusRow(
+            'service',
+            row.service,
+            f'{row.servers} servers',
+            f'{row.detail} (as {row.hosts} hosts see it)',
+        )
+        for row in await fetch_service_rows(context.session, pages)
+    ]
+
+
 def _describe_revision(entry: StoredEntry) -> str:
     return f'revision {entry.revision}'
 
--- a/bronzesill/cli/tests/test_hosted_commands.py
+++ b/bronzesill/cli/tests/test_hosted_commands.py
@@ -14,11 +14,14 @@
 import yaml
 
 from ...platform.rollouts import ORDER_PREFIX
-from ...platform.store import PlatformStore
+from ...platform.servers import HOST_PREFIX
+from ...platform.settings import METRICS_PORT
+from ...platform.store import ALL_KEYS, PlatformStore
 from ...quarantine import SuspectRecord
 from ...standins.hosted_fleet import HostedFleet, HostedPlan
-from ...store import Mutation
-from ...utils import ResultCode
+from ...store import Mutation, StoredEntry, StoreRevision
+from ...utils import Address, ResultCode
+from ..hosted_commands import metrics_addresses
 from ..main import make_parser, run_command
 
 _REGISTRATION_WAIT_S = 2.0
@@ -31,7 +34,12 @@
         self.fleet = await HostedFleet(HostedPlan(daemons=1)).__aenter__()
         self.folder = TemporaryDirectory()
         self.settings = Path(self.folder.name) / 'tool.yaml'
-        tool = {'store': str(self.fleet.store.address)}
+        tool = {
+            'store': str(self.fleet.store.address),
+            'metrics': [
+                str(daemon.settings.metrics) for daemon in self.fleet.daemons
+            ],
+        }
         self.settings.write_text(yaml.safe_dump(tool))
 
     async def asyncTearDown(self) -> None:
@@ -64,6 +72,30 @@
             '0 running, 0 waiting, 0 of 88000 tokens', engine['detail']
         )
 
+    async def test_status_shows_services(self) -> None:
+        _, rows = await self.run_tool('status')
+        services = {
+            row['name']: row for row in rows if row['kind'] == 'service'
+        }
+        self.assertEqual(set(services) - {'unlisted'}, {'engines', 'shop'})
+        self.assertRegex(
+            services['shop']['detail'],
+            r'\d+ slots, 0 running, 0 waiting, 0 paused, 0 suspected, '
+            r'0 leaving, new connections: .* \(as 1 hosts see it\)',
+        )
+
+    async def test_pages_of_listed_hosts_are_read_by_default(self) -> None:
+        await asyncio.sleep(_REGISTRATION_WAIT_S)
+        with contextlib.closing(
+            PlatformStore(self.fleet.store.address)
+        ) as store:
+            snapshot = await store.snapshot(ALL_KEYS, may_be_stale=True)
+        odd = StoredEntry(f'{HOST_PREFIX}odd', b'{', StoreRevision())
+        self.assertEqual(
+            metrics_addresses((*snapshot.entries, odd)),
+            [Address('127.0.0.1', METRICS_PORT)],
+        )
+
     async def test_roll_out_is_listed_and_shown(self) -> None:
         key = f'{ORDER_PREFIX}shop'
         order = {'service': 'shop', 'target': 'v2', 'durationS': 30}
--- a/bronzesill/daemon/hosted_peers.py
+++ b/bronzesill/daemon/hosted_peers.py
@@ -150,9 +150,6 @@
         )
         tracker.is_path_cut = connector.paths.is_cut
         pool.connector = connector
-        pool.direct.counts.on_attempt = lambda purpose: metrics.incr(
-            f'connections.{purpose.value}'
-        )
         server = RelayServer(
             pool.direct.dialer,
             self._is_peer,
--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -45,6 +45,7 @@
 from .quarantine import Quarantine
 from .restart_detector import RestartDetector
 from .server_limiter import ServerLimiter
+from .service_metrics import ServiceMetrics
 from .usage_exchange import UsageExchange
 
 __all__ = ['HostedRequests', 'RequestContext']
@@ -106,6 +107,8 @@
         )
         context.tracker.limiter = self._limiter
         self._generations: GenerationsController | None = None
+        service_metrics = ServiceMetrics(context.tracker, context.metrics)
+        context.pool.direct.counts.on_attempt = service_metrics.count_attempt
 
     def log_unfinished(self) -> int:
         """Log the streams that end with this host; return their number."""
@@ -250,7 +253,7 @@
         if load is not None:
             now_s = asyncio.get_running_loop().time()
             running = load.running + load.waiting
-            report = LoadReport(running, '', now_s, load.slowdown)
+            report = LoadReport(running, '', now_s, load.slowdown, load.waiting)
             context.tracker.reported(server, report)
         self._limiter.handle_answer(server, context.dialect.request_limit(head))
         self._process_brittleness(server, head)
--- a/bronzesill/platform/settings.py
+++ b/bronzesill/platform/settings.py
@@ -12,11 +12,11 @@
 from ..config import FleetBounds, HostedSettings
 from ..utils import Address, DocumentInvalid, read_integer, read_number
 
-__all__ = ['decode_settings', 'read_settings']
+__all__ = ['METRICS_PORT', 'decode_settings', 'read_settings']
 
 _MS_PER_S = 1000
 #: TCP port for metrics; the deploy file names the same port.
-_METRICS_PORT = 9102
+METRICS_PORT = 9102
 _MAX_PORT = 65535
 #: Highest value of a bound or limit, whatever its unit.
 _MAX_BOUND = 1e9
@@ -78,7 +78,7 @@
         readiness=reader.address('listen', 'readiness'),
         store=reader.address('platform', 'address'),
         peers=Address(ip, peer_port),
-        metrics=Address(ip, _METRICS_PORT),
+        metrics=Address(ip, METRICS_PORT),
         bounds=_decode_bounds(raw.get('bounds')),
         seeds=_decode_seeds(raw.get('seedNodes'), peer_port),
         link_mbps=_decode_link_mbps(raw.get('limits')),
--- a/bronzesill/relay/server.py
+++ b/bronzesill/relay/server.py
@@ -132,7 +132,7 @@
         self.on_outcome(outcome)
 
     async def _connect(self, opening: RelayOpen, channel: PeerChannel) -> None:
-        self.attempts.add(Purpose.RELAY)
+        self.attempts.add(Purpose.RELAY, opening.server)
         try:
             bridge = await self._dialer.open(
                 opening.address, lambda: _Bridge(channel), _CONNECT_TIMEOUT_S
--- a/bronzesill/routing/__init__.py
+++ b/bronzesill/routing/__init__.py
@@ -17,6 +17,7 @@
 )
 from .restarts import LastActivity
 from .server_tracker import ServerTracker
+from .service_summary import ServiceSummary, summarize_services
 from .use_reports import (
     FetchUse,
     FleetUse,
@@ -48,6 +49,7 @@
     'ServerTracker',
     'ServerUse',
     'ServerView',
+    'ServiceSummary',
     'SharedNews',
     'SharingPeers',
     'TrafficSplit',
@@ -59,5 +61,6 @@
     'choose_server',
     'news_of',
     'pick_version',
+    'summarize_services',
     'without_heard_restarts',
 ]
--- a/bronzesill/routing/records.py
+++ b/bronzesill/routing/records.py
@@ -24,12 +24,14 @@
     :param at_s: time in seconds at which the report was read.
     :param slowdown: how many times as long as usual work takes on the server's
         machine, ``None`` if not told.
+    :param waiting: those of the running streams that wait for a slot.
     """
 
     running: int
     version: str
     at_s: float
     slowdown: float | None = None
+    waiting: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/routing/server_tracker.py
+++ b/bronzesill/routing/server_tracker.py
@@ -228,7 +228,7 @@
         """Return views of all candidate servers for server selection."""
         use_by_server = self.fleet_use.totals_by_server(now_s)
         return tuple(
-            self._view(name, now_s, use_by_server.get(name))
+            self.view(name, now_s, use_by_server.get(name))
             for name in self._servers_by_name
             if name in self.candidates
             and not self.wait_s(name, now_s, use_by_server)
@@ -240,11 +240,52 @@
         if self.limiter.is_brittle(service):
             uses = self.fleet_use.totals_by_server(now_s)
         return [
-            self._view(name, now_s, uses.get(name))
+            self.view(name, now_s, uses.get(name))
             for name, server in self._servers_by_name.items()
             if server.service == service and not self.wait_s(name, now_s, uses)
         ]
 
+    def view(
+        self, name: str, now_s: float, others: ServerUse | None = None
+    ) -> ServerView:
+        """
+        Return the view of one server, whether or not it has room.
+
+        :param name: name of a listed server.
+        :param now_s: current time in seconds.
+        :param others: its use by the other daemons.
+        """
+        server = self._servers_by_name[name]
+        group = _server_group(server)
+        record = self._record(name)
+        report = record.report or LoadReport(0, server.version, now_s)
+        others = others or ServerUse(name, 0, 0)
+        is_suspected = (
+            record.suspected_until_s > now_s
+            or self._domains.is_suspected(group, now_s)
+        )
+        return ServerView(
+            name=name,
+            failure_domain=server.failure_domain,
+            model=server.model,
+            version=server.version,
+            capacity=server.capacity,
+            own_running=record.running,
+            own_prefilling=record.prefilling,
+            others_running=others.running,
+            others_prefilling=others.prefilling,
+            tokens=record.tokens + others.tokens,
+            memory_tokens=server.memory_tokens,
+            domain_started_at_s=self._started_at_s_by_group[group],
+            own_opened_since_report=record.opened_since_report,
+            reported_running=report.running,
+            report_age_s=now_s - report.at_s,
+            is_leaving=name in self.leaving,
+            is_suspected=is_suspected,
+            failure_rate=record.failure_rate,
+            reported_waiting=report.waiting,
+        )
+
     def wait_s(
         self,
         name: str,
@@ -291,39 +332,6 @@
                 _server_group(server), name, now_s
             )
 
-    def _view(
-        self, name: str, now_s: float, others: ServerUse | None
-    ) -> ServerView:
-        server = self._servers_by_name[name]
-        group = _server_group(server)
-        record = self._record(name)
-        report = record.report or LoadReport(0, server.version, now_s)
-        others = others or ServerUse(name, 0, 0)
-        is_suspected = (
-            record.suspected_until_s > now_s
-            or self._domains.is_suspected(group, now_s)
-        )
-        return ServerView(
-            name=name,
-            failure_domain=server.failure_domain,
-            model=server.model,
-            version=server.version,
-            capacity=server.capacity,
-            own_running=record.running,
-            own_prefilling=record.prefilling,
-            others_running=others.running,
-            others_prefilling=others.prefilling,
-            tokens=record.tokens + others.tokens,
-            memory_tokens=server.memory_tokens,
-            domain_started_at_s=self._started_at_s_by_group[group],
-            own_opened_since_report=record.opened_since_report,
-            reported_running=report.running,
-            report_age_s=now_s - report.at_s,
-            is_leaving=name in self.leaving,
-            is_suspected=is_suspected,
-            failure_rate=record.failure_rate,
-        )
-
 
 def _started_at_s_by_group(
     by_name: Mapping[str, BackendServer],
--- a/bronzesill/routing/views.py
+++ b/bronzesill/routing/views.py
@@ -33,6 +33,7 @@
     :param own_opened_since_report: streams that this daemon opened since the
         server's last load report.
     :param reported_running: running streams according to that report.
+    :param reported_waiting: those of them that wait for a slot.
     :param report_age_s: age of that report in seconds.
     :param is_leaving: whether the server is draining and accepts no new work.
     :param is_suspected: whether the server or its failure domain recently
@@ -58,6 +59,7 @@
     is_leaving: bool = False
     is_suspected: bool = False
     failure_rate: float = 0
+    reported_waiting: int = 0
 
     @property
     def fill(self) -> float:
--- a/bronzesill/upstream/connection.py
+++ b/bronzesill/upstream/connection.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-from ..utils import limit_silence
+from ..utils import has_pending_end, limit_silence
 from .answer import (
     AnswerError,
     AnswerHead,
@@ -17,7 +17,6 @@
     RequestNotSent,
     uptime_s,
 )
-from .idle_check import has_pending_end
 
 __all__ = ['UpstreamConnection']
 
--- a/bronzesill/upstream/connectors.py
+++ b/bronzesill/upstream/connectors.py
@@ -131,7 +131,7 @@
         :param purpose: what the connection is for.
         :raises RequestNotSent: the connection could not be established.
         """
-        self.counts.add(purpose)
+        self.counts.add(purpose, target.name)
         try:
             connection = await self.dialer.open(
                 target.address, UpstreamConnection, timeout_s
--- a/bronzesill/upstream/purposes.py
+++ b/bronzesill/upstream/purposes.py
@@ -24,19 +24,24 @@
 
     def __init__(self) -> None:
         self.by_purpose: Counter[Purpose] = Counter()
-        #: Called with the purpose of each attempt.
-        self.on_attempt: Callable[[Purpose], object] = _ignore
+        #: Called with the purpose of each attempt and the name of the server.
+        self.on_attempt: Callable[[Purpose, str], object] = _ignore
 
     @property
     def total(self) -> int:
         """Number of attempts for all purposes."""
         return self.by_purpose.total()
 
-    def add(self, purpose: Purpose) -> None:
-        """Count an attempt."""
+    def add(self, purpose: Purpose, server: str) -> None:
+        """
+        Count an attempt.
+
+        :param purpose: what the connection is for.
+        :param server: name of the server.
+        """
         self.by_purpose[purpose] += 1
-        self.on_attempt(purpose)
+        self.on_attempt(purpose, server)
 
 
-def _ignore(purpose: Purpose) -> None:
+def _ignore(purpose: Purpose, server: str) -> None:
     """Do nothing; the default of ``on_attempt``."""
--- a/bronzesill/upstream/tests/test_purposes.py
+++ b/bronzesill/upstream/tests/test_purposes.py
@@ -21,13 +21,17 @@
     async def asyncSetUp(self) -> None:
         self.pool = ConnectionPool()
         self.told: list[Purpose] = []
-        self.pool.direct.counts.on_attempt = self.told.append
+        self.pool.direct.counts.on_attempt = self.tell
         self.server = await asyncio.start_server(
             lambda reader, writer: None, '127.0.0.1', 0
         )
         port = self.server.sockets[0].getsockname()[1]
         self.target = Target('s', Address('127.0.0.1', port))
 
+    def tell(self, purpose: Purpose, server: str) -> None:
+        self.assertEqual(server, 's')
+        self.told.append(purpose)
+
     async def asyncTearDown(self) -> None:
         self.pool.close()
         self.server.close()
--- a/bronzesill/utils/__init__.py
+++ b/bronzesill/utils/__init__.py
@@ -1,6 +1,6 @@
 """Utilities shared by the other subpackages."""
 
-from .addresses import Address, limit_silence
+from .addresses import Address, has_pending_end, limit_silence
 from .converter import (
     MAX_INTEGER,
     DocumentInvalid,
@@ -49,6 +49,7 @@
     'chain_digest',
     'configure_logging',
     'filter_server_logs',
+    'has_pending_end',
     'hash_secret',
     'limit_silence',
     'log_unexpected',
--- a/bronzesill/utils/addresses.py
+++ b/bronzesill/utils/addresses.py
@@ -1,4 +1,4 @@
-"""Network addresses, and limits on the silence of connections."""
+"""Network addresses, and silence and ends of connections."""
 
 from __future__ import annotations
 
@@ -8,9 +8,10 @@
 import functools
 import ipaddress
 import reprlib
+import select
 import socket
 
-__all__ = ['Address', 'limit_silence']
+__all__ = ['Address', 'has_pending_end', 'limit_silence']
 
 _MAX_PORT = 65535
 _MAX_PORT_DIGITS = 5
@@ -33,6 +34,9 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
 )
 
+#: Data without a request ends an idle connection as well.
+_ENDS = select.POLLIN | select.POLLRDHUP
+
 
 @dataclasses.dataclass(frozen=True, order=True)
 class Address:
@@ -97,6 +101,24 @@
             connected.setsockopt(level, option, limit)
 
 
+def has_pending_end(transport: asyncio.BaseTransport) -> bool:
+    """
+    Return whether the kernel holds an end, a reset or data of a connection.
+
+    The event loop may be about to read it.  Costs one system call that does
+    not block.
+
+    :param transport: transport of a connection without a pending answer.
+    :returns: ``False`` also for connections through another host.
+    """
+    sock = transport.get_extra_info('socket')
+    if sock is None or sock.fileno() < 0:
+        return False
+    poller = select.poll()
+    poller.register(sock.fileno(), _ENDS)
+    return bool(poller.poll(0))
+
+
 def _is_port(text: str) -> bool:
     if not text.isascii() or not text.isdecimal():
         return False
--- a/bronzesill/utils/metrics.py
+++ b/bronzesill/utils/metrics.py
@@ -17,6 +17,7 @@
     Histogram,
     generate_latest,
 )
+from prometheus_client.registry import Collector
 
 __all__ = ['Metrics', 'NullMetrics', 'PrometheusMetrics']
 
@@ -92,6 +93,14 @@
             self._histograms_by_stat[stat] = histogram
         histogram.observe(delta / _MS_PER_S)
 
+    def register(self, collector: Collector) -> None:
+        """
+        Add metrics that are collected when they are read.
+
+        :param collector: collects the metrics.
+        """
+        self._registry.register(collector)
+
     async def on_get(self, req: asgi.Request, resp: asgi.Response) -> None:
         """Respond with all metrics in the Prometheus text format."""
         resp.content_type = 'text/plain; version=0.0.4'
