--- a/bronzesill/daemon/hosted_peers.py
+++ b/bronzesill/daemon/hosted_peers.py
@@ -158,6 +158,7 @@
         server.on_outcome = lambda outcome: metrics.incr(
             f'relay.served.{outcome}'
         )
+        server.attempts = pool.direct.counts
         server.is_cut = connector.paths.is_cut
         server.find_relay = connector.find_relay
         self._peers.server.channels_by_type[RelayOpen] = server.serve
--- a/bronzesill/generations/activity_lookup.py
+++ b/bronzesill/generations/activity_lookup.py
@@ -67,7 +67,8 @@
         if not self.is_known_for(server):
             return None
         now_s = asyncio.get_running_loop().time()
-        view = self._tracker.views(now_s, server)[0]
+        uses = self._tracker.fleet_use.totals_by_server(now_s)
+        view = self._tracker.view(server, now_s, uses.get(server))
         is_own = (
             observer.phase is Phase.STREAMING
             and observer.server == server
--- a/bronzesill/generations/forward_client.py
+++ b/bronzesill/generations/forward_client.py
@@ -15,6 +15,7 @@
     ForwardRequest,
     KvCacheCopy,
     OnAnswerHead,
+    Purpose,
     RequestNotSent,
     SendPlan,
     Target,
@@ -77,7 +78,9 @@
         forward = _require_forward_request(opening)
         target = Target(opening.server, opening.address)
         try:
-            lease = await self._pool.acquire(target, max_idle_s=_MAX_IDLE_S)
+            lease = await self._pool.acquire(
+                target, max_idle_s=_MAX_IDLE_S, purpose=Purpose.STREAM
+            )
             async for message in self._exchange(lease, opening, forward):
                 yield message
         except RequestNotSent as error:
@@ -88,7 +91,10 @@
 
     async def is_alive(self, server: str, address: Address) -> bool:
         """Return whether an engine accepts a connection soon."""
-        probe = asyncio.create_task(self._pool.probe(Target(server, address)))
+        target = Target(server, address)
+        if self._pool.is_proven_alive(target):
+            return True
+        probe = asyncio.create_task(self._pool.probe(target))
         self._probes.add(probe)
         probe.add_done_callback(self._probes.discard)
         # A longer probe, which tries other paths, ends in the background.
--- a/bronzesill/routing/__init__.py
+++ b/bronzesill/routing/__init__.py
@@ -19,6 +19,7 @@
 )
 from .restarts import LastActivity
 from .server_tracker import ServerTracker
+from .service_summary import ServiceSummary, summarize_services
 from .use_reports import (
     FetchUse,
     FleetUse,
@@ -55,6 +56,7 @@
     'ServerUse',
     'ServerView',
     'ServiceRates',
+    'ServiceSummary',
     'SharedNews',
     'SharingPeers',
     'StreamSize',
@@ -67,5 +69,6 @@
     'choose_server',
     'news_of',
     'pick_version',
+    'summarize_services',
     'without_heard_restarts',
 ]
