Refuse statuses that are not those of an HTTP answer

Cause: UpstreamConnection took each status below 200 for an interim one. A 000 or 099 left its request without an answer until its deadline, and its body was prefixed to that of the next answer ("abcxyz"). 600 to 999 were passed on to callers. Clients on aiohttp passed all of these on, and a stream of an engine with such a status counted as not started.

Change: upstream/statuses.py decides by RFC 9110: 100 to 199 except 101 are interim, 200 to 599 are answers, all else is invalid and closes the connection at once with InvalidAnswer, an AnswerError that states a reason for metrics. All clients of servers, of the host list and of engine reports use it. A connection is not reused after an answer to HEAD: the parser would take the next answer for the body that the first one states.

--- a/bronzesill/calls/pass_through.py
+++ b/bronzesill/calls/pass_through.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from ..upstream import InvalidAnswer, require_answer_status
 from ..utils import Address, BronzesillError, ResultCode
 from .interfaces import CallAnswer, CallRequest
 
@@ -41,6 +42,7 @@
             timeout=timeout,
             allow_redirects=False,
         ) as response:
+            require_answer_status(response.status)
             return CallAnswer(
                 response.status, response.content_type, await response.read()
             )
@@ -48,7 +50,7 @@
         raise BronzesillError(
             ResultCode.CALL_NOT_RUN, 'not run: could not connect to the service'
         ) from None
-    except (aiohttp.ClientError, TimeoutError) as error:
+    except (aiohttp.ClientError, InvalidAnswer, TimeoutError) as error:
         raise BronzesillError(
             ResultCode.CALL_OUTCOME_UNKNOWN,
             f'outcome unknown: {type(error).__name__} after sending',
--- a/bronzesill/daemon/servers.py
+++ b/bronzesill/daemon/servers.py
@@ -14,6 +14,7 @@
 from ..config import BackendServer
 from ..routing import LoadReport, ServerTracker, TrafficSplit
 from ..routing.subsets import pick_subset
+from ..upstream import require_answer_status
 from ..utils import PartLogger, structure
 
 __all__ = ['ServersController']
@@ -132,6 +133,7 @@
                 semaphore,
                 self._session.get(url, timeout=timeout) as reply,
             ):
+                require_answer_status(reply.status)
                 reported = structure(
                     orjson.loads(await reply.read()), _ReportedLoad
                 )
--- a/bronzesill/generations/engine_client.py
+++ b/bronzesill/generations/engine_client.py
@@ -8,6 +8,7 @@
 import aiohttp
 import orjson
 
+from ..upstream import require_answer_status
 from ..utils import Address, read_integer
 from .messages import EndArrived, TokensArrived
 from .stream_client import AttemptRefused, StreamMessage, StreamOpening
@@ -40,8 +41,8 @@
 
         :param opening: stream to open.
         :raises AttemptRefused: the engine did not start the stream.
-        :raises AttemptRefused: the engine did not start the stream.
-        :raises ConnectionError: the connection failed.
+        :raises ConnectionError: the connection failed, or the status is not
+            that of an answer.
         """
         try:
             async for message in self._read(opening):
@@ -74,6 +75,7 @@
         )
         pending = b''
         async with self._send(opening, timeout) as response:
+            require_answer_status(response.status)
             if response.status != _HTTP_OK:
                 raise AttemptRefused(f'status {response.status}')
             async for chunk in response.content.iter_any():
--- a/bronzesill/orders/client.py
+++ b/bronzesill/orders/client.py
@@ -7,6 +7,7 @@
 import aiohttp
 import orjson
 
+from ..upstream import require_answer_status
 from ..utils import Address
 from .record import OrderKind, OrderRecord
 
@@ -74,8 +75,9 @@
             async with self._session.get(
                 f'{address.url}/v1/models', timeout=self._timeout
             ) as response:
+                require_answer_status(response.status)
                 models = orjson.loads(await response.read())['data']
-        except (aiohttp.ClientError, TimeoutError, ValueError):
+        except (aiohttp.ClientError, OSError, ValueError):
             return False
         field = 'owned_by'
         if record.kind is OrderKind.LOAD_MODEL:
--- a/bronzesill/platform/hosts.py
+++ b/bronzesill/platform/hosts.py
@@ -6,6 +6,7 @@
 import orjson
 
 from ..store import ListedHost
+from ..upstream import require_answer_status
 from ..utils import (
     Address,
     BronzesillError,
@@ -45,9 +46,10 @@
             async with self._session.get(
                 self._url, timeout=timeout
             ) as response:
+                require_answer_status(response.status)
                 raw = orjson.loads(await response.read())
                 return tuple(structure(raw, list[ListedHost]))
-        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+        except (aiohttp.ClientError, OSError, ValueError) as error:
             raise BronzesillError(
                 ResultCode.STORE_UNAVAILABLE,
                 f'host list could not be read: {type(error).__name__}',
--- a/bronzesill/platform/reports.py
+++ b/bronzesill/platform/reports.py
@@ -8,6 +8,7 @@
 import aiohttp
 import orjson
 
+from ..upstream import InvalidAnswer, require_answer_status
 from ..upstream.reports import CacheEvent, CacheEvents, EngineReport, RunReport
 from ..utils import Address, read_flag, read_integer, read_number
 
@@ -40,8 +41,9 @@
     url = f'{address.url}/v1/report'
     try:
         async with session.get(url, timeout=timeout) as response:
+            require_answer_status(response.status)
             return decode_engine_report(await response.read())
-    except (aiohttp.ClientError, TimeoutError):
+    except (aiohttp.ClientError, InvalidAnswer, TimeoutError):
         return None
 
 
--- a/bronzesill/upstream/__init__.py
+++ b/bronzesill/upstream/__init__.py
@@ -5,9 +5,11 @@
     AnswerHead,
     ConnectionLost,
     Header,
+    InvalidAnswer,
     OnAnswerHead,
     PathCut,
     RequestNotSent,
+    require_answer_status,
     uptime_s,
 )
 from .client import HttpAnswer, HttpCall, ServiceClient
@@ -41,6 +43,7 @@
     'HealthDialect',
     'HttpAnswer',
     'HttpCall',
+    'InvalidAnswer',
     'KvCacheCopy',
     'OnAnswerHead',
     'PathCut',
@@ -51,5 +54,6 @@
     'ServiceClient',
     'Target',
     'UpstreamConnection',
+    'require_answer_status',
     'uptime_s',
 ]
--- a/bronzesill/upstream/answer.py
+++ b/bronzesill/upstream/answer.py
@@ -7,14 +7,18 @@
 from collections.abc import Callable
 from typing import TypeAlias
 
+from .statuses import is_answer_status
+
 __all__ = [
     'AnswerError',
     'AnswerHead',
     'ConnectionLost',
     'Header',
+    'InvalidAnswer',
     'OnAnswerHead',
     'PathCut',
     'RequestNotSent',
+    'require_answer_status',
     'uptime_s',
 ]
 
@@ -26,11 +30,27 @@
 class AnswerError(ConnectionError):
     """The request may have run; its answer is missing, truncated or invalid."""
 
+    #: Why the answer was refused as invalid, empty if it was not.
+    reason = ''
+
 
 class ConnectionLost(AnswerError):
     """The connection ended before the answer was complete."""
 
 
+class InvalidAnswer(AnswerError):
+    """
+    The server sent something that is no HTTP answer to the request.
+
+    :param reason: what is wrong, one of a few words for metrics.
+    :param detail: text of the error.
+    """
+
+    def __init__(self, reason: str, detail: str) -> None:
+        super().__init__(f'invalid HTTP response: {detail}')
+        self.reason = reason
+
+
 class PathCut(AnswerError):
     """Only other hosts reach the server, which may have run the request."""
 
@@ -86,6 +106,17 @@
         return None
 
 
+def require_answer_status(status: int) -> None:
+    """
+    Refuse a status that another HTTP client let through.
+
+    :param status: status of a final answer.
+    :raises InvalidAnswer: it is not that of an answer.
+    """
+    if not is_answer_status(status):
+        raise InvalidAnswer('status', f'status {status}')
+
+
 def uptime_s() -> float:
     """Return seconds of a clock that also runs while the host is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/bronzesill/upstream/connection.py
+++ b/bronzesill/upstream/connection.py
@@ -14,9 +14,11 @@
     AnswerHead,
     ConnectionLost,
     Header,
+    InvalidAnswer,
     RequestNotSent,
     uptime_s,
 )
+from .statuses import StatusKind, classify_status, find_interim_fault
 
 __all__ = ['UpstreamConnection']
 
@@ -26,8 +28,7 @@
 _MAX_OVERHEAD_BYTES = 64 * 1024
 #: Small chunks have several times as many bytes of overhead as of body.
 _OVERHEAD_PER_BODY_BYTE = 16
-_FIRST_FINAL_STATUS = 200
-_STATUS_LINE = re.compile(rb'HTTP/1\.[01] [1-9][0-9]{2}')
+_STATUS_LINE = re.compile(rb'HTTP/1\.[01] [0-9]{3}')
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
@@ -136,7 +137,9 @@
         self.received_at_s = asyncio.get_running_loop().time()
         answer = self._answer
         if answer is None or answer.is_finished:
-            self._fail_connection('unexpected bytes outside of an answer')
+            self._fail_connection(
+                InvalidAnswer('second', 'unexpected bytes outside of an answer')
+            )
             return
         answer.received_bytes += len(data)
         try:
@@ -145,10 +148,12 @@
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
-            self._fail_connection(f'invalid HTTP response: {error}')
+            self._fail_connection(_find_cause(error))
             return
         if answer.has_excess_overhead:
-            self._fail_connection('too many bytes outside of the body')
+            self._fail_connection(
+                InvalidAnswer('overhead', 'too many bytes outside of the body')
+            )
             return
         if answer.buffered_bytes > _MAX_BUFFERED_BYTES and self._transport:
             self._transport.pause_reading()
@@ -194,15 +199,24 @@
             )
 
     def on_headers_complete(self) -> None:
-        """Complete the head; heads of interim (1xx) responses are dropped."""
+        """
+        Complete the head; heads of interim responses are dropped.
+
+        :raises InvalidAnswer: it is neither that of an answer nor that of an
+            interim response.
+        """
         answer = self._answer
         if answer is None or answer.is_finished:
             return
         status = self._parser.get_status_code()
-        if status < _FIRST_FINAL_STATUS:
-            answer.headers.clear()
+        kind = classify_status(status)
+        if kind is StatusKind.INVALID:
+            raise InvalidAnswer('status', f'status {status}')
+        if kind is StatusKind.INTERIM:
+            answer.drop_interim_head()
             return
-        if not self._parser.should_keep_alive():
+        # The parser takes an answer to HEAD to have the body that it states.
+        if answer.is_head or not self._parser.should_keep_alive():
             self._is_usable = False
         answer.complete_head(status)
 
@@ -217,7 +231,9 @@
         if answer is None or not answer.has_head:
             return
         if answer.is_finished:
-            self._fail_connection('second answer to one request')
+            self._fail_connection(
+                InvalidAnswer('second', 'second answer to one request')
+            )
             return
         answer.mark_complete()
 
@@ -227,15 +243,23 @@
         if answer is not None and answer.is_finished:
             self._is_usable = False
 
-    def _fail_connection(self, reason: str) -> None:
+    def _fail_connection(self, error: AnswerError) -> None:
         self._is_usable = False
         answer = self._answer
         if answer is not None and not answer.is_finished:
-            answer.mark_failed(AnswerError(reason))
+            answer.mark_failed(error)
         if self._transport is not None:
             self._transport.abort()
 
 
+def _find_cause(error: Exception) -> InvalidAnswer:
+    """Return the error that a callback of the parser raised, if any."""
+    cause = error.__context__
+    if isinstance(cause, InvalidAnswer):
+        return cause
+    return InvalidAnswer('syntax', str(error))
+
+
 def _refuse_second_status(text: bytes) -> None:
     """
     Reject a head that was cut off within a line and joined by the next one.
@@ -269,7 +293,8 @@
         #: All bytes received since the request, and those of the body.
         self.received_bytes = 0
         self._body_bytes = 0
-        self._is_head = is_head
+        self._interim_heads = 0
+        self.is_head = is_head
         self._chunks: list[bytes] = []
         self._failure: AnswerError | None = None
         self._updated = asyncio.Event()
@@ -282,6 +307,19 @@
         )
         return self.received_bytes - self._body_bytes > allowed
 
+    def drop_interim_head(self) -> None:
+        """
+        Forget the head of an interim response.
+
+        :raises InvalidAnswer: it states a body, or is one too many.
+        """
+        self._interim_heads += 1
+        text_by_name = {header.name: header.text for header in self.headers}
+        fault = find_interim_fault(text_by_name, self._interim_heads)
+        if fault:
+            raise InvalidAnswer('interim', fault)
+        self.headers.clear()
+
     def complete_head(self, status: int) -> None:
         """
         Build the head from the headers received so far.
@@ -292,7 +330,7 @@
         has_length = (
             bool(names & {b'content-length', b'transfer-encoding'})
             or status in _BODILESS_STATUSES
-            or self._is_head
+            or self.is_head
         )
         self.is_delimited_by_close = not has_length
         self.has_head = True
@@ -301,7 +339,7 @@
         )
         if not self.head.done():
             self.head.set_result(head)
-        if self._is_head:
+        if self.is_head:
             self.mark_complete()
 
     def append_body(self, body: bytes) -> None:
