Refuse answers without a length to requests that were not read

Cause: an answer that is delimited by the end of its connection counted as complete at each FIN. A server that answered an upload of 100 kB with a part of a body, and ended its side before it read the upload, gave the caller that part as the complete answer. A relayed connection did so for uploads of any size.

Change: such an answer is complete only if the request has been written and acknowledged (buffer of the transport, SIOCOUTQ) when the server ends it. For requests over 16 KiB the host then waits 0.1 s for the reset that a system sends for unread bytes. For requests over 64 KiB, which a server's system may acknowledge for a program that never reads them, an answer that began less than 20 ms after the last byte was sent (TCP_INFO) and ended less than 0.5 s after it is refused as well (RequestUnread, a ConnectionLost). What the system does not tell counts as acknowledged. Relaying hosts state how many bytes the server has taken, in optional fields, and wait for the reset too. An answer that this host aborts is no longer complete. A connection whose request has not arrived is closed after its answer, once the request is written, instead of being reused.

--- a/bronzesill/relay/connections.py
+++ b/bronzesill/relay/connections.py
@@ -80,9 +80,12 @@
     Bytes of the connection, in either direction.
 
     :param body: the bytes.
+    :param accepted_bytes: bytes that the server's system has taken so far,
+        stated in messages from the server; ``None`` if unknown.
     """
 
     body: bytes
+    accepted_bytes: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -91,9 +94,12 @@
     The server's end of the connection.
 
     :param is_clean: whether the server closed it, rather than reset it.
+    :param accepted_bytes: bytes that the server's system has taken until
+        then, ``None`` if unknown.
     """
 
     is_clean: bool
+    accepted_bytes: int | None = None
 
 
 RELAY_TYPES_BY_NUMBER: Mapping[int, type] = types.MappingProxyType(
@@ -133,6 +139,7 @@
         self._opening = opening
         self._unpacker = msgpack.Unpacker(max_buffer_size=_MAX_BUFFERED_BYTES)
         self._transport: asyncio.Transport | None = None
+        self._relayed: _RelayTransport | None = None
         self._has_ended = False
         self._is_aborted = False
 
@@ -182,8 +189,10 @@
 
     def _process_open(self, message: Any) -> None:
         if isinstance(message, RelayData):
+            self._set_accepted(message.accepted_bytes)
             self.upstream.data_received(message.body)
         elif isinstance(message, RelayEnd):
+            self._set_accepted(message.accepted_bytes)
             self._end(is_clean=message.is_clean)
             self.abort()
 
@@ -191,11 +200,14 @@
         transport = self._transport
         if transport is None or self.opened.done():
             return
-        self.upstream.connection_made(
-            _RelayTransport(transport, self._registry, self.abort)
-        )
+        self._relayed = _RelayTransport(transport, self._registry, self.abort)
+        self.upstream.connection_made(self._relayed)
         self._settle('')
 
+    def _set_accepted(self, count: int | None) -> None:
+        if self._relayed is not None:
+            self._relayed.accepted_bytes = count
+
     def _settle(self, reason: str) -> None:
         if not self.opened.done():
             self.opened.set_result(reason)
@@ -205,6 +217,8 @@
             return
         self._has_ended = True
         error = None if is_clean else ConnectionResetError('relay ended')
+        if is_clean:
+            self.upstream.eof_received()
         self.upstream.connection_lost(error)
 
 
@@ -224,16 +238,26 @@
         on_abort: Callable[[], None],
     ) -> None:
         super().__init__()
+        #: Bytes that the server has taken, ``None`` if the peer tells none.
+        self.accepted_bytes: int | None = None
+        self._written_bytes = 0
         self._on_abort = on_abort
         self._transport = transport
         self._registry = registry
 
     def write(self, chunk: Any) -> None:
         """Send bytes to the server."""
+        self._written_bytes += len(chunk)
         for start in range(0, len(chunk), MAX_DATA_BYTES):
             part = bytes(chunk[start : start + MAX_DATA_BYTES])
             self._transport.write(self._registry.encode(RelayData(part)))
 
+    def get_write_buffer_size(self) -> int:
+        """Return the bytes that are not known to have reached the server."""
+        if self.accepted_bytes is None:
+            return self._transport.get_write_buffer_size()
+        return max(self._written_bytes - self.accepted_bytes, 0)
+
     def is_closing(self) -> bool:
         """Return whether the connection to the peer is closed."""
         return self._transport.is_closing()
--- a/bronzesill/relay/server.py
+++ b/bronzesill/relay/server.py
@@ -9,7 +9,13 @@
 from collections.abc import Callable
 from typing import cast
 
-from ..upstream import Dialer
+from ..upstream import (
+    RESET_WAIT_S,
+    Dialer,
+    count_unsent,
+    is_reset,
+    needs_reset_wait,
+)
 from ..utils import PartLogger
 from ..wire import PeerChannel
 from .connections import (
@@ -175,6 +181,9 @@
         self._may_write.set()
         self._draining: asyncio.Task[None] | None = None
         self._is_aborted = False
+        self._is_reset = False
+        self._written_bytes = 0
+        self._accepted_at_end: int | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Tell the other host that the server accepted the connection."""
@@ -184,10 +193,10 @@
     def data_received(self, data: bytes) -> None:
         """Pass bytes of the server on."""
         self.on_bytes()
+        accepted = self._count_accepted()
         for start in range(0, len(data), MAX_DATA_BYTES):
-            self._channel.send(
-                RelayData(bytes(data[start : start + MAX_DATA_BYTES]))
-            )
+            part = bytes(data[start : start + MAX_DATA_BYTES])
+            self._channel.send(RelayData(part, accepted))
         is_full = self._channel.waiting_bytes > _MAX_WAITING_BYTES
         if is_full and self._draining is None and self._transport:
             self._transport.pause_reading()
@@ -202,19 +211,26 @@
         self._may_write.set()
 
     def eof_received(self) -> bool:
-        """Return ``False``, so that the transport closes itself."""
-        return False
+        """Return whether to keep the connection open to see a reset."""
+        self._accepted_at_end = self._count_accepted()
+        if not needs_reset_wait(self._written_bytes):
+            return False
+        loop = asyncio.get_running_loop()
+        loop.call_later(RESET_WAIT_S, self._end_after_wait)
+        return True
 
     def connection_lost(self, error: Exception | None) -> None:
         """Tell the other host how the server's connection ended."""
         self._may_write.set()
         if not self._is_aborted:
-            self._channel.send(RelayEnd(is_clean=error is None))
+            is_clean = error is None and not self._is_reset
+            self._channel.send(RelayEnd(is_clean, self._accepted_at_end))
             self._channel.end()
 
     async def write(self, body: bytes) -> None:
         """Send bytes to the server, as fast as it reads them."""
         if self._transport is not None and not self._transport.is_closing():
+            self._written_bytes += len(body)
             self._transport.write(body)
             await self._may_write.wait()
 
@@ -226,6 +242,17 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _count_accepted(self) -> int | None:
+        if self._transport is None:
+            return None
+        return self._written_bytes - count_unsent(self._transport)
+
+    def _end_after_wait(self) -> None:
+        transport = self._transport
+        if transport is not None and not self._is_aborted:
+            self._is_reset = is_reset(transport)
+            transport.abort()
+
     async def _drain(self) -> None:
         with contextlib.suppress(OSError):
             await self._channel.drain()
--- a/bronzesill/relay/tests/test_relay.py
+++ b/bronzesill/relay/tests/test_relay.py
@@ -8,6 +8,8 @@
 from collections.abc import Awaitable, Callable
 from random import Random
 
+import msgpack
+
 from ...upstream import (
     AnswerError,
     ConnectionLease,
@@ -16,16 +18,19 @@
     Dialer,
     Reach,
     RequestNotSent,
+    RequestUnread,
     Target,
 )
+from ...upstream.tests.unread_uploads import HastyServer, make_upload
 from ...utils import Address
 from ...wire import MessageRegistry, PeerServer, WireCounters
-from ..connections import RELAY_TYPES_BY_NUMBER, RelayOpen
+from ..connections import RELAY_TYPES_BY_NUMBER, RelayData, RelayOpen
 from ..connector import RelayConnector
 from ..paths import RelayPeer
 from ..server import RelayBounds, RelayServer
 
 _LOOPBACK = '127.0.0.1'
+_UPLOAD_BYTES = 100_000
 _REQUEST = b'GET / HTTP/1.1\r\nhost: x\r\n\r\n'
 _OPEN_ANSWER = b'HTTP/1.1 200 OK\r\n\r\nabc'
 _ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc'
@@ -217,6 +222,56 @@
         self.assertEqual(self.received, 1)
 
 
+class UnreadUploadTest(RelayCase):
+    """A server that ended before it read the request has not answered it."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.hasty = HastyServer(_OPEN_ANSWER)
+        self.hasty.receive_buffer = _UPLOAD_BYTES * 4
+
+    async def asyncTearDown(self) -> None:
+        await super().asyncTearDown()
+        await self.hasty.stop()
+
+    async def upload(self, size: int) -> bytes:
+        target = Target('shop-a', await self.hasty.start())
+        lease = await self.pool.acquire(target, max_idle_s=4)
+        try:
+            await lease.send(make_upload(size))
+            return await lease.read_all(_MAX_BYTES)
+        finally:
+            lease.release()
+
+    async def test_end_during_an_upload(self) -> None:
+        with self.assertRaises(AnswerError):
+            await self.upload(_LARGE)
+
+    async def test_early_end_after_an_acknowledged_upload(self) -> None:
+        self.hasty.reset_delay_s = 1
+        with self.assertRaises(RequestUnread):
+            await self.upload(_UPLOAD_BYTES)
+
+    # Guards against a relay that tells the end of an answer as clean before
+    # the reset that follows it.
+    async def test_reset_after_the_end(self) -> None:
+        self.hasty.answer_delay_s = 0.05
+        with self.assertRaises(ConnectionLost):
+            await self.upload(_UPLOAD_BYTES)
+
+    async def test_sound_server(self) -> None:
+        self.hasty.has_read = True
+        self.hasty.answer_delay_s = 0.05
+        self.assertEqual(await self.upload(_UPLOAD_BYTES), b'abc')
+
+    # Guards against relays of the previous build, which tell no counts.
+    async def test_messages_without_counts(self) -> None:
+        frame = msgpack.unpackb(self.registry.encode(RelayData(b'x', 1)))
+        frame[-1] = frame[-1][:1]
+        message = self.registry.from_frame(frame).message
+        self.assertEqual(message, RelayData(b'x'))
+
+
 class BackPressureTest(RelayCase):
     """A host that does not read stops the server."""
 
--- a/bronzesill/upstream/__init__.py
+++ b/bronzesill/upstream/__init__.py
@@ -9,10 +9,12 @@
     OnAnswerHead,
     PathCut,
     RequestNotSent,
+    RequestUnread,
     require_answer_status,
     uptime_s,
 )
 from .client import HttpAnswer, HttpCall, ServiceClient
+from .completeness import RESET_WAIT_S, needs_reset_wait
 from .connection import UpstreamConnection
 from .connectors import Connector, Dialer, DirectConnector, Reach, Target
 from .pool import AnswerMemory, ConnectionLease, ConnectionPool
@@ -25,8 +27,10 @@
     ReportedLoad,
     SendPlan,
 )
+from .sent_bytes import count_unsent, is_reset
 
 __all__ = [
+    'RESET_WAIT_S',
     'AnswerError',
     'AnswerHead',
     'AnswerMemory',
@@ -50,10 +54,14 @@
     'Reach',
     'ReportedLoad',
     'RequestNotSent',
+    'RequestUnread',
     'SendPlan',
     'ServiceClient',
     'Target',
     'UpstreamConnection',
+    'count_unsent',
+    'is_reset',
+    'needs_reset_wait',
     'require_answer_status',
     'uptime_s',
 ]
--- a/bronzesill/upstream/answer.py
+++ b/bronzesill/upstream/answer.py
@@ -18,6 +18,7 @@
     'OnAnswerHead',
     'PathCut',
     'RequestNotSent',
+    'RequestUnread',
     'require_answer_status',
     'uptime_s',
 ]
@@ -38,6 +39,12 @@
     """The connection ended before the answer was complete."""
 
 
+class RequestUnread(ConnectionLost):
+    """The server ended its answer before it can have read the request."""
+
+    reason = 'request_unread'
+
+
 class InvalidAnswer(AnswerError):
     """
     The server sent something that is no HTTP answer to the request.
--- a/bronzesill/upstream/connection.py
+++ b/bronzesill/upstream/connection.py
@@ -16,8 +16,16 @@
     Header,
     InvalidAnswer,
     RequestNotSent,
+    RequestUnread,
     uptime_s,
 )
+from .completeness import (
+    RESET_WAIT_S,
+    RequestMoment,
+    find_doubt,
+    needs_reset_wait,
+)
+from .sent_bytes import SentRequest, count_unsent, is_reset
 from .statuses import StatusKind, classify_status, find_interim_fault
 
 __all__ = ['UpstreamConnection']
@@ -29,6 +37,8 @@
 #: Small chunks have several times as many bytes of overhead as of body.
 _OVERHEAD_PER_BODY_BYTE = 16
 _STATUS_LINE = re.compile(rb'HTTP/1\.[01] [0-9]{3}')
+#: Time for a server to read the rest of a request that it has answered.
+_FINISH_WRITING_S = 5.0
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
@@ -57,6 +67,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._answer: _PendingAnswer | None = None
         self._is_usable = True
+        self._is_aborted = False
 
     @property
     def is_reusable(self) -> bool:
@@ -69,6 +80,13 @@
             and not transport.is_closing()
         )
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether a part of a request has not arrived at the server."""
+        return self._transport is not None and bool(
+            count_unsent(self._transport)
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the established connection."""
         limit_silence(transport)
@@ -89,7 +107,8 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             raise RequestNotSent('connection closed before the request')
-        answer = _PendingAnswer(is_head=is_head)
+        sent = SentRequest(transport, len(request))
+        answer = _PendingAnswer(sent, is_head=is_head)
         self._answer = answer
         transport.write(request)
         return await answer.head
@@ -124,9 +143,19 @@
     def close(self) -> None:
         """Abort the connection at once, discarding a pending answer."""
         self._is_usable = False
+        self._is_aborted = True
         if self._transport is not None:
             self._transport.abort()
 
+    def finish_writing(self) -> None:
+        """Close the connection once the server has taken the request."""
+        self._is_usable = False
+        transport = self._transport
+        if transport is not None:
+            transport.close()
+            loop = asyncio.get_running_loop()
+            loop.call_later(_FINISH_WRITING_S, transport.abort)
+
     def data_received(self, data: bytes) -> None:
         """
         Feed received bytes to the parser.
@@ -159,21 +188,40 @@
             self._transport.pause_reading()
 
     def eof_received(self) -> bool:
-        """Return ``False``, so that the transport closes itself."""
-        return False
+        """
+        Return whether to keep the connection open to see a reset.
+
+        An answer that ends here fails unless the request has arrived.
+        """
+        answer = self._answer
+        if answer is None or answer.is_finished:
+            return False
+        if not answer.is_delimited_by_close:
+            return False
+        doubt = answer.find_doubt()
+        if doubt:
+            self._fail_connection(RequestUnread(f'answer {doubt}'))
+        has_socket = self._has_socket
+        if doubt or not has_socket or not needs_reset_wait(answer.sent.size):
+            return False
+        self._is_usable = False
+        loop = asyncio.get_running_loop()
+        loop.call_later(RESET_WAIT_S, self._end_after_wait, answer)
+        return True
 
     def connection_lost(self, error: Exception | None) -> None:
         """
         Complete or fail the pending answer.
 
-        An answer without a length is complete if the connection was closed
-        without an error; any other pending answer fails.
+        An answer without a length is complete if the server closed the
+        connection without an error; any other pending answer fails.
         """
         self._is_usable = False
         answer = self._answer
         if answer is None or answer.is_finished:
             return
-        if error is None and answer.is_delimited_by_close:
+        is_clean = error is None and not self._is_aborted
+        if is_clean and answer.is_delimited_by_close:
             answer.mark_complete()
             return
         answer.mark_failed(ConnectionLost(f'connection lost: {error!r}'))
@@ -243,6 +291,26 @@
         if answer is not None and answer.is_finished:
             self._is_usable = False
 
+    @property
+    def _has_socket(self) -> bool:
+        transport = self._transport
+        return (
+            transport is not None
+            and transport.get_extra_info('socket') is not None
+        )
+
+    def _end_after_wait(self, answer: _PendingAnswer) -> None:
+        transport = self._transport
+        if transport is None or answer.is_finished:
+            return
+        if is_reset(transport):
+            self._fail_connection(
+                RequestUnread('connection reset after the end of the answer')
+            )
+            return
+        answer.mark_complete()
+        transport.abort()
+
     def _fail_connection(self, error: AnswerError) -> None:
         self._is_usable = False
         answer = self._answer
@@ -276,11 +344,13 @@
     """
     Answer that is being received.
 
+    :param sent: the request.
     :param is_head: whether it answers a ``HEAD`` request and so has no body
         regardless of its headers.
     """
 
-    def __init__(self, *, is_head: bool) -> None:
+    def __init__(self, sent: SentRequest, *, is_head: bool) -> None:
+        self.sent = sent
         self.headers: list[Header] = []
         self.head: asyncio.Future[AnswerHead] = (
             asyncio.get_running_loop().create_future()
@@ -294,6 +364,7 @@
         self.received_bytes = 0
         self._body_bytes = 0
         self._interim_heads = 0
+        self._at_head: RequestMoment | None = None
         self.is_head = is_head
         self._chunks: list[bytes] = []
         self._failure: AnswerError | None = None
@@ -333,6 +404,8 @@
             or self.is_head
         )
         self.is_delimited_by_close = not has_length
+        if not has_length:
+            self._at_head = self.sent.observe()
         self.has_head = True
         head = AnswerHead(
             status, tuple(self.headers), has_length, self._asked_at_s
@@ -342,6 +415,11 @@
         if self.is_head:
             self.mark_complete()
 
+    def find_doubt(self) -> str:
+        """Return why its end may not be that of the answer, if anything."""
+        at_end = self.sent.observe()
+        return find_doubt(self.sent.size, self._at_head or at_end, at_end)
+
     def append_body(self, body: bytes) -> None:
         """Buffer bytes of the body; ignored after the end of the answer."""
         if self.is_finished:
--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -296,17 +296,20 @@
         """
         Return the connection to the pool, or close it.
 
-        It is returned only if the answer was read to its end and the server
-        allows another request on the connection.
+        It is returned only if the answer was read to its end, the server
+        allows another request on the connection and has taken this one.
         """
         connection = self._connection
         connection.served += 1
         self._pool.memory.forget(self)
-        if (
+        may_reuse = (
             self._is_fully_read
             and connection.is_reusable
             and self._keep_alive_s > 0
-        ):
+        )
+        if may_reuse and connection.has_unsent_bytes:
+            connection.finish_writing()
+        elif may_reuse:
             now_s = asyncio.get_running_loop().time()
             connection.usable_until_s = now_s + self._keep_alive_s
             self._pool.put_idle(self._target, connection)
--- a/bronzesill/upstream/tests/test_fuzz.py
+++ b/bronzesill/upstream/tests/test_fuzz.py
@@ -62,6 +62,8 @@
         connection = UpstreamConnection()
         transport = mock.Mock(spec=asyncio.Transport)
         transport.is_closing.return_value = False
+        transport.get_write_buffer_size.return_value = 0
+        transport.get_extra_info.return_value = None
         connection.connection_made(cast(asyncio.Transport, transport))
         target = cast(Target, None)
         lease = ConnectionLease(ConnectionPool(), target, connection)
