Close a caller's connection after an answer to an unfinished upload

Cause: an answer that begins while its request is still being read left the connection open for reuse with the rest of the upload in front of the next request. An answer that closed the connection did so at once, and the reset for the bytes that the caller sent on could discard it.

Change: such an answer says "Connection: close". The host closes its side after it and discards what the caller still sends, for 2 s at most.

Result: two of the three tests of test_early_answers failed before.

--- a/bronzesill/utils/connections.py
+++ b/bronzesill/utils/connections.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable
+import functools
+from collections.abc import Awaitable, Callable
 from typing import Any, cast
 
 import httptools
@@ -25,6 +26,9 @@
 _HEADER_OVERHEAD_BYTES = 4
 #: Time for the caller to close its side of a connection that is closed.
 _CALLER_CLOSE_S = 0.1
+#: Time for the caller to end an upload that was answered before its end, and
+#: to read the answer, which a reset would discard.
+_UPLOAD_CLOSE_S = 2.0
 #: Time for the first request on a connection that is to be closed.
 _FIRST_REQUEST_S = 0.2
 
@@ -60,6 +64,30 @@
         self.is_closing = transport.is_closing
 
 
+class _AnswerSender:
+    """
+    Sends an answer, which may begin before its request has been read.
+
+    The connection is closed after such an answer, so that the rest of the
+    request is not taken for the next one.
+
+    :param cycle: the request and its answer.
+    :param announce_close: has the connection closed after the answer.
+    """
+
+    def __init__(self, cycle: Any, announce_close: Callable[[], None]) -> None:
+        self._cycle = cycle
+        self._send: Callable[[Any], Awaitable[None]] = cycle.send
+        self._announce_close = announce_close
+
+    async def __call__(self, message: Any) -> None:
+        """Send an ASGI message."""
+        is_start = message['type'] == 'http.response.start'
+        if is_start and self._cycle.more_body:
+            self._announce_close()
+        await self._send(message)
+
+
 @dataclasses.dataclass(frozen=True)
 class ServingLimits:
     """
@@ -238,9 +266,14 @@
         self._has_head = True
         if self._phase.is_ending:
             self._announce_close()
+        cycle: Any = self.cycle
+        cycle.send = _AnswerSender(
+            cycle, functools.partial(self._announce_close, _UPLOAD_CLOSE_S)
+        )
 
     def on_response_complete(self) -> None:
         """Begin the idle time before the next request."""
+        _remove_sender(self.cycle)
         super().on_response_complete()
         # Uvicorn's own timeout keeps the limit with which it began.
         self._unset_keepalive_if_required()
@@ -251,6 +284,7 @@
         """Cancel the running timeouts."""
         self._cancel_timer()
         self._idle.end()
+        _remove_sender(self.cycle)
         super().connection_lost(exc)
 
     @property
@@ -302,22 +336,26 @@
             self.cycle.message_event.set()
         self._close_for_writing()
 
-    def _announce_close(self) -> None:
+    def _announce_close(self, wait_s: float = _CALLER_CLOSE_S) -> None:
         cycle: Any = self.cycle
         cycle.keep_alive = False
-        cycle.transport = _LastAnswer(self.transport, self._close_for_writing)
+        cycle.transport = _LastAnswer(
+            self.transport, functools.partial(self._close_for_writing, wait_s)
+        )
 
-    def _close_for_writing(self) -> None:
+    def _close_for_writing(self, wait_s: float = _CALLER_CLOSE_S) -> None:
         """
         Close after what was written; the caller closes its side.
 
         Closing both sides at once resets the connection if the caller has
         sent more, and with it an answer that is on its way.
+
+        :param wait_s: time in seconds for the caller.
         """
         self._is_closing = True
         if self.transport.is_closing():
             return
-        self._start_timer(_CALLER_CLOSE_S, self.transport.close)
+        self._start_timer(wait_s, self.transport.close)
         try:
             self.transport.write_eof()
         except OSError:
@@ -357,5 +395,11 @@
             self._timer = None
 
 
+def _remove_sender(cycle: Any) -> None:
+    """Let a request send by itself, so that both are freed at once."""
+    if cycle is not None:
+        vars(cycle).pop('send', None)
+
+
 class _PipelinedRequest(Exception):
     """A request was pipelined before the previous one was answered."""
