--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -162,11 +162,7 @@
             context.settings.name,
             context.settings.failure_domain,
             context.tracker,
-            ForwardStreamClient(
-                context.pool,
-                context.dialect,
-                self._process_answer_head,
-            ),
+            self._make_stream_client(),
             LocalDirectory(LocationTable()),
             context.metrics,
             context.random,
@@ -180,6 +176,14 @@
         generations.placer.allowance = allowance
         return generations
 
+    def _make_stream_client(self) -> ForwardStreamClient:
+        context = self._context
+        client = ForwardStreamClient(
+            context.pool, context.dialect, self._process_answer_head
+        )
+        client.is_proven_alive = context.pool.is_proven_alive
+        return client
+
     def _connect_placer(self, placer: AttemptPlacer) -> None:
         context = self._context
         placer.refresh_usage = context.usage_exchange.refresh
--- a/bronzesill/generations/forward_client.py
+++ b/bronzesill/generations/forward_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 
 from ..upstream import (
     AnswerError,
@@ -58,6 +58,8 @@
         on_head: OnAnswerHead,
     ) -> None:
         self._pool = pool
+        #: Returns whether a server needs no probe, as it was heard just now.
+        self.is_proven_alive: Callable[[Target], bool] = _is_never
         self._probes: set[asyncio.Task[bool]] = set()
         self._dialect = dialect
         self._on_head = on_head
@@ -92,7 +94,7 @@
     async def is_alive(self, server: str, address: Address) -> bool:
         """Return whether an engine accepts a connection soon."""
         target = Target(server, address)
-        if self._pool.is_proven_alive(target):
+        if self.is_proven_alive(target):
             return True
         probe = asyncio.create_task(self._pool.probe(target))
         self._probes.add(probe)
@@ -214,6 +216,11 @@
         return offset
 
 
+def _is_never(target: Target) -> bool:
+    """Return ``False``; the default of ``is_proven_alive``."""
+    return False
+
+
 def _require_forward_request(opening: StreamOpening) -> ForwardRequest:
     forward = opening.request.forward
     if forward is None:
--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -150,6 +150,8 @@
         """
         Return whether an idle connection makes a probe of a server needless.
 
+        It does not tell whether the server has just ended.
+
         :param target: server to connect to.
         """
         if not self.saves_connections(target.name):
