Keep the paces of calls by route, and leave out refusals

Cause: look-ups and orders of one service differ far more in duration than its servers; where a quantile falls between both, the share of short calls decided which server counted as fast. So did answers of status 4xx.

Answers of status 400 and above tell nothing. Paces that hardly change are still computed again every five seconds, so that their age is right.

--- a/bronzesill/calls/servers.py
+++ b/bronzesill/calls/servers.py
@@ -31,6 +31,7 @@
 
 #: Weight of a server's failure rate relative to its utilization.
 _FAILURE_WEIGHT = 0.6
+_CLIENT_ERROR = 400
 _SERVER_ERROR = 500
 #: Bounds of the ratio of times, so that a wrong speed does little harm.
 _MIN_RATIO = 0.5
@@ -253,8 +254,10 @@
         if end is CallEnd.LOST:
             self._tracker.suspect(name, now_s)
         elif end is not CallEnd.GIVEN_UP:
-            if end is CallEnd.GOOD:
-                self._tracker.speeds.measured(name, latency_s, now_s)
+            if _has_done_work(outcome):
+                self._tracker.speeds.measured(
+                    name, latency_s, now_s, routed.route_name
+                )
             is_failure = end is CallEnd.FAILURE
             self._tracker.answered(name, is_failure=is_failure)
         self._on_call_end(
@@ -319,6 +322,11 @@
     return call_time * (1 + view.running / view.capacity) - 1
 
 
+def _has_done_work(outcome: CallAnswer | BronzesillError | None) -> bool:
+    """Return whether a server did its work; a refusal takes no time."""
+    return isinstance(outcome, CallAnswer) and outcome.status < _CLIENT_ERROR
+
+
 def is_disconnected(outcome: CallAnswer | BronzesillError | None) -> bool:
     """Return whether the connection ended before the answer to an attempt."""
     if not isinstance(outcome, BronzesillError):
--- a/bronzesill/calls/tests/test_call_speeds.py
+++ b/bronzesill/calls/tests/test_call_speeds.py
@@ -168,6 +168,13 @@
         self.assertLessEqual(learnt_s, _MAX_RATIO * exact_s)
         self.assertLess(learnt_s, before_s)
 
+    # Guards against a server that counts as fast since it refuses at once.
+    def test_refusals_tell_no_pace(self) -> None:
+        for status, samples in ((200, 1), (404, 0), (429, 0), (500, 0)):
+            with self.subTest(status=status):
+                known = run_in_virtual_time(_count_samples(status))
+                self.assertEqual(known, samples)
+
     # Guards against a hedge for each call to a machine that is known to be
     # slow for half a second, and a late one for a fast server.
     def test_hedges_start_by_the_time_expected_of_the_server(self) -> None:
@@ -177,6 +184,21 @@
                 self.assertAlmostEqual(sent_s[1], hedged_s)
 
 
+async def _count_samples(status: int) -> int:
+    """Return the paces measured by a call that is answered with a status."""
+    host = _Host(0, _Service(tells_slowdown=True))
+    host.tracker.reported('slow', LoadReport(0, '', _now_s(), 1.0))
+
+    async def answer(server: str, routed: RoutedCall) -> CallAnswer:
+        await asyncio.sleep(0.01)
+        return CallAnswer(status, '', b'')
+
+    with mock.patch.object(host, 'send', answer):
+        await host.call_s()
+    paces = host.tracker.speeds.measured_paces(_now_s())
+    return sum(pace.samples for pace in paces)
+
+
 async def _hedge(slowdown: float | None) -> list[float]:
     """Return when a call that gets no answer is sent to servers."""
     host = _Host(0, _Service(tells_slowdown=True))
--- a/bronzesill/routing/fleet_paces.py
+++ b/bronzesill/routing/fleet_paces.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 from collections.abc import Collection
 
 from .event_pace import PaceSample, PaceSamples, low_quantile
 
-__all__ = ['FleetPaces']
+__all__ = ['FleetPaces', 'PaceKey']
 
 _PACE_VALID_S = 120.0
 #: Paces expire unless another measurement arrives; checked this often.
@@ -15,55 +16,70 @@
 _LITTLE_CHANGE = 0.02
 
 
+@dataclasses.dataclass(frozen=True)
+class PaceKey:
+    """
+    Server and kind of the work whose pace is known.
+
+    :param server: name of the server.
+    :param kind: route of a plain call, empty for the events of streams.
+    """
+
+    server: str
+    kind: str = ''
+
+
 class FleetPaces:
     """Paces of servers by this daemon and the others."""
 
     def __init__(self) -> None:
-        self._own_by_name: dict[str, PaceSamples] = {}
-        self._heard_by_name: dict[str, dict[str, PaceSample]] = {}
-        self._latest_by_name: dict[str, PaceSample | None] = {}
+        self._own_by_key: dict[PaceKey, PaceSamples] = {}
+        self._heard_by_key: dict[PaceKey, dict[str, PaceSample]] = {}
+        self._latest_by_key: dict[PaceKey, PaceSample] = {}
         self._now_s = -math.inf
         self._expired_at_s = -math.inf
 
     @property
-    def names(self) -> list[str]:
-        """Names of the servers of which a pace is or was known."""
-        return list(self._own_by_name.keys() | self._heard_by_name.keys())
+    def keys(self) -> list[PaceKey]:
+        """Keys of all paces that are or were known."""
+        return list(self._own_by_key.keys() | self._heard_by_key.keys())
 
-    def add_own(self, name: str, sample: PaceSample) -> None:
+    def add_own(self, key: PaceKey, sample: PaceSample) -> None:
         """Add a sample of this daemon."""
-        self._own_by_name.setdefault(name, PaceSamples()).add(sample)
-        self._changed(name, sample.at_s)
+        self._own_by_key.setdefault(key, PaceSamples()).add(sample)
+        self._changed(key, sample.at_s)
 
-    def add_heard(self, name: str, daemon: str, sample: PaceSample) -> None:
+    def add_heard(self, key: PaceKey, daemon: str, sample: PaceSample) -> None:
         """Replace the pace that another daemon told."""
-        heard_by_daemon = self._heard_by_name.setdefault(name, {})
+        heard_by_daemon = self._heard_by_key.setdefault(key, {})
         previous = heard_by_daemon.get(daemon)
         heard_by_daemon[daemon] = sample
+        # Without a change, too, the latest paces are computed again at times.
+        self._now_s = max(self._now_s, sample.at_s)
         if previous is None or not _is_about_equal(previous, sample):
-            self._changed(name, sample.at_s)
+            self._changed(key, sample.at_s)
 
-    def own_since(self, since_s: float) -> dict[str, PaceSample]:
+    def own_since(self, since_s: float) -> dict[PaceKey, PaceSample]:
         """Return the paces that this daemon measured after a time."""
         combined = {
-            name: samples.combined(since_s - _PACE_VALID_S)
-            for name, samples in self._own_by_name.items()
+            key: samples.combined(since_s - _PACE_VALID_S)
+            for key, samples in self._own_by_key.items()
         }
         return {
-            name: pace
-            for name, pace in combined.items()
+            key: pace
+            for key, pace in combined.items()
             if pace is not None and pace.at_s > since_s
         }
 
-    def combined(self, name: str, now_s: float) -> PaceSample | None:
+    def combined(self, key: PaceKey, now_s: float) -> PaceSample | None:
         """Return the pace of a server by all daemons."""
         since_s = now_s - _PACE_VALID_S
         known = [
             sample
-            for sample in self._heard_by_name.get(name, {}).values()
+            for sample in self._heard_by_key.get(key, {}).values()
             if sample.at_s > since_s
         ]
-        own = self._own_by_name.get(name)
+        own = self._own_by_key.get(key)
         pace = own.combined(since_s) if own else None
         if pace is not None:
             known.append(pace)
@@ -75,36 +91,43 @@
             sum(sample.weight for sample in known),
         )
 
-    def latest(self) -> dict[str, PaceSample]:
+    def latest(self) -> dict[PaceKey, PaceSample]:
         """Return all known paces, computed again only where they changed."""
         if self._now_s - self._expired_at_s >= _EXPIRY_CHECK_S:
             self._expired_at_s = self._now_s
-            self._latest_by_name.clear()
-        for changed in self.names:
-            if changed not in self._latest_by_name:
-                pace = self.combined(changed, self._now_s)
-                self._latest_by_name[changed] = pace
-        return {
-            name: known
-            for name, known in self._latest_by_name.items()
-            if known is not None
-        }
+            self._latest_by_key.clear()
+        for changed in self.keys:
+            if changed not in self._latest_by_key:
+                self._update(changed)
+        return dict(self._latest_by_key)
 
     def keep_only(self, names: Collection[str]) -> None:
         """Forget all other servers."""
-        for name in self.names:
-            if name not in names:
-                self.forget(name)
-
-    def forget(self, name: str) -> None:
-        """Forget the pace of a server."""
-        self._own_by_name.pop(name, None)
-        self._heard_by_name.pop(name, None)
-        self._latest_by_name.pop(name, None)
-
-    def _changed(self, name: str, at_s: float) -> None:
+        for key in self.keys:
+            if key.server not in names:
+                self._remove(key)
+
+    def forget(self, server: str) -> None:
+        """Forget the paces of a server."""
+        for key in self.keys:
+            if key.server == server:
+                self._remove(key)
+
+    def _update(self, key: PaceKey) -> None:
+        pace = self.combined(key, self._now_s)
+        if pace is None:
+            self._remove(key)
+        else:
+            self._latest_by_key[key] = pace
+
+    def _remove(self, key: PaceKey) -> None:
+        self._own_by_key.pop(key, None)
+        self._heard_by_key.pop(key, None)
+        self._latest_by_key.pop(key, None)
+
+    def _changed(self, key: PaceKey, at_s: float) -> None:
         self._now_s = max(self._now_s, at_s)
-        self._latest_by_name.pop(name, None)
+        self._latest_by_key.pop(key, None)
 
 
 def _is_about_equal(before: PaceSample, now: PaceSample) -> bool:
--- a/bronzesill/routing/server_speed.py
+++ b/bronzesill/routing/server_speed.py
@@ -9,8 +9,9 @@
 from ..config import BackendServer
 from .event_pace import PaceSample
 from .expected_time import ServiceRates
-from .fleet_paces import FleetPaces
+from .fleet_paces import FleetPaces, PaceKey
 from .records import LoadReport
+from .relative_speeds import relative_speeds
 from .service_rates import RateSamples
 from .use_reports import ServerPace, UseReport
 
@@ -21,13 +22,9 @@
 #: Paces measured this recently are in each report; a datagram may be lost.
 _REPORTED_AGE_S = 2.0
 #: Keeps a report of this daemon within a datagram.
-_MAX_REPORTED = 20
+_MAX_REPORTED = 16
 _MIN_PACE_S = 1e-4
 _MAX_PACE_S = 60.0
-_MIN_SPEED = 0.25
-_MAX_SPEED = 4.0
-#: Samples of a typical pace that those of each server are weighed against.
-_PRIOR_SAMPLES = 1
 #: Most samples that one report of another daemon counts for.
 _MAX_WEIGHT = 1000
 _US_PER_S = 1e6
@@ -93,7 +90,9 @@
         self._reports_by_name[name] = report
         self._services |= {server.service_name}
 
-    def measured(self, name: str, work_s: float, now_s: float) -> None:
+    def measured(
+        self, name: str, work_s: float, now_s: float, kind: str = ''
+    ) -> None:
         """
         Record how long one unit of work took on a server.
 
@@ -102,11 +101,15 @@
         :param name: name of the server.
         :param work_s: seconds between events of a stream, or for a plain call.
         :param now_s: current time in seconds.
+        :param kind: route of a plain call, as calls of several routes take
+            different times; empty for a stream.
         """
         if self.is_known_for(name):
             pace_s = work_s / self.slowdown(name, now_s)
             if _MIN_PACE_S <= pace_s <= _MAX_PACE_S:
-                self._paces.add_own(name, PaceSample(pace_s, now_s))
+                self._paces.add_own(
+                    PaceKey(name, kind), PaceSample(pace_s, now_s)
+                )
                 self._changed(name)
 
     def answer_began(
@@ -147,22 +150,23 @@
             self._services |= {server.service_name}
             weight = min(told.samples, _MAX_WEIGHT)
             sample = PaceSample(pace_s, now_s - told.age_s, weight)
-            self._paces.add_heard(told.server, report.daemon, sample)
+            key = PaceKey(told.server, told.kind)
+            self._paces.add_heard(key, report.daemon, sample)
             self._changed(told.server)
 
     def measured_paces(self, now_s: float) -> tuple[ServerPace, ...]:
         """Return the paces that this daemon measured recently."""
         recent = self._paces.own_since(now_s - _REPORTED_AGE_S)
-        latest = sorted(
-            recent, key=lambda name: recent[name].at_s, reverse=True
-        )[:_MAX_REPORTED]
-        return tuple(_to_told(name, recent[name], now_s) for name in latest)
+        latest = sorted(recent, key=lambda key: recent[key].at_s, reverse=True)[
+            :_MAX_REPORTED
+        ]
+        return tuple(_to_told(key, recent[key], now_s) for key in latest)
 
     def known_paces(self, now_s: float) -> tuple[ServerPace, ...]:
         """Return the paces by this and all other daemons."""
         return tuple(
-            _to_told(name, pace, now_s)
-            for name, pace in self._paces.latest().items()
+            _to_told(key, pace, now_s)
+            for key, pace in self._paces.latest().items()
         )
 
     def is_known_for(self, name: str) -> bool:
@@ -198,7 +202,7 @@
         service = server.service_name
         speeds = self._speeds_by_service.get(service)
         if speeds is None:
-            speeds = _relative_speeds(self._known_paces_of(service))
+            speeds = relative_speeds(self._known_paces_of(service))
             self._speeds_by_service[service] = speeds
         return speeds.get(name, 1)
 
@@ -206,19 +210,31 @@
         """Return what is known of the speed of a server."""
         speed = self.relative_speed(name)
         slowdown = self.slowdown(name, now_s)
-        pace = self._paces.latest().get(name)
-        if pace is None:
-            return KnownSpeed(speed, slowdown)
-        return KnownSpeed(speed, slowdown, pace.weight, now_s - pace.at_s)
+        paces = [
+            pace
+            for key, pace in self._paces.latest().items()
+            if key.server == name
+        ]
+        return KnownSpeed(
+            speed,
+            slowdown,
+            sum(pace.weight for pace in paces),
+            min((now_s - pace.at_s for pace in paces), default=None),
+        )
 
     def known_speeds(self) -> tuple[float, ...]:
         """Return the relative speeds of all servers of known pace."""
-        return tuple(self.relative_speed(name) for name in self._paces.latest())
+        servers = {key.server for key in self._paces.latest()}
+        return tuple(self.relative_speed(name) for name in servers)
 
     def typical_pace_s(self, service: str) -> float | None:
-        """Return the median pace of a service, ``None`` if unknown."""
-        paces = self._known_paces_of(service)
-        return _median_pace_s(paces) if paces else None
+        """Return the median pace of streams, ``None`` if unknown."""
+        paces_s = [
+            pace.pace_s
+            for key, pace in self._known_paces_of(service).items()
+            if not key.kind
+        ]
+        return statistics.median(paces_s) if paces_s else None
 
     def rates(self, service: str) -> ServiceRates | None:
         """Return the typical rates of a model, ``None`` without speeds."""
@@ -229,11 +245,11 @@
     def _samples(self, service: str) -> RateSamples:
         return self._rates_by_service.setdefault(service, RateSamples())
 
-    def _known_paces_of(self, service: str) -> dict[str, PaceSample]:
+    def _known_paces_of(self, service: str) -> dict[PaceKey, PaceSample]:
         return {
-            name: pace
-            for name, pace in self._paces.latest().items()
-            if self._servers_by_name[name].service_name == service
+            key: pace
+            for key, pace in self._paces.latest().items()
+            if self._servers_by_name[key.server].service_name == service
         }
 
     def _changed(self, name: str) -> None:
@@ -241,32 +257,11 @@
         self._speeds_by_service.pop(service, None)
 
 
-def _median_pace_s(paces: Mapping[str, PaceSample]) -> float:
-    return statistics.median(pace.pace_s for pace in paces.values())
-
-
-def _relative_speeds(paces: Mapping[str, PaceSample]) -> dict[str, float]:
-    """Return the speed by server; few samples tell little of a server."""
-    if not paces:
-        return {}
-    median_s = _median_pace_s(paces)
-    return {
-        name: _bounded(
-            (median_s / pace.pace_s)
-            ** (pace.weight / (pace.weight + _PRIOR_SAMPLES))
-        )
-        for name, pace in paces.items()
-    }
-
-
-def _bounded(speed: float) -> float:
-    return min(max(speed, _MIN_SPEED), _MAX_SPEED)
-
-
-def _to_told(name: str, pace: PaceSample, now_s: float) -> ServerPace:
+def _to_told(key: PaceKey, pace: PaceSample, now_s: float) -> ServerPace:
     return ServerPace(
-        name,
+        key.server,
         round(pace.pace_s * _US_PER_S),
         pace.weight,
         round(max(now_s - pace.at_s, 0)),
+        key.kind,
     )
--- a/bronzesill/routing/tests/test_event_pace.py
+++ b/bronzesill/routing/tests/test_event_pace.py
@@ -107,6 +107,22 @@
             tracker.speeds.measured('s1', 2.5 * _GAP_S, now_s)
         self.assertAlmostEqual(tracker.speeds.relative_speed('s1'), 1)
 
+    # Guards against a server that counts as fast since it got more of the
+    # short calls.
+    def test_routes_of_different_durations_are_not_mixed(self) -> None:
+        tracker = self.trackers[0]
+        for number, name in enumerate(_NAMES):
+            for sample in range(12):
+                is_short = sample < number
+                tracker.speeds.measured(
+                    name,
+                    0.02 if is_short else 0.2,
+                    1.0,
+                    'look-ups' if is_short else 'orders',
+                )
+        for name in _NAMES:
+            self.assertAlmostEqual(tracker.speeds.relative_speed(name), 1)
+
     def test_paces_of_other_daemons_count(self) -> None:
         self.measure(self.trackers[0], 1.0)
         report = self.trackers[0].build_use_report('d0', 1, 1.1, 2.0)
--- a/bronzesill/routing/use_reports.py
+++ b/bronzesill/routing/use_reports.py
@@ -83,12 +83,14 @@
     :param pace_us: microseconds for an event of a stream, or for a plain call.
     :param samples: number of measurements.
     :param age_s: age of the last one in seconds.
+    :param kind: route of the plain calls, empty for streams.
     """
 
     server: str
     pace_us: int
     samples: int
     age_s: int = 0
+    kind: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
