Count uploads and unread answers towards one memory budget

Cause: only answers that a host kept counted, up to 48 MiB. Bodies of requests, and what waits in the buffers of callers that do not read, were bounded by nothing.

Change: AnswerMemory, now in upstream/memory.py, counts uploads, kept answers and the bytes that wait for callers. An upload is refused before it is read, as not run (503, code 1016 memory_short, Retry-After 0.5 s), if uploads would take more than half of the budget or all bytes more than all of it; the only upload of a host is always taken. Then the largest kept or unread answer is dropped. Metrics count invalid answers by reason and show the bytes that are held by use; log lines say which answer was refused (answer_invalid) or dropped (unread_answer_dropped).

--- a/bronzesill/config/hosted.py
+++ b/bronzesill/config/hosted.py
@@ -70,6 +70,7 @@
     :param seeds: peer addresses to join through if the key-value service is
         unavailable at startup.
     :param link_mbps: bandwidth of the host's link in Mbit/s, 0 if unknown.
+    :param memory_mb: memory that the host may use in MB, 0 if unknown.
     """
 
     name: str
@@ -84,6 +85,7 @@
     bounds: FleetBounds = dataclasses.field(default_factory=FleetBounds)
     seeds: tuple[Address, ...] = ()
     link_mbps: float = 0
+    memory_mb: float = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -21,7 +21,7 @@
 )
 from ..routing import FetchUse, ServerTracker, UseReport
 from ..store import GuardedStore, StoredEntry
-from ..upstream import ConnectionPool
+from ..upstream import AnswerMemory, ConnectionPool
 from ..utils import (
     HttpServer,
     PartLogger,
@@ -75,6 +75,7 @@
         self._state = GatewayState()
         self._tracker = ServerTracker()
         self._pool = ConnectionPool()
+        self._pool.memory = AnswerMemory.from_limit(settings.memory_mb)
         self._client = PlatformStore(settings.store)
         self._store = GuardedStore(self._client)
         self._dialect = PlatformDialect()
@@ -193,6 +194,7 @@
             self._state.serving_limits,
             listeners.take(settings.callers.ip, settings.callers.port),
         )
+        self._caller_server.set_unread = self._pool.memory.set_unread
         self._log_start()
         self._stop = PlannedStop(self._state, settings.bounds.grace_s)
         #: Called when a planned stop begins, with the time since its signal.
--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -36,7 +36,7 @@
 from ..platform.prompts import fetch_held_parts
 from ..platform.store import PlatformStore
 from ..routing import LoadReport, ServerTracker
-from ..upstream import AnswerHead, ConnectionPool
+from ..upstream import AnswerHead, ConnectionPool, HeldFor
 from ..utils import PrometheusMetrics
 from .hosted_fleet import HostedFleet
 from .hosted_moves import HostedTraffic
@@ -124,6 +124,7 @@
             context.quarantine,
         )
         servers.refresh_usage = context.usage_exchange.refresh
+        context.pool.on_invalid = self._record_invalid
         sender = ForwardSender(
             context.pool, context.dialect, servers, self._process_answer_head
         )
@@ -136,9 +137,13 @@
             AtMostOnceCalls(sender, servers),
             context.random,
             context.metrics,
+            context.pool.memory,
         )
         return make_forward_app(ForwardResource(context.state, components))
 
+    def _record_invalid(self, server: str, reason: str) -> None:
+        self._context.metrics.incr(f'answers.invalid.{reason}')
+
     def _make_allowance(self) -> FleetRetryAllowance:
         bounds = self._context.settings.bounds
         return FleetRetryAllowance(
@@ -234,6 +239,9 @@
         for kind, count in context.store.calls_by_kind.items():
             context.metrics.gauge(f'store.{kind}', count)
         context.metrics.gauge('store.era', context.store.era)
+        for use in HeldFor:
+            held = context.pool.memory.held_for(use)
+            context.metrics.gauge(f'memory.{use.value}', held)
 
     def _process_answer_head(self, server: str, head: AnswerHead) -> None:
         context = self._context
--- a/bronzesill/gateway/disconnect.py
+++ b/bronzesill/gateway/disconnect.py
@@ -13,12 +13,14 @@
 
 __all__ = [
     'ReceiveBufferMiddleware',
+    'call_at_end',
     'read_body',
     'run_until_disconnect',
     'watch_disconnect',
 ]
 
 _RECEIVE_BUFFER_KEY = 'bronzesill.events'
+_ENDINGS_KEY = 'bronzesill.endings'
 _UNLIMITED_BYTES = sys.maxsize
 
 _Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -69,7 +71,23 @@
         """Pass a request to the application with a buffered ``receive``."""
         receive_buffer = _ReceiveBuffer(receive)
         scope[_RECEIVE_BUFFER_KEY] = receive_buffer
-        await self._app(scope, receive_buffer.receive_for_falcon, send)
+        endings: list[Callable[[], object]] = []
+        scope[_ENDINGS_KEY] = endings
+        try:
+            await self._app(scope, receive_buffer.receive_for_falcon, send)
+        finally:
+            for on_end in endings:
+                on_end()
+
+
+def call_at_end(http: asgi.Request, on_end: Callable[[], object]) -> None:
+    """
+    Call a function when the answer to a request has been sent, or has failed.
+
+    :param http: a request that came through ``ReceiveBufferMiddleware``.
+    :param on_end: the function.
+    """
+    http.scope[_ENDINGS_KEY].append(on_end)
 
 
 async def receive_event(http: asgi.Request) -> dict[str, Any]:
@@ -83,7 +101,9 @@
 
 
 async def read_body(
-    http: asgi.Request, max_bytes: int = _UNLIMITED_BYTES
+    http: asgi.Request,
+    max_bytes: int = _UNLIMITED_BYTES,
+    on_size: Callable[[int], object] = int,
 ) -> bytes:
     """
     Read the complete body of a request.
@@ -93,6 +113,7 @@
 
     :param http: the request.
     :param max_bytes: maximum size of the body in bytes.
+    :param on_size: called with the size read so far; may raise an error.
     :raises BronzesillError: ``CALLER_LEFT`` or ``BODY_TOO_LARGE``.
     """
     chunks: list[bytes] = []
@@ -111,6 +132,7 @@
                 ResultCode.BODY_TOO_LARGE,
                 f'not run: request body exceeds {max_bytes} bytes',
             )
+        on_size(size)
         has_more = event.get('more_body', False)
     return b''.join(chunks)
 
--- a/bronzesill/gateway/filters.py
+++ b/bronzesill/gateway/filters.py
@@ -6,13 +6,14 @@
 import dataclasses
 import re
 import uuid
+from collections.abc import Callable
 
 import orjson
 from falcon import asgi
 
-from ..upstream import Dialect, Header
+from ..upstream import AnswerMemory, Dialect, Header
 from ..utils import BronzesillError, ResultCode, hash_secret
-from .disconnect import read_body
+from .disconnect import call_at_end, read_body
 from .exchange import Exchange
 
 __all__ = [
@@ -28,6 +29,8 @@
 _REQUEST_ID_HEADER = 'X-Request-Id'
 _REQUEST_ID_PATTERN = re.compile(r'[\w.:\-]{1,128}')
 _BEARER = 'Bearer '
+#: Another host may have room at once; on this one a request has to end first.
+_MEMORY_RETRY_AFTER_S = 0.5
 
 
 class AssignRequestId:
@@ -126,22 +129,33 @@
 
 
 class ReadBody:
-    """Read the request body within the configured size and time limits."""
+    """
+    Read the request body within the configured size and time limits.
+
+    :param memory: memory for bodies, which are held until the answer ends;
+        ``None`` to count none.
+    """
+
+    def __init__(self, memory: AnswerMemory | None = None) -> None:
+        self._memory = memory
 
     async def apply(self, exchange: Exchange) -> Exchange:
         """
         Add the body.
 
-        :raises BronzesillError: ``BODY_TOO_LARGE``, ``BODY_TOO_SLOW`` or
-            ``CALLER_LEFT``.
+        :raises BronzesillError: ``BODY_TOO_LARGE``, ``BODY_TOO_SLOW``,
+            ``MEMORY_SHORT`` or ``CALLER_LEFT``.
         """
         limits = exchange.document.limits
         declared = exchange.http.content_length or 0
         if declared > limits.max_body_bytes:
             raise _body_too_large(limits.max_body_bytes)
+        on_size = self._hold(exchange.http, declared)
         try:
             async with asyncio.timeout(limits.body_timeout_s):
-                body = await read_body(exchange.http, limits.max_body_bytes)
+                body = await read_body(
+                    exchange.http, limits.max_body_bytes, on_size
+                )
         except TimeoutError:
             raise BronzesillError(
                 ResultCode.BODY_TOO_SLOW,
@@ -149,6 +163,52 @@
             ) from None
         return dataclasses.replace(exchange, body=body)
 
+    def _hold(
+        self, http: asgi.Request, declared: int
+    ) -> Callable[[int], object]:
+        if self._memory is None:
+            return int
+        upload = _HeldUpload(self._memory)
+        call_at_end(http, upload.forget)
+        # A body without a stated length counts as it arrives.
+        upload.grow(declared)
+        return upload.grow
+
+
+class _HeldUpload:
+    """
+    Bytes of one request that count as held.
+
+    :param memory: memory for bodies.
+    """
+
+    def __init__(self, memory: AnswerMemory) -> None:
+        self._memory = memory
+        self._size = 0
+
+    def grow(self, size: int) -> None:
+        """
+        Count the bytes up to a size.
+
+        :raises BronzesillError: ``MEMORY_SHORT``.
+        """
+        more = size - self._size
+        if more <= 0:
+            return
+        if not self._memory.try_hold_upload(more, self._size):
+            raise BronzesillError(
+                ResultCode.MEMORY_SHORT,
+                f'not run: {self._memory.held_bytes} of '
+                f'{self._memory.max_bytes} bytes are held',
+                retry_after_s=_MEMORY_RETRY_AFTER_S,
+            )
+        self._size += more
+
+    def forget(self) -> None:
+        """Count nothing any more."""
+        self._memory.forget_upload(self._size)
+        self._size = 0
+
 
 class ParseJson:
     """Parse the body as a JSON object."""
--- a/bronzesill/gateway/forwarding.py
+++ b/bronzesill/gateway/forwarding.py
@@ -25,7 +25,7 @@
 from ..generations import (
     GenerationsController,
 )
-from ..upstream import Dialect, ForwardRequest, Header
+from ..upstream import AnswerMemory, Dialect, ForwardRequest, Header
 from ..utils import (
     TARGET_KEY,
     BronzesillError,
@@ -91,6 +91,7 @@
     :param random: random number generator for the weighted choice of a
         service.
     :param metrics: receives counters and latencies.
+    :param memory: memory for requests and answers.
     """
 
     dialect: Dialect
@@ -99,6 +100,7 @@
     at_most_once_calls: AtMostOnceCalls
     random: Random
     metrics: Metrics
+    memory: AnswerMemory = dataclasses.field(default_factory=AnswerMemory)
 
 
 class ForwardResource:
@@ -119,7 +121,7 @@
             ReadCallerFields(components.dialect),
             FindRoute(),
             Authenticate(),
-            ReadBody(),
+            ReadBody(components.memory),
         )
 
     async def on_request(
--- a/bronzesill/platform/settings.py
+++ b/bronzesill/platform/settings.py
@@ -81,7 +81,8 @@
         metrics=Address(ip, _METRICS_PORT),
         bounds=_decode_bounds(raw.get('bounds')),
         seeds=_decode_seeds(raw.get('seedNodes'), peer_port),
-        link_mbps=_decode_link_mbps(raw.get('limits')),
+        link_mbps=_decode_limit(raw.get('limits'), 'linkMbps'),
+        memory_mb=_decode_limit(raw.get('limits'), 'memoryMb'),
     )
     if reader.faults:
         raise DocumentInvalid(tuple(reader.faults))
@@ -140,8 +141,9 @@
         self.faults.append(f'{message} @ $.{place}')
 
 
-def _decode_link_mbps(limits: Any) -> float:
-    raw = limits.get('linkMbps') if isinstance(limits, dict) else None
+def _decode_limit(limits: Any, name: str) -> float:
+    """Return a limit of the host, 0 if it is not stated."""
+    raw = limits.get(name) if isinstance(limits, dict) else None
     return _read_positive(raw) or 0
 
 
--- a/bronzesill/upstream/__init__.py
+++ b/bronzesill/upstream/__init__.py
@@ -17,7 +17,8 @@
 from .completeness import RESET_WAIT_S, needs_reset_wait
 from .connection import UpstreamConnection
 from .connectors import Connector, Dialer, DirectConnector, Reach, Target
-from .pool import AnswerMemory, ConnectionLease, ConnectionPool
+from .memory import AnswerMemory, HeldFor
+from .pool import ConnectionLease, ConnectionPool
 from .request import (
     CallerFields,
     Dialect,
@@ -45,6 +46,7 @@
     'ForwardRequest',
     'Header',
     'HealthDialect',
+    'HeldFor',
     'HttpAnswer',
     'HttpCall',
     'InvalidAnswer',
--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -5,14 +5,14 @@
 import asyncio
 import re
 from collections.abc import Callable
-from operator import itemgetter
-from typing import Protocol
 
+from ..utils import PartLogger
 from .answer import AnswerError, AnswerHead, PathCut
 from .connection import UpstreamConnection
 from .connectors import Connector, DirectConnector, Reach, Target
+from .memory import AnswerMemory
 
-__all__ = ['AnswerMemory', 'ConnectionLease', 'ConnectionPool']
+__all__ = ['ConnectionLease', 'ConnectionPool']
 
 _CONNECT_TIMEOUT_S = 0.25
 #: Time without an answer after which the path to its server is checked.
@@ -21,56 +21,9 @@
 _WATCH_INTERVAL_S = 0.25
 _KEEP_ALIVE_MARGIN_S = 1.0
 _DEFAULT_KEEP_ALIVE_S = 4.0
-#: Bytes of answers that a host keeps at a time.
-_MAX_KEPT_BYTES = 48 * 1024 * 1024
 _TIMEOUT_PATTERN = re.compile(rb'timeout=(\d{1,9})')
 
-
-class AnswerKeeper(Protocol):
-    """Owner of an answer that is kept."""
-
-    def fail(self, error: AnswerError) -> None:
-        """Give the answer up; its bytes are not counted any more."""
-
-
-class AnswerMemory:
-    """
-    Bytes of the answers that this host keeps.
-
-    A faulty server may send bytes without end.  When all answers together
-    exceed the limit, the largest is given up; those of sound servers are
-    small.
-
-    :param max_bytes: limit for all answers together.
-    """
-
-    def __init__(self, max_bytes: int = _MAX_KEPT_BYTES) -> None:
-        self._max_bytes = max_bytes
-        self._bytes_by_keeper: dict[AnswerKeeper, int] = {}
-        self._total = 0
-
-    def grow(self, keeper: AnswerKeeper, size: int) -> None:
-        """
-        Count more bytes of an answer that are kept.
-
-        :param keeper: owner of the answer.
-        :param size: number of bytes.
-        :raises AnswerError: the answer is the largest of too many bytes.
-        """
-        known = self._bytes_by_keeper
-        known[keeper] = known.get(keeper, 0) + size
-        self._total += size
-        while self._total > self._max_bytes:
-            largest, _ = max(known.items(), key=itemgetter(1))
-            self.forget(largest)
-            error = AnswerError('the answer is too large to be kept')
-            if largest is keeper:
-                raise error
-            largest.fail(error)
-
-    def forget(self, keeper: AnswerKeeper) -> None:
-        """Count an answer no longer; it was passed on or given up."""
-        self._total -= self._bytes_by_keeper.pop(keeper, 0)
+_log = PartLogger('upstream')
 
 
 class ConnectionPool:
@@ -86,8 +39,10 @@
         self.direct.on_spare = self.add_spare
         #: Opens the connections of this pool.
         self.connector: Connector = self.direct
-        #: Answers that this host keeps.
+        #: Requests and answers that this host keeps.
         self.memory = AnswerMemory()
+        #: Called with the server and the reason of each invalid answer.
+        self.on_invalid: Callable[[str, str], object] = _ignore
         self._idle_by_target: dict[Target, list[UpstreamConnection]] = {}
 
     @property
@@ -225,13 +180,16 @@
         :raises PathCut: the request was given up.
         :raises AnswerError: no valid head was received.
         """
-        if may_give_up is None or self._connection.is_relayed:
-            head = await self._connection.send(request, is_head=is_head)
-        else:
+        watch = None
+        if may_give_up is not None and not self._connection.is_relayed:
             watch = asyncio.create_task(self._watch_path(may_give_up))
-            try:
-                head = await self._connection.send(request, is_head=is_head)
-            finally:
+        try:
+            head = await self._connection.send(request, is_head=is_head)
+        except AnswerError as error:
+            self._note_invalid(error)
+            raise
+        finally:
+            if watch is not None:
                 watch.cancel()
         self._keep_alive_s = _keep_alive_s(head)
         return head
@@ -242,7 +200,11 @@
 
         :raises AnswerError: the answer is truncated or invalid.
         """
-        body = await self._connection.read()
+        try:
+            body = await self._connection.read()
+        except AnswerError as error:
+            self._note_invalid(error)
+            raise
         self._is_fully_read = not body
         return body
 
@@ -349,6 +311,17 @@
         if is_cut and may_give_up():
             self._connection.fail(PathCut('path to the server is cut'))
 
+    def _note_invalid(self, error: AnswerError) -> None:
+        if not error.reason:
+            return
+        _log.event(
+            'answer_invalid',
+            server=self._target.name,
+            reason=error.reason,
+            error=str(error),
+        )
+        self._pool.on_invalid(self._target.name, error.reason)
+
     def _count(self, size: int) -> None:
         try:
             self._pool.memory.grow(self, size)
@@ -357,6 +330,10 @@
             raise
 
 
+def _ignore(server: str, reason: str) -> None:
+    """Count no invalid answer; the default of ``on_invalid``."""
+
+
 def _keep_alive_s(head: AnswerHead) -> float:
     match = _TIMEOUT_PATTERN.search(head.find(b'keep-alive') or b'')
     if match is None:
--- a/bronzesill/upstream/tests/test_answer_memory.py
+++ b/bronzesill/upstream/tests/test_answer_memory.py
@@ -10,7 +10,8 @@
 from ...utils import Address
 from ..answer import AnswerError
 from ..connectors import Target
-from ..pool import AnswerMemory, ConnectionPool
+from ..memory import AnswerMemory
+from ..pool import ConnectionPool
 
 _BODY_BYTES = 1_000
 _ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b' % (
--- a/bronzesill/upstream/tests/test_fuzz.py
+++ b/bronzesill/upstream/tests/test_fuzz.py
@@ -8,6 +8,7 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
+from ...utils import Address
 from ...utils.tests.odd_values import FUZZ_SETTINGS
 from ..answer import AnswerError
 from ..connection import UpstreamConnection
@@ -65,7 +66,7 @@
         transport.get_write_buffer_size.return_value = 0
         transport.get_extra_info.return_value = None
         connection.connection_made(cast(asyncio.Transport, transport))
-        target = cast(Target, None)
+        target = Target('s', Address('127.0.0.1', 1))
         lease = ConnectionLease(ConnectionPool(), target, connection)
         answer = asyncio.create_task(self.read(lease))
         await asyncio.sleep(0)
--- a/bronzesill/utils/errors.py
+++ b/bronzesill/utils/errors.py
@@ -33,6 +33,7 @@
     NO_BACKEND_SERVER = 1013
     REQUEST_ID_CONFLICT = 1014
     REQUEST_BLOCKED = 1015
+    MEMORY_SHORT = 1016
 
     # 2000-2999: generations that were started.
     INCOMPLETE_DEADLINE = 2001
--- a/bronzesill/utils/serving.py
+++ b/bronzesill/utils/serving.py
@@ -19,6 +19,7 @@
     ServingLimits,
 )
 from .logs import PartLogger
+from .unread_answers import CountedConnection, SetUnread, ignore_unread
 
 __all__ = ['TARGET_KEY', 'HttpServer', 'ServingLimits']
 
@@ -95,6 +96,8 @@
     ) -> None:
         self._socket = listener or _bind(address)
         self.address = Address(address.ip, self._socket.getsockname()[1])
+        #: Called with what callers have not read, before the start.
+        self.set_unread: SetUnread = ignore_unread
         self._make_app = make_app
         self._get_limits = get_limits
         self._phase = ConnectionPhase()
@@ -109,7 +112,12 @@
     async def start(self) -> None:
         """Start to accept connections."""
         server = _Server(
-            _uvicorn_config(self._make_app(), self._get_limits, self._phase)
+            _uvicorn_config(
+                self._make_app(),
+                self._get_limits,
+                self._phase,
+                self.set_unread,
+            )
         )
         self._server = server
         self._task = asyncio.create_task(server.serve(sockets=[self._socket]))
@@ -251,8 +259,11 @@
     app: Any,
     get_limits: Callable[[], ServingLimits],
     phase: ConnectionPhase,
+    set_unread: SetUnread = ignore_unread,
 ) -> uvicorn.Config:
-    protocol: Any = functools.partial(LimitedConnection, get_limits, phase)
+    protocol: Any = functools.partial(
+        CountedConnection, set_unread, get_limits, phase
+    )
     return uvicorn.Config(
         app,
         log_config=None,
