Bound the bytes open at one server, and blame none for unread answers

Cause: a host could send a server any number of large uploads at once while other servers had room; a server crashes when the requests that it holds exceed its memory. A server that broke off an answer which this host had not read for seconds was suspected for it.

Change: the pool counts the bytes of the requests that are open at each server. An answer that is lost after this host had paused reading for a second or more fails with AnswerUnread: the server is not suspected and its version has not failed (lost cause "unread"). Streams don't use the bound yet.

--- a/bronzesill/calls/servers.py
+++ b/bronzesill/calls/servers.py
@@ -9,7 +9,12 @@
 from random import Random
 
 from ..routing import ServerTracker, ServerView, TrafficSplit, pick_version
-from ..upstream import ConnectionLost, ForwardRequest, RequestNotSent
+from ..upstream import (
+    AnswerUnread,
+    ConnectionLost,
+    ForwardRequest,
+    RequestNotSent,
+)
 from ..utils import Address, BronzesillError, PartLogger, ResultCode
 from .held_calls import (
     MIN_AVAILABLE,
@@ -65,6 +70,8 @@
             return cls.FAILURE if is_failure else cls.GOOD
         if outcome.code is ResultCode.CALL_NOT_RUN:
             return cls.NOT_RUN
+        if isinstance(outcome.__cause__, AnswerUnread):
+            return cls.GIVEN_UP
         return cls.LOST
 
 
@@ -120,6 +127,8 @@
         self._random = random
         #: Brings the use of servers by the other daemons up to date.
         self.refresh_usage: Callable[[], Awaitable[None]] = _do_nothing
+        #: Returns whether a server may get a request of a size in bytes.
+        self.has_room: Callable[[str, int], bool] = _has_always_room
 
     async def prepare(self, routed: RoutedCall) -> None:
         """Learn the use of the servers of a call by all daemons, if needed."""
@@ -160,7 +169,7 @@
                 'not run: no server available for the service',
                 retry_after_s=max(self._limit_wait_s(service), RETRY_AFTER_S),
             )
-        return tuple(view.name for view in views)
+        return self._skip_full(routed, tuple(view.name for view in views))
 
     def may_retry(self, routed: RoutedCall, losses: int) -> bool:
         """
@@ -260,6 +269,21 @@
         )
         _log_send(routed, name, outcome, latency_s)
 
+    def _skip_full(
+        self, routed: RoutedCall, names: tuple[str, ...]
+    ) -> tuple[str, ...]:
+        """Leave out servers that hold enough of us, while others do not."""
+        size = len(routed.call.body)
+        roomy = tuple(name for name in names if self.has_room(name, size))
+        if roomy and len(roomy) < len(names):
+            _log.event(
+                'full_servers_skipped',
+                request=routed.request_id,
+                bytes=size,
+                servers=','.join(sorted(set(names) - set(roomy))),
+            )
+        return roomy or names
+
     def _find_available(self, service: str, version: str) -> tuple[str, ...]:
         views = self._find_views(service, version)
         return tuple(view.name for view in views if not view.is_suspected)
@@ -344,3 +368,8 @@
 
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
+
+
+def _has_always_room(server: str, size: int) -> bool:
+    """Return ``True``; the default of ``has_room``."""
+    return True
--- a/bronzesill/calls/tests/test_order.py
+++ b/bronzesill/calls/tests/test_order.py
@@ -6,11 +6,14 @@
 
 from ...config import Route
 from ...routing import TrafficSplit
+from ...upstream.open_bytes import OpenBytes
 from ..interfaces import CallRequest, RoutedCall
 from ..servers import ServiceServers
 from .two_versions import ignore_call_end, make_tracker
 
 _SEED_COUNT = 50
+_MAX_BYTES = 250_000
+_LARGE = bytes(100_000)
 
 
 class ServerOrderTest(unittest.IsolatedAsyncioTestCase):
@@ -18,16 +21,23 @@
 
     def setUp(self) -> None:
         self.tracker = make_tracker()
+        self.open_bytes = OpenBytes(_MAX_BYTES)
 
     def order_servers(
-        self, split: TrafficSplit, seed: int, *, idempotent: bool = True
+        self,
+        split: TrafficSplit,
+        seed: int,
+        *,
+        idempotent: bool = True,
+        body: bytes = b'',
     ) -> tuple[str, ...]:
         servers = ServiceServers(
             self.tracker, lambda _: split, ignore_call_end, Random(seed)
         )
+        servers.has_room = self.open_bytes.has_room
         route = Route('/', 'shop', idempotent=idempotent)
         routed = RoutedCall(
-            call=CallRequest('GET', '', {}, b''),
+            call=CallRequest('GET', '', {}, body),
             route_name='lookups',
             route=route,
             account='huka',
@@ -51,6 +61,24 @@
             versions = [name[:2] for name in names]
             self.assertEqual(versions, ['v2', 'v1', 'v1', 'v1'])
 
+    # Guards against a server that crashes under the uploads of one host
+    # while others have room.
+    async def test_large_requests_skip_a_server_that_holds_enough(self) -> None:
+        names = self.order_servers(TrafficSplit(''), 1, body=_LARGE)
+        for _ in range(2):
+            self.open_bytes.add(names[0], len(_LARGE))
+        rest = self.order_servers(TrafficSplit(''), 1, body=_LARGE)
+        self.assertEqual(rest, names[1:])
+        small = self.order_servers(TrafficSplit(''), 1, body=b'x')
+        self.assertEqual(small, names)
+
+    async def test_all_servers_are_tried_if_none_has_room(self) -> None:
+        names = self.order_servers(TrafficSplit(''), 1)
+        for name in names:
+            self.open_bytes.add(name, _MAX_BYTES)
+        again = self.order_servers(TrafficSplit(''), 1, body=_LARGE)
+        self.assertEqual(again, names)
+
     async def test_at_most_once_call_uses_one_version_only(
         self,
     ) -> None:
--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -124,6 +124,7 @@
             context.quarantine,
         )
         servers.refresh_usage = context.usage_exchange.refresh
+        servers.has_room = context.pool.open_bytes.has_room
         context.pool.on_invalid = self._record_invalid
         sender = ForwardSender(
             context.pool, context.dialect, servers, self._process_answer_head
--- a/bronzesill/generations/attempt.py
+++ b/bronzesill/generations/attempt.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from ..upstream import ConnectionLost, PathCut, RequestNotSent
+from ..upstream import AnswerUnread, ConnectionLost, PathCut, RequestNotSent
 from ..utils import Address, log_unexpected
 from .messages import (
     AttemptLost,
@@ -259,6 +259,8 @@
 def _loss_cause(error: Exception) -> LossCause:
     if isinstance(error, PathCut):
         return LossCause.PATH
+    if isinstance(error, AnswerUnread):
+        return LossCause.UNREAD
     if isinstance(error, ConnectionLost):
         return LossCause.DISCONNECTED
     return LossCause.BROKEN
--- a/bronzesill/generations/messages.py
+++ b/bronzesill/generations/messages.py
@@ -51,7 +51,8 @@
     ``DEADLINE``: the caller's time is over while tokens arrive.
     ``GAP``: tokens before the ones received are missing. ``SHORT``: the end
     marker and the accepted tokens differ in count. ``BLOCKED``: servers crash
-    on such requests.
+    on such requests. ``UNREAD``: this host did not read for some time, and
+    the server broke off.
     """
 
     BROKEN = 'broken'
@@ -64,6 +65,7 @@
     GAP = 'gap'
     SHORT = 'short'
     BLOCKED = 'blocked'
+    UNREAD = 'unread'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -270,7 +272,8 @@
     @property
     def is_failure(self) -> bool:
         """Whether the attempt counts as a failure of its version."""
-        return not self.is_shared and self.cause is not LossCause.PATH
+        is_own = self.cause in {LossCause.PATH, LossCause.UNREAD}
+        return not (self.is_shared or is_own)
 
     @property
     def blames_server(self) -> bool:
--- a/bronzesill/upstream/__init__.py
+++ b/bronzesill/upstream/__init__.py
@@ -3,6 +3,7 @@
 from .answer import (
     AnswerError,
     AnswerHead,
+    AnswerUnread,
     ConnectionLost,
     Header,
     InvalidAnswer,
@@ -35,6 +36,7 @@
     'AnswerError',
     'AnswerHead',
     'AnswerMemory',
+    'AnswerUnread',
     'CallerFields',
     'ConnectionLease',
     'ConnectionLost',
--- a/bronzesill/upstream/answer.py
+++ b/bronzesill/upstream/answer.py
@@ -12,6 +12,7 @@
 __all__ = [
     'AnswerError',
     'AnswerHead',
+    'AnswerUnread',
     'ConnectionLost',
     'Header',
     'InvalidAnswer',
@@ -45,6 +46,10 @@
     reason = 'request_unread'
 
 
+class AnswerUnread(AnswerError):
+    """The server broke off an answer that this host did not read in time."""
+
+
 class InvalidAnswer(AnswerError):
     """
     The server sent something that is no HTTP answer to the request.
--- a/bronzesill/upstream/connection.py
+++ b/bronzesill/upstream/connection.py
@@ -12,6 +12,7 @@
 from .answer import (
     AnswerError,
     AnswerHead,
+    AnswerUnread,
     ConnectionLost,
     Header,
     InvalidAnswer,
@@ -37,6 +38,8 @@
 #: Small chunks have several times as many bytes of overhead as of body.
 _OVERHEAD_PER_BODY_BYTE = 16
 _STATUS_LINE = re.compile(rb'HTTP/1\.[01] [0-9]{3}')
+#: Time without reading after which a server may break off its answer.
+_UNREAD_S = 1.0
 #: Time for a server to read the rest of a request that it has answered.
 _FINISH_WRITING_S = 5.0
 _BODILESS_STATUSES = frozenset((204, 304))
@@ -124,6 +127,7 @@
             return b''
         body = await answer.next_chunk()
         if self._transport is not None:
+            answer.note_resumed()
             self._transport.resume_reading()
         if not body:
             self._answer = None
@@ -185,6 +189,7 @@
             )
             return
         if answer.buffered_bytes > _MAX_BUFFERED_BYTES and self._transport:
+            answer.note_paused()
             self._transport.pause_reading()
 
     def eof_received(self) -> bool:
@@ -224,7 +229,11 @@
         if is_clean and answer.is_delimited_by_close:
             answer.mark_complete()
             return
-        answer.mark_failed(ConnectionLost(f'connection lost: {error!r}'))
+        detail = f'connection lost: {error!r}'
+        if answer.was_unread:
+            answer.mark_failed(AnswerUnread(detail))
+        else:
+            answer.mark_failed(ConnectionLost(detail))
 
     def on_status(self, reason: bytes) -> None:
         """
@@ -360,6 +369,9 @@
         self.has_head = False
         self.is_delimited_by_close = False
         self.buffered_bytes = 0
+        #: Whether this host did not read for a time that servers may limit.
+        self.was_unread = False
+        self._paused_at_s: float | None = None
         #: All bytes received since the request, and those of the body.
         self.received_bytes = 0
         self._body_bytes = 0
@@ -378,6 +390,19 @@
         )
         return self.received_bytes - self._body_bytes > allowed
 
+    def note_paused(self) -> None:
+        """Note that this host reads no more for now."""
+        if self._paused_at_s is None:
+            self._paused_at_s = asyncio.get_running_loop().time()
+
+    def note_resumed(self) -> None:
+        """Note that this host reads again."""
+        if self._paused_at_s is None:
+            return
+        now_s = asyncio.get_running_loop().time()
+        self.was_unread |= now_s - self._paused_at_s >= _UNREAD_S
+        self._paused_at_s = None
+
     def drop_interim_head(self) -> None:
         """
         Forget the head of an interim response.
--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -11,6 +11,7 @@
 from .connection import UpstreamConnection
 from .connectors import Connector, DirectConnector, Reach, Target
 from .memory import AnswerMemory
+from .open_bytes import OpenBytes
 
 __all__ = ['ConnectionLease', 'ConnectionPool']
 
@@ -41,6 +42,8 @@
         self.connector: Connector = self.direct
         #: Requests and answers that this host keeps.
         self.memory = AnswerMemory()
+        #: Requests that servers hold for this host.
+        self.open_bytes = OpenBytes()
         #: Called with the server and the reason of each invalid answer.
         self.on_invalid: Callable[[str, str], object] = _ignore
         self._idle_by_target: dict[Target, list[UpstreamConnection]] = {}
@@ -159,6 +162,7 @@
         self._connection = connection
         self._keep_alive_s = _DEFAULT_KEEP_ALIVE_S
         self._is_fully_read = False
+        self._open_bytes = 0
         #: Whether the connection has carried an earlier request.
         self.is_reused = connection.served > 0
 
@@ -180,6 +184,7 @@
         :raises PathCut: the request was given up.
         :raises AnswerError: no valid head was received.
         """
+        self._count_open(len(request))
         watch = None
         if may_give_up is not None and not self._connection.is_relayed:
             watch = asyncio.create_task(self._watch_path(may_give_up))
@@ -264,6 +269,7 @@
         connection = self._connection
         connection.served += 1
         self._pool.memory.forget(self)
+        self._count_open(0)
         may_reuse = (
             self._is_fully_read
             and connection.is_reusable
@@ -281,6 +287,7 @@
     def discard(self) -> None:
         """Close the connection; a later ``release`` does not pool it."""
         self._pool.memory.forget(self)
+        self._count_open(0)
         self._connection.close()
 
     async def give_up_when_cut(self, silence_s: float) -> None:
@@ -311,6 +318,12 @@
         if is_cut and may_give_up():
             self._connection.fail(PathCut('path to the server is cut'))
 
+    def _count_open(self, size: int) -> None:
+        """Count the bytes of an open request, instead of those before."""
+        self._pool.open_bytes.remove(self._target.name, self._open_bytes)
+        self._pool.open_bytes.add(self._target.name, size)
+        self._open_bytes = size
+
     def _note_invalid(self, error: AnswerError) -> None:
         if not error.reason:
             return
--- a/bronzesill/upstream/tests/test_answer_memory.py
+++ b/bronzesill/upstream/tests/test_answer_memory.py
@@ -11,6 +11,7 @@
 from ..answer import AnswerError
 from ..connectors import Target
 from ..memory import AnswerMemory
+from ..open_bytes import OpenBytes
 from ..pool import ConnectionPool
 
 _BODY_BYTES = 1_000
@@ -21,6 +22,7 @@
 _REQUEST = b'GET / HTTP/1.1\r\nhost: x\r\n\r\n'
 _MAX_BYTES = 5_000
 _CHECKS = 20
+_MAX_UPLOAD = 100_000
 
 
 async def _answer(
@@ -62,6 +64,20 @@
             lease.discard()
         self.assertFalse(sound.is_given_up)
 
+    # Guards against servers that count as full of requests that have ended.
+    async def test_ended_requests_are_not_open(self) -> None:
+        server = await asyncio.start_server(_answer, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        target = Target('s', Address(*server.sockets[0].getsockname()))
+        pool = ConnectionPool()
+        pool.open_bytes = OpenBytes(_MAX_UPLOAD)
+        lease = await pool.acquire_direct(target)
+        await lease.send(_REQUEST + bytes(_MAX_UPLOAD))
+        self.assertFalse(pool.open_bytes.has_room('s', _MAX_UPLOAD))
+        lease.discard()
+        lease.release()
+        self.assertTrue(pool.open_bytes.has_room('s', _MAX_UPLOAD))
+
 
 if __name__ == '__main__':
     unittest.main()
