--- a/bronzesill/upstream/__init__.py
+++ b/bronzesill/upstream/__init__.py
@@ -3,6 +3,7 @@
 from .answer import (
     AnswerError,
     AnswerHead,
+    AnswerUnread,
     ConnectionLost,
     Header,
     InvalidAnswer,
@@ -17,7 +18,8 @@
 from .completeness import RESET_WAIT_S, needs_reset_wait
 from .connection import UpstreamConnection
 from .connectors import Connector, Dialer, DirectConnector, Reach, Target
-from .pool import AnswerMemory, ConnectionLease, ConnectionPool
+from .memory import AnswerMemory, HeldFor
+from .pool import ConnectionLease, ConnectionPool
 from .purposes import ConnectionCounts, Purpose
 from .request import (
     CallerFields,
@@ -35,6 +37,7 @@
     'AnswerError',
     'AnswerHead',
     'AnswerMemory',
+    'AnswerUnread',
     'CallerFields',
     'ConnectionCounts',
     'ConnectionLease',
@@ -47,6 +50,7 @@
     'ForwardRequest',
     'Header',
     'HealthDialect',
+    'HeldFor',
     'HttpAnswer',
     'HttpCall',
     'InvalidAnswer',
--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -5,16 +5,17 @@
 import asyncio
 import re
 from collections.abc import Callable
-from operator import itemgetter
-from typing import Protocol
 
+from ..utils import PartLogger
 from .answer import AnswerError, AnswerHead, PathCut
 from .connection import UpstreamConnection
 from .connectors import Connector, DirectConnector, Reach, Target
+from .memory import AnswerMemory
+from .open_bytes import OpenBytes
 from .purposes import Purpose
 from .reuse import IdleLimit, is_proven_alive
 
-__all__ = ['AnswerMemory', 'ConnectionLease', 'ConnectionPool']
+__all__ = ['ConnectionLease', 'ConnectionPool']
 
 _CONNECT_TIMEOUT_S = 0.25
 #: Time without an answer after which the path to its server is checked.
@@ -23,56 +24,9 @@
 _WATCH_INTERVAL_S = 0.25
 _KEEP_ALIVE_MARGIN_S = 1.0
 _DEFAULT_KEEP_ALIVE_S = 4.0
-#: Bytes of answers that a host keeps at a time.
-_MAX_KEPT_BYTES = 48 * 1024 * 1024
 _TIMEOUT_PATTERN = re.compile(rb'timeout=(\d{1,9})')
 
-
-class AnswerKeeper(Protocol):
-    """Owner of an answer that is kept."""
-
-    def fail(self, error: AnswerError) -> None:
-        """Give the answer up; its bytes are not counted any more."""
-
-
-class AnswerMemory:
-    """
-    Bytes of the answers that this host keeps.
-
-    A faulty server may send bytes without end.  When all answers together
-    exceed the limit, the largest is given up; those of sound servers are
-    small.
-
-    :param max_bytes: limit for all answers together.
-    """
-
-    def __init__(self, max_bytes: int = _MAX_KEPT_BYTES) -> None:
-        self._max_bytes = max_bytes
-        self._bytes_by_keeper: dict[AnswerKeeper, int] = {}
-        self._total = 0
-
-    def grow(self, keeper: AnswerKeeper, size: int) -> None:
-        """
-        Count more bytes of an answer that are kept.
-
-        :param keeper: owner of the answer.
-        :param size: number of bytes.
-        :raises AnswerError: the answer is the largest of too many bytes.
-        """
-        known = self._bytes_by_keeper
-        known[keeper] = known.get(keeper, 0) + size
-        self._total += size
-        while self._total > self._max_bytes:
-            largest, _ = max(known.items(), key=itemgetter(1))
-            self.forget(largest)
-            error = AnswerError('the answer is too large to be kept')
-            if largest is keeper:
-                raise error
-            largest.fail(error)
-
-    def forget(self, keeper: AnswerKeeper) -> None:
-        """Count an answer no longer; it was passed on or given up."""
-        self._total -= self._bytes_by_keeper.pop(keeper, 0)
+_log = PartLogger('upstream')
 
 
 class ConnectionPool:
@@ -91,8 +45,12 @@
         #: Returns whether new connections to a server are saved: calls go by
         #: the idle timeout that it states, and known life replaces probes.
         self.saves_connections: Callable[[str], bool] = _is_never
-        #: Answers that this host keeps.
+        #: Requests and answers that this host keeps.
         self.memory = AnswerMemory()
+        #: Requests that servers hold for this host.
+        self.open_bytes = OpenBytes()
+        #: Called with the server and the reason of each invalid answer.
+        self.on_invalid: Callable[[str, str], object] = _ignore
         self._idle_by_target: dict[Target, list[UpstreamConnection]] = {}
 
     @property
@@ -254,6 +212,7 @@
         self._connection = connection
         self._stated_s: float | None = None
         self._is_fully_read = False
+        self._open_bytes = 0
         #: Whether the connection has carried an earlier request.
         self.is_reused = connection.served > 0
 
@@ -275,13 +234,17 @@
         :raises PathCut: the request was given up.
         :raises AnswerError: no valid head was received.
         """
-        if may_give_up is None or self._connection.is_relayed:
-            head = await self._connection.send(request, is_head=is_head)
-        else:
+        self._count_open(len(request))
+        watch = None
+        if may_give_up is not None and not self._connection.is_relayed:
             watch = asyncio.create_task(self._watch_path(may_give_up))
-            try:
-                head = await self._connection.send(request, is_head=is_head)
-            finally:
+        try:
+            head = await self._connection.send(request, is_head=is_head)
+        except AnswerError as error:
+            self._note_invalid(error)
+            raise
+        finally:
+            if watch is not None:
                 watch.cancel()
         self._stated_s = _stated_timeout_s(head)
         return head
@@ -292,7 +255,11 @@
 
         :raises AnswerError: the answer is truncated or invalid.
         """
-        body = await self._connection.read()
+        try:
+            body = await self._connection.read()
+        except AnswerError as error:
+            self._note_invalid(error)
+            raise
         self._is_fully_read = not body
         return body
 
@@ -356,6 +323,7 @@
         if self._stated_s is not None:
             keep_alive_s = self._stated_s - _KEEP_ALIVE_MARGIN_S
         self._pool.memory.forget(self)
+        self._count_open(0)
         may_reuse = (
             self._is_fully_read and connection.is_reusable and keep_alive_s > 0
         )
@@ -371,6 +339,7 @@
     def discard(self) -> None:
         """Close the connection; a later ``release`` does not pool it."""
         self._pool.memory.forget(self)
+        self._count_open(0)
         self._connection.close()
 
     async def give_up_when_cut(self, silence_s: float) -> None:
@@ -401,6 +370,23 @@
         if is_cut and may_give_up():
             self._connection.fail(PathCut('path to the server is cut'))
 
+    def _count_open(self, size: int) -> None:
+        """Count the bytes of an open request, instead of those before."""
+        self._pool.open_bytes.remove(self._target.name, self._open_bytes)
+        self._pool.open_bytes.add(self._target.name, size)
+        self._open_bytes = size
+
+    def _note_invalid(self, error: AnswerError) -> None:
+        if not error.reason:
+            return
+        _log.event(
+            'answer_invalid',
+            server=self._target.name,
+            reason=error.reason,
+            error=str(error),
+        )
+        self._pool.on_invalid(self._target.name, error.reason)
+
     def _count(self, size: int) -> None:
         try:
             self._pool.memory.grow(self, size)
@@ -409,6 +395,10 @@
             raise
 
 
+def _ignore(server: str, reason: str) -> None:
+    """Count no invalid answer; the default of ``on_invalid``."""
+
+
 def _stated_timeout_s(head: AnswerHead) -> float | None:
     """Return the idle timeout that a server states, none if it does not."""
     match = _TIMEOUT_PATTERN.search(head.find(b'keep-alive') or b'')
