--- a/bronzesill/routing/server_speed.py
+++ b/bronzesill/routing/server_speed.py
@@ -10,6 +10,7 @@
 from .event_pace import PaceSample
 from .expected_time import ServiceRates
 from .fleet_paces import FleetPaces, PaceKey
+from .former_paces import FormerPaces, Machine
 from .records import LoadReport
 from .relative_speeds import relative_speeds
 from .service_rates import RateSamples
@@ -28,6 +29,8 @@
 #: Most samples that one report of another daemon counts for.
 _MAX_WEIGHT = 1000
 _US_PER_S = 1e6
+#: Stands for the daemons that measured a server's predecessor.
+_PREDECESSOR = ''
 
 
 @dataclasses.dataclass(frozen=True)
@@ -61,6 +64,7 @@
         self._reports_by_name: dict[str, LoadReport] = {}
         self._services: frozenset[str] = frozenset()
         self._paces = FleetPaces()
+        self._former = FormerPaces()
         self._speeds_by_service: dict[str, dict[str, float]] = {}
         self._rates_by_service: dict[str, RateSamples] = {}
 
@@ -68,19 +72,23 @@
         """
         Replace the set of servers; what is known of those that remain is kept.
 
+        A new server begins with the pace of the last one at its address.
+
         :param by_name: all servers by name.
         """
+        self._keep_former_paces(by_name)
+        added = by_name.keys() - self._servers_by_name.keys()
         self._servers_by_name = by_name
         for name in self._reports_by_name.keys() - by_name.keys():
             del self._reports_by_name[name]
         self._paces.keep_only(by_name)
+        for name in added:
+            self._begin_with_former_pace(name)
         self._speeds_by_service.clear()
 
     def forget(self, name: str) -> None:
-        """Forget a server that has been restarted."""
+        """Forget the load of a server that was restarted; its machine stays."""
         self._reports_by_name.pop(name, None)
-        self._paces.forget(name)
-        self._speeds_by_service.clear()
 
     def reported(self, name: str, report: LoadReport) -> None:
         """Record a load report, which may tell a slowdown."""
@@ -242,6 +250,17 @@
             return None
         return self._samples(service).rates(self.typical_pace_s(service))
 
+    def _keep_former_paces(self, by_name: Mapping[str, BackendServer]) -> None:
+        for key, pace in self._paces.latest().items():
+            server = self._servers_by_name.get(key.server)
+            if server is not None and key.server not in by_name:
+                self._former.keep(Machine.from_server(server), key.kind, pace)
+
+    def _begin_with_former_pace(self, name: str) -> None:
+        machine = Machine.from_server(self._servers_by_name[name])
+        for kind, pace in self._former.take(machine).items():
+            self._paces.add_heard(PaceKey(name, kind), _PREDECESSOR, pace)
+
     def _samples(self, service: str) -> RateSamples:
         return self._rates_by_service.setdefault(service, RateSamples())
 
