Test in a running fleet that hosts share the paces of engines

Cause: that a pace which one host measures steers the first stream of another was tested by the decisions alone.

Change: the stand-in for a worker can tell its slowdown; a host that has sent nothing chooses the fast one of three engines, by what the other measured. Without slowdowns no choice is by speed.

--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -52,6 +52,8 @@
         has worked on it, empty for none.
     :param work_s: seconds of work on a request of a plain service.
     :param brittle: rejections that the worker survives, none for all.
+    :param slowdown_percent: slowdown that the worker tells with its load, 100
+        as usual; none if it tells none.
     """
 
     name: str
@@ -69,6 +71,7 @@
     crashing_body: bytes = b''
     work_s: float = 0
     brittle: BrittlePlan | None = None
+    slowdown_percent: int | None = None
 
 
 def expected_events(body: bytes, count: int) -> bytes:
@@ -248,10 +251,10 @@
             resp.set_header('Server-Leaving', '1')
 
     def _set_load(self, resp: asgi.Response) -> None:
-        resp.set_header(
-            'X-Instance-Load',
-            f'{self._running},{self._waiting},{self.plan.slots}',
-        )
+        load = f'{self._running},{self._waiting},{self.plan.slots}'
+        if self.plan.slowdown_percent is not None:
+            load = f'{load},{self.plan.slowdown_percent}'
+        resp.set_header('X-Instance-Load', load)
 
     def _has_room(self) -> bool:
         waiting = self.brittle.waiting(time.monotonic())
