Let a rank of a failure domain weigh as much as one running stream

Cause: with 3.3 resumes per unit of fill, streams went to fast engines of domains that were about to go down.

Change: 6 resumes per unit of fill.

Tests of the choice (48 in five modules of routing) pass.

--- a/bronzesill/routing/expected_time.py
+++ b/bronzesill/routing/expected_time.py
@@ -33,9 +33,9 @@
 _MAX_SHORTAGE = 2.0
 #: Part of the slots for whose streams an unknown memory counts as sufficient.
 _UNKNOWN_MEMORY_SLOTS = 0.5
-#: Makes a rank of ``choose._RUN_COST_PER_RANK`` a fifth of a resume: that much
-#: likelier a domain that started one rank earlier goes down during an answer.
-_RESUMES_PER_FILL = 3.3
+#: Makes a rank of ``choose._RUN_COST_PER_RANK`` about a third of a resume, and
+#: about as much as one running stream, as it is by fill.
+_RESUMES_PER_FILL = 6.0
 
 
 @dataclasses.dataclass(frozen=True)
