--- a/bronzesill/daemon/tests/test_connections.py
+++ b/bronzesill/daemon/tests/test_connections.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 import re
 import unittest
 
@@ -57,7 +58,9 @@
 
     async def test_calls_keep_to_one_server_and_connection(self) -> None:
         for worker in self.fleet.workers_by_name.values():
-            worker.slowdown = '100'
+            worker.plan = dataclasses.replace(
+                worker.plan, slowdown_percent=100
+            )
         await self.send_calls()
         opened = await self.opened()
         self.assertEqual(len(await self.send_calls()), 1)
