--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -92,6 +92,8 @@
     retry_after = ''
     #: Slowdown that the worker adds to its load, in percent, empty for none.
     slowdown = ''
+    #: Text of ``Keep-Alive``, empty for none.
+    keep_alive = ''
 
     def __init__(
         self, plan: WorkerPlan, address: Address, store: Address
@@ -246,6 +248,8 @@
         return True
 
     def _set_notices(self, resp: asgi.Response) -> None:
+        if self.keep_alive:
+            resp.set_header('Keep-Alive', self.keep_alive)
         if self.says_leaving:
             resp.set_header('Server-Leaving', '1')
 
