--- a/bronzesill/standins/worker.py
+++ b/bronzesill/standins/worker.py
@@ -93,6 +93,8 @@
     #: Text of ``Retry-After`` with which all requests are rejected, empty to
     #: serve them.
     retry_after = ''
+    #: Text of ``Keep-Alive``, empty for none.
+    keep_alive = ''
 
     def __init__(
         self, plan: WorkerPlan, address: Address, store: Address
@@ -247,6 +249,8 @@
         return True
 
     def _set_notices(self, resp: asgi.Response) -> None:
+        if self.keep_alive:
+            resp.set_header('Keep-Alive', self.keep_alive)
         if self.says_leaving:
             resp.set_header('Server-Leaving', '1')
 
