Test that busy engines take over no stream and first events are bounded

The work of the engine that could take over, and the upper bound of the timeout for the first event, had no test.

--- a/bronzesill/generations/tests/test_working_servers.py
+++ b/bronzesill/generations/tests/test_working_servers.py
@@ -72,12 +72,14 @@
     :param gaps_s: times between its events.
     :param accepts: whether it accepts connections once its events are over.
     :param first_event_s: time of the first event.
+    :param candidate: what is known of the server that could take over.
     """
 
     activity: FindActivity = _unknown
     gaps_s: tuple[float, ...] = ()
     accepts: bool = True
     first_event_s: float = _FIRST_EVENT_S
+    candidate: FindActivity = _unknown
 
 
 class _Stream:
@@ -131,6 +133,9 @@
         activity = self._engine.activity(self._now_s)
         if isinstance(event, (ServerChosen, TimerFired, LookedElsewhere)):
             event = dataclasses.replace(event, activity=activity)
+        if isinstance(event, LookedElsewhere):
+            candidate = self._engine.candidate(self._now_s)
+            event = dataclasses.replace(event, candidate_activity=candidate)
         silent_s = self._now_s - self._state.last_activity_at_s
         decision = decide(self._state, event, self._now_s)
         self._state = decision.state
@@ -206,6 +211,16 @@
                 assert stream.moved is not None and stream.moved.basis
                 self.assertIs(stream.moved.basis.reason, MoveReason.OVERDUE)
 
+    # A stream was moved to an engine whose next event was due even later.
+    def test_engine_with_more_work_does_not_take_over(self) -> None:
+        for activity in (_idle, _slow_prefilling):
+            with self.subTest(candidate=activity.__name__):
+                gaps_s = (0.03, 0.03, 0.8)
+                engine = _Engine(_prefilling, gaps_s, candidate=activity)
+                stream = _Stream(engine)
+                is_busy = activity is _slow_prefilling
+                self.assertEqual(stream.has_all_events, is_busy)
+
     # The first event of an engine with three prompts ahead came after the
     # timeout of 3.2 s, and the prompt was read again elsewhere.
     def test_first_event_follows_the_prompts_ahead(self) -> None:
@@ -217,6 +232,13 @@
         stream = _Stream(engine, '')
         self.assertTrue(stream.has_all_events)
 
+    # An engine that never begins must not be waited for until the deadline.
+    def test_missing_first_event_is_not_waited_for(self) -> None:
+        stream = _Stream(_Engine(_slow_prefilling, first_event_s=_END_S), '')
+        assert stream.moved is not None and stream.moved.basis
+        self.assertIs(stream.moved.basis.reason, MoveReason.FIRST_EVENT)
+        self.assertLess(stream.silent_s, 0.5 * _END_S)
+
 
 class DeathTest(unittest.TestCase):
     """Engines that are down are left as early as before."""
