Tell the end of idle relayed connections at once

Cause: a relaying host waited 0.1 s for a reset at each end of a connection that had carried more than 16 KiB. The asking host could use an idle one that the server had closed for another request meanwhile.

Change: it does not wait if the server has sent nothing for 0.5 s.

--- a/bronzesill/relay/server.py
+++ b/bronzesill/relay/server.py
@@ -35,6 +35,10 @@
 #: Bytes that may wait for the asking host until the server is paused.
 _MAX_WAITING_BYTES = 128 * 1024
 
+#: Silence after which the end of a connection ends no answer: the server has
+#: closed an idle one, which the other host must not use any more.
+_IDLE_S = 0.5
+
 _log = PartLogger('relay')
 
 
@@ -183,6 +187,7 @@
         self._is_aborted = False
         self._is_reset = False
         self._written_bytes = 0
+        self._received_at_s: float = 0
         self._accepted_at_end: int | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -193,6 +198,7 @@
     def data_received(self, data: bytes) -> None:
         """Pass bytes of the server on."""
         self.on_bytes()
+        self._received_at_s = asyncio.get_running_loop().time()
         accepted = self._count_accepted()
         for start in range(0, len(data), MAX_DATA_BYTES):
             part = bytes(data[start : start + MAX_DATA_BYTES])
@@ -213,9 +219,10 @@
     def eof_received(self) -> bool:
         """Return whether to keep the connection open to see a reset."""
         self._accepted_at_end = self._count_accepted()
-        if not needs_reset_wait(self._written_bytes):
-            return False
         loop = asyncio.get_running_loop()
+        is_idle = loop.time() - self._received_at_s >= _IDLE_S
+        if is_idle or not needs_reset_wait(self._written_bytes):
+            return False
         loop.call_later(RESET_WAIT_S, self._end_after_wait)
         return True
 
--- a/bronzesill/relay/tests/test_relay.py
+++ b/bronzesill/relay/tests/test_relay.py
@@ -264,6 +264,33 @@
         self.hasty.answer_delay_s = 0.05
         self.assertEqual(await self.upload(_UPLOAD_BYTES), b'abc')
 
+    # Guards against orders on a connection that the server has closed, while
+    # the relay waits for a reset.
+    async def test_end_of_an_idle_connection_is_told_at_once(self) -> None:
+        closed_at_s: list[float] = []
+        loop = asyncio.get_running_loop()
+
+        async def answer_and_close_later(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readexactly(_UPLOAD_BYTES)
+            writer.write(_ANSWER)
+            await asyncio.sleep(0.6)
+            writer.close()
+            closed_at_s.append(loop.time())
+
+        target = await self.listen(answer_and_close_later)
+        lease = await self.pool.acquire(target, max_idle_s=4)
+        connection = lease._connection
+        await lease.send(make_upload(_UPLOAD_BYTES))
+        self.assertEqual(await lease.read_all(_MAX_BYTES), b'abc')
+        lease.release()
+        self.assertTrue(connection.is_reusable)
+        async with asyncio.timeout(2):
+            while connection.is_reusable:
+                await asyncio.sleep(0.005)
+        self.assertLess(loop.time() - closed_at_s[0], 0.09)
+
     # Guards against relays of the previous build, which tell no counts.
     async def test_messages_without_counts(self) -> None:
         frame = msgpack.unpackb(self.registry.encode(RelayData(b'x', 1)))
