Count only answers of HTTP in the soak test

Cause: the callers of the soak test took a status like 000 for an answer.

Change: they use the same decision as all other clients.

Result: the new test fails before and passes now, as does test_verdict.

--- a/bronzesill/soak/connection.py
+++ b/bronzesill/soak/connection.py
@@ -6,6 +6,7 @@
 import contextlib
 import dataclasses
 
+from ..upstream import require_answer_status
 from ..utils import Address
 
 __all__ = ['CallerConnection', 'RawAnswer']
@@ -119,7 +120,9 @@
         for line in lines:
             name, _, text = line.partition(':')
             answer.headers[name.strip().lower()] = text.strip()
-        answer.status = int(status_line.split(' ')[1])
+        status = int(status_line.split(' ')[1])
+        require_answer_status(status)
+        answer.status = status
 
     async def _read_body(self, answer: RawAnswer) -> None:
         if answer.headers.get('transfer-encoding') == 'chunked':
