--- a/bronzesill/daemon/tests/test_connections.py
+++ b/bronzesill/daemon/tests/test_connections.py
@@ -68,9 +68,7 @@
 
     async def test_calls_keep_to_one_server_and_connection(self) -> None:
         for worker in self.fleet.workers_by_name.values():
-            worker.plan = dataclasses.replace(
-                worker.plan, slowdown_percent=100
-            )
+            worker.plan = dataclasses.replace(worker.plan, slowdown_percent=100)
         await self.send_calls()
         opened = await self.opened()
         self.assertEqual(len(await self.send_calls()), 1)
@@ -78,7 +76,7 @@
 
     async def test_order_uses_a_connection_for_as_long_as_stated(self) -> None:
         for worker in self.fleet.workers_by_name.values():
-            worker.slowdown = '100'
+            worker.plan = dataclasses.replace(worker.plan, slowdown_percent=100)
             worker.keep_alive = 'timeout=5'
         await self.send_calls()
         opened = await self.opened()
@@ -87,7 +85,7 @@
 
     async def test_order_uses_a_connection_for_a_second_otherwise(self) -> None:
         for worker in self.fleet.workers_by_name.values():
-            worker.slowdown = '100'
+            worker.plan = dataclasses.replace(worker.plan, slowdown_percent=100)
         await self.send_calls()
         opened = await self.opened()
         await self.send_calls(3, _LONG_PAUSE_S)
