--- a/bronzesill/routing/expected_time.py
+++ b/bronzesill/routing/expected_time.py
@@ -86,7 +86,6 @@
         home_domain: str,
         candidates: Sequence[ServerView],
     ) -> None:
-        self._rates = rates
         self._home_domain = home_domain
         prompt_tokens = (
             size.prompt_tokens or rates.prompt_tokens or _PROMPT_TOKENS
