--- a/bronzesill/generations/attempt_placement.py
+++ b/bronzesill/generations/attempt_placement.py
@@ -36,6 +36,8 @@
 
 #: Time from a crash until a block that follows from it is known.
 _JUDGEMENT_S = 0.3
+#: A handover pauses the stream and takes time from others.
+_MIN_HANDOVER_GAIN_S = 0.5
 
 PickVersion: TypeAlias = Callable[[GenerationRequest, bool], str]
 
@@ -155,6 +157,30 @@
             is_shared=is_path_suspected and self._is_silence_shared(generation),
         )
 
+    async def may_gain_by_handover(self, generation: PlacedGeneration) -> bool:
+        """
+        Return whether a stream ends clearly sooner where its copy is.
+
+        :param generation: generation that streams from another server.
+        """
+        model = generation.request.model
+        allowance = self.allowance
+        if allowance is None or not allowance.allows_optional_retry(model):
+            return False
+        await self.refresh_usage()
+        gain_s = self._servers.handover_gain_s(model, generation.state)
+        if gain_s is None or gain_s < _MIN_HANDOVER_GAIN_S:
+            return False
+        _log.event(
+            'handover',
+            request=generation.request.request_id,
+            server=generation.state.server,
+            copy_holder=generation.state.usable_copy,
+            at_token=generation.state.accepted,
+            gain_s=round(gain_s, 2),
+        )
+        return True
+
     def return_send(self, generation: PlacedGeneration) -> None:
         """Take back the retry counted for an attempt that was not sent."""
         if self.allowance is not None and generation.state.sends:
--- a/bronzesill/generations/decisions.py
+++ b/bronzesill/generations/decisions.py
@@ -10,6 +10,7 @@
 import types
 
 from ..utils import ResultCode, chain_digest
+from .handover import may_hand_over
 from .look_messages import WaitEnded
 from .look_results import after_look, move_basis, with_activity
 from .messages import (
@@ -261,7 +262,10 @@
 def _handle_loss(
     state: GenerationState, event: AttemptLost, now_s: float
 ) -> Decision:
-    if not state.is_current(event.attempt):
+    is_handover = event.cause is LossCause.HANDED_OVER
+    if not state.is_current(event.attempt) or (
+        is_handover and not may_hand_over(state)
+    ):
         return Decision(state)
     lost = state.without_attempt(event.cause)
     evidence = state.evidence if event.cause is LossCause.SILENT else None
--- a/bronzesill/generations/look_messages.py
+++ b/bronzesill/generations/look_messages.py
@@ -6,7 +6,12 @@
 
 from .server_activity import ServerActivity
 
-__all__ = ['ChooseServer', 'LookElsewhere', 'LookedElsewhere', 'WaitEnded']
+__all__ = [
+    'ChooseServer',
+    'LookElsewhere',
+    'LookedElsewhere',
+    'WaitEnded',
+]
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/generations/messages.py
+++ b/bronzesill/generations/messages.py
@@ -58,7 +58,8 @@
     ``GAP``: tokens before the ones received are missing. ``SHORT``: the end
     marker and the accepted tokens differ in count. ``BLOCKED``: servers crash
     on such requests. ``UNREAD``: this host did not read for some time, and
-    the server broke off.
+    the server broke off. ``HANDED_OVER``: the server that copies the memory
+    goes on sooner.
     """
 
     BROKEN = 'broken'
@@ -72,6 +73,13 @@
     SHORT = 'short'
     BLOCKED = 'blocked'
     UNREAD = 'unread'
+    HANDED_OVER = 'handed_over'
+
+
+#: Causes that tell nothing of the server.
+_OWN_CAUSES = frozenset(
+    (LossCause.PATH, LossCause.UNREAD, LossCause.HANDED_OVER)
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -291,7 +299,7 @@
         """Whether the attempt counts as a failure of its version."""
         if self.basis is not None and self.basis.is_server_alive:
             return False
-        is_own = self.cause in {LossCause.PATH, LossCause.UNREAD}
+        is_own = self.cause in _OWN_CAUSES
         return not (self.is_shared or is_own)
 
     @property
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -12,6 +12,7 @@
 from .attempt import AttemptRunner
 from .attempt_placement import AttemptPlacer
 from .decisions import decide
+from .handover import HandoverSchedule
 from .look_messages import WaitEnded
 from .look_results import after_look
 from .messages import (
@@ -98,6 +99,7 @@
         self.unanswered_losses = 0
         #: Why no server was chosen at the last choice, empty if one was.
         self.unplaced_reason = ''
+        self._handovers = HandoverSchedule()
         self._placer = placer
         self._observer = observer
         self._readers = AnswerReaders(
@@ -269,6 +271,18 @@
             len(action.tokens), is_first=not self.accepted_tokens
         )
         self._readers.deliver(AcceptedTokens(action.offset, action.tokens))
+        self._consider_handover()
+
+    def _consider_handover(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        is_due = self._handovers.is_due(self.state, now_s)
+        self._handovers = self._handovers.after_events(self.state, now_s)
+        if is_due and self._placer.activities.is_known_for(self.state.server):
+            self._attempts.start_task(self._look_for_gain(self.state.attempt))
+
+    async def _look_for_gain(self, attempt: int) -> None:
+        if await self._placer.may_gain_by_handover(self):
+            self.mailbox.put_nowait(AttemptLost(attempt, LossCause.HANDED_OVER))
 
     async def _find_server(self, action: ChooseServer) -> None:
         try:
--- a/bronzesill/routing/__init__.py
+++ b/bronzesill/routing/__init__.py
@@ -9,6 +9,7 @@
 )
 from .event_pace import EventPace
 from .expected_time import ExpectedTime, ServiceRates, StreamSize
+from .handover import handover_gain_s
 from .listing import ServerListing
 from .records import LoadReport, ServerRecord
 from .request_limits import (
@@ -67,6 +68,7 @@
     'choose_prompt_holder',
     'choose_recipients',
     'choose_server',
+    'handover_gain_s',
     'news_of',
     'pick_version',
     'summarize_services',
--- a/bronzesill/routing/expected_time.py
+++ b/bronzesill/routing/expected_time.py
@@ -12,7 +12,13 @@
 
 from .views import ServerView
 
-__all__ = ['ExpectedTime', 'ServiceRates', 'StreamSize', 'slowed_s']
+__all__ = [
+    'ExpectedTime',
+    'ServiceRates',
+    'StreamSize',
+    'remaining_s',
+    'slowed_s',
+]
 
 #: Length of a prompt where none is known.
 _PROMPT_TOKENS = 2_000
@@ -150,6 +156,27 @@
         return path_s + self._resume_s * min(shortage, _MAX_SHORTAGE)
 
 
+def remaining_s(
+    view: ServerView, rates: ServiceRates, events_left: int
+) -> float:
+    """
+    Return the time to the end of an answer that has begun.
+
+    :param view: server that goes on with it.
+    :param rates: typical rates of its model.
+    :param events_left: expected number of events to come.
+    """
+    prefilling = view.own_prefilling + view.others_prefilling
+    prompt_tokens = rates.prompt_tokens or _PROMPT_TOKENS
+    stall_s = (
+        _PREFILL_STALL
+        * max(prefilling - _BEGUN_PART, 0)
+        * (prompt_tokens / rates.prefill_tokens_per_s)
+    )
+    work_s = (stall_s + events_left * rates.event_s) / view.speed
+    return slowed_s(work_s, view.slowdown)
+
+
 def slowed_s(work_s: float, slowdown: float) -> float:
     """
     Return the time that work takes on a machine that is slow for a while.
--- /dev/null
+++ b/bronzesill/routing/handover.py
@@ -0,0 +1,34 @@
+"""Gain of handing a running stream over to the server that copies its memory."""
+
+from __future__ import annotations
+
+from .expected_time import ServiceRates, remaining_s
+from .views import ServerView
+
+__all__ = ['handover_gain_s']
+
+#: From the end of the run on one server to its next event on the other.
+_HANDOVER_S = 0.2
+
+
+def handover_gain_s(
+    current: ServerView,
+    holder: ServerView,
+    rates: ServiceRates,
+    events_left: int,
+) -> float:
+    """
+    Return by how much sooner a stream ends on the holder of its copy.
+
+    An engine that prefills prompts hardly goes on with its streams, while
+    the prompts of others delay none on an engine that only decodes.
+
+    :param current: server that runs the stream, whose answer has begun.
+    :param holder: server that keeps a copy of the stream's memory.
+    :param rates: typical rates of both.
+    :param events_left: expected number of events to come.
+    :returns: the gain in seconds, negative for a loss.
+    """
+    here_s = remaining_s(current, rates, events_left)
+    there_s = remaining_s(holder, rates, events_left) + _HANDOVER_S
+    return here_s - there_s
