--- a/bronzesill/generations/attempt_placement.py
+++ b/bronzesill/generations/attempt_placement.py
@@ -144,9 +144,10 @@
         :param generation: generation whose run is silent.
         :param action: names the silent server and the choice of another.
         """
-        alive, candidate = await asyncio.gather(
+        alive, candidate, _ = await asyncio.gather(
             self._search.is_silent_alive(action),
             self._find_candidate(generation, action),
+            self._refresh_activity(action.server),
         )
         # Another server that accepts where this one refuses clears the path.
         is_path_suspected = alive or not candidate
@@ -186,6 +187,11 @@
         if self.allowance is not None and generation.state.sends:
             self.allowance.return_retry(generation.request.model)
 
+    async def _refresh_activity(self, server: str) -> None:
+        """Learn of the prompts that other hosts have sent to a server."""
+        if self.activities.is_known_for(server):
+            await self.refresh_usage()
+
     async def _find_candidate(
         self, generation: PlacedGeneration, action: LookElsewhere
     ) -> str:
--- a/bronzesill/generations/server_activity.py
+++ b/bronzesill/generations/server_activity.py
@@ -10,8 +10,8 @@
 
 __all__ = ['MoveBasis', 'MoveReason', 'ServerActivity', 'finite_s']
 
-#: Time between two events of a stream on an engine of speed 1 that prefills
-#: another prompt.
+#: Time between two events of a stream on an engine of speed 1 for each prompt
+#: that it prefills; it takes a part of each in turn.
 _PREFILL_EVENT_GAP_S = 0.25
 #: Prompt tokens per second that an engine of speed 1 prefills.
 _PREFILL_TOKENS_PER_S = 8000
@@ -61,7 +61,8 @@
         """Expected time between two events of a stream, 0 if not extended."""
         if not self.prefilling:
             return 0
-        return _PREFILL_EVENT_GAP_S * self.slowdown / self.speed
+        prompts_s = _PREFILL_EVENT_GAP_S * self.prefilling
+        return prompts_s * self.slowdown / self.speed
 
     def after(self, previous: ServerActivity | None) -> ServerActivity:
         """
--- a/bronzesill/routing/handover.py
+++ b/bronzesill/routing/handover.py
@@ -1,4 +1,4 @@
-"""Gain of handing a running stream over to the server that copies its memory."""
+"""Gain of handing a stream over to the server that copies its memory."""
 
 from __future__ import annotations
 
