Tell servers the priority of a request where the configuration has several

Route and account priorities were read from the configuration and used nowhere, so an engine queued urgent streams behind bulk ones.

The priority of a request follows from its route, or from its account if that has one. Where the requests of a service can have different priorities, servers are told 5 for the least urgent and 0 to 4 for others; where all are equal nothing is sent, as engines interrupt runs for more urgent ones. All attempts at a request carry the same priority. The stand-in for a request in test_unsent gets the new field.

The effect on served shares was not measured.

--- a/bronzesill/calls/forward_sender.py
+++ b/bronzesill/calls/forward_sender.py
@@ -117,7 +117,9 @@
         forward: ForwardRequest,
     ) -> CallAnswer:
         now_s = asyncio.get_running_loop().time()
-        plan = SendPlan(server, forward.deadline_at_s - now_s)
+        plan = SendPlan(
+            server, forward.deadline_at_s - now_s, priority=forward.priority
+        )
         request = self._dialect.encode(forward, plan)
         routed.progress.may_have_run = True
         head = await lease.send(
--- a/bronzesill/calls/tests/test_unsent.py
+++ b/bronzesill/calls/tests/test_unsent.py
@@ -107,6 +107,7 @@
     method = 'GET'
     body = b''
     deadline_at_s = 0.0
+    priority = None
 
 
 class UnsentCallTest(unittest.IsolatedAsyncioTestCase):
--- a/bronzesill/gateway/forwarding.py
+++ b/bronzesill/gateway/forwarding.py
@@ -25,6 +25,7 @@
 from ..generations import (
     GenerationsController,
 )
+from ..limits import engine_priority
 from ..upstream import Dialect, ForwardRequest, Header
 from ..utils import (
     TARGET_KEY,
@@ -269,6 +270,9 @@
             account=exchange.account,
             deadline_at_s=started_s + timeout_s,
             caller=exchange.caller,
+            priority=engine_priority(
+                exchange.document, route, exchange.account
+            ),
         )
 
     def _record_latency(self, call_type: str, started_s: float) -> None:
--- a/bronzesill/generations/forward_client.py
+++ b/bronzesill/generations/forward_client.py
@@ -262,6 +262,7 @@
         server=opening.server,
         remaining_s=forward.deadline_at_s - now_s,
         events_received=forward.caller.events_received + len(opening.accepted),
+        priority=forward.priority,
         copy_to=opening.copy_to,
         copy_from=copy,
     )
--- a/bronzesill/limits/__init__.py
+++ b/bronzesill/limits/__init__.py
@@ -1,6 +1,7 @@
 """Admission, quotas and retry budgets."""
 
 from .allowance import FleetRetryAllowance, LocalRetryAllowance, RetryAllowance
+from .priority import engine_priority, request_priority
 from .retry_window import RetryBounds, RetryBudget, RetryWindow
 
 __all__ = [
@@ -10,4 +11,6 @@
     'RetryBounds',
     'RetryBudget',
     'RetryWindow',
+    'engine_priority',
+    'request_priority',
 ]
--- /dev/null
+++ b/bronzesill/limits/tests/test_priority.py
@@ -0,0 +1,82 @@
+"""Tests of the priority that backend servers are told."""
+
+import unittest
+
+from ...config import ClientAccount, Document, Route
+from ..priority import engine_priority, request_priority
+
+
+def _account(priority: int | None = None) -> ClientAccount:
+    return ClientAccount('digest', priority=priority)
+
+
+def _document(*priorities: int, **accounts: int | None) -> Document:
+    routes = {
+        f'route{number}': Route('/', 'model', priority=priority)
+        for number, priority in enumerate(priorities)
+    }
+    return Document(
+        accounts={name: _account(value) for name, value in accounts.items()},
+        models={},
+        servers={},
+        routes=routes,
+    )
+
+
+def _told(document: Document, account: str = 'a') -> list[int | None]:
+    return [
+        engine_priority(document, route, account)
+        for route in document.routes.values()
+    ]
+
+
+class EnginePriorityTest(unittest.TestCase):
+    """Engines prefer urgent streams only where the configuration does."""
+
+    def test_equal_priorities_are_not_told(self) -> None:
+        """Guards against runs that are interrupted for equal ones."""
+        self.assertEqual(_told(_document(7, 7, a=None)), [None, None])
+
+    def test_other_service_makes_no_difference(self) -> None:
+        """Guards against a header caused by routes of another service."""
+        document = _document(2, a=None)
+        document.routes['other'] = Route('/x', 'plain', priority=0)
+        self.assertEqual(_told(document), [None, None])
+
+    def test_urgent_beside_bulk(self) -> None:
+        """Guards against urgent streams queued behind bulk at an engine."""
+        self.assertEqual(_told(_document(2, 0, a=None)), [5, 0])
+
+    def test_least_urgent_equals_requests_without_priority(self) -> None:
+        """Guards against bulk above requests of hosts of another build."""
+        self.assertEqual(_told(_document(0, 1, 2, a=None)), [0, 2, 5])
+
+    def test_many_levels_keep_the_order_within_the_range(self) -> None:
+        """Guards against values that an engine rejects."""
+        told = _told(_document(*range(10), a=None))
+        levels = [-1 if level is None else level for level in told]
+        self.assertEqual(levels, sorted(levels))
+        self.assertLess(max(levels[:-1]), 5)
+        self.assertEqual(levels[-1], 5)
+
+    def test_priority_of_the_account_takes_precedence(self) -> None:
+        """Guards against an urgent account served as its route."""
+        document = _document(2, a=0, b=None)
+        self.assertEqual(_told(document, 'a'), [0])
+        self.assertEqual(_told(document, 'b'), [5])
+        self.assertEqual(
+            request_priority(document, document.routes['route0'], 'a'), 0
+        )
+
+    def test_accounts_that_override_all_routes_are_equal(self) -> None:
+        """Guards against levels that no request can have."""
+        self.assertEqual(_told(_document(0, 2, a=1, b=1)), [None, None])
+
+    def test_weighted_route_counts_for_each_of_its_services(self) -> None:
+        """Guards against a priority that is lost with a weighted choice."""
+        document = _document(0, a=None)
+        document.routes['bulk'] = Route(
+            '/x', '', priority=2, weight_by_service={'model': 1, 'b': 1}
+        )
+        urgent = document.routes['route0']
+        self.assertEqual(engine_priority(document, urgent, 'a'), 0)
--- a/bronzesill/upstream/request.py
+++ b/bronzesill/upstream/request.py
@@ -61,6 +61,8 @@
     :param account: client account, empty if the route needs none.
     :param deadline_at_s: loop time of the deadline.
     :param caller: fields that the caller stated in headers.
+    :param priority: priority that the server is told, from 0 (highest) to 9;
+        ``None`` for the default.
     """
 
     request_id: str
@@ -71,6 +73,7 @@
     account: str
     deadline_at_s: float
     caller: CallerFields = dataclasses.field(default_factory=CallerFields)
+    priority: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
