Let streams that find no server wait in the queue of their host

Each stream that found no server asked again by its own timer, so that engines went to whichever timer fired first, and waiting streams could keep asking until their deadline although they could no longer end in time.

A stream that found no server now waits in the queue of its service and version. One after another the waiting streams look again, in the order of the queue: when another run has ended, when another stream begins to wait, and each 0.1 s; after three in a row that find none the others need not look. New streams join the queue while others wait. A stream whose answer has begun looks by itself as before, and also comes first in the queue. Streams that cannot be served in time, exceed the bounds of the queue, or wait at a host that begins to stop are refused as not run, with Retry-After, but never after they were sent. While nothing waits, no step is added before a choice. Runs need the median time of the last ones. The native daemon has no such queue.

The effect on a fleet under load was not measured.

--- a/bronzesill/daemon/hosted.py
+++ b/bronzesill/daemon/hosted.py
@@ -250,6 +250,7 @@
         self.on_stop(late_s)
         _log.info('%s received a stop request', self._settings.name)
         self._stop.begin(late_s)
+        self._requests.waiting.refuse_all()
         self._fleet.publish_stop()
 
     async def _serve(self) -> None:
--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -30,8 +30,10 @@
     GenerationsController,
     LocalDirectory,
     LocationTable,
+    WaitingStreams,
 )
 from ..limits import FleetRetryAllowance, RetryBounds
+from ..limits.waiting import WaitingRequests
 from ..platform.headers import PlatformDialect
 from ..platform.prompts import fetch_held_parts
 from ..platform.store import PlatformStore
@@ -106,6 +108,9 @@
         )
         context.tracker.limiter = self._limiter
         self._generations: GenerationsController | None = None
+        #: Requests that wait until a server has room.
+        self.waiting = WaitingRequests(context.random, context.metrics)
+        self.waiting.find_weight = self._find_weight
 
     def log_unfinished(self) -> int:
         """Log the streams that end with this host; return their number."""
@@ -172,6 +177,7 @@
         context.quarantine.on_block = generations.drop_blocked
         self._connect_placer(generations.placer)
         generations.placer.allowance = allowance
+        generations.placer.queue = WaitingStreams(self.waiting)
         return generations
 
     def _connect_placer(self, placer: AttemptPlacer) -> None:
@@ -206,8 +212,14 @@
             return ''
         return quarantine.identity(forward) or request.request_id
 
+    def _find_weight(self, account: str) -> float:
+        document = self._context.state.document
+        known = document.accounts.get(account) if document else None
+        return known.weight if known else 1
+
     def _record_attempt(self, observation: AttemptObservation) -> None:
         quarantine = self._context.quarantine
+        self._record_room(observation)
         self._context.traffic.record_attempt(observation)
         forward = observation.request.forward
         if forward is None:
@@ -219,6 +231,14 @@
                 forward, observation.server, observation.lasted_s
             )
 
+    def _record_room(self, observation: AttemptObservation) -> None:
+        if not observation.is_end:
+            return
+        model = observation.request.model
+        if not observation.is_failed:
+            self.waiting.run_times.record(model, observation.lasted_s)
+        self.waiting.note_room(model)
+
     def _record_call(self, result: CallResult) -> None:
         """Record a finished call and update the counts of store calls."""
         context = self._context
--- a/bronzesill/daemon/tests/test_program_modules.py
+++ b/bronzesill/daemon/tests/test_program_modules.py
@@ -17,9 +17,11 @@
 #: the interface of limiters were parts of modules that had grown large, as were
 #: the messages of the store and the channels between hosts; what servers say of
 #: their leaving is told to other hosts by one more, and how old knowledge of
-#: the store may be is decided in one.
-_MAX_OWN_MODULES = 156
-_MAX_MODULES = 610
+#: the store may be is decided in one.  The speed of servers has one; the queue
+#: of waiting requests seven: priorities, dispatch times, shares of kinds,
+#: repeated requests, the queue, its controller and the streams in it.
+_MAX_OWN_MODULES = 164
+_MAX_MODULES = 618
 #: Libraries and packages that only the native interface and the tool use.
 _UNUSED = frozenset(
     (
--- a/bronzesill/gateway/forward_stream.py
+++ b/bronzesill/gateway/forward_stream.py
@@ -23,9 +23,14 @@
 from ..upstream import AnswerHead, ForwardRequest
 from ..utils import BronzesillError, PartLogger, ResultCode
 from .disconnect import watch_disconnect
+from .state import stopping_error
 
 __all__ = ['ForwardedStream']
 
+#: Result codes of requests that no server had room for.
+_QUEUE_CODES = frozenset((ResultCode.QUEUE_FULL, ResultCode.QUEUE_TIMEOUT))
+_LACK_CODES = _QUEUE_CODES | {ResultCode.INCOMPLETE_NO_SERVER}
+
 _log = PartLogger('gateway')
 
 
@@ -113,7 +118,7 @@
         event = await self._subscription.get()
         if isinstance(event, AnswerFailed):
             self._note_failure(event)
-            raise BronzesillError(event.code, 'no server answered')
+            raise _opening_error(event)
         if not isinstance(event, AnswerStarted):
             raise BronzesillError(
                 ResultCode.CALL_FAILED, 'no response head received'
@@ -191,8 +196,7 @@
         )
 
     def _note_failure(self, failure: AnswerFailed) -> None:
-        is_lack = failure.code is ResultCode.INCOMPLETE_NO_SERVER
-        self._has_lacked_server = is_lack
+        self._has_lacked_server = failure.code in _LACK_CODES
 
     def _log_end(self, outcome: str, lost_attempts: str) -> None:
         now_s = asyncio.get_running_loop().time()
@@ -209,3 +213,15 @@
     def _on_disconnect(self) -> None:
         if self._subscription is not None:
             self._subscription.put_nowait(AnswerFailed(ResultCode.CALLER_LEFT))
+
+
+def _opening_error(failure: AnswerFailed) -> BronzesillError:
+    if failure.code is ResultCode.STOPPING:
+        return stopping_error()
+    if failure.code not in _QUEUE_CODES:
+        return BronzesillError(failure.code, 'no server answered')
+    return BronzesillError(
+        failure.code,
+        'not run: no server has room in time',
+        failure.retry_after_s,
+    )
--- a/bronzesill/gateway/forwarding.py
+++ b/bronzesill/gateway/forwarding.py
@@ -25,7 +25,7 @@
 from ..generations import (
     GenerationsController,
 )
-from ..limits import engine_priority
+from ..limits import engine_priority, priority_rank
 from ..upstream import Dialect, ForwardRequest, Header
 from ..utils import (
     TARGET_KEY,
@@ -273,6 +273,9 @@
             priority=engine_priority(
                 exchange.document, route, exchange.account
             ),
+            priority_rank=priority_rank(
+                exchange.document, route, exchange.account
+            ),
         )
 
     def _record_latency(self, call_type: str, started_s: float) -> None:
--- a/bronzesill/generations/__init__.py
+++ b/bronzesill/generations/__init__.py
@@ -16,6 +16,7 @@
 from .stall_detection import AttemptTimings, GapEstimate, StallPolicy
 from .state import Decision, GenerationState, Phase
 from .stream_client import StreamClient
+from .stream_queue import WaitingStreams
 from .subscription import (
     AcceptedTokens,
     AnswerCompleted,
@@ -49,5 +50,6 @@
     'StreamClient',
     'StreamEvent',
     'Subscription',
+    'WaitingStreams',
     'decide',
 ]
--- a/bronzesill/generations/attempt_placement.py
+++ b/bronzesill/generations/attempt_placement.py
@@ -29,6 +29,7 @@
 )
 from .request import GenerationRequest
 from .state import GenerationState
+from .stream_queue import NoStreamQueue, StreamQueue
 
 __all__ = ['AttemptPlacer']
 
@@ -80,6 +81,8 @@
         self.find_held_identity: Callable[[GenerationRequest, int], str] = (
             _not_held
         )
+        #: Queue of the streams that find no server.
+        self.queue: StreamQueue = NoStreamQueue()
         #: Brings the engine use of the other daemons up to date.
         self.refresh_usage: Callable[[], Awaitable[None]] = _do_nothing
         self._daemon = daemon
@@ -107,6 +110,9 @@
             generation, action, is_held=bool(held_identity)
         )
         generation.request = request
+        if not (held_identity or self.queue.may_look(generation, request)):
+            self.queue.join(generation, request)
+            return Placement(NoServer(), request)
         self._tracker.limiter.record_demand(request.model)
         await self.refresh_usage()
         is_first = generation.state.attempt == 0
@@ -116,9 +122,13 @@
         )
         choice = self._servers.choose(requirements, held_identity)
         if choice is None:
+            if not held_identity:
+                self.queue.join(generation, request)
             return _not_placed(generation, request, 'no_server')
         if not self._may_send(generation):
+            self.queue.leave(request)
             return _not_placed(generation, request, 'retry_budget')
+        self.queue.found(request)
         generation.unplaced_reason = ''
         self._tracker.limiter.record_choice(choice.server)
         return await self._claim_location(
--- a/bronzesill/generations/controller.py
+++ b/bronzesill/generations/controller.py
@@ -204,6 +204,7 @@
             await generation.run()
         finally:
             self.tasks_by_key.pop(key, None)
+            self.placer.queue.leave(generation.request)
 
 
 def _request_id_conflict() -> BronzesillError:
--- a/bronzesill/generations/decisions.py
+++ b/bronzesill/generations/decisions.py
@@ -116,8 +116,8 @@
             return _open_attempt(state, event, now_s)
         case NoServer():
             return _wait_for_server(state, now_s)
-        case PlacementRefused():
-            return _fail_answer(state, event.code)
+        case PlacementRefused() if state.phase is not Phase.STREAMING:
+            return _fail_answer(state, event.code, event.retry_after_s)
         case LostServerAlive():
             return _count_sound_server(state)
         case _:
@@ -207,9 +207,13 @@
     return Decision(pausing, (SetTimer(until_s),))
 
 
-def _fail_answer(state: GenerationState, code: ResultCode) -> Decision:
+def _fail_answer(
+    state: GenerationState,
+    code: ResultCode,
+    retry_after_s: float | None = None,
+) -> Decision:
     failed = dataclasses.replace(state, phase=Phase.FAILED)
-    return Decision(failed, (FailAnswer(code),))
+    return Decision(failed, (FailAnswer(code, retry_after_s),))
 
 
 def _accept_tokens(
--- a/bronzesill/generations/messages.py
+++ b/bronzesill/generations/messages.py
@@ -115,9 +115,12 @@
     The generation must not run.
 
     :param code: result code of the refusal.
+    :param retry_after_s: seconds after which the caller may try again,
+        ``None`` if not stated.
     """
 
     code: ResultCode
+    retry_after_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -310,9 +313,12 @@
     Report to the caller that the answer cannot be completed.
 
     :param code: result code of the failure.
+    :param retry_after_s: seconds after which the caller may try again,
+        ``None`` if not stated.
     """
 
     code: ResultCode
+    retry_after_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/generations/placement.py
+++ b/bronzesill/generations/placement.py
@@ -18,7 +18,13 @@
     choose_server,
 )
 from ..utils import Address
-from .messages import ChooseServer, Event, LookElsewhere, ServerChosen
+from .messages import (
+    ChooseServer,
+    Event,
+    LookElsewhere,
+    PlacementRefused,
+    ServerChosen,
+)
 from .request import GenerationRequest
 from .stall_detection import StreamActivity, is_silence_shared
 from .state import GenerationState, Phase
@@ -68,6 +74,12 @@
     def has_begun(self) -> bool:
         """Whether a part of the answer has been delivered."""
 
+    def look_again(self) -> None:
+        """Choose a server now, if the generation waits for one."""
+
+    def refuse(self, refusal: PlacementRefused) -> None:
+        """End the generation, unless it has been sent to a server."""
+
 
 class ServerChoice:
     """
--- a/bronzesill/generations/subscription.py
+++ b/bronzesill/generations/subscription.py
@@ -91,10 +91,13 @@
 
     :param code: result code of the failure.
     :param lost_attempts: numbers of lost attempts by cause, for the log.
+    :param retry_after_s: seconds after which the caller may try again,
+        ``None`` if not stated.
     """
 
     code: ResultCode
     lost_attempts: str = ''
+    retry_after_s: float | None = None
 
 
 Subscription: TypeAlias = (
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -27,6 +27,7 @@
     LossCause,
     NoServer,
     OpenAttempt,
+    PlacementRefused,
     ProbeServer,
     SetTimer,
     TimerFired,
@@ -136,6 +137,14 @@
                 AttemptLost(self.state.attempt, LossCause.BLOCKED)
             )
 
+    def look_again(self) -> None:
+        """Choose a server now, if the generation waits for one."""
+        self.mailbox.put_nowait(TimerFired())
+
+    def refuse(self, refusal: PlacementRefused) -> None:
+        """End the generation, unless it has been sent to a server."""
+        self.mailbox.put_nowait(refusal)
+
     def log_cut(self) -> None:
         """Log that the host exits before the answer is complete."""
         state = self.state
@@ -220,8 +229,11 @@
                     )
                 )
             case FailAnswer():
+                self._placer.queue.leave(self.request)
                 self._readers.finish(
-                    AnswerFailed(action.code, self._lost_attempts)
+                    AnswerFailed(
+                        action.code, self._lost_attempts, action.retry_after_s
+                    )
                 )
             case CountDropped():
                 self._observer.tokens_dropped(action.late, action.repeated)
--- a/bronzesill/limits/__init__.py
+++ b/bronzesill/limits/__init__.py
@@ -1,16 +1,21 @@
 """Admission, quotas and retry budgets."""
 
 from .allowance import FleetRetryAllowance, LocalRetryAllowance, RetryAllowance
-from .priority import engine_priority, request_priority
+from .priority import engine_priority, priority_rank, request_priority
 from .retry_window import RetryBounds, RetryBudget, RetryWindow
+from .service_queue import QueueRefusal, RefusalCause, Waiter
 
 __all__ = [
     'FleetRetryAllowance',
     'LocalRetryAllowance',
+    'QueueRefusal',
+    'RefusalCause',
     'RetryAllowance',
     'RetryBounds',
     'RetryBudget',
     'RetryWindow',
+    'Waiter',
     'engine_priority',
+    'priority_rank',
     'request_priority',
 ]
--- a/bronzesill/limits/dispatch_rate.py
+++ b/bronzesill/limits/dispatch_times.py
@@ -1,14 +1,16 @@
-"""Rate at which waiting requests were dispatched of late."""
+"""Rate of recent dispatches, and the time that requests need after them."""
 
 from __future__ import annotations
 
-from collections import deque
+from collections import defaultdict, deque
 
-__all__ = ['DispatchRate']
+__all__ = ['DispatchRate', 'RunTimes']
 
 _MIN_DISPATCHES = 4
 _MAX_DISPATCHES = 16
 _WINDOW_S = 20.0
+_MIN_RUNS = 5
+_MAX_RUNS = 31
 
 
 class DispatchRate:
@@ -40,3 +42,23 @@
         if len(recent) < _MIN_DISPATCHES or recent[-1] <= recent[0]:
             return None
         return (len(recent) - 1) / (recent[-1] - recent[0])
+
+
+class RunTimes:
+    """Times of the last complete runs by service."""
+
+    def __init__(self) -> None:
+        self._times_s: defaultdict[str, deque[float]] = defaultdict(
+            lambda: deque(maxlen=_MAX_RUNS)
+        )
+
+    def record(self, service: str, lasted_s: float) -> None:
+        """Record a complete run."""
+        self._times_s[service].append(lasted_s)
+
+    def median_s(self, service: str) -> float:
+        """Return the median time, 0 if too few runs are known."""
+        times_s = sorted(self._times_s[service])
+        if len(times_s) < _MIN_RUNS:
+            return 0
+        return times_s[len(times_s) // 2]
--- a/bronzesill/limits/priority.py
+++ b/bronzesill/limits/priority.py
@@ -6,7 +6,7 @@
 
 from ..config import Document, Route
 
-__all__ = ['engine_priority', 'request_priority']
+__all__ = ['engine_priority', 'priority_rank', 'request_priority']
 
 #: Priority of requests that state none; the least urgent get it too.
 _DEFAULT = 5
@@ -42,11 +42,29 @@
     :returns: 5 for the least urgent priority of the service, 0 to 4 for
         others.
     """
-    priority = request_priority(document, route, account)
-    levels = sorted({priority, *_service_priorities(document, route.service)})
+    levels = _levels(document, route, account)
     if len(levels) == 1:
         return None
-    return levels.index(priority) * _DEFAULT // (len(levels) - 1)
+    rank = levels.index(request_priority(document, route, account))
+    return rank * _DEFAULT // (len(levels) - 1)
+
+
+def priority_rank(document: Document, route: Route, account: str) -> int:
+    """
+    Return the rank of a request among the priorities of its service.
+
+    :param document: configuration in force.
+    :param route: route of the request, with the service that was selected.
+    :param account: client account of the caller, empty if unknown.
+    :returns: 0 for the most urgent priority.
+    """
+    levels = _levels(document, route, account)
+    return levels.index(request_priority(document, route, account))
+
+
+def _levels(document: Document, route: Route, account: str) -> list[int]:
+    priority = request_priority(document, route, account)
+    return sorted({priority, *_service_priorities(document, route.service)})
 
 
 def _service_priorities(document: Document, service: str) -> Iterator[int]:
--- a/bronzesill/limits/service_queue.py
+++ b/bronzesill/limits/service_queue.py
@@ -9,7 +9,7 @@
 from random import Random
 from typing import NamedTuple
 
-from .dispatch_rate import DispatchRate
+from .dispatch_times import DispatchRate
 from .recent_shares import RecentShares
 from .repeated_requests import RepeatedRequests
 
@@ -297,6 +297,10 @@
         )
         return WaitForecast(ahead, rate, self._rate.age_s(now_s), wait_s)
 
+    def count_by_configured_rank(self) -> Mapping[int, int]:
+        """Return the number of waiting requests by their configured rank."""
+        return Counter(waiter.rank for waiter in self._waiters.values())
+
     def _is_hopeless(
         self, waiter: Waiter, forecast: WaitForecast, now_s: float
     ) -> bool:
--- /dev/null
+++ b/bronzesill/limits/tests/test_waiting.py
@@ -0,0 +1,174 @@
+"""Tests of the rounds in which waiting requests look for a server."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Coroutine
+from random import Random
+from typing import Any
+
+from ...standins.virtual_time import run_in_virtual_time
+from ...utils import NullMetrics
+from ..service_queue import QueueRefusal, RefusalCause, Waiter
+from ..waiting import WaitingRequest, WaitingRequests
+
+_SERVICE = 'engines'
+
+
+class _Callers:
+    """Requests that look for a slot of a server when it is their turn."""
+
+    def __init__(self) -> None:
+        self.slots = 0
+        self.looks = 0
+        self.served: list[str] = []
+        self.refusals: list[QueueRefusal] = []
+        self.waiting = WaitingRequests(Random(1), NullMetrics())
+
+    def join(self, request_id: str, **changes: Any) -> None:
+        """Let a request look, and wait if there is no slot."""
+        now_s = asyncio.get_running_loop().time()
+        fields: dict[str, Any] = {'deadline_at_s': now_s + 9, **changes}
+        waiter = Waiter(request_id, 'a', now_s, **fields)
+
+        def look() -> None:
+            asyncio.get_running_loop().call_soon(self._look, request)
+
+        request = WaitingRequest(waiter, request_id, look, self.refusals.append)
+        if self.waiting.may_look(_SERVICE, request_id):
+            self._look(request)
+        else:
+            self.waiting.join(_SERVICE, request)
+
+    def _look(self, request: WaitingRequest) -> None:
+        self.looks += 1
+        if not self.slots:
+            self.waiting.join(_SERVICE, request)
+            return
+        self.slots -= 1
+        self.served.append(request.waiter.request_id)
+        self.waiting.found(_SERVICE, request.waiter.request_id)
+
+
+async def _serve_one_by_one() -> _Callers:
+    callers = _Callers()
+    for number in range(3):
+        callers.join(f'bulk{number}', rank=1)
+    callers.join('urgent')
+    for _ in range(4):
+        await asyncio.sleep(0.07)
+        callers.slots += 1
+        callers.waiting.note_room(_SERVICE)
+    await asyncio.sleep(0.07)
+    return callers
+
+
+async def _return_after_outage() -> _Callers:
+    callers = _Callers()
+    for number in range(40):
+        callers.join(f'r{number}')
+    await asyncio.sleep(1.2)
+    callers.slots = 100
+    await asyncio.sleep(0.11)
+    return callers
+
+
+async def _stop() -> _Callers:
+    callers = _Callers()
+    callers.join('waiting')
+    callers.join('sent', may_have_run=True)
+    callers.waiting.refuse_all()
+    callers.join('later')
+    await asyncio.sleep(0)
+    return callers
+
+
+async def _lose_turn() -> _Callers:
+    callers = _Callers()
+    now_s = asyncio.get_running_loop().time()
+    lost = WaitingRequest(
+        Waiter('lost', 'a', now_s, now_s + 9, may_have_run=True),
+        'lost',
+        lambda: None,
+        callers.refusals.append,
+    )
+    callers.waiting.join(_SERVICE, lost)
+    callers.join('next')
+    callers.slots = 1
+    await asyncio.sleep(0.6)
+    return callers
+
+
+async def _leave() -> _Callers:
+    callers = _Callers()
+    callers.join('gone')
+    callers.join('next')
+    callers.waiting.leave(_SERVICE, 'gone')
+    callers.slots = 1
+    await asyncio.sleep(0.2)
+    return callers
+
+
+async def _pass_by() -> _Callers:
+    callers = _Callers()
+    callers.slots = 3
+    for number in range(3):
+        callers.join(f'r{number}')
+    return callers
+
+
+def _play(scenario: Coroutine[Any, Any, _Callers]) -> _Callers:
+    return run_in_virtual_time(scenario)
+
+
+class WaitingRequestsTest(unittest.TestCase):
+    """Waiting requests look for a server in the order of their queue."""
+
+    def test_slots_go_to_the_first_in_order(self) -> None:
+        """Guards against slots given in the order of timers."""
+        callers = _play(_serve_one_by_one())
+        self.assertEqual(callers.served, ['urgent', 'bulk0', 'bulk1', 'bulk2'])
+
+    def test_all_are_dispatched_when_servers_return(self) -> None:
+        """Guards against refusals and delays after a short outage."""
+        callers = _play(_return_after_outage())
+        self.assertEqual(len(callers.served), 40)
+        self.assertEqual(callers.refusals, [])
+
+    def test_few_look_while_there_is_no_room(self) -> None:
+        """Guards against 40 requests that each ask ten times a second."""
+        callers = _play(_return_after_outage())
+        self.assertLess(callers.looks - len(callers.served), 150)
+
+    def test_stop_refuses_what_waits_and_what_comes(self) -> None:
+        """Guards against requests held by a host that stops."""
+        callers = _play(_stop())
+        self.assertEqual(
+            [
+                (refusal.waiter.request_id, refusal.cause)
+                for refusal in callers.refusals
+            ],
+            [
+                ('waiting', RefusalCause.STOPPING),
+                ('later', RefusalCause.STOPPING),
+            ],
+        )
+
+    def test_request_that_does_not_look_is_passed_over(self) -> None:
+        """Guards against a queue that one lost request holds up."""
+        self.assertEqual(_play(_lose_turn()).served, ['next'])
+
+    def test_request_that_left_is_passed_over(self) -> None:
+        """Guards against a queue that a caller who left holds up."""
+        self.assertEqual(_play(_leave()).served, ['next'])
+
+    def test_nothing_waits_while_there_is_room(self) -> None:
+        """Guards against delays at hosts whose servers have room."""
+        callers = _play(_pass_by())
+        self.assertEqual(callers.served, ['r0', 'r1', 'r2'])
+        self.assertEqual(callers.looks, 3)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/bronzesill/upstream/request.py
+++ b/bronzesill/upstream/request.py
@@ -63,6 +63,8 @@
     :param caller: fields that the caller stated in headers.
     :param priority: priority that the server is told, from 0 (highest) to 9;
         ``None`` for the default.
+    :param priority_rank: rank of its priority in the service, 0 for the most
+        urgent.
     """
 
     request_id: str
@@ -74,6 +76,7 @@
     deadline_at_s: float
     caller: CallerFields = dataclasses.field(default_factory=CallerFields)
     priority: int | None = None
+    priority_rank: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
