Dispatch waiting requests by the share of a host

Each host dispatched what it saw free, so that urgent requests at one host waited beside bulk ones that another host dispatched.

Usage reports carry, as their last field, how many requests of each service and rank wait at a host; a collector adds them up. A host lets as many requests look for a server in one round as its share of the free streams that it knows of, the most urgent rank first. Numbers older than two seconds count as absent; a host that has heard of no other for that long takes its part by number of hosts. Where no other host has requests waiting all may look, as beside hosts of a former build, which send no numbers.

The program loads one module more, for the share of a host.

Tests: limits, generations, test_builds, test_use_sharing, test_routing, test_hosted of routing and of the daemon, test_refusals pass. The whole suite of the daemon and a fleet under load were not run on this commit.

--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -37,7 +37,7 @@
 from ..platform.headers import PlatformDialect
 from ..platform.prompts import fetch_held_parts
 from ..platform.store import PlatformStore
-from ..routing import LoadReport, ServerTracker
+from ..routing import LoadReport, ServerTracker, WaitingCount, count_free
 from ..upstream import AnswerHead, ConnectionPool
 from ..utils import PrometheusMetrics
 from .hosted_fleet import HostedFleet
@@ -111,6 +111,10 @@
         #: Requests that wait until a server has room.
         self.waiting = WaitingRequests(context.random, context.metrics)
         self.waiting.find_weight = self._find_weight
+        self.waiting.count_free = self._count_free
+        self.waiting.count_others = self._count_others
+        self.waiting.count_hosts = self._count_hosts
+        context.tracker.list_waiting = self._list_waiting
 
     def log_unfinished(self) -> int:
         """Log the streams that end with this host; return their number."""
@@ -150,9 +154,12 @@
             RetryBounds(
                 bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
             ),
-            lambda: len(self._context.fleet.live_peers()) + 1,
+            self._count_hosts,
         )
 
+    def _count_hosts(self) -> int:
+        return len(self._context.fleet.live_peers()) + 1
+
     def _make_generations(
         self, allowance: FleetRetryAllowance
     ) -> GenerationsController:
@@ -212,6 +219,29 @@
             return ''
         return quarantine.identity(forward) or request.request_id
 
+    def _count_free(self, service: str) -> float:
+        now_s = asyncio.get_running_loop().time()
+        return count_free(self._context.tracker.views(now_s), service)
+
+    def _count_others(self, service: str) -> dict[int, int] | None:
+        now_s = asyncio.get_running_loop().time()
+        if not self._context.tracker.fleet_use.is_waiting_told(now_s):
+            return None
+        return {
+            part.rank: part.count
+            for part in self._context.tracker.fleet_use.waiting(now_s)
+            if part.service == service
+        }
+
+    def _list_waiting(self) -> tuple[WaitingCount, ...]:
+        return tuple(
+            WaitingCount(service, rank, count)
+            for (
+                service,
+                rank,
+            ), count in self.waiting.count_by_service().items()
+        )
+
     def _find_weight(self, account: str) -> float:
         document = self._context.state.document
         known = document.accounts.get(account) if document else None
--- a/bronzesill/daemon/tests/test_program_modules.py
+++ b/bronzesill/daemon/tests/test_program_modules.py
@@ -18,10 +18,11 @@
 #: the messages of the store and the channels between hosts; what servers say of
 #: their leaving is told to other hosts by one more, and how old knowledge of
 #: the store may be is decided in one.  The speed of servers has one; the queue
-#: of waiting requests seven: priorities, dispatch times, shares of kinds,
-#: repeated requests, the queue, its controller and the streams in it.
-_MAX_OWN_MODULES = 164
-_MAX_MODULES = 618
+#: of waiting requests eight: share of the host, priorities, dispatch times,
+#: shares of kinds, repeated requests, the queue, its controller and the streams
+#: in it.
+_MAX_OWN_MODULES = 165
+_MAX_MODULES = 619
 #: Libraries and packages that only the native interface and the tool use.
 _UNUSED = frozenset(
     (
--- a/bronzesill/limits/tests/test_waiting.py
+++ b/bronzesill/limits/tests/test_waiting.py
@@ -118,6 +118,22 @@
     return callers
 
 
+async def _serve_beside(
+    others: dict[int, int] | None, hosts: int = 8
+) -> _Callers:
+    callers = _Callers()
+    callers.waiting.count_free = lambda service: callers.slots
+    callers.waiting.count_others = lambda service: others
+    callers.waiting.count_hosts = lambda: hosts
+    for number in range(8):
+        callers.join(f'r{number}', rank=1)
+    await asyncio.sleep(0.05)
+    callers.slots = 8
+    callers.waiting.note_room(_SERVICE)
+    await asyncio.sleep(0.01)
+    return callers
+
+
 def _play(scenario: Coroutine[Any, Any, _Callers]) -> _Callers:
     return run_in_virtual_time(scenario)
 
@@ -170,5 +186,33 @@
         self.assertEqual(callers.looks, 3)
 
 
+class ShareTest(unittest.TestCase):
+    """A host takes its share of what is free, by what it has heard."""
+
+    def served(self, others: dict[int, int] | None, hosts: int = 8) -> int:
+        """Return how many requests of a host are dispatched at once."""
+        return len(_play(_serve_beside(others, hosts)).served)
+
+    def test_share_by_waiting_requests(self) -> None:
+        """Guards against one host that takes all that is free."""
+        self.assertEqual(self.served({1: 8}), 4)
+
+    def test_urgent_requests_elsewhere_come_first(self) -> None:
+        """Guards against bulk dispatched before urgent ones of others."""
+        self.assertEqual(self.served({0: 8}), 0)
+
+    def test_no_waiting_elsewhere(self) -> None:
+        """Guards against idle slots, as beside hosts of a former build."""
+        self.assertEqual(self.served({}), 8)
+
+    def test_share_by_hosts_without_reports(self) -> None:
+        """Guards against a cut host that takes all that is free."""
+        self.assertEqual(self.served(None), 1)
+
+    def test_host_that_is_alone(self) -> None:
+        """Guards against idle slots at the only host."""
+        self.assertEqual(self.served(None, hosts=1), 8)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/bronzesill/limits/waiting.py
+++ b/bronzesill/limits/waiting.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable
+import math
+from collections import Counter
+from collections.abc import Callable, Mapping
 from random import Random
 
 from ..utils import Metrics, PartLogger
 from .dispatch_times import RunTimes
+from .host_share import dispatch_quota
 from .service_queue import QueueBounds, QueueRefusal, ServiceQueue, Waiter
 
 __all__ = ['WaitingRequest', 'WaitingRequests']
@@ -64,6 +67,15 @@
     ) -> None:
         #: Returns the weight of a client account.
         self.find_weight: Callable[[str], float] = _equal_weight
+        #: Returns about how many more requests the servers of a service take.
+        self.count_free: Callable[[str], float] = _none_free
+        #: Returns the requests of a service that wait at other hosts, by rank,
+        #: ``None`` if nothing has been heard of other hosts lately.
+        self.count_others: Callable[[str], Mapping[int, int] | None] = (
+            _no_others
+        )
+        #: Returns the number of live hosts, this one included.
+        self.count_hosts: Callable[[], int] = _one_host
         #: Times that requests needed after their dispatch.
         self.run_times = RunTimes()
         self._random = random
@@ -104,6 +116,16 @@
             if name.partition(' ')[0] == service and len(rounds.queue):
                 rounds.note_room()
 
+    def count_by_service(self) -> Mapping[tuple[str, int], int]:
+        """Return the waiting requests by service and present rank."""
+        counts = Counter[tuple[str, int]]()
+        for name, rounds in self._rounds_by_service.items():
+            service = name.partition(' ')[0]
+            by_rank = rounds.queue.count_by_rank(_now_s())
+            for rank, count in by_rank.items():
+                counts[service, rank] += count
+        return counts
+
     def refuse_all(self) -> None:
         """Refuse what waits and may be refused, from now on, on a stop."""
         self._is_stopping = True
@@ -118,10 +140,34 @@
                 self._random,
                 lambda account: self.find_weight(account),
             )
-            rounds = _Rounds(service, queue, self._metrics)
+            rounds = _Rounds(
+                service,
+                queue,
+                self._metrics,
+                lambda: self._find_quota(service.partition(' ')[0], queue),
+            )
             self._rounds_by_service[service] = rounds
         return rounds
 
+    def _find_quota(self, service: str, queue: ServiceQueue) -> float:
+        """
+        Return how many requests of a queue may look in one round.
+
+        All may if no other host has waiting requests, or if this host knows of
+        no free slot.  Without reports it takes its part by number of hosts.
+        """
+        others = self.count_others(service)
+        is_told = others is not None
+        is_alone = not others if is_told else self.count_hosts() == 1
+        free = 0 if is_alone else self.count_free(service)
+        if free <= 0:
+            return math.inf
+        own = queue.count_by_rank(_now_s())
+        if others is None:
+            free /= self.count_hosts()
+            others = {}
+        return dispatch_quota(free, own, others, self._random)
+
 
 class _Rounds:
     """
@@ -130,10 +176,15 @@
     :param service: name of the service.
     :param queue: the waiting requests.
     :param metrics: receives counters and levels.
+    :param find_quota: returns how many requests may be dispatched in a round.
     """
 
     def __init__(
-        self, service: str, queue: ServiceQueue, metrics: Metrics
+        self,
+        service: str,
+        queue: ServiceQueue,
+        metrics: Metrics,
+        find_quota: Callable[[], float],
     ) -> None:
         self.queue = queue
         #: Request that may look for a server now, empty for none.
@@ -141,6 +192,8 @@
         self._service = service
         self._metrics = metrics
         self._requests: dict[str, WaitingRequest] = {}
+        self._find_quota = find_quota
+        self._quota: float = 0
         self._missed: set[str] = set()
         self._turn_since_s: float = 0
         self._shown_ranks: frozenset[int] = frozenset()
@@ -176,7 +229,9 @@
             waited_s=round(now_s - waiter.joined_at_s, 3),
             left_s=round(waiter.deadline_at_s - now_s, 3),
             waiting=len(self.queue),
+            quota=self._quota if math.isfinite(self._quota) else None,
         )
+        self._quota -= int(request_id == self.turn)
         self._end_turn(request_id)
 
     def leave(self, request_id: str) -> None:
@@ -192,6 +247,7 @@
         if self.turn and not is_stuck:
             return
         self._missed = {self.turn} - {''}
+        self._quota = self._find_quota()
         self._pass_turn()
 
     def note_room(self) -> None:
@@ -218,7 +274,7 @@
 
     def _pass_turn(self) -> None:
         self.turn = ''
-        if len(self._missed) >= _MAX_MISSES:
+        if self._quota <= 0 or len(self._missed) >= _MAX_MISSES:
             return
         now_s = _now_s()
         for waiter in self.queue.ordered(now_s):
@@ -293,6 +349,18 @@
         self._shown_ranks = frozenset(counts)
 
 
+def _none_free(service: str) -> float:
+    return 0
+
+
+def _no_others(service: str) -> Mapping[int, int] | None:
+    return {}
+
+
+def _one_host() -> int:
+    return 1
+
+
 def _equal_weight(account: str) -> float:
     return 1
 
--- a/bronzesill/routing/__init__.py
+++ b/bronzesill/routing/__init__.py
@@ -6,6 +6,7 @@
     choose_held_server,
     choose_prompt_holder,
     choose_server,
+    count_free,
 )
 from .listing import ServerListing
 from .records import LoadReport, ServerRecord
@@ -25,6 +26,7 @@
     SharedNews,
     SharingPeers,
     UseReport,
+    WaitingCount,
     choose_recipients,
     news_of,
     without_heard_restarts,
@@ -52,11 +54,13 @@
     'SharingPeers',
     'TrafficSplit',
     'UseReport',
+    'WaitingCount',
     'choose_copy_holder',
     'choose_held_server',
     'choose_prompt_holder',
     'choose_recipients',
     'choose_server',
+    'count_free',
     'news_of',
     'pick_version',
     'without_heard_restarts',
--- a/bronzesill/routing/choose.py
+++ b/bronzesill/routing/choose.py
@@ -15,6 +15,7 @@
     'choose_held_server',
     'choose_prompt_holder',
     'choose_server',
+    'count_free',
 ]
 
 _MEMORY_WEIGHT = 0.5
@@ -29,6 +30,7 @@
 #: or up to the minimum below if that is higher.
 _AFFINITY_FILL_RATIO = 1.25
 _AFFINITY_MIN_FILL = 0.25
+_FILL_LIMIT = 2.0
 _RESUME_FILL_LIMIT = 4.0
 #: The last available servers of a model are not risked.
 _MIN_AVAILABLE = 1
@@ -163,6 +165,31 @@
     return views_by_name[ranked[0]] if ranked else None
 
 
+def count_free(views: Sequence[ServerView], model: str) -> float:
+    """
+    Return about how many more streams the servers of a model may be sent.
+
+    :param views: servers known to this daemon.
+    :param model: requested model.
+    """
+    return sum(
+        _free_streams(view)
+        for view in views
+        if view.model == model and not (view.is_leaving or view.is_suspected)
+    )
+
+
+def _free_streams(view: ServerView) -> float:
+    by_fill = (_FILL_LIMIT - view.fill) * view.capacity
+    if not view.memory_tokens:
+        return max(by_fill, 0)
+    running = view.own_running + view.others_running
+    share = view.memory_tokens / view.capacity
+    tokens = view.tokens / running if view.tokens and running else share
+    free_tokens = _MEMORY_FILL_LIMIT * view.memory_tokens - view.tokens
+    return max(min(by_fill, free_tokens / tokens), 0)
+
+
 def _eligible_servers(
     views: tuple[ServerView, ...], requirements: Requirements
 ) -> tuple[ServerView, ...]:
@@ -174,7 +201,7 @@
     )
     healthy = tuple(view for view in usable if not view.is_suspected)
     candidates = healthy or usable
-    fill_limit = _RESUME_FILL_LIMIT if requirements.is_resume else 2.0
+    fill_limit = _RESUME_FILL_LIMIT if requirements.is_resume else _FILL_LIMIT
     below_limits = tuple(
         view
         for view in candidates
--- a/bronzesill/routing/server_tracker.py
+++ b/bronzesill/routing/server_tracker.py
@@ -17,6 +17,7 @@
     ServerRestart,
     ServerUse,
     UseReport,
+    WaitingCount,
     news_of,
 )
 from .views import ServerView
@@ -55,6 +56,8 @@
         #: Returns whether only other daemons reach a server; such a server is
         #: not suspected for what this daemon sees of it.
         self.is_path_cut: Callable[[str], bool] = _is_never
+        #: Returns the requests that wait at this daemon.
+        self.list_waiting: Callable[[], tuple[WaitingCount, ...]] = _none_wait
         #: Called after a change of this daemon's use of model engines.
         self.on_use_changed: Callable[[], object] = _do_nothing
 
@@ -174,7 +177,15 @@
             if record.is_used
         )
         failed = self.failed_since(now_s - _FAILURE_REPORT_WINDOW_S)
-        return UseReport(daemon, sequence, uses, failed, self.restarts, valid_s)
+        return UseReport(
+            daemon,
+            sequence,
+            uses,
+            failed,
+            self.restarts,
+            valid_s,
+            self.list_waiting(),
+        )
 
     def build_totals(
         self, report: UseReport, requester: str, now_s: float
@@ -195,6 +206,10 @@
             uses=tuple(totals.values()),
             failed=tuple(sorted(news.failed)),
             restarts=tuple(news.restarts),
+            waiting=(
+                *report.waiting,
+                *self.fleet_use.waiting(now_s, requester),
+            ),
         )
 
     def failed_since(self, since_s: float) -> tuple[str, ...]:
@@ -335,6 +350,10 @@
     return {group: statistics.median(times) for group, times in starts.items()}
 
 
+def _none_wait() -> tuple[WaitingCount, ...]:
+    return ()
+
+
 def _is_never(name: str) -> bool:
     """Return ``False``; the default of ``is_path_cut``."""
     return False
--- a/bronzesill/routing/use_reports.py
+++ b/bronzesill/routing/use_reports.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import field
 
@@ -21,6 +22,7 @@
     'SharedNews',
     'SharingPeers',
     'UseReport',
+    'WaitingCount',
     'choose_recipients',
     'news_of',
     'without_heard_restarts',
@@ -29,6 +31,8 @@
 _DEFAULT_VALID_S = 2.0
 #: Failures are reported, and known to all, for this long.
 _NEWS_S = 1.0
+#: Older numbers of waiting requests count as absent.
+_WAITING_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,6 +77,21 @@
     new_name: str
 
 
+@dataclasses.dataclass(frozen=True)
+class WaitingCount:
+    """
+    Requests of one service that wait for a server.
+
+    :param service: name of the service.
+    :param rank: rank of their priority in the service, as raised by now.
+    :param count: number of the requests.
+    """
+
+    service: str
+    rank: int
+    count: int
+
+
 @dataclasses.dataclass(frozen=True)
 class UseReport:
     """
@@ -84,6 +103,7 @@
     :param failed: names of servers that recently did not respond to it.
     :param restarts: restarted servers that are not listed yet.
     :param valid_s: seconds until the report expires if no newer one arrives.
+    :param waiting: requests that wait at the daemon, none if not told.
     """
 
     daemon: str
@@ -92,11 +112,13 @@
     failed: tuple[str, ...] = ()
     restarts: tuple[ServerRestart, ...] = ()
     valid_s: float = _DEFAULT_VALID_S
+    waiting: tuple[WaitingCount, ...] = ()
 
     @property
     def is_empty(self) -> bool:
-        """Whether the report contains no use, failure or restart."""
-        return not (self.uses or self.failed or self.restarts)
+        """Whether the report contains no use, failure, restart or waiting."""
+        is_used = bool(self.uses or self.waiting)
+        return not (is_used or self.failed or self.restarts)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -202,6 +224,33 @@
                 news = news.joined(news_of(received.report))
         return news
 
+    def waiting(
+        self, now_s: float, excluded_daemon: str = ''
+    ) -> tuple[WaitingCount, ...]:
+        """
+        Return the requests that wait at other daemons, by recent reports.
+
+        :param now_s: current time in seconds.
+        :param excluded_daemon: daemon that is left out, empty for none.
+        """
+        totals = Counter[tuple[str, int]]()
+        for daemon, received in self.received_by_daemon.items():
+            is_recent = now_s - received.at_s < _WAITING_S
+            if daemon != excluded_daemon and is_recent:
+                for part in received.report.waiting:
+                    totals[part.service, part.rank] += part.count
+        return tuple(
+            WaitingCount(service, rank, count)
+            for (service, rank), count in totals.items()
+        )
+
+    def is_waiting_told(self, now_s: float) -> bool:
+        """Return whether another daemon has reported of late."""
+        return any(
+            now_s - received.at_s < _WAITING_S
+            for received in self.received_by_daemon.values()
+        )
+
     def totals_by_server(
         self, now_s: float, excluded_daemon: str = ''
     ) -> dict[str, ServerUse]:
