--- a/bronzesill/cli/request_trace.py
+++ b/bronzesill/cli/request_trace.py
@@ -14,7 +14,9 @@
 _WINDOW_BEFORE_S = 2.0
 _WINDOW_AFTER_S = 0.5
 #: Events that do not end a request.
-_UNFINISHED_EVENTS = frozenset(('attempt_sent', 'attempt_lost'))
+_UNFINISHED_EVENTS = frozenset(
+    ('attempt_sent', 'attempt_lost', 'waiting', 'dispatched')
+)
 #: Text that a host logs when it has started.
 _START_TEXT = ' serves on '
 _OMITTED_FIELDS = frozenset(
--- a/bronzesill/cli/tests/test_request_trace.py
+++ b/bronzesill/cli/tests/test_request_trace.py
@@ -53,6 +53,18 @@
         rows = [(step.at_s, step.host, step.about) for step in steps]
         self.assertEqual(rows, [(0, 'h1', 'request'), (4, 'h1', 'host')])
 
+    def test_restart_of_the_host_while_the_request_waits(self) -> None:
+        """Guards against a queue lost with its host that goes unseen."""
+        wait = _line(10.0, 'h1', event='waiting', request='r1', ahead=3)
+        start = _line(14.0, 'h1', part='daemon', text='h1 serves on 10.0.0.1:1')
+        lines = [parse_line('file', text) for text in (wait, start)]
+        steps = trace_request('r1', [line for line in lines if line])
+        self.assertEqual(
+            [(step.event, step.about) for step in steps],
+            [('waiting', 'request'), ('h1 serves on 10.0.0.1:1', 'host')],
+        )
+        self.assertIn('ahead 3', steps[0].details)
+
     def test_unknown_request_has_no_steps(self) -> None:
         line = parse_line('file', _LOG[0])
         assert line is not None
--- a/bronzesill/config/document.py
+++ b/bronzesill/config/document.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import functools
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 
 from ..utils import Address
 
@@ -277,6 +277,28 @@
                 names[digest] = name
         return names
 
+    @functools.cached_property
+    def priorities_by_service(self) -> dict[str, frozenset[int]]:
+        """Priorities that requests of each service can have."""
+        priorities: dict[str, frozenset[int]] = {}
+        for route in self.routes.values():
+            own = frozenset(self._priorities(route))
+            for service in (route.service, *route.weight_by_service):
+                priorities[service] = priorities.get(service, own) | own
+        return priorities
+
+    def request_priority(self, route: Route, account: str) -> int:
+        """
+        Return the priority of a request, 0 is the highest.
+
+        :param route: route of the request.
+        :param account: client account of the caller, empty if unknown.
+        """
+        known = self.accounts.get(account)
+        if known is None or known.priority is None:
+            return route.priority
+        return known.priority
+
     def find_route(self, host: str, path: str) -> str | None:
         """
         Return the name of the matching route with the longest prefix.
@@ -293,3 +315,8 @@
         if not matching:
             return None
         return max(matching, key=lambda name: len(self.routes[name].path))
+
+    def _priorities(self, route: Route) -> Iterator[int]:
+        is_open = route.is_public or not self.has_accounts
+        for account in ('',) if is_open else self.accounts:
+            yield self.request_priority(route, account)
--- a/bronzesill/limits/__init__.py
+++ b/bronzesill/limits/__init__.py
@@ -1,7 +1,7 @@
 """Admission, quotas and retry budgets."""
 
 from .allowance import FleetRetryAllowance, LocalRetryAllowance, RetryAllowance
-from .priority import engine_priority, priority_rank, request_priority
+from .priority import engine_priority, priority_rank
 from .retry_window import RetryBounds, RetryBudget, RetryWindow
 from .service_queue import QueueRefusal, RefusalCause, Waiter
 
@@ -17,5 +17,4 @@
     'Waiter',
     'engine_priority',
     'priority_rank',
-    'request_priority',
 ]
--- a/bronzesill/limits/priority.py
+++ b/bronzesill/limits/priority.py
@@ -2,30 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
-
 from ..config import Document, Route
 
-__all__ = ['engine_priority', 'priority_rank', 'request_priority']
+__all__ = ['engine_priority', 'priority_rank']
 
 #: Priority of requests that state none; the least urgent get it too.
 _DEFAULT = 5
 
 
-def request_priority(document: Document, route: Route, account: str) -> int:
-    """
-    Return the configured priority of a request, 0 is the most urgent.
-
-    :param document: configuration in force.
-    :param route: route of the request.
-    :param account: client account of the caller, empty if unknown.
-    """
-    known = document.accounts.get(account)
-    if known is None or known.priority is None:
-        return route.priority
-    return known.priority
-
-
 def engine_priority(
     document: Document, route: Route, account: str
 ) -> int | None:
@@ -45,7 +29,7 @@
     levels = _levels(document, route, account)
     if len(levels) == 1:
         return None
-    rank = levels.index(request_priority(document, route, account))
+    rank = levels.index(document.request_priority(route, account))
     return rank * _DEFAULT // (len(levels) - 1)
 
 
@@ -59,21 +43,9 @@
     :returns: 0 for the most urgent priority.
     """
     levels = _levels(document, route, account)
-    return levels.index(request_priority(document, route, account))
+    return levels.index(document.request_priority(route, account))
 
 
 def _levels(document: Document, route: Route, account: str) -> list[int]:
-    priority = request_priority(document, route, account)
-    return sorted({priority, *_service_priorities(document, route.service)})
-
-
-def _service_priorities(document: Document, service: str) -> Iterator[int]:
-    for route in document.routes.values():
-        if service == route.service or service in route.weight_by_service:
-            for account in _callers(document, route):
-                yield request_priority(document, route, account)
-
-
-def _callers(document: Document, route: Route) -> Iterable[str]:
-    is_open = route.is_public or not document.has_accounts
-    return ('',) if is_open else document.accounts
+    known = document.priorities_by_service.get(route.service, frozenset())
+    return sorted(known | {document.request_priority(route, account)})
--- a/bronzesill/limits/tests/test_priority.py
+++ b/bronzesill/limits/tests/test_priority.py
@@ -3,7 +3,7 @@
 import unittest
 
 from ...config import ClientAccount, Document, Route
-from ..priority import engine_priority, request_priority
+from ..priority import engine_priority, priority_rank
 
 
 def _account(priority: int | None = None) -> ClientAccount:
@@ -64,9 +64,9 @@
         document = _document(2, a=0, b=None)
         self.assertEqual(_told(document, 'a'), [0])
         self.assertEqual(_told(document, 'b'), [5])
-        self.assertEqual(
-            request_priority(document, document.routes['route0'], 'a'), 0
-        )
+        route = document.routes['route0']
+        self.assertEqual(document.request_priority(route, 'a'), 0)
+        self.assertEqual(priority_rank(document, route, 'b'), 1)
 
     def test_accounts_that_override_all_routes_are_equal(self) -> None:
         """Guards against levels that no request can have."""
--- a/bronzesill/limits/waiting.py
+++ b/bronzesill/limits/waiting.py
@@ -248,6 +248,8 @@
             return
         self._missed = {self.turn} - {''}
         self._quota = self._find_quota()
+        if math.isfinite(self._quota):
+            self._metrics.gauge(f'waiting.{self._service}.quota', self._quota)
         self._pass_turn()
 
     def note_room(self) -> None:
