--- a/bronzesill/generations/attempt.py
+++ b/bronzesill/generations/attempt.py
@@ -173,7 +173,11 @@
         An attempt that was refused or not sent has no stream at the engine.
         """
         if action.blames_server:
-            self._observer.attempt_lost(action.server, action.cause)
+            self._observer.attempt_lost(
+                action.server,
+                action.cause,
+                is_accepting=action.is_server_accepting,
+            )
         if action.is_failure:
             self.record_end(
                 request,
--- a/bronzesill/generations/attempt_placement.py
+++ b/bronzesill/generations/attempt_placement.py
@@ -15,10 +15,12 @@
 from .locations import LocationDirectory, LocationRecord
 from .messages import (
     Attached,
+    AttemptLost,
     ChooseServer,
     Event,
     LookedElsewhere,
     LookElsewhere,
+    LossCause,
     NoServer,
     PlacementRefused,
     ServerChosen,
@@ -31,6 +33,7 @@
 )
 from .request import GenerationRequest
 from .state import GenerationState
+from .stream_queue import NoStreamQueue, StreamQueue
 
 __all__ = ['AttemptPlacer']
 
@@ -86,6 +89,8 @@
         self.find_held_identity: Callable[[GenerationRequest, int], str] = (
             _not_held
         )
+        #: Queue of the streams that find no server.
+        self.queue: StreamQueue = NoStreamQueue()
         #: Brings the engine use of the other daemons up to date.
         self.refresh_usage: Callable[[], Awaitable[None]] = _do_nothing
         #: Work of the servers whose speed is known.
@@ -115,6 +120,9 @@
             generation, action, is_held=bool(held_identity)
         )
         generation.request = request
+        if not (held_identity or self.queue.may_look(generation, request)):
+            self.queue.join(generation, request)
+            return Placement(NoServer(), request)
         self._tracker.limiter.record_demand(request.model)
         await self.refresh_usage()
         is_first = generation.state.attempt == 0
@@ -124,9 +132,13 @@
         )
         choice = self._servers.choose(requirements, held_identity)
         if choice is None:
+            if not held_identity:
+                self.queue.join(generation, request)
             return _not_placed(generation, request, 'no_server')
         if not self._may_send(generation):
+            self.queue.leave(request)
             return _not_placed(generation, request, 'retry_budget')
+        self.queue.found(request)
         generation.unplaced_reason = ''
         self._tracker.limiter.record_choice(choice.server)
         if requirements.rates is not None:
@@ -158,20 +170,21 @@
             is_shared=is_path_suspected and self._is_silence_shared(generation),
         )
 
-    async def may_gain_by_handover(self, generation: PlacedGeneration) -> bool:
+    async def offer_handover(self, generation: PlacedGeneration) -> None:
         """
-        Return whether a stream ends clearly sooner where its copy is.
+        Let a stream go on where its copy is if it ends clearly sooner there.
 
         :param generation: generation that streams from another server.
         """
         model = generation.request.model
+        attempt = generation.state.attempt
         allowance = self.allowance
         if allowance is None or not allowance.allows_optional_retry(model):
-            return False
+            return
         await self.refresh_usage()
         gain_s = self._servers.handover_gain_s(model, generation.state)
         if gain_s is None or gain_s < _MIN_HANDOVER_GAIN_S:
-            return False
+            return
         _log.event(
             'handover',
             request=generation.request.request_id,
@@ -180,7 +193,9 @@
             at_token=generation.state.accepted,
             gain_s=round(gain_s, 2),
         )
-        return True
+        generation.mailbox.put_nowait(
+            AttemptLost(attempt, LossCause.HANDED_OVER)
+        )
 
     def return_send(self, generation: PlacedGeneration) -> None:
         """Take back the retry counted for an attempt that was not sent."""
--- a/bronzesill/generations/book_observer.py
+++ b/bronzesill/generations/book_observer.py
@@ -77,7 +77,9 @@
         self._record_rates(observation)
         self.on_attempt_observed(observation)
 
-    def attempt_lost(self, server: str, cause: LossCause) -> None:
+    def attempt_lost(
+        self, server: str, cause: LossCause, *, is_accepting: bool = False
+    ) -> None:
         """Mark the server as suspect for a while and count the loss."""
         self._metrics.incr(f'generations.lost.{cause.value}')
         if cause is LossCause.BLOCKED or self._is_paused(server, cause):
@@ -85,7 +87,7 @@
         now_s = asyncio.get_running_loop().time()
         if cause is LossCause.UNSENT and self._is_path_suspected(server, now_s):
             return
-        self._tracker.suspect(server, now_s)
+        self._tracker.suspect(server, now_s, is_alone=is_accepting)
 
     def run_moved(self, reason: MoveReason) -> None:
         """Count a silent run that is moved to another server."""
--- a/bronzesill/generations/messages.py
+++ b/bronzesill/generations/messages.py
@@ -133,9 +133,12 @@
     The generation must not run.
 
     :param code: result code of the refusal.
+    :param retry_after_s: seconds after which the caller may try again,
+        ``None`` if not stated.
     """
 
     code: ResultCode
+    retry_after_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -305,8 +308,15 @@
     @property
     def blames_server(self) -> bool:
         """Whether the loss is evidence against the server."""
+        if self.basis is not None and self.basis.is_server_working:
+            return False
         return self.is_failure and self.cause is not LossCause.DEADLINE
 
+    @property
+    def is_server_accepting(self) -> bool:
+        """Whether the server is silent, but accepted a connection just now."""
+        return self.basis is not None and self.basis.is_server_accepting
+
 
 @dataclasses.dataclass(frozen=True)
 class DeliverTokens:
@@ -340,9 +350,12 @@
     Report to the caller that the answer cannot be completed.
 
     :param code: result code of the failure.
+    :param retry_after_s: seconds after which the caller may try again,
+        ``None`` if not stated.
     """
 
     code: ResultCode
+    retry_after_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/generations/observer.py
+++ b/bronzesill/generations/observer.py
@@ -89,8 +89,17 @@
     def attempt_observed(self, observation: AttemptObservation) -> None:
         """Record the timings or the end of an attempt."""
 
-    def attempt_lost(self, server: str, cause: LossCause) -> None:
-        """Record an attempt that was lost or refused."""
+    def attempt_lost(
+        self, server: str, cause: LossCause, *, is_accepting: bool = False
+    ) -> None:
+        """
+        Record an attempt that was lost or refused.
+
+        :param server: name of the server.
+        :param cause: cause of the loss.
+        :param is_accepting: whether the server accepted a connection just
+            now.
+        """
 
     def run_moved(self, reason: MoveReason) -> None:
         """Record that a silent run is moved to another server."""
--- a/bronzesill/generations/placement.py
+++ b/bronzesill/generations/placement.py
@@ -20,11 +20,18 @@
     handover_gain_s,
 )
 from ..utils import Address
-from .messages import ChooseServer, Event, LookElsewhere, ServerChosen
+from .messages import (
+    ChooseServer,
+    Event,
+    LookElsewhere,
+    PlacementRefused,
+    ServerChosen,
+)
 from .request import GenerationRequest
 from .shared_probes import ProbeSharingClient
 from .stall_detection import StreamActivity, is_silence_shared
 from .state import GenerationState, Phase
+from .subscription import TaskMessage
 
 __all__ = [
     'CandidateSearch',
@@ -61,6 +68,7 @@
     request: GenerationRequest
     fingerprint: int
     state: GenerationState
+    mailbox: asyncio.Queue[TaskMessage]
     #: Servers to which the connection ended before the answer began.
     unanswered_losses: int
     #: Why no server was chosen at the last choice, empty if one was.
@@ -70,6 +78,12 @@
     def has_begun(self) -> bool:
         """Whether a part of the answer has been delivered."""
 
+    def look_again(self) -> None:
+        """Choose a server now, if the generation waits for one."""
+
+    def refuse(self, refusal: PlacementRefused) -> None:
+        """End the generation, unless it has been sent to a server."""
+
 
 class ServerChoice:
     """
--- a/bronzesill/generations/server_activity.py
+++ b/bronzesill/generations/server_activity.py
@@ -217,6 +217,16 @@
         activity = self.activity
         return activity.known_at_s - activity.progress_at_s <= _ALIVE_AGE_S
 
+    @property
+    def is_server_working(self) -> bool:
+        """Whether other work explains that the server is silent."""
+        return self.reason is MoveReason.OVERDUE
+
+    @property
+    def is_server_accepting(self) -> bool:
+        """Whether the server accepted a connection just before the move."""
+        return self.reason is not MoveReason.REFUSED
+
     def log_fields(self, now_s: float) -> dict[str, float | str | None]:
         """Return the fields of the log line of the move."""
         return {
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -31,6 +31,7 @@
     LossCause,
     NoServer,
     OpenAttempt,
+    PlacementRefused,
     ProbeServer,
     SetTimer,
     TimerFired,
@@ -142,6 +143,14 @@
                 AttemptLost(self.state.attempt, LossCause.BLOCKED)
             )
 
+    def look_again(self) -> None:
+        """Choose a server now, if the generation waits for one."""
+        self.mailbox.put_nowait(TimerFired())
+
+    def refuse(self, refusal: PlacementRefused) -> None:
+        """End the generation, unless it has been sent to a server."""
+        self.mailbox.put_nowait(refusal)
+
     def log_cut(self) -> None:
         """Log that the host exits before the answer is complete."""
         state = self.state
@@ -227,8 +236,11 @@
                     )
                 )
             case FailAnswer():
+                self._placer.queue.leave(self.request)
                 self._readers.finish(
-                    AnswerFailed(action.code, self._lost_attempts)
+                    AnswerFailed(
+                        action.code, self._lost_attempts, action.retry_after_s
+                    )
                 )
             case CountDropped():
                 self._observer.tokens_dropped(action.late, action.repeated)
@@ -278,11 +290,7 @@
         is_due = self._handovers.is_due(self.state, now_s)
         self._handovers = self._handovers.after_events(self.state, now_s)
         if is_due and self._placer.activities.is_known_for(self.state.server):
-            self._attempts.start_task(self._look_for_gain(self.state.attempt))
-
-    async def _look_for_gain(self, attempt: int) -> None:
-        if await self._placer.may_gain_by_handover(self):
-            self.mailbox.put_nowait(AttemptLost(attempt, LossCause.HANDED_OVER))
+            self._attempts.start_task(self._placer.offer_handover(self))
 
     async def _find_server(self, action: ChooseServer) -> None:
         try:
--- /dev/null
+++ b/bronzesill/limits/priority.py
@@ -0,0 +1,51 @@
+"""Priority of requests, and the one that is told to backend servers."""
+
+from __future__ import annotations
+
+from ..config import Document, Route
+
+__all__ = ['engine_priority', 'priority_rank']
+
+#: Priority of requests that state none; the least urgent get it too.
+_DEFAULT = 5
+
+
+def engine_priority(
+    document: Document, route: Route, account: str
+) -> int | None:
+    """
+    Return the priority that a backend server is told, ``None`` for none.
+
+    Servers may interrupt runs for more urgent ones, so a difference exists
+    only between requests of one service with different priorities in the
+    configuration.
+
+    :param document: configuration in force.
+    :param route: route of the request, with the service that was selected.
+    :param account: client account of the caller, empty if unknown.
+    :returns: 5 for the least urgent priority of the service, 0 to 4 for
+        others.
+    """
+    levels = _levels(document, route, account)
+    if len(levels) == 1:
+        return None
+    rank = levels.index(document.request_priority(route, account))
+    return rank * _DEFAULT // (len(levels) - 1)
+
+
+def priority_rank(document: Document, route: Route, account: str) -> int:
+    """
+    Return the rank of a request among the priorities of its service.
+
+    :param document: configuration in force.
+    :param route: route of the request, with the service that was selected.
+    :param account: client account of the caller, empty if unknown.
+    :returns: 0 for the most urgent priority.
+    """
+    levels = _levels(document, route, account)
+    return levels.index(document.request_priority(route, account))
+
+
+def _levels(document: Document, route: Route, account: str) -> list[int]:
+    known = document.priorities_by_service.get(route.service, frozenset())
+    return sorted(known | {document.request_priority(route, account)})
--- a/bronzesill/routing/__init__.py
+++ b/bronzesill/routing/__init__.py
@@ -6,6 +6,7 @@
     choose_held_server,
     choose_prompt_holder,
     choose_server,
+    count_free,
 )
 from .event_pace import EventPace
 from .expected_time import ExpectedTime, ServiceRates, StreamSize
@@ -30,6 +31,7 @@
     SharedNews,
     SharingPeers,
     UseReport,
+    WaitingCount,
     choose_recipients,
     news_of,
     without_heard_restarts,
@@ -63,11 +65,13 @@
     'StreamSize',
     'TrafficSplit',
     'UseReport',
+    'WaitingCount',
     'choose_copy_holder',
     'choose_held_server',
     'choose_prompt_holder',
     'choose_recipients',
     'choose_server',
+    'count_free',
     'handover_gain_s',
     'news_of',
     'pick_version',
--- a/bronzesill/routing/handover.py
+++ b/bronzesill/routing/handover.py
@@ -9,6 +9,11 @@
 
 #: From the end of the run on one server to its next event on the other.
 _HANDOVER_S = 0.2
+#: A failure domain that started earlier is expected to fail earlier, and the
+#: stream would have to be resumed once more.
+_EARLIER_DOMAIN_S = 1.0
+#: Failure domains whose start times differ by at most this much rank equally.
+_START_TOLERANCE_S = 1.0
 
 
 def handover_gain_s(
@@ -31,4 +36,7 @@
     """
     here_s = remaining_s(current, rates, events_left)
     there_s = remaining_s(holder, rates, events_left) + _HANDOVER_S
+    older_s = current.domain_started_at_s - holder.domain_started_at_s
+    if older_s > _START_TOLERANCE_S:
+        there_s += _EARLIER_DOMAIN_S
     return here_s - there_s
--- a/bronzesill/routing/server_tracker.py
+++ b/bronzesill/routing/server_tracker.py
@@ -17,6 +17,7 @@
     ServerRestart,
     ServerUse,
     UseReport,
+    WaitingCount,
     news_of,
 )
 from .views import ServerView
@@ -55,6 +56,8 @@
         #: Returns whether only other daemons reach a server; such a server is
         #: not suspected for what this daemon sees of it.
         self.is_path_cut: Callable[[str], bool] = _is_never
+        #: Returns the requests that wait at this daemon.
+        self.list_waiting: Callable[[], tuple[WaitingCount, ...]] = _none_wait
         #: Called after a change of this daemon's use of model engines.
         self.on_use_changed: Callable[[], object] = _do_nothing
 
@@ -121,7 +124,9 @@
         self._update_record(name, self._record(name).reported(report))
         self.speeds.reported(name, report)
 
-    def suspect(self, name: str, now_s: float) -> None:
+    def suspect(
+        self, name: str, now_s: float, *, is_alone: bool = False
+    ) -> None:
         """
         Record that a server did not respond, and suspect it for some time.
 
@@ -129,9 +134,15 @@
 
         :param name: name of the server.
         :param now_s: current time in seconds.
+        :param is_alone: whether it says nothing of the server's failure
+            domain, and nothing that the other daemons need to know.
         """
         if self.is_path_cut(name):
             return
+        if is_alone:
+            avoided = self._record(name).marked_suspected(now_s)
+            self._update_record(name, avoided)
+            return
         self._update_record(name, self._record(name).failed(now_s))
         self._mark_suspected(name, now_s)
         self.on_use_changed()
@@ -183,6 +194,7 @@
             self.restarts,
             valid_s,
             self.speeds.measured_paces(now_s),
+            self.list_waiting(),
         )
 
     def build_totals(
@@ -205,6 +217,10 @@
             failed=tuple(sorted(news.failed)),
             restarts=tuple(news.restarts),
             paces=self.speeds.known_paces(now_s),
+            waiting=(
+                *report.waiting,
+                *self.fleet_use.waiting(now_s, requester),
+            ),
         )
 
     def failed_since(self, since_s: float) -> tuple[str, ...]:
@@ -357,6 +373,10 @@
     return {group: statistics.median(times) for group, times in starts.items()}
 
 
+def _none_wait() -> tuple[WaitingCount, ...]:
+    return ()
+
+
 def _is_never(name: str) -> bool:
     """Return ``False``; the default of ``is_path_cut``."""
     return False
