--- a/bronzesill/config/document.py
+++ b/bronzesill/config/document.py
@@ -287,6 +287,14 @@
                 priorities[service] = priorities.get(service, own) | own
         return priorities
 
+    @property
+    def are_requests_ranked(self) -> bool:
+        """Whether requests of different priorities share a service."""
+        return any(
+            len(priorities) > 1
+            for priorities in self.priorities_by_service.values()
+        )
+
     def request_priority(self, route: Route, account: str) -> int:
         """
         Return the priority of a request, 0 is the highest.
--- a/bronzesill/daemon/hosted_store_state.py
+++ b/bronzesill/daemon/hosted_store_state.py
@@ -281,6 +281,9 @@
             return
         self._configuration = _ConfigurationInForce(versioned.version, entry)
         self._state.document = versioned.document
+        self._tracker.speeds.are_requests_ranked = (
+            versioned.document.are_requests_ranked
+        )
         _log.info(
             'configuration of revision %s in force, version %s',
             entry.revision,
--- a/bronzesill/routing/server_speed.py
+++ b/bronzesill/routing/server_speed.py
@@ -55,14 +55,17 @@
     """
     Mutable collection of the speeds of all backend servers.
 
-    Speed counts for a service once any of its servers has told its slowdown.
-    Does no I/O and reads no clock.
+    Speed counts for a service once any of its servers has told its slowdown,
+    and for all services where the configuration ranks requests that share
+    one.  Does no I/O and reads no clock.
     """
 
     def __init__(self) -> None:
         self._servers_by_name: Mapping[str, BackendServer] = {}
         self._reports_by_name: dict[str, LoadReport] = {}
         self._services: frozenset[str] = frozenset()
+        #: Whether the configuration ranks requests that share a service.
+        self.are_requests_ranked = False
         self._paces = FleetPaces()
         self._former = FormerPaces()
         self._speeds_by_service: dict[str, dict[str, float]] = {}
@@ -180,7 +183,7 @@
     def is_known_for(self, name: str) -> bool:
         """Return whether speed counts for the service of a server."""
         server = self._servers_by_name.get(name)
-        return server is not None and server.service_name in self._services
+        return server is not None and self._is_used_for(server.service_name)
 
     def slowdown(self, name: str, now_s: float) -> float:
         """
@@ -205,7 +208,7 @@
         :returns: the relative speed, 1 if unknown.
         """
         server = self._servers_by_name.get(name)
-        if server is None or server.service_name not in self._services:
+        if server is None or not self._is_used_for(server.service_name):
             return 1
         service = server.service_name
         speeds = self._speeds_by_service.get(service)
@@ -246,10 +249,13 @@
 
     def rates(self, service: str) -> ServiceRates | None:
         """Return the typical rates of a model, ``None`` without speeds."""
-        if service not in self._services:
+        if not self._is_used_for(service):
             return None
         return self._samples(service).rates(self.typical_pace_s(service))
 
+    def _is_used_for(self, service: str) -> bool:
+        return self.are_requests_ranked or service in self._services
+
     def _keep_former_paces(self, by_name: Mapping[str, BackendServer]) -> None:
         for key, pace in self._paces.latest().items():
             server = self._servers_by_name.get(key.server)
--- a/bronzesill/routing/tests/test_server_speed.py
+++ b/bronzesill/routing/tests/test_server_speed.py
@@ -28,6 +28,12 @@
         self.tracker.reported('s1', LoadReport(3, '', 1.0, 2.5))
         self.assertTrue(self.tracker.speeds.is_known_for('s2'))
 
+    def test_speed_counts_where_requests_are_ranked(self) -> None:
+        """Urgent streams waited behind the prompts of others."""
+        self.tracker.speeds.are_requests_ranked = True
+        self.assertTrue(self.tracker.speeds.is_known_for('s1'))
+        self.assertIsNotNone(self.tracker.speeds.rates('m'))
+
     def test_slowdown_counts_for_a_short_time(self) -> None:
         """A slowdown that has passed must not keep work from a server."""
         self.tracker.reported('s1', LoadReport(3, '', 1.0, 2.5))
