Rank requests by account, then by route, where routes share a service

Cause: accounts of all deployments have priorities, and each overrides that of the route, so that an urgent kind of request had the same priority as the bulk of its account. Servers were told priorities on deployments whose routes are all equal, where nothing called for it.

--- a/bronzesill/config/__init__.py
+++ b/bronzesill/config/__init__.py
@@ -10,6 +10,7 @@
     Operator,
     Preferences,
     RegisteredServer,
+    RequestPriority,
     Route,
     Service,
 )
@@ -27,6 +28,7 @@
     'Operator',
     'Preferences',
     'RegisteredServer',
+    'RequestPriority',
     'Route',
     'Service',
     'VersionedDocument',
--- a/bronzesill/config/document.py
+++ b/bronzesill/config/document.py
@@ -18,6 +18,7 @@
     'Operator',
     'Preferences',
     'RegisteredServer',
+    'RequestPriority',
     'Route',
     'Service',
 ]
@@ -195,6 +196,23 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, order=True)
+class RequestPriority:
+    """
+    Priority of a request, the least is the most urgent.
+
+    That of the client account takes precedence; that of the route decides
+    between requests of equal accounts.
+
+    :param account: priority of the client account, or of the route if the
+        account has none.
+    :param route: priority of the route.
+    """
+
+    account: int
+    route: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Limits:
     """
@@ -278,34 +296,40 @@
         return names
 
     @functools.cached_property
-    def priorities_by_service(self) -> dict[str, frozenset[int]]:
+    def priorities_by_service(self) -> dict[str, frozenset[RequestPriority]]:
         """Priorities that requests of each service can have."""
-        priorities: dict[str, frozenset[int]] = {}
+        priorities: dict[str, frozenset[RequestPriority]] = {}
         for route in self.routes.values():
             own = frozenset(self._priorities(route))
             for service in (route.service, *route.weight_by_service):
                 priorities[service] = priorities.get(service, own) | own
         return priorities
 
-    @property
-    def are_requests_ranked(self) -> bool:
-        """Whether requests of different priorities share a service."""
-        return any(
-            len(priorities) > 1
-            for priorities in self.priorities_by_service.values()
+    @functools.cached_property
+    def ranked_services(self) -> frozenset[str]:
+        """Services that are shared by routes of different priorities."""
+        priorities_by_service: dict[str, set[int]] = {}
+        for route in self.routes.values():
+            for service in (route.service, *route.weight_by_service):
+                known = priorities_by_service.setdefault(service, set())
+                known.add(route.priority)
+        return frozenset(
+            name
+            for name, priorities in priorities_by_service.items()
+            if len(priorities) > 1
         )
 
-    def request_priority(self, route: Route, account: str) -> int:
+    def request_priority(self, route: Route, account: str) -> RequestPriority:
         """
-        Return the priority of a request, 0 is the highest.
+        Return the priority of a request.
 
         :param route: route of the request.
         :param account: client account of the caller, empty if unknown.
         """
         known = self.accounts.get(account)
         if known is None or known.priority is None:
-            return route.priority
-        return known.priority
+            return RequestPriority(route.priority, route.priority)
+        return RequestPriority(known.priority, route.priority)
 
     def find_route(self, host: str, path: str) -> str | None:
         """
@@ -324,7 +348,7 @@
             return None
         return max(matching, key=lambda name: len(self.routes[name].path))
 
-    def _priorities(self, route: Route) -> Iterator[int]:
+    def _priorities(self, route: Route) -> Iterator[RequestPriority]:
         is_open = route.is_public or not self.has_accounts
         for account in ('',) if is_open else self.accounts:
             yield self.request_priority(route, account)
--- a/bronzesill/limits/priority.py
+++ b/bronzesill/limits/priority.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..config import Document, Route
+from ..config import Document, RequestPriority, Route
 
 __all__ = ['engine_priority', 'priority_rank']
 
@@ -16,9 +16,8 @@
     """
     Return the priority that a backend server is told, ``None`` for none.
 
-    Servers may interrupt runs for more urgent ones, so a difference exists
-    only between requests of one service with different priorities in the
-    configuration.
+    Servers may interrupt runs for more urgent ones, so they are told only
+    where routes of different priorities share a service.
 
     :param document: configuration in force.
     :param route: route of the request, with the service that was selected.
@@ -26,9 +25,9 @@
     :returns: 5 for the least urgent priority of the service, 0 to 4 for
         others.
     """
-    levels = _levels(document, route, account)
-    if len(levels) == 1:
+    if route.service not in document.ranked_services:
         return None
+    levels = _levels(document, route, account)
     rank = levels.index(document.request_priority(route, account))
     return rank * _DEFAULT // (len(levels) - 1)
 
@@ -46,6 +45,8 @@
     return levels.index(document.request_priority(route, account))
 
 
-def _levels(document: Document, route: Route, account: str) -> list[int]:
+def _levels(
+    document: Document, route: Route, account: str
+) -> list[RequestPriority]:
     known = document.priorities_by_service.get(route.service, frozenset())
     return sorted(known | {document.request_priority(route, account)})
