Predict the end of waiting streams by runs of about their size

A short stream that waited beside long ones was refused as late once less time was left than the median run of the service takes. The median is now that of runs of about its size; where fewer than five are known nothing is refused for it.

Tests: limits, generations, told priority, refusals and program modules pass on this commit.

--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -264,10 +264,12 @@
     def _record_room(self, observation: AttemptObservation) -> None:
         if not observation.is_end:
             return
-        model = observation.request.model
+        request = observation.request
         if not observation.is_failed:
-            self.waiting.run_times.record(model, observation.lasted_s)
-        self.waiting.note_room(model)
+            self.waiting.run_times.record(
+                request.model, request.size_class, observation.lasted_s
+            )
+        self.waiting.note_room(request.model)
 
     def _record_call(self, result: CallResult) -> None:
         """Record a finished call and update the counts of store calls."""
--- a/bronzesill/generations/request.py
+++ b/bronzesill/generations/request.py
@@ -51,6 +51,12 @@
         caller = self.forward.caller
         return caller.prompt_tokens + caller.max_output_tokens
 
+    @property
+    def size_class(self) -> str:
+        """Name of the class of requests of about this size."""
+        # Sizes within a factor of four are of one class.
+        return str(self.memory_tokens.bit_length() // 2)
+
     @property
     def shared_prompt_parts(self) -> tuple[str, ...]:
         """Ids of the prompt's parts that other requests may contain too."""
--- a/bronzesill/generations/stream_queue.py
+++ b/bronzesill/generations/stream_queue.py
@@ -108,7 +108,9 @@
         if self._queue_by_key.get(request.key, name) != name:
             self.leave(request)
         self._queue_by_key[request.key] = name
-        needed_s = self._waiting.run_times.median_s(request.model)
+        needed_s = self._waiting.run_times.median_s(
+            request.model, request.size_class
+        )
         self._waiting.join(
             name,
             WaitingRequest(
@@ -169,8 +171,7 @@
         state.deadline_at_s,
         needed_s,
         forward.priority_rank if forward else 0,
-        # Sizes within a factor of four are of one class.
-        str(request.memory_tokens.bit_length() // 2),
+        request.size_class,
         len(body),
         is_retry=state.attempt > 0,
         has_begun=_has_begun(generation, request),
--- a/bronzesill/limits/dispatch_times.py
+++ b/bronzesill/limits/dispatch_times.py
@@ -45,20 +45,20 @@
 
 
 class RunTimes:
-    """Times of the last complete runs by service."""
+    """Times of the last complete runs by service and size class."""
 
     def __init__(self) -> None:
         self._times_s: defaultdict[str, deque[float]] = defaultdict(
             lambda: deque(maxlen=_MAX_RUNS)
         )
 
-    def record(self, service: str, lasted_s: float) -> None:
+    def record(self, service: str, size: str, lasted_s: float) -> None:
         """Record a complete run."""
-        self._times_s[service].append(lasted_s)
+        self._times_s[f'{service} {size}'].append(lasted_s)
 
-    def median_s(self, service: str) -> float:
+    def median_s(self, service: str, size: str) -> float:
         """Return the median time, 0 if too few runs are known."""
-        times_s = sorted(self._times_s[service])
+        times_s = sorted(self._times_s[f'{service} {size}'])
         if len(times_s) < _MIN_RUNS:
             return 0
         return times_s[len(times_s) // 2]
--- a/bronzesill/limits/tests/test_service_queue.py
+++ b/bronzesill/limits/tests/test_service_queue.py
@@ -4,6 +4,7 @@
 from random import Random
 from typing import Any
 
+from ..dispatch_times import RunTimes
 from ..host_share import dispatch_quota
 from ..service_queue import (
     QueueBounds,
@@ -176,6 +177,25 @@
         self.assertFalse(len(queue))
 
 
+class RunTimesTest(unittest.TestCase):
+    """Times that requests of about one size need."""
+
+    def test_short_requests_are_not_measured_by_long_ones(self) -> None:
+        """Guards against short requests refused for the time of long ones."""
+        times = RunTimes()
+        for _ in range(5):
+            times.record('engines', 'long', 9)
+            times.record('engines', 'short', 1)
+        self.assertEqual(times.median_s('engines', 'long'), 9)
+        self.assertEqual(times.median_s('engines', 'short'), 1)
+
+    def test_few_runs_tell_nothing(self) -> None:
+        """Guards against refusals by the time of one slow run."""
+        times = RunTimes()
+        times.record('engines', 'long', 9)
+        self.assertEqual(times.median_s('engines', 'long'), 0)
+
+
 class HostShareTest(unittest.TestCase):
     """Free slots are divided by what waits at each host."""
 
