Expect a server that prefills to go on doing so

Change: the rest of an answer is stretched by the part of the time that its server is expected to prefill; the choice of the holder of a copy counts it too.

--- a/bronzesill/routing/expected_time.py
+++ b/bronzesill/routing/expected_time.py
@@ -118,7 +118,8 @@
 
     def copy_cost_s(self, view: ServerView) -> float:
         """Return the time of an answer that may resume from a copy there."""
-        resumed_s = self._queue_s(view) + self._decode_s / view.speed
+        decode_s = self._decode_s / _decoding_part(view) / view.speed
+        resumed_s = self._queue_s(view) + decode_s
         return _RESUMED_PART * resumed_s + self._risk_s(view)
 
     def answer_s(self, view: ServerView) -> float:
@@ -166,17 +167,21 @@
     :param rates: typical rates of its model.
     :param events_left: expected number of events to come.
     """
-    prefilling = view.own_prefilling + view.others_prefilling
-    prompt_tokens = rates.prompt_tokens or _PROMPT_TOKENS
-    stall_s = (
-        _PREFILL_STALL
-        * max(prefilling - _BEGUN_PART, 0)
-        * (prompt_tokens / rates.prefill_tokens_per_s)
-    )
-    work_s = (stall_s + events_left * rates.event_s) / view.speed
+    work_s = events_left * rates.event_s / _decoding_part(view) / view.speed
     return slowed_s(work_s, view.slowdown)
 
 
+def _decoding_part(view: ServerView) -> float:
+    """
+    Return the part of the time in which a server goes on with its streams.
+
+    A server that prefills some prompts now is expected to go on getting as
+    many, because new streams are sent where few others run.
+    """
+    prefilling = view.own_prefilling + view.others_prefilling
+    return 1 - _PREFILL_STALL * prefilling / (prefilling + 1)
+
+
 def slowed_s(work_s: float, slowdown: float) -> float:
     """
     Return the time that work takes on a machine that is slow for a while.
