--- a/bronzesill/routing/expected_time.py
+++ b/bronzesill/routing/expected_time.py
@@ -173,8 +173,10 @@
         * max(prefilling - _BEGUN_PART, 0)
         * (prompt_tokens / rates.prefill_tokens_per_s)
     )
-    work_s = (stall_s + events_left * rates.event_s) / view.speed
-    return slowed_s(work_s, view.slowdown)
+    decode_s = events_left * rates.event_s
+    # A few events arrive before the prefill ends.
+    left_s = min(stall_s + decode_s, decode_s / (1 - _PREFILL_STALL))
+    return slowed_s(left_s / view.speed, view.slowdown)
 
 
 def slowed_s(work_s: float, slowdown: float) -> float:
--- a/bronzesill/routing/tests/test_handover.py
+++ b/bronzesill/routing/tests/test_handover.py
@@ -1,6 +1,7 @@
 """Tests of the gain of a stream that is handed over to another server."""
 
 import dataclasses
+import math
 import unittest
 
 from ..expected_time import ServiceRates
@@ -29,6 +30,22 @@
         fast = dataclasses.replace(_IDLE, speed=1.6)
         self.assertGreater(self.gain_s(_IDLE, fast), 0.5)
 
+    def test_full_server_takes_no_stream(self) -> None:
+        """A stream that ran waited for a slot on the server with its copy."""
+        busy = dataclasses.replace(_IDLE, others_prefilling=3)
+        full = dataclasses.replace(_IDLE, others_running=16)
+        self.assertEqual(self.gain_s(busy, full), -math.inf)
+        almost_full = dataclasses.replace(_IDLE, others_running=15)
+        self.assertGreater(self.gain_s(busy, almost_full), 1)
+
+    def test_stream_about_to_end_stays(self) -> None:
+        """A stream was paused and moved for the sake of its last event."""
+        busy = dataclasses.replace(_IDLE, others_prefilling=3)
+        for events_left in (0, 1, 5):
+            gain_s = handover_gain_s(busy, _IDLE, _RATES, events_left)
+            # Of ten events that are due in a prefill one arrives.
+            self.assertLessEqual(gain_s, 9 * events_left * _RATES.event_s)
+
     def test_domain_that_fails_next_gains_less(self) -> None:
         """Streams were handed over just before the other domain failed."""
         busy = dataclasses.replace(
