--- a/bronzesill/generations/placement.py
+++ b/bronzesill/generations/placement.py
@@ -249,6 +249,18 @@
         self._servers = servers
         self._client = client
 
+    async def accepts(self, server: str, *, is_silent: bool = False) -> bool:
+        """
+        Return whether a server accepts a connection.
+
+        :param server: name of the server.
+        :param is_silent: whether a stream on it is silent.
+        """
+        address = self._servers.find_address(server)
+        if address is None:
+            return False
+        return await self._client.is_alive(server, address, is_silent=is_silent)
+
     async def is_silent_alive(self, action: LookElsewhere) -> bool:
         """
         Return whether a silent server accepts a connection.
@@ -257,7 +269,7 @@
         """
         if action.has_refused:
             return False
-        return await self._accepts(action.server, is_silent=True)
+        return await self.accepts(action.server, is_silent=True)
 
     async def find(
         self,
@@ -276,7 +288,7 @@
         requirements = self._servers.make_requirements(request, action.choice)
         if requirements.copy_holder:
             holder = self._servers.choose(requirements, held_identity)
-            if holder is not None and await self._accepts(holder.server):
+            if holder is not None and await self.accepts(holder.server):
                 return holder.server
         without_copy = dataclasses.replace(requirements, copy_holder='')
         # All others may have lost an attempt of this generation.
@@ -286,16 +298,10 @@
         chosen = self._servers.choose(
             without_copy, held_identity
         ) or self._servers.choose(lone, held_identity)
-        if chosen is None or not await self._accepts(chosen.server):
+        if chosen is None or not await self.accepts(chosen.server):
             return ''
         return chosen.server
 
-    async def _accepts(self, server: str, *, is_silent: bool = False) -> bool:
-        address = self._servers.find_address(server)
-        if address is None:
-            return False
-        return await self._client.is_alive(server, address, is_silent=is_silent)
-
 
 def _size_of(request: GenerationRequest) -> StreamSize:
     if request.forward is None:
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -289,7 +289,11 @@
         now_s = asyncio.get_running_loop().time()
         is_due = self._handovers.is_due(self.state, now_s)
         self._handovers = self._handovers.after_events(self.state, now_s)
-        if is_due and self._placer.activities.is_known_for(self.state.server):
+        # The caller of a stream without a reader here may read it through
+        # another host, from the same attempt.
+        if not is_due or self.subscribers.is_empty:
+            return
+        if self._placer.activities.is_known_for(self.state.server):
             self._attempts.start_task(self._placer.offer_handover(self))
 
     async def _find_server(self, action: ChooseServer) -> None:
@@ -359,6 +363,8 @@
         )
         if action.basis is not None:
             self._observer.run_moved(action.basis.reason)
+        if action.cause is LossCause.HANDED_OVER:
+            self._observer.run_handed_over()
         is_disconnected = action.cause is LossCause.DISCONNECTED
         if is_disconnected and self.state.accepted:
             self._attempts.check_lost_server(action)
