Know no copy of a stream that another host started

Cause: a generation that joined a running stream after it had lost an attempt kept the copy holder and the copy use of that attempt. A later loss, or a handover, went on from a copy that did not exist.

Change: joining a stream clears both.

Measured: a unit test that failed before.

--- a/bronzesill/generations/decisions.py
+++ b/bronzesill/generations/decisions.py
@@ -135,7 +135,11 @@
 def _attach_to_stream(
     state: GenerationState, event: Attached, now_s: float
 ) -> Decision:
-    attached = state.with_attempt(event.server, event.attempt, now_s)
+    attached = dataclasses.replace(
+        state.with_attempt(event.server, event.attempt, now_s),
+        copy_to='',
+        uses_copy=False,
+    )
     open_action = OpenAttempt(
         event.attempt, event.server, state.accepted, is_attach=True
     )
--- a/bronzesill/generations/tests/test_handovers.py
+++ b/bronzesill/generations/tests/test_handovers.py
@@ -19,6 +19,7 @@
 from ..decisions import decide
 from ..handover import HandoverSchedule
 from ..messages import (
+    Attached,
     AttemptLost,
     Begin,
     CancelAttempt,
@@ -70,6 +71,17 @@
         state = _streaming(copy_to='')
         self.assertEqual(_hand_over(state), Decision(state))
 
+    def test_attached_stream_has_no_known_copy(self) -> None:
+        """A lost attempt's copy was taken for one of the joined stream."""
+        state = GenerationState(100, StallPolicy.from_route(0.7, 4.5, 8000, 5))
+        state = decide(state, Begin(), 0).state
+        state = decide(state, ServerChosen('s1', copy_to='c1'), 0).state
+        state = decide(state, AttemptLost(1, LossCause.BROKEN), 1).state
+        state = decide(state, Attached('s2', 7), 1).state
+        state = decide(state, TokensArrived(7, 0, ('a',)), 2).state
+        self.assertEqual(state.usable_copy, '')
+        self.assertEqual(_hand_over(state, attempt=7), Decision(state))
+
     def test_late_handover_is_ignored(self) -> None:
         """A check may end after the attempt that it was about."""
         state = _streaming()
