Drop expired paces of other daemons

Cause: the paces that other daemons reported of a server were kept by daemon for as long as the server lived. Daemons that start anew have new names, so that the state and the time to combine it grew without bound.

Change: the regular combination of paces drops expired ones.

--- a/bronzesill/routing/fleet_paces.py
+++ b/bronzesill/routing/fleet_paces.py
@@ -1,4 +1,4 @@
-"""Paces of servers, as this daemon and the others measured them."""
+"""Paces of servers measured by this daemon and by the others."""
 
 from __future__ import annotations
 
@@ -11,8 +11,9 @@
 __all__ = ['FleetPaces', 'PaceKey']
 
 _PACE_VALID_S = 120.0
-#: Paces expire unless another measurement arrives; checked this often.
+#: Interval at which all paces are combined anew, without the expired ones.
 _EXPIRY_CHECK_S = 5.0
+#: Relative change of a pace up to which it is not combined anew.
 _LITTLE_CHANGE = 0.02
 
 
@@ -30,7 +31,12 @@
 
 
 class FleetPaces:
-    """Paces of servers by this daemon and the others."""
+    """
+    Mutable collection of the paces that all daemons measured.
+
+    The combined pace of a server is kept until one of its parts changes or
+    may have expired.  Does no I/O and reads no clock.
+    """
 
     def __init__(self) -> None:
         self._own_by_key: dict[PaceKey, PaceSamples] = {}
@@ -41,7 +47,7 @@
 
     @property
     def keys(self) -> list[PaceKey]:
-        """Keys of all paces that are or were known."""
+        """Keys of all paces that are kept, expired ones included."""
         return list(self._own_by_key.keys() | self._heard_by_key.keys())
 
     def add_own(self, key: PaceKey, sample: PaceSample) -> None:
@@ -50,15 +56,19 @@
         self._changed(key, sample.at_s)
 
     def add_heard(self, key: PaceKey, daemon: str, sample: PaceSample) -> None:
-        """Replace the pace that another daemon told."""
+        """Replace the pace that another daemon reported."""
         heard_by_daemon = self._heard_by_key.setdefault(key, {})
         previous = heard_by_daemon.get(daemon)
         heard_by_daemon[daemon] = sample
-        # Without a change, too, the latest paces are computed again at times.
+        # The clock goes on without a change, so that paces can expire.
         self._now_s = max(self._now_s, sample.at_s)
         if previous is None or not _is_about_equal(previous, sample):
             self._changed(key, sample.at_s)
 
+    def heard_count(self, key: PaceKey) -> int:
+        """Return the number of daemons whose pace of a server is kept."""
+        return len(self._heard_by_key.get(key, {}))
+
     def own_since(self, since_s: float) -> dict[PaceKey, PaceSample]:
         """Return the paces that this daemon measured after a time."""
         combined = {
@@ -92,7 +102,7 @@
         )
 
     def latest(self) -> dict[PaceKey, PaceSample]:
-        """Return all known paces, computed again only where they changed."""
+        """Return the combined pace of each server and kind of work."""
         if self._now_s - self._expired_at_s >= _EXPIRY_CHECK_S:
             self._expired_at_s = self._now_s
             self._latest_by_key.clear()
@@ -114,12 +124,20 @@
                 self._remove(key)
 
     def _update(self, key: PaceKey) -> None:
+        self._drop_expired(key)
         pace = self.combined(key, self._now_s)
         if pace is None:
             self._remove(key)
         else:
             self._latest_by_key[key] = pace
 
+    def _drop_expired(self, key: PaceKey) -> None:
+        since_s = self._now_s - _PACE_VALID_S
+        heard_by_daemon = self._heard_by_key.get(key, {})
+        for daemon, sample in tuple(heard_by_daemon.items()):
+            if sample.at_s <= since_s:
+                del heard_by_daemon[daemon]
+
     def _remove(self, key: PaceKey) -> None:
         self._own_by_key.pop(key, None)
         self._heard_by_key.pop(key, None)
