Bound the wait for an overdue event by the time a silence lasts

Cause: a stream without a copy on an engine that accepts connections and has prompts waited, beyond the expected event, for as long as a move takes. The longer the only candidate was busy, the longer an engine that hangs kept the stream: with eight prompts at speed 0.6 on the candidate until the deadline.

--- a/bronzesill/generations/server_activity.py
+++ b/bronzesill/generations/server_activity.py
@@ -6,7 +6,7 @@
 import enum
 import math
 
-from .stall_detection import StallPolicy
+from .stall_detection import USUAL_SILENCE_S, StallPolicy
 
 __all__ = ['MoveBasis', 'MoveReason', 'ServerActivity', 'finite_s']
 
@@ -158,7 +158,7 @@
         The stream waits as long as a move can still end the pause within the
         limit. Where it can't, it is moved if that ends the pause clearly
         sooner than the expected next event, or once that event is overdue by
-        the time that the move takes.
+        the time that the move takes, at most by that of a usual silence.
 
         :param policy: silence timeouts of the stream.
         :param move_s: time from the move until the next event.
@@ -171,7 +171,8 @@
         worth_s = _MOVE_WORTH_FACTOR * move_s
         if policy.min_silence_s + worth_s < self.event_gap_s:
             return policy.min_silence_s
-        return max(usual_s, self.event_gap_s + move_s)
+        overdue_s = min(move_s, max(usual_s, USUAL_SILENCE_S))
+        return max(usual_s, self.event_gap_s + overdue_s)
 
 
 def finite_s(duration_s: float) -> float | None:
--- a/bronzesill/generations/tests/test_working_servers.py
+++ b/bronzesill/generations/tests/test_working_servers.py
@@ -258,6 +258,19 @@
                     self.assertEqual(stream.silent_s, before.silent_s)
                     self.assertIsNotNone(stream.moved)
 
+    # An engine that accepts connections may hang. The more prompts the only
+    # candidate had, the longer the stream waited after the expected event.
+    def test_busy_candidate_bounds_the_wait(self) -> None:
+        def find_activity(now_s: float) -> ServerActivity:
+            return ServerActivity(now_s, prefilling=8, speed=0.6)
+
+        gaps_s = (0.03, 0.03)
+        before = _Stream(_Engine(_unknown, gaps_s), '')
+        engine = _Engine(_prefilling, gaps_s, candidate=find_activity)
+        stream = _Stream(engine, '')
+        self.assertIsNotNone(stream.moved)
+        self.assertLess(stream.silent_s, 2 * before.silent_s + 0.4)
+
     # Nobody else is on the engine, so nothing explains its silence.
     def test_lone_stream_is_moved_as_early(self) -> None:
         gaps_s = (0.03, 0.03)
