Use the usual terms for reported speeds, and one prefill rate

Cause: the code spoke of paces that are told and heard where the rest speaks of reports sent and received; the default prefill rate stood in two modules, beside a third constant of the same name with another value; several comments did not say what their constant is.

Change: names, comments and docstrings only. The default prefill rate is defined in routing/expected_time.py; the rate of busy engines in stall_detection.py has a name of its own. The unused FleetPaces.forget is removed. No behaviour changed.

--- a/bronzesill/generations/server_activity.py
+++ b/bronzesill/generations/server_activity.py
@@ -1,4 +1,4 @@
-"""What is known of the work of one server while a stream on it is silent."""
+"""Work of a server, and how long a stream on it may be silent."""
 
 from __future__ import annotations
 
@@ -6,15 +6,14 @@
 import enum
 import math
 
+from ..routing import DEFAULT_PREFILL_TOKENS_PER_S
 from .stall_detection import USUAL_SILENCE_S, StallPolicy
 
 __all__ = ['MoveBasis', 'MoveReason', 'ServerActivity', 'finite_s']
 
-#: Time between two events of a stream on an engine of speed 1 for each prompt
-#: that it prefills; it takes a part of each in turn.
+#: Time between two events of a stream on an engine of speed 1, for each of the
+#: prompts that it prefills in turns.
 _PREFILL_EVENT_GAP_S = 0.25
-#: Prompt tokens per second that an engine of speed 1 prefills.
-_PREFILL_TOKENS_PER_S = 8000
 #: Margin for prompts that other hosts have sent but not reported yet.
 _FIRST_EVENT_MARGIN = 1.5
 #: Factor by which the timeout for the first event is extended at most; other
@@ -24,9 +23,9 @@
 _ALIVE_AGE_S = 0.2
 #: Slowdown from which on it may explain a silence.
 _MIN_SLOWDOWN = 1.5
-#: Multiple of the time of a move that it has to spare; it takes the same time
-#: from the other streams of the new server.
-_MOVE_WORTH_FACTOR = 2
+#: Time that a move has to save, as a multiple of the time that it takes; its
+#: prefill delays the other streams of the new server by as much.
+_MIN_SAVING_FACTOR = 2
 #: Fraction of the route's maximum pause up to which a move to the holder of a
 #: copy ends the pause in time.
 _LAST_MOVE_FRACTION = 0.75
@@ -112,7 +111,7 @@
         if uses_copy:
             return allowed_s + self.event_gap_s
         prompts = self.prefills_ahead + 1
-        own_s = policy.prompt_tokens / _PREFILL_TOKENS_PER_S / self.speed
+        own_s = policy.prompt_tokens / DEFAULT_PREFILL_TOKENS_PER_S / self.speed
         expected_s = _FIRST_EVENT_MARGIN * prompts * own_s
         return max(
             allowed_s, min(expected_s, _MAX_FIRST_EVENT_FACTOR * allowed_s)
@@ -168,8 +167,8 @@
         in_time_s = _LAST_MOVE_FRACTION * policy.max_pause_s - move_s
         if in_time_s >= policy.min_silence_s:
             return in_time_s
-        worth_s = _MOVE_WORTH_FACTOR * move_s
-        if policy.min_silence_s + worth_s < self.event_gap_s:
+        saving_s = _MIN_SAVING_FACTOR * move_s
+        if policy.min_silence_s + saving_s < self.event_gap_s:
             return policy.min_silence_s
         overdue_s = min(move_s, max(usual_s, USUAL_SILENCE_S))
         return max(usual_s, self.event_gap_s + overdue_s)
--- a/bronzesill/generations/stall_detection.py
+++ b/bronzesill/generations/stall_detection.py
@@ -33,7 +33,7 @@
 #: is lost.
 _TARGET_LATENCY_FRACTION = 0.8
 #: Prompt tokens that a busy engine processes per second.
-_PREFILL_TOKENS_PER_S = 3000
+_BUSY_PREFILL_TOKENS_PER_S = 3000
 _NO_SERVER_RETRY_S = 0.1
 #: Part of the silence timeout after which another server is looked for.
 _LOOK_FRACTION = 0.5
@@ -124,7 +124,7 @@
             fails.
         """
         silence_s = _MAX_PAUSE_FRACTION * max_pause_s or cls.min_silence_s
-        prefill_s = prompt_tokens / _PREFILL_TOKENS_PER_S
+        prefill_s = prompt_tokens / _BUSY_PREFILL_TOKENS_PER_S
         first_s = max(target_latency_s * _TARGET_LATENCY_FRACTION, prefill_s)
         return cls(
             min_silence_s=silence_s,
--- a/bronzesill/routing/__init__.py
+++ b/bronzesill/routing/__init__.py
@@ -9,7 +9,12 @@
     count_free,
 )
 from .event_pace import EventPace
-from .expected_time import ExpectedTime, ServiceRates, StreamSize
+from .expected_time import (
+    DEFAULT_PREFILL_TOKENS_PER_S,
+    ExpectedTime,
+    ServiceRates,
+    StreamSize,
+)
 from .handover import handover_gain_s
 from .listing import ServerListing
 from .records import LoadReport, ServerRecord
@@ -40,6 +45,7 @@
 from .views import ServerView
 
 __all__ = [
+    'DEFAULT_PREFILL_TOKENS_PER_S',
     'EventPace',
     'ExpectedTime',
     'FetchUse',
--- a/bronzesill/routing/event_pace.py
+++ b/bronzesill/routing/event_pace.py
@@ -50,8 +50,8 @@
     """
     Time between the events of one stream.
 
-    Events that arrive together tell one gap, divided by their number.  Does no
-    I/O and reads no clock.
+    The gap before events that arrive together is divided by their number.
+    Does no I/O and reads no clock.
     """
 
     def __init__(self) -> None:
--- a/bronzesill/routing/expected_time.py
+++ b/bronzesill/routing/expected_time.py
@@ -1,8 +1,8 @@
 """
 Estimate of the time to answer on a server, and of the delay that it causes.
 
-All of it is in seconds and relative to the speeds of the servers of a service.
-It serves to compare servers, not to predict when an answer ends.
+Estimates are in seconds.  They serve to compare the servers of one service, not
+to predict when an answer ends.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 from .views import ServerView
 
 __all__ = [
+    'DEFAULT_PREFILL_TOKENS_PER_S',
     'ExpectedTime',
     'ServiceRates',
     'StreamSize',
@@ -20,27 +21,33 @@
     'slowed_s',
 ]
 
+#: Prompt tokens that a server of speed 1 prefills in a second, unless measured.
+DEFAULT_PREFILL_TOKENS_PER_S = 8_000
 #: Length of a prompt where none is known.
 _PROMPT_TOKENS = 2_000
-#: Part of its progress that a stream loses while its server prefills.
+#: Part of its progress that a stream loses while its server prefills: it gets
+#: an event about every 0.25 s in place of every 0.03 s.
 _PREFILL_STALL = 0.9
-#: Progress of a prefill that is running, of which nothing is known.
+#: Assumed progress of the prefill that is running.
 _BEGUN_PART = 0.5
-#: Mean time for which a slowdown that was just told goes on.
+#: Mean time for which a slowdown goes on after it was reported.
 _SLOWDOWN_LASTS_S = 0.3
+#: Cost of a server in another failure domain.
 _PATH_S = 0.1
-#: Part of the copies from which an answer resumes.
-_RESUMED_PART = 0.25
-#: Until the loss of a server is noticed and another one is found, and more as
-#: the pause may be longer than the route permits.
-_LOSS_S = 2.0
-#: Memory is short from this part on; runs rarely need all of their maximum.
+#: Assumed probability that an answer resumes from its copy.
+_RESUME_PROBABILITY = 0.25
+#: Cost of a lost server besides the prefill: the time until it is noticed and
+#: another one is found, increased as the pause may exceed the route's limit.
+_LOSS_COST_S = 2.0
+#: Part of the memory from which on it is short; runs rarely need all of their
+#: maximum.
 _SHORT_MEMORY_FILL = 0.8
 _MAX_SHORTAGE = 2.0
-#: Part of the slots for whose streams an unknown memory counts as sufficient.
+#: Part of the slots for which memory of unknown size is assumed to suffice.
 _UNKNOWN_MEMORY_SLOTS = 0.5
-#: Makes a rank of ``choose._RUN_COST_PER_RANK`` about a third of a resume, and
-#: about as much as one running stream, as it is by fill.
+#: Resumes that cost as much as one unit of fill.  A rank of a failure domain,
+#: ``choose._RUN_COST_PER_RANK``, then costs as much as one running stream, as
+#: where servers are chosen by fill.
 _RESUMES_PER_FILL = 6.0
 
 
@@ -55,7 +62,7 @@
     :param answer_events: events of an answer.
     """
 
-    prefill_tokens_per_s: float = 8_000
+    prefill_tokens_per_s: float = DEFAULT_PREFILL_TOKENS_PER_S
     event_s: float = 0.03
     prompt_tokens: int = 0
     answer_events: int = 100
@@ -103,13 +110,13 @@
         self._decode_s = rates.answer_events * rates.event_s
         running = sum(view.running for view in candidates) / len(candidates)
         # A resume prefills again and delays the streams of the new server.
-        self._resume_s = _LOSS_S + self._prefill_s * (
+        self._resume_s = _LOSS_COST_S + self._prefill_s * (
             1 + _PREFILL_STALL * running
         )
 
     @property
     def s_per_fill(self) -> float:
-        """Seconds that stand for one unit of ``ServerView.fill``."""
+        """Cost in seconds of one unit of ``ServerView.fill``."""
         return _RESUMES_PER_FILL * self._resume_s
 
     def cost_s(self, view: ServerView) -> float:
@@ -119,7 +126,7 @@
     def copy_cost_s(self, view: ServerView) -> float:
         """Return the time of an answer that may resume from a copy there."""
         resumed_s = self._queue_s(view) + self._decode_s / view.speed
-        return _RESUMED_PART * resumed_s + self._risk_s(view)
+        return _RESUME_PROBABILITY * resumed_s + self._risk_s(view)
 
     def answer_s(self, view: ServerView) -> float:
         """Return the time to the end of the answer."""
--- a/bronzesill/routing/fleet_paces.py
+++ b/bronzesill/routing/fleet_paces.py
@@ -40,7 +40,7 @@
 
     def __init__(self) -> None:
         self._own_by_key: dict[PaceKey, PaceSamples] = {}
-        self._heard_by_key: dict[PaceKey, dict[str, PaceSample]] = {}
+        self._received_by_key: dict[PaceKey, dict[str, PaceSample]] = {}
         self._latest_by_key: dict[PaceKey, PaceSample] = {}
         self._now_s = -math.inf
         self._expired_at_s = -math.inf
@@ -48,26 +48,28 @@
     @property
     def keys(self) -> list[PaceKey]:
         """Keys of all paces that are kept, expired ones included."""
-        return list(self._own_by_key.keys() | self._heard_by_key.keys())
+        return list(self._own_by_key.keys() | self._received_by_key.keys())
 
     def add_own(self, key: PaceKey, sample: PaceSample) -> None:
         """Add a sample of this daemon."""
         self._own_by_key.setdefault(key, PaceSamples()).add(sample)
         self._changed(key, sample.at_s)
 
-    def add_heard(self, key: PaceKey, daemon: str, sample: PaceSample) -> None:
+    def add_received(
+        self, key: PaceKey, daemon: str, sample: PaceSample
+    ) -> None:
         """Replace the pace that another daemon reported."""
-        heard_by_daemon = self._heard_by_key.setdefault(key, {})
-        previous = heard_by_daemon.get(daemon)
-        heard_by_daemon[daemon] = sample
+        received_by_daemon = self._received_by_key.setdefault(key, {})
+        previous = received_by_daemon.get(daemon)
+        received_by_daemon[daemon] = sample
         # The clock goes on without a change, so that paces can expire.
         self._now_s = max(self._now_s, sample.at_s)
         if previous is None or not _is_about_equal(previous, sample):
             self._changed(key, sample.at_s)
 
-    def heard_count(self, key: PaceKey) -> int:
+    def received_count(self, key: PaceKey) -> int:
         """Return the number of daemons whose pace of a server is kept."""
-        return len(self._heard_by_key.get(key, {}))
+        return len(self._received_by_key.get(key, {}))
 
     def own_since(self, since_s: float) -> dict[PaceKey, PaceSample]:
         """Return the paces that this daemon measured after a time."""
@@ -86,7 +88,7 @@
         since_s = now_s - _PACE_VALID_S
         known = [
             sample
-            for sample in self._heard_by_key.get(key, {}).values()
+            for sample in self._received_by_key.get(key, {}).values()
             if sample.at_s > since_s
         ]
         own = self._own_by_key.get(key)
@@ -117,12 +119,6 @@
             if key.server not in names:
                 self._remove(key)
 
-    def forget(self, server: str) -> None:
-        """Forget the paces of a server."""
-        for key in self.keys:
-            if key.server == server:
-                self._remove(key)
-
     def _update(self, key: PaceKey) -> None:
         self._drop_expired(key)
         pace = self.combined(key, self._now_s)
@@ -133,14 +129,14 @@
 
     def _drop_expired(self, key: PaceKey) -> None:
         since_s = self._now_s - _PACE_VALID_S
-        heard_by_daemon = self._heard_by_key.get(key, {})
-        for daemon, sample in tuple(heard_by_daemon.items()):
+        received_by_daemon = self._received_by_key.get(key, {})
+        for daemon, sample in tuple(received_by_daemon.items()):
             if sample.at_s <= since_s:
-                del heard_by_daemon[daemon]
+                del received_by_daemon[daemon]
 
     def _remove(self, key: PaceKey) -> None:
         self._own_by_key.pop(key, None)
-        self._heard_by_key.pop(key, None)
+        self._received_by_key.pop(key, None)
         self._latest_by_key.pop(key, None)
 
     def _changed(self, key: PaceKey, at_s: float) -> None:
--- a/bronzesill/routing/records.py
+++ b/bronzesill/routing/records.py
@@ -23,7 +23,7 @@
     :param version: version that the server runs.
     :param at_s: time in seconds at which the report was read.
     :param slowdown: how many times as long as usual work takes on the server's
-        machine, ``None`` if not told.
+        machine, ``None`` if not reported.
     :param waiting: those of the running streams that wait for a slot.
     """
 
--- a/bronzesill/routing/server_speed.py
+++ b/bronzesill/routing/server_speed.py
@@ -1,4 +1,4 @@
-"""Slowdown and relative speed of servers, as far as they tell it."""
+"""Slowdown and relative speed of servers, as far as they are known."""
 
 from __future__ import annotations
 
@@ -22,14 +22,14 @@
 _SLOWDOWN_VALID_S = 0.3
 #: Paces measured this recently are in each report; a datagram may be lost.
 _REPORTED_AGE_S = 2.0
-#: Keeps a report of this daemon within a datagram.
+#: Number of paces in a report of this daemon, which has to fit a datagram.
 _MAX_REPORTED = 16
 _MIN_PACE_S = 1e-4
 _MAX_PACE_S = 60.0
-#: Most samples that one report of another daemon counts for.
+#: Weight, in samples, of a pace that another daemon reports at most.
 _MAX_WEIGHT = 1000
 _US_PER_S = 1e6
-#: Stands for the daemons that measured a server's predecessor.
+#: Sender of the pace that a server takes over from its predecessor.
 _PREDECESSOR = ''
 
 
@@ -55,9 +55,9 @@
     """
     Mutable collection of the speeds of all backend servers.
 
-    Speed counts for a service once any of its servers has told its slowdown,
-    and for all services where the configuration ranks requests that share
-    one.  Does no I/O and reads no clock.
+    Speed is used for a service once one of its servers has reported its
+    slowdown, and for all services where the configuration gives requests that
+    share one different priorities.  Does no I/O and reads no clock.
     """
 
     def __init__(self) -> None:
@@ -94,7 +94,7 @@
         self._reports_by_name.pop(name, None)
 
     def reported(self, name: str, report: LoadReport) -> None:
-        """Record a load report, which may tell a slowdown."""
+        """Record a load report, which may contain a slowdown."""
         server = self._servers_by_name.get(name)
         if server is None or report.slowdown is None:
             return
@@ -147,23 +147,23 @@
         if server is not None and self.is_known_for(name):
             self._samples(server.service_name).add_answer(events)
 
-    def heard(self, report: UseReport, now_s: float) -> None:
-        """Record the paces that another daemon measured."""
-        for told in report.paces:
-            pace_s = told.pace_us / _US_PER_S
-            server = self._servers_by_name.get(told.server)
-            is_plausible = told.samples > 0 and told.age_s >= 0
+    def received(self, report: UseReport, now_s: float) -> None:
+        """Record the paces in a use report of another daemon."""
+        for received in report.paces:
+            pace_s = received.pace_us / _US_PER_S
+            server = self._servers_by_name.get(received.server)
+            is_plausible = received.samples > 0 and received.age_s >= 0
             if server is None or not is_plausible:
                 continue
             if not _MIN_PACE_S <= pace_s <= _MAX_PACE_S:
                 continue
-            # Daemons send paces only of services whose servers tell slowdowns.
+            # Daemons send paces only of services for which they use speed.
             self._services |= {server.service_name}
-            weight = min(told.samples, _MAX_WEIGHT)
-            sample = PaceSample(pace_s, now_s - told.age_s, weight)
-            key = PaceKey(told.server, told.kind)
-            self._paces.add_heard(key, report.daemon, sample)
-            self._changed(told.server)
+            weight = min(received.samples, _MAX_WEIGHT)
+            sample = PaceSample(pace_s, now_s - received.age_s, weight)
+            key = PaceKey(received.server, received.kind)
+            self._paces.add_received(key, report.daemon, sample)
+            self._changed(received.server)
 
     def measured_paces(self, now_s: float) -> tuple[ServerPace, ...]:
         """Return the paces that this daemon measured recently."""
@@ -171,17 +171,17 @@
         latest = sorted(recent, key=lambda key: recent[key].at_s, reverse=True)[
             :_MAX_REPORTED
         ]
-        return tuple(_to_told(key, recent[key], now_s) for key in latest)
+        return tuple(_to_server_pace(key, recent[key], now_s) for key in latest)
 
     def known_paces(self, now_s: float) -> tuple[ServerPace, ...]:
         """Return the paces by this and all other daemons."""
         return tuple(
-            _to_told(key, pace, now_s)
+            _to_server_pace(key, pace, now_s)
             for key, pace in self._paces.latest().items()
         )
 
     def is_known_for(self, name: str) -> bool:
-        """Return whether speed counts for the service of a server."""
+        """Return whether speed is used for the service of a server."""
         server = self._servers_by_name.get(name)
         return server is not None and self._is_used_for(server.service_name)
 
@@ -191,8 +191,8 @@
 
         :param name: name of the server.
         :param now_s: current time in seconds.
-        :returns: the last slowdown that the server told, 1 if it is too old
-            or none was told.
+        :returns: the last slowdown that the server reported, 1 if it is too
+            old or none was reported.
         """
         report = self._reports_by_name.get(name)
         if report is None or report.slowdown is None:
@@ -265,7 +265,7 @@
     def _begin_with_former_pace(self, name: str) -> None:
         machine = Machine.from_server(self._servers_by_name[name])
         for kind, pace in self._former.take(machine).items():
-            self._paces.add_heard(PaceKey(name, kind), _PREDECESSOR, pace)
+            self._paces.add_received(PaceKey(name, kind), _PREDECESSOR, pace)
 
     def _samples(self, service: str) -> RateSamples:
         return self._rates_by_service.setdefault(service, RateSamples())
@@ -282,7 +282,7 @@
         self._speeds_by_service.pop(service, None)
 
 
-def _to_told(key: PaceKey, pace: PaceSample, now_s: float) -> ServerPace:
+def _to_server_pace(key: PaceKey, pace: PaceSample, now_s: float) -> ServerPace:
     return ServerPace(
         key.server,
         round(pace.pace_s * _US_PER_S),
--- a/bronzesill/routing/server_tracker.py
+++ b/bronzesill/routing/server_tracker.py
@@ -45,7 +45,7 @@
         self.leaving: frozenset[str] = frozenset()
         #: Restarted servers that are not listed yet.
         self.restarts: tuple[ServerRestart, ...] = ()
-        #: Speeds of the servers, where they tell their slowdown.
+        #: Speeds of the servers, where they report their slowdown.
         self.speeds = ServerSpeeds()
         self._domains = DomainFailures()
         #: Reports of the other daemons.
@@ -245,7 +245,7 @@
         self.fleet_use = previous_use.with_report(report, now_s)
         if self.fleet_use is previous_use:
             return
-        self.speeds.heard(report, now_s)
+        self.speeds.received(report, now_s)
         already_reported = previous_use.reported_failures(report.daemon, now_s)
         for name in report.failed:
             if name not in already_reported:
--- a/bronzesill/routing/service_rates.py
+++ b/bronzesill/routing/service_rates.py
@@ -13,7 +13,7 @@
 _MAX_SAMPLES = 31
 #: With fewer samples the defaults count.
 _MIN_SAMPLES = 5
-#: Shorter prompts tell more of the connection than of the prefill.
+#: The first event of a shorter prompt depends mostly on the network.
 _MIN_PROMPT_TOKENS = 1_000
 _PREFILL_QUANTILE = 0.25
 _MIN_S_PER_TOKEN = 1e-6
--- a/bronzesill/routing/service_summary.py
+++ b/bronzesill/routing/service_summary.py
@@ -47,8 +47,8 @@
     :param paused: servers that asked for no requests until a time.
     :param suspected: servers that did not respond of late.
     :param leaving: servers that accept no new work.
-    :param speed: relative speeds, none if no server tells its slowdown.
-    :param slowdown: slowdowns, none if no server tells its own.
+    :param speed: relative speeds, none if no server reports its slowdown.
+    :param slowdown: slowdowns, none if no server reports its own.
     """
 
     service: str
--- a/bronzesill/routing/use_reports.py
+++ b/bronzesill/routing/use_reports.py
@@ -124,7 +124,7 @@
     :param restarts: restarted servers that are not listed yet.
     :param valid_s: seconds until the report expires if no newer one arrives.
     :param paces: paces of servers that were measured recently.
-    :param waiting: requests that wait at the daemon, none if not told.
+    :param waiting: requests that wait at the daemon, none if not reported.
     """
 
     daemon: str
