Word comments of generations by the terms of the code

Cause: some comments spoke of what servers tell or hear, or left open what a constant is.

Change: comments and docstrings only.

--- a/bronzesill/generations/activity_lookup.py
+++ b/bronzesill/generations/activity_lookup.py
@@ -1,4 +1,4 @@
-"""Looks up what this host knows of the work of servers."""
+"""Lookup of the work of servers, as far as this host knows it."""
 
 from __future__ import annotations
 
--- a/bronzesill/generations/attempt_placement.py
+++ b/bronzesill/generations/attempt_placement.py
@@ -39,7 +39,7 @@
 
 #: Time from a crash until a block that follows from it is known.
 _JUDGEMENT_S = 0.3
-#: A handover pauses the stream and takes time from others.
+#: Smallest gain of a handover, which also delays other streams.
 _MIN_HANDOVER_GAIN_S = 0.5
 
 PickVersion: TypeAlias = Callable[[GenerationRequest, bool], str]
--- a/bronzesill/generations/forward_client.py
+++ b/bronzesill/generations/forward_client.py
@@ -58,7 +58,7 @@
         on_head: OnAnswerHead,
     ) -> None:
         self._pool = pool
-        #: Returns whether a server needs no probe, as it was heard just now.
+        #: Returns whether a server needs no probe, as it sent bytes just now.
         self.is_proven_alive: Callable[[Target], bool] = _is_never
         self._probes: set[asyncio.Task[bool]] = set()
         self._dialect = dialect
--- a/bronzesill/generations/handover.py
+++ b/bronzesill/generations/handover.py
@@ -9,10 +9,10 @@
 
 __all__ = ['HandoverSchedule', 'may_hand_over']
 
-#: Copies of a run's memory are sent several times a second.
+#: Time by which the copy of a run's memory may lag behind the run.
 _COPY_LAG_S = 0.3
 _CHECK_INTERVAL_S = 1.0
-#: Each handover pauses the stream.
+#: Handovers of one generation; each of them pauses the stream.
 _MAX_HANDOVERS = 2
 
 
@@ -50,6 +50,6 @@
 
 
 def may_hand_over(state: GenerationState) -> bool:
-    """Return whether the current run may go on from its copy elsewhere."""
+    """Return whether the run has a copy and was not handed over too often."""
     is_first = state.handovers < _MAX_HANDOVERS
     return is_first and state.is_memory_begun and bool(state.usable_copy)
--- a/bronzesill/generations/server_activity.py
+++ b/bronzesill/generations/server_activity.py
@@ -75,7 +75,7 @@
         )
 
     def log_fields(self, now_s: float) -> dict[str, float | None]:
-        """Return the fields of a log line that depends on this."""
+        """Return log fields that describe this activity."""
         return {
             'prefilling': self.prefilling,
             'slowdown': round(self.slowdown, 2),
--- a/bronzesill/generations/shared_probes.py
+++ b/bronzesill/generations/shared_probes.py
@@ -12,11 +12,11 @@
 
 __all__ = ['ProbeSharingClient']
 
-#: Age in seconds up to which bytes or a probe tell whether a server is alive.
+#: Age in seconds up to which an event or a probe shows that a server is alive.
 _VALID_S = 0.2
-#: The same for bytes of a server on which a stream is silent. It is shorter
-#: than the silence before a look, so that the first look at a server that died
-#: after its last event probes it.
+#: Age up to which an event shows it for a server on which a stream is silent.
+#: It is shorter than the silence before a look, so that the first look at a
+#: server that went down after its last event probes it.
 _SILENT_VALID_S = 0.1
 
 
@@ -34,7 +34,7 @@
     sent an event is alive without a probe.
 
     :param client: client that streams and probes.
-    :param activities: tells when the servers last sent events.
+    :param activities: times of the last events of the servers.
     """
 
     def __init__(
@@ -68,14 +68,14 @@
         valid_s = _SILENT_VALID_S if is_silent else _VALID_S
         if now_s - self._activities.progress_at_s(server) <= valid_s:
             return True
-        # One of the streams that wait may end before the probe does.
+        # A stream that ends must not cancel the probe for the others.
         return await asyncio.shield(self._probe(server, address, now_s))
 
     async def is_left_alive(self, server: str, address: Address) -> bool:
         """
         Return whether an engine accepts a connection after a lost stream.
 
-        What was known before the loss says nothing of the time after it.
+        Events and probes before the loss are no evidence, so it is probed.
 
         :param server: name of the engine.
         :param address: address of the engine.
--- a/bronzesill/generations/state.py
+++ b/bronzesill/generations/state.py
@@ -14,7 +14,7 @@
 #: evidence that it can take over.
 _EVIDENCE_MAX_AGE_S = 0.1
 _LOOK_INTERVAL_S = 0.3
-#: The same while the server was found alive and its work explains the silence.
+#: Interval of looks while the server is alive and its work explains a silence.
 _WAITING_LOOK_INTERVAL_S = 0.6
 #: Time before a move at which a look is made; its result is still evidence.
 _LOOK_LEAD_S = 0.05
--- a/bronzesill/generations/stream_queue.py
+++ b/bronzesill/generations/stream_queue.py
@@ -26,7 +26,7 @@
 
 
 class QueuedGeneration(Protocol):
-    """What the queue reads of a generation, and tells it."""
+    """Interface of a generation towards the queue."""
 
     state: GenerationState
 
@@ -82,8 +82,8 @@
     """
     Queue of the streams of this host.
 
-    An answer that has begun looks for a server whenever it likes; in the
-    queue it comes first.
+    An answer that has begun may look for a server at any time, and is the
+    first in the queue.
 
     :param waiting: requests that wait at this host.
     """
