Bound the wait for the first event from a copy by the time of a move

Cause: an attempt that resumes from a copy waited for one event gap of its server beyond the usual timeout. The gap grows with the prompts known there, without a bound, so that a server that hangs kept a stream for 10 s with 40 prompts.

Change: the extension is at most the time to prefill the prompt elsewhere, or 1.6 s if that is longer. Usual gaps of 0.25 to 1.04 s are unaffected.

Measured: a unit test that failed before; the tests of the package pass.

--- a/bronzesill/generations/server_activity.py
+++ b/bronzesill/generations/server_activity.py
@@ -109,7 +109,9 @@
         :param uses_copy: whether the attempt resumes from a copy.
         """
         if uses_copy:
-            return allowed_s + self.event_gap_s
+            # Another server would have to prefill the prompt.
+            move_s = max(policy.move_cost_s, USUAL_SILENCE_S)
+            return allowed_s + min(self.event_gap_s, move_s)
         prompts = self.prefills_ahead + 1
         own_s = policy.prompt_tokens / DEFAULT_PREFILL_TOKENS_PER_S / self.speed
         expected_s = _FIRST_EVENT_MARGIN * prompts * own_s
--- a/bronzesill/generations/tests/test_working_servers.py
+++ b/bronzesill/generations/tests/test_working_servers.py
@@ -240,6 +240,21 @@
         self.assertLess(stream.silent_s, 0.5 * _END_S)
 
 
+class ResumedStreamTest(unittest.TestCase):
+    """The first event from a copy is awaited as long as a move takes."""
+
+    # A holder that hangs kept the stream for the time of all its prompts.
+    def test_wait_for_a_busy_holder_is_bounded(self) -> None:
+        policy = StallPolicy.from_route(
+            _MAX_PAUSE_S, 4.5, _LONG_PROMPT_TOKENS, 5
+        )
+        for prompts, extra_s in ((1, 0.25), (8, 2.0), (40, policy.move_cost_s)):
+            with self.subTest(prompts=prompts):
+                activity = ServerActivity(0, prefilling=prompts)
+                allowed_s = activity.first_event_s(0.5, policy, uses_copy=True)
+                self.assertAlmostEqual(allowed_s, 0.5 + extra_s)
+
+
 class DeathTest(unittest.TestCase):
     """Engines that are down are left as early as before."""
 
