Blame no server for an answer that this host dropped

Cause: an answer that the memory budget gave up ended with the error of a faulty answer, so that its server was suspected and its version counted a failure while this host was short of memory.

Change: AnswerDropped, a case of AnswerUnread, which calls and streams do not count against the server. An endless answer still is: the bounds of one answer (16 MiB) and of one event (1 MiB) have errors of their own.

Measured: the new test fails before (LOST instead of GIVEN_UP); 24 tests of unread answers, memory and endless streams pass.

--- a/bronzesill/calls/tests/test_unread_answers.py
+++ b/bronzesill/calls/tests/test_unread_answers.py
@@ -1,4 +1,4 @@
-"""Servers that break off an answer which this host did not read in time."""
+"""Answers that this host did not read in time, or dropped."""
 
 import asyncio
 import unittest
@@ -9,6 +9,7 @@
 from ...generations.messages import CancelAttempt, LossCause
 from ...upstream import (
     AnswerError,
+    AnswerMemory,
     AnswerUnread,
     ConnectionLost,
     UpstreamConnection,
@@ -21,7 +22,7 @@
 
 
 class UnreadAnswerTest(unittest.IsolatedAsyncioTestCase):
-    """They are not suspected, and the version does not fail."""
+    """Their servers are not suspected, and the version does not fail."""
 
     async def lose(self, unread_s: float) -> AnswerError:
         """Return the error of an answer that was not read for a time."""
@@ -43,11 +44,8 @@
             await connection.read()
         return raised.exception
 
-    # Guards against sound servers that are suspected for slow readers.
-    @mock.patch('bronzesill.upstream.connection._UNREAD_S', 0.05)
-    async def test_server_is_not_blamed(self) -> None:
-        error = await self.lose(unread_s=0.1)
-        self.assertIsInstance(error, AnswerUnread)
+    def assert_not_blamed(self, error: AnswerError) -> None:
+        """Check that an error is not counted against the server."""
         outcome = BronzesillError(ResultCode.CALL_OUTCOME_UNKNOWN, '')
         outcome.__cause__ = error
         self.assertIs(CallEnd.from_outcome(outcome), CallEnd.GIVEN_UP)
@@ -55,6 +53,20 @@
         self.assertIs(cause, LossCause.UNREAD)
         self.assertFalse(CancelAttempt(1, 's', cause).blames_server)
 
+    # Guards against sound servers that are suspected for slow readers.
+    @mock.patch('bronzesill.upstream.connection._UNREAD_S', 0.05)
+    async def test_server_is_not_blamed(self) -> None:
+        error = await self.lose(unread_s=0.1)
+        self.assertIsInstance(error, AnswerUnread)
+        self.assert_not_blamed(error)
+
+    # Guards against sound servers that are suspected, and versions that fail,
+    # while this host is short of memory.
+    async def test_server_of_dropped_answer_is_not_blamed(self) -> None:
+        with self.assertRaises(AnswerError) as raised:
+            AnswerMemory(len(_PART) - 1).grow(mock.Mock(), len(_PART))
+        self.assert_not_blamed(raised.exception)
+
     async def test_other_losses_blame_the_server(self) -> None:
         error = await self.lose(unread_s=0)
         self.assertIsInstance(error, ConnectionLost)
--- a/bronzesill/upstream/__init__.py
+++ b/bronzesill/upstream/__init__.py
@@ -1,6 +1,7 @@
 """HTTP connections to backend servers, and the types of their messages."""
 
 from .answer import (
+    AnswerDropped,
     AnswerError,
     AnswerHead,
     AnswerUnread,
@@ -34,6 +35,7 @@
 
 __all__ = [
     'RESET_WAIT_S',
+    'AnswerDropped',
     'AnswerError',
     'AnswerHead',
     'AnswerMemory',
--- a/bronzesill/upstream/answer.py
+++ b/bronzesill/upstream/answer.py
@@ -10,6 +10,7 @@
 from .statuses import is_answer_status
 
 __all__ = [
+    'AnswerDropped',
     'AnswerError',
     'AnswerHead',
     'AnswerUnread',
@@ -47,7 +48,15 @@
 
 
 class AnswerUnread(AnswerError):
-    """The server broke off an answer that this host did not read in time."""
+    """
+    The host did not read the whole answer; its server is not at fault.
+
+    The server broke the answer off because it was not read in time.
+    """
+
+
+class AnswerDropped(AnswerUnread):
+    """The host dropped the answer because it is short of memory."""
 
 
 class InvalidAnswer(AnswerError):
--- a/bronzesill/upstream/memory.py
+++ b/bronzesill/upstream/memory.py
@@ -6,7 +6,7 @@
 from operator import itemgetter
 from typing import Protocol
 
-from .answer import AnswerError
+from .answer import AnswerDropped
 
 __all__ = ['AnswerKeeper', 'AnswerMemory', 'HeldFor']
 
@@ -31,7 +31,7 @@
 class AnswerKeeper(Protocol):
     """Owner of an answer that is kept."""
 
-    def fail(self, error: AnswerError) -> None:
+    def fail(self, error: AnswerDropped) -> None:
         """Give the answer up; its bytes are not counted any more."""
 
 
@@ -114,7 +114,7 @@
 
         :param keeper: owner of the answer.
         :param size: number of bytes.
-        :raises AnswerError: the answer is the largest of too many bytes.
+        :raises AnswerDropped: the answer is the largest of too many bytes.
         """
         known = self._bytes_by_keeper
         known[keeper] = known.get(keeper, 0) + size
@@ -130,7 +130,7 @@
         """
         Give up the largest answers while there are too many bytes.
 
-        :raises AnswerError: the one that grows is the largest.
+        :raises AnswerDropped: the one that grows is the largest.
         """
         while self.held_bytes > self.max_bytes:
             known = {**self._bytes_by_keeper, **self._bytes_by_reader}
@@ -139,7 +139,7 @@
             largest, _ = max(known.items(), key=itemgetter(1))
             self.forget(largest)
             self.set_unread(largest, 0)
-            error = AnswerError('the answer is too large to be kept')
+            error = AnswerDropped('the answer is too large to be kept')
             if largest is growing:
                 raise error
             largest.fail(error)
