Keep the queue of a service within its bytes

Cause: a large urgent request that took the queue over its bytes displaced only the last waiting request, however small, so that the queue grew with each further one.

Change: as many of the last requests are refused as needed.

Measured: the new test fails before (one refusal instead of three); 31 tests of the queue and of waiting pass.

--- a/bronzesill/limits/service_queue.py
+++ b/bronzesill/limits/service_queue.py
@@ -205,7 +205,7 @@
 
     def offer(self, waiter: Waiter, now_s: float) -> tuple[QueueRefusal, ...]:
         """
-        Let a request wait, or refuse it or one that it displaces.
+        Let a request wait, or refuse it or those that it displaces.
 
         :param waiter: the request.
         :param now_s: current time in seconds.
@@ -219,14 +219,7 @@
                 cause = RefusalCause.TOO_LONG
                 return (self._refuse_expected(waiter, cause, forecast, now_s),)
         self._waiters[waiter.request_id] = waiter
-        if not self._is_over_bounds():
-            return ()
-        refusable = [
-            queued for queued in self.ordered(now_s) if queued.is_refusable
-        ]
-        if not refusable:
-            return ()
-        return (self._refuse(refusable[-1], RefusalCause.FULL, now_s),)
+        return self._refuse_excess(now_s)
 
     def ordered(self, now_s: float) -> list[Waiter]:
         """Return the waiting requests, the first one to dispatch first."""
@@ -301,6 +294,16 @@
         """Return the number of waiting requests by their configured rank."""
         return Counter(waiter.rank for waiter in self._waiters.values())
 
+    def _refuse_excess(self, now_s: float) -> tuple[QueueRefusal, ...]:
+        """Refuse the last requests in order while there are too many."""
+        refusals: list[QueueRefusal] = []
+        if not self._is_over_bounds():
+            return ()
+        for waiter in reversed(self.ordered(now_s)):
+            if self._is_over_bounds() and waiter.is_refusable:
+                refusals.append(self._refuse(waiter, RefusalCause.FULL, now_s))
+        return tuple(refusals)
+
     def _is_hopeless(
         self, waiter: Waiter, forecast: WaitForecast, now_s: float
     ) -> bool:
--- a/bronzesill/limits/tests/test_service_queue.py
+++ b/bronzesill/limits/tests/test_service_queue.py
@@ -162,6 +162,18 @@
         refusals = queue.offer(_waiter('b', body_bytes=6), 0)
         self.refused(refusals, RefusalCause.FULL)
 
+    def test_large_request_displaces_as_many_as_needed(self) -> None:
+        """Guards against a queue that outgrows its bytes by urgent uploads."""
+        queue = _queue(max_bytes=10)
+        for number in range(5):
+            queue.offer(_waiter(f'bulk{number}', rank=1, body_bytes=2), 0)
+        refusals = queue.offer(_waiter('urgent', body_bytes=6), 0)
+        self.assertEqual(
+            [refusal.waiter.request_id for refusal in refusals],
+            ['bulk4', 'bulk3', 'bulk2'],
+        )
+        self.assertEqual(_ids(queue), ['urgent', 'bulk0', 'bulk1'])
+
     def test_late_request_is_refused(self) -> None:
         """Guards against slots spent on requests that end too late."""
         queue = _queue()
