Forget the queues of versions that no request needs any more

Cause: a host kept the queue, shares and rate of each service and version for which a request had ever waited, one more set with each roll-out.

Change: a queue that has been empty for a minute is forgotten when another one is created.

Measured: the new test fails before (100 queues kept) and passes; the other tests of waiting pass.

--- a/bronzesill/limits/tests/test_waiting.py
+++ b/bronzesill/limits/tests/test_waiting.py
@@ -110,6 +110,23 @@
     return callers
 
 
+async def _queue_versions() -> int:
+    waiting = WaitingRequests(Random(1), NullMetrics())
+    for number in range(100):
+        now_s = asyncio.get_running_loop().time()
+        waiter = Waiter(f'r{number}', 'a', now_s, now_s + 9)
+        name = f'{_SERVICE} v{number}'
+        waiting.join(
+            name,
+            WaitingRequest(
+                waiter, waiter.request_id, lambda: None, lambda refusal: None
+            ),
+        )
+        waiting.leave(name, waiter.request_id)
+        await asyncio.sleep(10)
+    return waiting.queues
+
+
 async def _pass_by() -> _Callers:
     callers = _Callers()
     callers.slots = 3
@@ -179,6 +196,10 @@
         """Guards against a queue that a caller who left holds up."""
         self.assertEqual(_play(_leave()).served, ['next'])
 
+    def test_queues_of_former_versions_are_forgotten(self) -> None:
+        """Guards against hosts that keep a queue for each roll-out."""
+        self.assertLess(run_in_virtual_time(_queue_versions()), 10)
+
     def test_nothing_waits_while_there_is_room(self) -> None:
         """Guards against delays at hosts whose servers have room."""
         callers = _play(_pass_by())
--- a/bronzesill/limits/waiting.py
+++ b/bronzesill/limits/waiting.py
@@ -21,6 +21,8 @@
 _TURN_S = 0.3
 #: Requests in a row that find no server, after which others need not look.
 _MAX_MISSES = 3
+#: Time for which an empty queue is kept, in which recent shares decay.
+_KEPT_EMPTY_S = 60.0
 
 _log = PartLogger('limits')
 
@@ -84,6 +86,11 @@
         self._rounds_by_service: dict[str, _Rounds] = {}
         self._is_stopping = False
 
+    @property
+    def queues(self) -> int:
+        """Number of queues that are kept."""
+        return len(self._rounds_by_service)
+
     def may_look(self, service: str, request_id: str) -> bool:
         """Return whether a request may look for a server now."""
         rounds = self._rounds_by_service.get(service)
@@ -135,6 +142,7 @@
     def _rounds(self, service: str) -> _Rounds:
         rounds = self._rounds_by_service.get(service)
         if rounds is None:
+            self._forget_unused()
             queue = ServiceQueue(
                 self._bounds,
                 self._random,
@@ -149,6 +157,15 @@
             self._rounds_by_service[service] = rounds
         return rounds
 
+    def _forget_unused(self) -> None:
+        """Forget the queues of versions that requests no longer need."""
+        now_s = _now_s()
+        self._rounds_by_service = {
+            service: rounds
+            for service, rounds in self._rounds_by_service.items()
+            if not rounds.is_unused(now_s)
+        }
+
     def _find_quota(self, service: str, queue: ServiceQueue) -> float:
         """
         Return how many requests of a queue may look in one round.
@@ -196,9 +213,15 @@
         self._quota: float = 0
         self._missed: set[str] = set()
         self._turn_since_s: float = 0
+        self._joined_at_s: float = 0
         self._shown_ranks: frozenset[int] = frozenset()
         self._timer: asyncio.TimerHandle | None = None
 
+    def is_unused(self, now_s: float) -> bool:
+        """Return whether no request has waited for some time."""
+        is_recent = now_s - self._joined_at_s < _KEPT_EMPTY_S
+        return not (is_recent or len(self.queue))
+
     def join(self, request: WaitingRequest) -> None:
         """Let a request wait, or note that it has found no server."""
         request_id = request.waiter.request_id
@@ -206,6 +229,7 @@
             self._miss(request_id)
             return
         now_s = _now_s()
+        self._joined_at_s = now_s
         self._requests[request_id] = request
         refusals = self.queue.offer(request.waiter, now_s)
         if request_id in self.queue:
