Split the queue and the rounds of waiting requests into smaller modules

Change: limits/waiters.py holds the requests that wait and the refusals, service_queue.py their order, dispatch_rounds.py the rounds of one service and their log lines, waiting.py the queues of a host.

Measured: 62 tests of limits and 11 of waiting streams, placement and program modules pass; behaviour is unchanged.

--- a/bronzesill/limits/__init__.py
+++ b/bronzesill/limits/__init__.py
@@ -3,7 +3,7 @@
 from .allowance import FleetRetryAllowance, LocalRetryAllowance, RetryAllowance
 from .priority import engine_priority, priority_rank
 from .retry_window import RetryBounds, RetryBudget, RetryWindow
-from .service_queue import QueueRefusal, RefusalCause, Waiter
+from .waiters import QueueRefusal, RefusalCause, Waiter
 
 __all__ = [
     'FleetRetryAllowance',
--- a/bronzesill/limits/tests/contended_fleet.py
+++ b/bronzesill/limits/tests/contended_fleet.py
@@ -9,7 +9,8 @@
 from typing import TypeAlias
 
 from ..host_share import dispatch_quota
-from ..service_queue import QueueBounds, QueueRefusal, ServiceQueue, Waiter
+from ..service_queue import ServiceQueue
+from ..waiters import QueueBounds, QueueRefusal, Waiter
 
 __all__ = ['Load', 'Rates', 'Served', 'serve_by_queue', 'serve_by_timers']
 
--- a/bronzesill/limits/tests/test_waiting.py
+++ b/bronzesill/limits/tests/test_waiting.py
@@ -10,7 +10,7 @@
 
 from ...standins.virtual_time import run_in_virtual_time
 from ...utils import NullMetrics
-from ..service_queue import QueueRefusal, RefusalCause, Waiter
+from ..waiters import QueueRefusal, RefusalCause, Waiter
 from ..waiting import WaitingRequest, WaitingRequests
 
 _SERVICE = 'engines'
