Leave pages that hold no metrics out of the status of services

Cause: bronzesill status parsed whatever the port of metrics answered, so an error page of one host ended it with a ValueError.

Change: such pages are left out and not counted as hosts.

Measured: the new test fails before; 8 tests of the rows and of the commands pass.

--- a/bronzesill/cli/service_rows.py
+++ b/bronzesill/cli/service_rows.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import statistics
 from collections.abc import Iterable, Sequence
 
 import aiohttp
 from prometheus_client.parser import text_string_to_metric_families
+from prometheus_client.samples import Sample
 
 from ..utils import Address
 
@@ -111,16 +113,18 @@
     Return a row for each service.
 
     Servers, slots and states are the highest that a host sees, reported loads
-    and medians the median of the hosts, connections the sum.
+    and medians the median of the hosts, connections the sum.  Other texts
+    than metrics are left out.
 
     :param pages: metrics of each host in the Prometheus text format.
     """
     samples_by_service: dict[str, _Samples] = {}
+    hosts = 0
     for page in pages:
-        for family in text_string_to_metric_families(page):
-            if not family.name.startswith(_PREFIX):
-                continue
-            for sample in family.samples:
+        with contextlib.suppress(ValueError):
+            samples = _parse(page)
+            hosts += 1
+            for sample in samples:
                 labels = dict(sample.labels)
                 service = labels.pop('service', '')
                 samples_by_service.setdefault(service, _Samples()).add(
@@ -131,7 +135,7 @@
     return [
         ServiceRow(
             service,
-            len(pages),
+            hosts,
             int(samples.total('servers')),
             samples.describe(),
         )
@@ -139,6 +143,20 @@
     ]
 
 
+def _parse(page: str) -> list[Sample]:
+    """
+    Return the samples of all services on a page.
+
+    :raises ValueError: the page is not in the text format of metrics.
+    """
+    return [
+        sample
+        for family in text_string_to_metric_families(page)
+        if family.name.startswith(_PREFIX)
+        for sample in family.samples
+    ]
+
+
 async def _fetch(session: aiohttp.ClientSession, host: Address) -> str:
     timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
     try:
--- a/bronzesill/cli/tests/test_service_rows.py
+++ b/bronzesill/cli/tests/test_service_rows.py
@@ -53,5 +53,10 @@
             '0 paused, 0 suspected, 0 leaving, new connections: call 12',
         )
 
+    # Guards against a status that fails because of one host's error page.
+    def test_pages_without_metrics_are_left_out(self) -> None:
+        rows = merge_pages(('<h1>404: Not Found</h1>', _page(12, 5, 1, 3)))
+        self.assertEqual([row.hosts for row in rows], [1])
+
     def test_hosts_without_pages_give_no_rows(self) -> None:
         self.assertEqual(merge_pages(()), [])
