--- a/bronzesill/calls/tests/test_unread_answers.py
+++ b/bronzesill/calls/tests/test_unread_answers.py
@@ -54,7 +54,7 @@
         self.assertFalse(CancelAttempt(1, 's', cause).blames_server)
 
     # Guards against sound servers that are suspected for slow readers.
-    @mock.patch('bronzesill.upstream.connection._UNREAD_S', 0.05)
+    @mock.patch('bronzesill.upstream.pending_answer._UNREAD_S', 0.05)
     async def test_server_is_not_blamed(self) -> None:
         error = await self.lose(unread_s=0.1)
         self.assertIsInstance(error, AnswerUnread)
--- a/bronzesill/daemon/tests/test_program_modules.py
+++ b/bronzesill/daemon/tests/test_program_modules.py
@@ -19,10 +19,10 @@
 #: their leaving is told to other hosts by one more, and how old knowledge of
 #: the store may be is decided in one.  Decisions under load have modules
 #: of their own: nine for speeds and expected times, five for silent streams
-#: and handovers, four for connections, six for invalid answers and memory, and
-#: ten for the queue of waiting requests.
-_MAX_OWN_MODULES = 190
-_MAX_MODULES = 645
+#: and handovers, four for connections, seven for invalid answers and memory,
+#: and ten for the queue of waiting requests.
+_MAX_OWN_MODULES = 191
+_MAX_MODULES = 646
 #: Libraries and packages that only the native interface and the tool use.
 _UNUSED = frozenset(
     (
--- a/bronzesill/upstream/connection.py
+++ b/bronzesill/upstream/connection.py
@@ -18,31 +18,18 @@
     InvalidAnswer,
     RequestNotSent,
     RequestUnread,
-    uptime_s,
-)
-from .completeness import (
-    RESET_WAIT_S,
-    RequestMoment,
-    find_doubt,
-    needs_reset_wait,
 )
+from .completeness import RESET_WAIT_S, needs_reset_wait
+from .pending_answer import PendingAnswer
 from .sent_bytes import SentRequest, count_unsent, is_reset
-from .statuses import StatusKind, classify_status, find_interim_fault
+from .statuses import StatusKind, classify_status
 
 __all__ = ['UpstreamConnection']
 
 _MAX_BUFFERED_BYTES = 256 * 1024
-#: Bytes that are not part of the body: heads, chunk sizes and trailers.  A
-#: faulty server may send them without end.
-_MAX_OVERHEAD_BYTES = 64 * 1024
-#: Small chunks have several times as many bytes of overhead as of body.
-_OVERHEAD_PER_BODY_BYTE = 16
 _STATUS_LINE = re.compile(rb'HTTP/1\.[01] [0-9]{3}')
-#: Time without reading after which a server may break off its answer.
-_UNREAD_S = 1.0
 #: Time for a server to read the rest of a request that it has answered.
 _FINISH_WRITING_S = 5.0
-_BODILESS_STATUSES = frozenset((204, 304))
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -70,7 +57,7 @@
         self.received_at_s: float = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
-        self._answer: _PendingAnswer | None = None
+        self._answer: PendingAnswer | None = None
         self._is_usable = True
         self._is_aborted = False
 
@@ -119,7 +106,7 @@
         if transport is None or transport.is_closing():
             raise RequestNotSent('connection closed before the request')
         sent = SentRequest(transport, len(request))
-        answer = _PendingAnswer(sent, is_head=is_head)
+        answer = PendingAnswer(sent, is_head=is_head)
         self._answer = answer
         transport.write(request)
         return await answer.head
@@ -316,7 +303,7 @@
             and transport.get_extra_info('socket') is not None
         )
 
-    def _end_after_wait(self, answer: _PendingAnswer) -> None:
+    def _end_after_wait(self, answer: PendingAnswer) -> None:
         transport = self._transport
         if transport is None or answer.is_finished:
             return
@@ -355,148 +342,3 @@
     """
     if _STATUS_LINE.search(text):
         raise ValueError('a head within another head')
-
-
-class _PendingAnswer:
-    """
-    Answer that is being received.
-
-    :param sent: the request.
-    :param is_head: whether it answers a ``HEAD`` request and so has no body
-        regardless of its headers.
-    """
-
-    def __init__(self, sent: SentRequest, *, is_head: bool) -> None:
-        self.sent = sent
-        self.headers: list[Header] = []
-        self.head: asyncio.Future[AnswerHead] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self._asked_at_s = uptime_s()
-        self.is_finished = False
-        self.has_head = False
-        self.is_delimited_by_close = False
-        self.buffered_bytes = 0
-        #: Whether this host did not read for a time that servers may limit.
-        self.was_unread = False
-        self._paused_at_s: float | None = None
-        #: All bytes received since the request, and those of the body.
-        self.received_bytes = 0
-        self._body_bytes = 0
-        self._interim_heads = 0
-        self._at_head: RequestMoment | None = None
-        self.is_head = is_head
-        self._chunks: list[bytes] = []
-        self._failure: AnswerError | None = None
-        self._updated = asyncio.Event()
-
-    @property
-    def has_excess_overhead(self) -> bool:
-        """Whether more bytes than allowed are not part of the body."""
-        allowed = (
-            _MAX_OVERHEAD_BYTES + _OVERHEAD_PER_BODY_BYTE * self._body_bytes
-        )
-        return self.received_bytes - self._body_bytes > allowed
-
-    def note_paused(self) -> None:
-        """Note that this host reads no more for now."""
-        if self._paused_at_s is None:
-            self._paused_at_s = asyncio.get_running_loop().time()
-
-    def note_resumed(self) -> None:
-        """Note that this host reads again."""
-        if self._paused_at_s is None:
-            return
-        now_s = asyncio.get_running_loop().time()
-        self.was_unread |= now_s - self._paused_at_s >= _UNREAD_S
-        self._paused_at_s = None
-
-    def drop_interim_head(self) -> None:
-        """
-        Forget the head of an interim response.
-
-        :raises InvalidAnswer: it states a body, or is one too many.
-        """
-        self._interim_heads += 1
-        text_by_name = {header.name: header.text for header in self.headers}
-        fault = find_interim_fault(text_by_name, self._interim_heads)
-        if fault:
-            raise InvalidAnswer('interim', fault)
-        self.headers.clear()
-
-    def complete_head(self, status: int) -> None:
-        """
-        Build the head from the headers received so far.
-
-        :param status: HTTP status.
-        """
-        names = {header.name for header in self.headers}
-        has_length = (
-            bool(names & {b'content-length', b'transfer-encoding'})
-            or status in _BODILESS_STATUSES
-            or self.is_head
-        )
-        self.is_delimited_by_close = not has_length
-        if not has_length:
-            self._at_head = self.sent.observe()
-        self.has_head = True
-        head = AnswerHead(
-            status, tuple(self.headers), has_length, self._asked_at_s
-        )
-        if not self.head.done():
-            self.head.set_result(head)
-        if self.is_head:
-            self.mark_complete()
-
-    def find_doubt(self) -> str:
-        """Return why its end may not be that of the answer, if anything."""
-        at_end = self.sent.observe()
-        return find_doubt(self.sent.size, self._at_head or at_end, at_end)
-
-    def append_body(self, body: bytes) -> None:
-        """Buffer bytes of the body; ignored after the end of the answer."""
-        if self.is_finished:
-            return
-        self._chunks.append(body)
-        self._body_bytes += len(body)
-        self.buffered_bytes += len(body)
-        self._updated.set()
-
-    def mark_complete(self) -> None:
-        """Mark the answer as completely received."""
-        self.is_finished = True
-        self._updated.set()
-
-    def mark_failed(self, failure: AnswerError) -> None:
-        """
-        Mark the answer as failed.
-
-        :param failure: error that readers get.
-        """
-        self.is_finished = True
-        self._failure = failure
-        if not self.head.done():
-            self.head.set_exception(failure)
-            # Marks the exception as retrieved, so that asyncio logs no
-            # warning if nothing awaits the head any more.
-            self.head.exception()
-        self._updated.set()
-
-    async def next_chunk(self) -> bytes:
-        """
-        Wait for and return the buffered bytes, empty at the end.
-
-        :raises AnswerError: the answer failed; bytes received before the
-            failure are returned first.
-        """
-        while not self._chunks and not self.is_finished:
-            self._updated.clear()
-            await self._updated.wait()
-        if self._chunks:
-            body = b''.join(self._chunks)
-            self._chunks.clear()
-            self.buffered_bytes = 0
-            return body
-        if self._failure is not None:
-            raise self._failure
-        return b''
