Name rules of answers, reuse and memory by what they decide

Cause: find_doubt, RequestMoment, is_stated_enough, HeldFor and _is_hopeless did not say what they stand for, and int served as a function that does nothing.

Change: find_incompleteness, TransmissionState, trusts_stated_timeout, MemoryUse, _is_expected_late; None stands for no callback.

--- a/bronzesill/daemon/hosted_requests.py
+++ b/bronzesill/daemon/hosted_requests.py
@@ -38,7 +38,7 @@
 from ..platform.prompts import fetch_held_parts
 from ..platform.store import PlatformStore
 from ..routing import LoadReport, ServerTracker, WaitingCount, count_free
-from ..upstream import AnswerHead, ConnectionPool, HeldFor
+from ..upstream import AnswerHead, ConnectionPool, MemoryUse
 from ..utils import PrometheusMetrics
 from .hosted_fleet import HostedFleet
 from .hosted_moves import HostedTraffic
@@ -302,7 +302,7 @@
         for kind, count in context.store.calls_by_kind.items():
             context.metrics.gauge(f'store.{kind}', count)
         context.metrics.gauge('store.era', context.store.era)
-        for use in HeldFor:
+        for use in MemoryUse:
             held = context.pool.memory.held_for(use)
             context.metrics.gauge(f'memory.{use.value}', held)
 
--- a/bronzesill/gateway/disconnect.py
+++ b/bronzesill/gateway/disconnect.py
@@ -20,7 +20,7 @@
 ]
 
 _RECEIVE_BUFFER_KEY = 'bronzesill.events'
-_ENDINGS_KEY = 'bronzesill.endings'
+_END_CALLBACKS_KEY = 'bronzesill.callbacks'
 _UNLIMITED_BYTES = sys.maxsize
 
 _Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -71,12 +71,12 @@
         """Pass a request to the application with a buffered ``receive``."""
         receive_buffer = _ReceiveBuffer(receive)
         scope[_RECEIVE_BUFFER_KEY] = receive_buffer
-        endings: list[Callable[[], object]] = []
-        scope[_ENDINGS_KEY] = endings
+        callbacks: list[Callable[[], object]] = []
+        scope[_END_CALLBACKS_KEY] = callbacks
         try:
             await self._app(scope, receive_buffer.receive_for_falcon, send)
         finally:
-            for on_end in endings:
+            for on_end in callbacks:
                 on_end()
 
 
@@ -87,7 +87,7 @@
     :param http: a request that came through ``ReceiveBufferMiddleware``.
     :param on_end: the function.
     """
-    http.scope[_ENDINGS_KEY].append(on_end)
+    http.scope[_END_CALLBACKS_KEY].append(on_end)
 
 
 async def receive_event(http: asgi.Request) -> dict[str, Any]:
@@ -103,7 +103,7 @@
 async def read_body(
     http: asgi.Request,
     max_bytes: int = _UNLIMITED_BYTES,
-    on_size: Callable[[int], object] = int,
+    on_size: Callable[[int], object] | None = None,
 ) -> bytes:
     """
     Read the complete body of a request.
@@ -114,6 +114,7 @@
     :param http: the request.
     :param max_bytes: maximum size of the body in bytes.
     :param on_size: called with the size read so far; may raise an error.
+        ``None`` to call nothing.
     :raises BronzesillError: ``CALLER_LEFT`` or ``BODY_TOO_LARGE``.
     """
     chunks: list[bytes] = []
@@ -132,7 +133,8 @@
                 ResultCode.BODY_TOO_LARGE,
                 f'not run: request body exceeds {max_bytes} bytes',
             )
-        on_size(size)
+        if on_size is not None:
+            on_size(size)
         has_more = event.get('more_body', False)
     return b''.join(chunks)
 
--- a/bronzesill/gateway/filters.py
+++ b/bronzesill/gateway/filters.py
@@ -165,9 +165,9 @@
 
     def _hold(
         self, http: asgi.Request, declared: int
-    ) -> Callable[[int], object]:
+    ) -> Callable[[int], object] | None:
         if self._memory is None:
-            return int
+            return None
         upload = _HeldUpload(self._memory)
         call_at_end(http, upload.forget)
         # A body without a stated length counts as it arrives.
--- a/bronzesill/gateway/tests/test_memory_short.py
+++ b/bronzesill/gateway/tests/test_memory_short.py
@@ -7,7 +7,7 @@
 from falcon import asgi
 from falcon.testing import create_scope
 
-from ...upstream import AnswerMemory, HeldFor
+from ...upstream import AnswerMemory, MemoryUse
 from ...utils import BronzesillError, ResultCode
 from ..disconnect import ReceiveBufferMiddleware
 from ..exchange import Exchange
@@ -37,7 +37,7 @@
     async def serve(self, scope: Any, receive: Any, send: Any) -> None:
         exchange = Exchange(asgi.Request(scope, receive), self.document)
         await ReadBody(self.memory).apply(exchange)
-        self.held = self.memory.held_for(HeldFor.UPLOADS)
+        self.held = self.memory.held_for(MemoryUse.UPLOADS)
 
     async def receive(self) -> dict[str, Any]:
         self.received += 1
--- a/bronzesill/limits/service_queue.py
+++ b/bronzesill/limits/service_queue.py
@@ -82,7 +82,7 @@
             waiter = dataclasses.replace(waiter, is_early=True)
         if waiter.is_refusable and self._rate.per_s(now_s) is not None:
             forecast = self.forecast(waiter, now_s)
-            if self._is_hopeless(waiter, forecast, now_s):
+            if self._is_expected_late(waiter, forecast, now_s):
                 cause = RefusalCause.TOO_LONG
                 return (self._refuse_expected(waiter, cause, forecast, now_s),)
         self._waiters[waiter.request_id] = waiter
@@ -171,7 +171,7 @@
                 refusals.append(self._refuse(waiter, RefusalCause.FULL, now_s))
         return tuple(refusals)
 
-    def _is_hopeless(
+    def _is_expected_late(
         self, waiter: Waiter, forecast: WaitForecast, now_s: float
     ) -> bool:
         if forecast.wait_s is None or self.lacks_share(waiter, now_s):
--- a/bronzesill/limits/tests/test_service_queue.py
+++ b/bronzesill/limits/tests/test_service_queue.py
@@ -100,7 +100,7 @@
         self.assertEqual([refusal.cause for refusal in refusals], [cause])
         return refusals[0]
 
-    def test_hopeless_request_is_refused_at_once(self) -> None:
+    def test_request_that_is_expected_late_is_refused_at_once(self) -> None:
         """Guards against callers that wait for what cannot come in time."""
         queue = _queue()
         _with_rate(queue, 1, 8)
--- a/bronzesill/upstream/__init__.py
+++ b/bronzesill/upstream/__init__.py
@@ -19,7 +19,7 @@
 from .completeness import RESET_WAIT_S, needs_reset_wait
 from .connection import UpstreamConnection
 from .connectors import Connector, Dialer, DirectConnector, Reach, Target
-from .memory import AnswerMemory, HeldFor
+from .memory import AnswerMemory, MemoryUse
 from .pool import ConnectionLease, ConnectionPool
 from .purposes import ConnectionCounts, Purpose
 from .request import (
@@ -52,11 +52,11 @@
     'ForwardRequest',
     'Header',
     'HealthDialect',
-    'HeldFor',
     'HttpAnswer',
     'HttpCall',
     'InvalidAnswer',
     'KvCacheCopy',
+    'MemoryUse',
     'OnAnswerHead',
     'PathCut',
     'Purpose',
--- a/bronzesill/upstream/completeness.py
+++ b/bronzesill/upstream/completeness.py
@@ -12,8 +12,8 @@
 __all__ = [
     'RESET_WAIT_S',
     'SMALL_REQUEST_BYTES',
-    'RequestMoment',
-    'find_doubt',
+    'TransmissionState',
+    'find_incompleteness',
     'needs_reset_wait',
 ]
 
@@ -33,16 +33,16 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class RequestMoment:
+class TransmissionState:
     """
     How far a request has come at one moment.
 
     :param unsent_bytes: bytes that the server's system has not acknowledged.
-    :param quiet_s: seconds since the last byte was sent.
+    :param idle_s: seconds since the last byte was sent.
     """
 
     unsent_bytes: int
-    quiet_s: float
+    idle_s: float
 
 
 def needs_reset_wait(request_bytes: int) -> bool:
@@ -54,8 +54,8 @@
     return request_bytes > SMALL_REQUEST_BYTES
 
 
-def find_doubt(
-    request_bytes: int, at_head: RequestMoment, at_end: RequestMoment
+def find_incompleteness(
+    request_bytes: int, at_head: TransmissionState, at_end: TransmissionState
 ) -> str:
     """
     Return why an answer is not known to be complete, empty if it is.
@@ -66,8 +66,8 @@
     """
     if at_end.unsent_bytes:
         return f'ended with {at_end.unsent_bytes} bytes of the request unsent'
-    if request_bytes <= _WINDOW_BYTES or at_end.quiet_s >= _LONG_ANSWER_S:
+    if request_bytes <= _WINDOW_BYTES or at_end.idle_s >= _LONG_ANSWER_S:
         return ''
-    if at_head.unsent_bytes or at_head.quiet_s < _SHORTEST_ANSWER_S:
+    if at_head.unsent_bytes or at_head.idle_s < _SHORTEST_ANSWER_S:
         return 'began before the request can have been read'
     return ''
--- a/bronzesill/upstream/connection.py
+++ b/bronzesill/upstream/connection.py
@@ -198,11 +198,11 @@
             return False
         if not answer.is_delimited_by_close:
             return False
-        doubt = answer.find_doubt()
-        if doubt:
-            self._fail_connection(RequestUnread(f'answer {doubt}'))
+        cause = answer.find_incompleteness()
+        if cause:
+            self._fail_connection(RequestUnread(f'answer {cause}'))
         has_socket = self._has_socket
-        if doubt or not has_socket or not needs_reset_wait(answer.sent.size):
+        if cause or not has_socket or not needs_reset_wait(answer.sent.size):
             return False
         self._is_usable = False
         loop = asyncio.get_running_loop()
--- a/bronzesill/upstream/memory.py
+++ b/bronzesill/upstream/memory.py
@@ -8,7 +8,7 @@
 
 from .answer import AnswerDropped
 
-__all__ = ['AnswerKeeper', 'AnswerMemory', 'HeldFor']
+__all__ = ['AnswerKeeper', 'AnswerMemory', 'MemoryUse']
 
 #: Budget where the platform states no limit.
 _MAX_KEPT_BYTES = 48 * 1024 * 1024
@@ -20,7 +20,7 @@
 _UPLOAD_SHARE = 0.5
 
 
-class HeldFor(enum.Enum):
+class MemoryUse(enum.Enum):
     """What bytes are held for."""
 
     UPLOADS = 'uploads'
@@ -50,7 +50,7 @@
         self.max_bytes = max_bytes
         self._bytes_by_keeper: dict[AnswerKeeper, int] = {}
         self._bytes_by_reader: dict[AnswerKeeper, int] = {}
-        self._bytes_by_use = dict.fromkeys(HeldFor, 0)
+        self._bytes_by_use = dict.fromkeys(MemoryUse, 0)
 
     @classmethod
     def from_limit(cls, memory_mb: float) -> AnswerMemory:
@@ -68,7 +68,7 @@
         """All bytes that count."""
         return sum(self._bytes_by_use.values())
 
-    def held_for(self, use: HeldFor) -> int:
+    def held_for(self, use: MemoryUse) -> int:
         """Return the bytes that are held for one use."""
         return self._bytes_by_use[use]
 
@@ -81,19 +81,19 @@
         :param size: number of bytes.
         :param held: bytes of the same request that count already.
         """
-        uploads = self._bytes_by_use[HeldFor.UPLOADS]
+        uploads = self._bytes_by_use[MemoryUse.UPLOADS]
         is_short = (
             uploads + size > self.max_bytes * _UPLOAD_SHARE
             or self.held_bytes + size > self.max_bytes
         )
         if uploads > held and is_short:
             return False
-        self._bytes_by_use[HeldFor.UPLOADS] += size
+        self._bytes_by_use[MemoryUse.UPLOADS] += size
         return True
 
     def forget_upload(self, size: int) -> None:
         """Count bytes of a request no longer."""
-        self._bytes_by_use[HeldFor.UPLOADS] -= size
+        self._bytes_by_use[MemoryUse.UPLOADS] -= size
 
     def set_unread(self, reader: AnswerKeeper, size: int) -> None:
         """
@@ -103,7 +103,7 @@
         :param size: number of bytes, 0 if it has read what waited.
         """
         known = self._bytes_by_reader
-        self._bytes_by_use[HeldFor.CALLERS] += size - known.pop(reader, 0)
+        self._bytes_by_use[MemoryUse.CALLERS] += size - known.pop(reader, 0)
         if size:
             known[reader] = size
             self._drop_largest()
@@ -118,13 +118,13 @@
         """
         known = self._bytes_by_keeper
         known[keeper] = known.get(keeper, 0) + size
-        self._bytes_by_use[HeldFor.ANSWERS] += size
+        self._bytes_by_use[MemoryUse.ANSWERS] += size
         self._drop_largest(keeper)
 
     def forget(self, keeper: AnswerKeeper) -> None:
         """Count an answer no longer; it was passed on or given up."""
         freed = self._bytes_by_keeper.pop(keeper, 0)
-        self._bytes_by_use[HeldFor.ANSWERS] -= freed
+        self._bytes_by_use[MemoryUse.ANSWERS] -= freed
 
     def _drop_largest(self, growing: AnswerKeeper | None = None) -> None:
         """
--- a/bronzesill/upstream/pending_answer.py
+++ b/bronzesill/upstream/pending_answer.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from .answer import AnswerError, AnswerHead, Header, InvalidAnswer, uptime_s
-from .completeness import RequestMoment, find_doubt
+from .completeness import TransmissionState, find_incompleteness
 from .sent_bytes import SentRequest
 from .statuses import find_interim_fault
 
@@ -48,7 +48,7 @@
         self.received_bytes = 0
         self._body_bytes = 0
         self._interim_heads = 0
-        self._at_head: RequestMoment | None = None
+        self._at_head: TransmissionState | None = None
         self.is_head = is_head
         self._chunks: list[bytes] = []
         self._failure: AnswerError | None = None
@@ -112,10 +112,12 @@
         if self.is_head:
             self.mark_complete()
 
-    def find_doubt(self) -> str:
-        """Return why its end may not be that of the answer, if anything."""
+    def find_incompleteness(self) -> str:
+        """Return why the answer may be incomplete, empty if it is complete."""
         at_end = self.sent.observe()
-        return find_doubt(self.sent.size, self._at_head or at_end, at_end)
+        return find_incompleteness(
+            self.sent.size, self._at_head or at_end, at_end
+        )
 
     def append_body(self, body: bytes) -> None:
         """Buffer bytes of the body; ignored after the end of the answer."""
--- a/bronzesill/upstream/pool.py
+++ b/bronzesill/upstream/pool.py
@@ -186,10 +186,10 @@
     def _find_limit(
         self, target: Target, max_idle_s: float, purpose: Purpose
     ) -> IdleLimit:
-        is_stated_enough = purpose is Purpose.CALL and self.saves_connections(
-            target.name
+        trusts_stated_timeout = (
+            purpose is Purpose.CALL and self.saves_connections(target.name)
         )
-        return IdleLimit(max_idle_s, is_stated_enough)
+        return IdleLimit(max_idle_s, trusts_stated_timeout)
 
 
 class ConnectionLease:
--- a/bronzesill/upstream/reuse.py
+++ b/bronzesill/upstream/reuse.py
@@ -20,13 +20,13 @@
     How long a connection may have been idle that carries a request.
 
     :param max_idle_s: longest idle time in seconds.
-    :param is_stated_enough: whether a connection whose server states its idle
-        timeout may be used until shortly before that instead, unless the
+    :param trusts_stated_timeout: whether a connection whose server states its
+        idle timeout may be used until shortly before that instead, unless the
         kernel holds an end of it.
     """
 
     max_idle_s: float
-    is_stated_enough: bool = False
+    trusts_stated_timeout: bool = False
 
     def allows(self, connection: UpstreamConnection, now_s: float) -> bool:
         """
@@ -36,7 +36,7 @@
         :param now_s: current loop time in seconds.
         """
         max_idle_s = self.max_idle_s
-        if self.is_stated_enough and connection.is_timeout_stated:
+        if self.trusts_stated_timeout and connection.is_timeout_stated:
             max_idle_s = _MAX_STATED_IDLE_S
         is_fresh = (
             now_s - connection.idle_since_s <= max_idle_s
@@ -44,7 +44,7 @@
         )
         if not is_fresh or not connection.is_reusable:
             return False
-        return not (self.is_stated_enough and connection.has_pending_end)
+        return not (self.trusts_stated_timeout and connection.has_pending_end)
 
 
 def is_proven_alive(connection: UpstreamConnection, now_s: float) -> bool:
--- a/bronzesill/upstream/sent_bytes.py
+++ b/bronzesill/upstream/sent_bytes.py
@@ -8,7 +8,7 @@
 import socket
 import struct
 
-from .completeness import RequestMoment
+from .completeness import TransmissionState
 
 __all__ = ['SentRequest', 'count_unsent', 'is_reset']
 
@@ -34,11 +34,11 @@
         self._transport = transport
         self._written_at_s = asyncio.get_running_loop().time()
 
-    def observe(self) -> RequestMoment:
+    def observe(self) -> TransmissionState:
         """Return how far the request has come."""
-        return RequestMoment(count_unsent(self._transport), self._quiet_s())
+        return TransmissionState(count_unsent(self._transport), self._idle_s())
 
-    def _quiet_s(self) -> float:
+    def _idle_s(self) -> float:
         now_s = asyncio.get_running_loop().time()
         return min(now_s - self._written_at_s, _last_sent_s(self._transport))
 
--- a/bronzesill/upstream/tests/test_memory_budget.py
+++ b/bronzesill/upstream/tests/test_memory_budget.py
@@ -7,7 +7,7 @@
 from ...utils import Address
 from ...utils.serving import HttpServer
 from ..answer import AnswerError
-from ..memory import AnswerMemory, HeldFor
+from ..memory import AnswerMemory, MemoryUse
 
 _BODY_BYTES = 8 * 1024 * 1024
 _REQUEST = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
@@ -108,7 +108,7 @@
 
     async def test_unread_answer_counts_until_it_is_read(self) -> None:
         reader = await self.request()
-        self.assertGreater(self.memory.held_for(HeldFor.CALLERS), 0)
+        self.assertGreater(self.memory.held_for(MemoryUse.CALLERS), 0)
         async with asyncio.timeout(_WAIT_S):
             await reader.readexactly(_BODY_BYTES)
         self.assertEqual(self.memory.held_bytes, 0)
--- a/bronzesill/upstream/tests/test_reuse.py
+++ b/bronzesill/upstream/tests/test_reuse.py
@@ -125,7 +125,9 @@
     def allows(self, connection: UpstreamConnection) -> bool:
         now_s = asyncio.get_running_loop().time()
         connection.idle_since_s = now_s
-        return IdleLimit(4, is_stated_enough=True).allows(connection, now_s)
+        return IdleLimit(4, trusts_stated_timeout=True).allows(
+            connection, now_s
+        )
 
     # Guards against a call of unknown outcome on a connection that its server
     # had closed before, while the host was busy.
