Let all waiting requests look for a server in turn

Cause: each round began with the first requests in order and ended after three that found no server. Three that no server takes for reasons of their own (memory, servers that they lost) held up all others of the service, also while servers had room for these.

Change: the third look of a round goes to the request that has not looked for the longest. The first two go to the first in order as before.

--- a/bronzesill/limits/dispatch_rounds.py
+++ b/bronzesill/limits/dispatch_rounds.py
@@ -16,7 +16,7 @@
 _RETRY_INTERVAL_S = 0.1
 #: Time after which a request that was to look for a server is passed over.
 _TURN_S = 0.3
-#: Requests in a row that find no server, after which others need not look.
+#: Requests of a round that find no server, after which others need not look.
 _MAX_MISSES = 3
 #: Time for which an empty queue is kept, in which recent shares decay.
 _KEPT_EMPTY_S = 60.0
@@ -66,7 +66,10 @@
         self._requests: dict[str, WaitingRequest] = {}
         self._find_quota = find_quota
         self._quota: float = 0
+        #: Requests that found no server in this round, and in any round since
+        #: all others have looked.
         self._missed: set[str] = set()
+        self._tried: set[str] = set()
         self._turn_since_s: float = 0
         self._joined_at_s: float = 0
         self._shown_ranks: frozenset[int] = frozenset()
@@ -145,10 +148,12 @@
         if request_id != self.turn:
             return
         self._missed.add(request_id)
+        self._tried.add(request_id)
         self._pass_turn()
 
     def _end_turn(self, request_id: str) -> None:
         self._requests.pop(request_id, None)
+        self._tried.discard(request_id)
         self._show_waiting()
         if request_id == self.turn:
             self._pass_turn()
@@ -158,12 +163,29 @@
         if self._quota <= 0 or len(self._missed) >= _MAX_MISSES:
             return
         now_s = _now_s()
-        for waiter in self.queue.ordered(now_s):
-            if waiter.request_id not in self._missed:
-                self.turn = waiter.request_id
-                self._turn_since_s = now_s
-                self._requests[waiter.request_id].on_turn()
-                return
+        request_id = self._find_next(now_s)
+        if request_id:
+            self.turn = request_id
+            self._turn_since_s = now_s
+            self._requests[request_id].on_turn()
+
+    def _find_next(self, now_s: float) -> str:
+        """
+        Return the request that looks next in this round, empty for none.
+
+        The first in order may have no server for reasons of their own, so the
+        last of a round is one that has not looked for the longest.
+        """
+        left = [
+            waiter.request_id
+            for waiter in self.queue.ordered(now_s)
+            if waiter.request_id not in self._missed
+        ]
+        if len(self._missed) == _MAX_MISSES - 1:
+            if self._tried.issuperset(left):
+                self._tried.clear()
+            left = [other for other in left if other not in self._tried]
+        return left[0] if left else ''
 
     def _schedule(self) -> None:
         if self._timer is None and len(self.queue):
--- a/bronzesill/limits/tests/test_waiting.py
+++ b/bronzesill/limits/tests/test_waiting.py
@@ -21,6 +21,8 @@
 
     def __init__(self) -> None:
         self.slots = 0
+        #: Requests that no server may take, as by the bound on retries.
+        self.blocked: frozenset[str] = frozenset()
         self.looks = 0
         self.served: list[str] = []
         self.refusals: list[QueueRefusal] = []
@@ -43,7 +45,8 @@
 
     def _look(self, request: WaitingRequest) -> None:
         self.looks += 1
-        if not self.slots:
+        is_blocked = request.waiter.request_id in self.blocked
+        if is_blocked or not self.slots:
             self.waiting.join(_SERVICE, request)
             return
         self.slots -= 1
@@ -100,6 +103,18 @@
     return callers
 
 
+async def _block_first() -> _Callers:
+    callers = _Callers()
+    callers.blocked = frozenset(f'retry{number}' for number in range(4))
+    for request_id in sorted(callers.blocked):
+        callers.join(request_id, is_retry=True)
+    for number in range(3):
+        callers.join(f'new{number}')
+    callers.slots = 9
+    await asyncio.sleep(1)
+    return callers
+
+
 async def _leave() -> _Callers:
     callers = _Callers()
     callers.join('gone')
@@ -192,6 +207,11 @@
         """Guards against a queue that one lost request holds up."""
         self.assertEqual(_play(_lose_turn()).served, ['next'])
 
+    def test_requests_that_find_no_server_hold_up_no_others(self) -> None:
+        """Guards against retries beyond their bound that block a queue."""
+        served = _play(_block_first()).served
+        self.assertEqual(served, ['new0', 'new1', 'new2'])
+
     def test_request_that_left_is_passed_over(self) -> None:
         """Guards against a queue that a caller who left holds up."""
         self.assertEqual(_play(_leave()).served, ['next'])
