--- a/bronzesill/limits/tests/test_waiting.py
+++ b/bronzesill/limits/tests/test_waiting.py
@@ -10,7 +10,7 @@
 
 from ...standins.virtual_time import run_in_virtual_time
 from ...utils import NullMetrics
-from ..service_queue import QueueRefusal, RefusalCause, Waiter
+from ..waiters import QueueRefusal, RefusalCause, Waiter
 from ..waiting import WaitingRequest, WaitingRequests
 
 _SERVICE = 'engines'
@@ -21,6 +21,8 @@
 
     def __init__(self) -> None:
         self.slots = 0
+        #: Requests that no server may take, as by the bound on retries.
+        self.blocked: frozenset[str] = frozenset()
         self.looks = 0
         self.served: list[str] = []
         self.refusals: list[QueueRefusal] = []
@@ -43,7 +45,8 @@
 
     def _look(self, request: WaitingRequest) -> None:
         self.looks += 1
-        if not self.slots:
+        is_blocked = request.waiter.request_id in self.blocked
+        if is_blocked or not self.slots:
             self.waiting.join(_SERVICE, request)
             return
         self.slots -= 1
@@ -100,6 +103,18 @@
     return callers
 
 
+async def _block_first() -> _Callers:
+    callers = _Callers()
+    callers.blocked = frozenset(f'retry{number}' for number in range(4))
+    for request_id in sorted(callers.blocked):
+        callers.join(request_id, is_retry=True)
+    for number in range(3):
+        callers.join(f'new{number}')
+    callers.slots = 9
+    await asyncio.sleep(1)
+    return callers
+
+
 async def _leave() -> _Callers:
     callers = _Callers()
     callers.join('gone')
@@ -110,6 +125,23 @@
     return callers
 
 
+async def _queue_versions() -> int:
+    waiting = WaitingRequests(Random(1), NullMetrics())
+    for number in range(100):
+        now_s = asyncio.get_running_loop().time()
+        waiter = Waiter(f'r{number}', 'a', now_s, now_s + 9)
+        name = f'{_SERVICE} v{number}'
+        waiting.join(
+            name,
+            WaitingRequest(
+                waiter, waiter.request_id, lambda: None, lambda refusal: None
+            ),
+        )
+        waiting.leave(name, waiter.request_id)
+        await asyncio.sleep(10)
+    return waiting.queues
+
+
 async def _pass_by() -> _Callers:
     callers = _Callers()
     callers.slots = 3
@@ -175,10 +207,19 @@
         """Guards against a queue that one lost request holds up."""
         self.assertEqual(_play(_lose_turn()).served, ['next'])
 
+    def test_requests_that_find_no_server_hold_up_no_others(self) -> None:
+        """Guards against retries beyond their bound that block a queue."""
+        served = _play(_block_first()).served
+        self.assertEqual(served, ['new0', 'new1', 'new2'])
+
     def test_request_that_left_is_passed_over(self) -> None:
         """Guards against a queue that a caller who left holds up."""
         self.assertEqual(_play(_leave()).served, ['next'])
 
+    def test_queues_of_former_versions_are_forgotten(self) -> None:
+        """Guards against hosts that keep a queue for each roll-out."""
+        self.assertLess(run_in_virtual_time(_queue_versions()), 10)
+
     def test_nothing_waits_while_there_is_room(self) -> None:
         """Guards against delays at hosts whose servers have room."""
         callers = _play(_pass_by())
--- a/bronzesill/upstream/__init__.py
+++ b/bronzesill/upstream/__init__.py
@@ -1,6 +1,7 @@
 """HTTP connections to backend servers, and the types of their messages."""
 
 from .answer import (
+    AnswerDropped,
     AnswerError,
     AnswerHead,
     AnswerUnread,
@@ -18,7 +19,7 @@
 from .completeness import RESET_WAIT_S, needs_reset_wait
 from .connection import UpstreamConnection
 from .connectors import Connector, Dialer, DirectConnector, Reach, Target
-from .memory import AnswerMemory, HeldFor
+from .memory import AnswerMemory, MemoryUse
 from .pool import ConnectionLease, ConnectionPool
 from .purposes import ConnectionCounts, Purpose
 from .request import (
@@ -34,6 +35,7 @@
 
 __all__ = [
     'RESET_WAIT_S',
+    'AnswerDropped',
     'AnswerError',
     'AnswerHead',
     'AnswerMemory',
@@ -50,11 +52,11 @@
     'ForwardRequest',
     'Header',
     'HealthDialect',
-    'HeldFor',
     'HttpAnswer',
     'HttpCall',
     'InvalidAnswer',
     'KvCacheCopy',
+    'MemoryUse',
     'OnAnswerHead',
     'PathCut',
     'Purpose',
