Let a soak add load and servers that answer wrongly

The soak had one account, routes of one priority, engines of one speed that reported no slowdown, and servers whose answers were always valid, so that none of the decisions for high load took part in it.

A seed now adds, in about half of the disrupted soaks each: engines of speeds 0.6, 1.0 and 1.6 that report a slowdown, for 15 s; a burst of 20 bulk requests a second for 5 s beside an urgent route on the same service, at times with a caller that repeats refused requests at once; a server that answers uploads of 900,000 bytes before it has read them, without a length; and a server that answers calls with the status 000. Where one of the last four happens, the callers belong to three accounts and send one bulk request a second throughout.

--- a/bronzesill/soak/callers.py
+++ b/bronzesill/soak/callers.py
@@ -4,14 +4,16 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 import time
-from collections.abc import Mapping
+from collections.abc import Coroutine, Mapping
 
 import orjson
 
 from ..utils import Address
 from .connection import CallerConnection
+from .load_configuration import BULK_ROUTE, EAGER_ACCOUNT
 from .observations import Answer, RequestKind, Sent
 from .requests import (
     SERVICE_NAME,
@@ -32,6 +34,9 @@
 _CONNECT_TRIES = 3
 #: Time beyond the deadline for which callers wait.
 _PATIENCE_S = 1.0
+_REPEAT_PAUSE_S = 0.02
+_REPEATING_STREAMS = 4
+_REFUSALS = frozenset((429, 503))
 _RATES_PER_S = (
     (RequestKind.STREAM, 3.5),
     (RequestKind.ORDER, 8.0),
@@ -41,13 +46,14 @@
 
 class Caller:
     """
-    One client account.
+    One caller of a client account.
 
     :param rng: source of random choices.
     :param directories: addresses that answer look-ups.
     :param hosts_by_address: number of the host at each address.
     :param is_stubborn: whether it uses open connections until they close,
         also to hosts that are no longer listed.
+    :param account: name of the client account.
     """
 
     def __init__(
@@ -57,7 +63,9 @@
         hosts_by_address: Mapping[Address, int],
         *,
         is_stubborn: bool,
+        account: str,
     ) -> None:
+        self.account = account
         self._rng = rng
         self._directories = directories
         self._hosts_by_address = hosts_by_address
@@ -152,6 +160,7 @@
     :param seed: seed of all random choices.
     :param directories: addresses that answer look-ups.
     :param hosts_by_address: number of the host at each address.
+    :param accounts: client accounts, given to the callers in turn.
     """
 
     def __init__(
@@ -159,6 +168,7 @@
         seed: int,
         directories: tuple[Address, ...],
         hosts_by_address: Mapping[Address, int],
+        accounts: tuple[str, ...],
     ) -> None:
         self._seed = seed
         rng = random.Random(seed)
@@ -168,54 +178,110 @@
                 directories,
                 hosts_by_address,
                 is_stubborn=bool(number % 2),
+                account=accounts[number % len(accounts)],
             )
             for number in range(_CALLERS)
         ]
-        self._requests: set[asyncio.Task[None]] = set()
+        self._eager = Caller(
+            random.Random(f'{seed}-eager'),
+            directories,
+            hosts_by_address,
+            is_stubborn=False,
+            account=EAGER_ACCOUNT,
+        )
+        self._requests: set[asyncio.Task[object]] = set()
         #: Ends of all requests.
         self.answers_by_request: dict[Sent, Answer] = {}
         #: Requests that no host took.
         self.unsent = 0
+        self._sent = 0
 
-    async def run(self) -> None:
+    async def run(self, bulk_rate_per_s: float) -> None:
         """Send requests of all kinds until cancelled."""
         async with asyncio.TaskGroup() as group:
             for kind, rate_per_s in _RATES_PER_S:
-                group.create_task(self._send_kind(kind, rate_per_s))
+                group.create_task(self.send_kind(kind, rate_per_s))
+            if bulk_rate_per_s:
+                group.create_task(
+                    self.send_kind(
+                        RequestKind.STREAM, bulk_rate_per_s, BULK_ROUTE
+                    )
+                )
 
     async def finish(self) -> None:
         """Wait until all requests have ended."""
         await asyncio.gather(*self._requests)
-        for caller in self._callers:
+        for caller in (*self._callers, self._eager):
             caller.close()
 
-    async def _send_kind(self, kind: RequestKind, rate_per_s: float) -> None:
-        rng = random.Random(f'{self._seed}-{kind.value}')
-        number = 0
+    async def send_kind(
+        self, kind: RequestKind, rate_per_s: float, route: str = ''
+    ) -> None:
+        """
+        Send requests until cancelled.
+
+        :param kind: kind of the requests.
+        :param rate_per_s: mean number of requests a second.
+        :param route: name of the route, empty for the usual one of the kind.
+        """
+        source = f'{route}-{rate_per_s}' if route else kind.value
+        rng = random.Random(f'{self._seed}-{source}')
         while True:
             await asyncio.sleep(rng.expovariate(rate_per_s))
-            number += 1
-            request_id = f'{rng.getrandbits(32):08x}{number:08x}'
-            request = choose_request(rng, kind, request_id)
-            task = asyncio.create_task(
-                self._call(rng.choice(self._callers), request)
-            )
-            self._requests.add(task)
-            task.add_done_callback(self._requests.discard)
+            request = choose_request(rng, kind, self._new_id(rng), route)
+            self._start(self._call(rng.choice(self._callers), request))
+
+    def repeat(self, route: str, for_s: float) -> None:
+        """
+        Let one caller send streams, and again at once what was refused.
+
+        :param route: name of the route.
+        :param for_s: time in seconds until the last request is sent.
+        """
+        until_s = time.monotonic() + for_s
+        for number in range(_REPEATING_STREAMS):
+            rng = random.Random(f'{self._seed}-repeat-{number}')
+            self._start(self._repeat(rng, route, until_s))
+
+    async def _repeat(
+        self, rng: random.Random, route: str, until_s: float
+    ) -> None:
+        kind = RequestKind.STREAM
+        request = choose_request(rng, kind, self._new_id(rng), route)
+        while time.monotonic() < until_s:
+            answer = await self._call(self._eager, request)
+            request_id = self._new_id(rng)
+            if answer is not None and answer.status in _REFUSALS:
+                request = dataclasses.replace(request, request_id=request_id)
+            else:
+                request = choose_request(rng, kind, request_id, route)
+            # Connections that no host takes fail without a pause.
+            await asyncio.sleep(_REPEAT_PAUSE_S)
+
+    def _start(self, work: Coroutine[None, None, object]) -> None:
+        task = asyncio.create_task(work)
+        self._requests.add(task)
+        task.add_done_callback(self._requests.discard)
 
-    async def _call(self, caller: Caller, request: Request) -> None:
+    def _new_id(self, rng: random.Random) -> str:
+        self._sent += 1
+        return f'{rng.getrandbits(32):08x}{self._sent:08x}'
+
+    async def _call(self, caller: Caller, request: Request) -> Answer | None:
         connection = await caller.connect()
         if connection is None:
             self.unsent += 1
-            return
+            return None
         is_kept = connection.served > 0
         began_at_s = time.monotonic()
         try:
-            await connection.send(request.head, request.parts, request.pause_s)
+            await connection.send(
+                request.head(caller.account), request.parts, request.pause_s
+            )
         except OSError:
             self.unsent += 1
             connection.close()
-            return
+            return None
         sent = Sent(
             request.request_id,
             request.kind,
@@ -225,6 +291,8 @@
             request.timeout_s,
             is_kept,
             request.is_chunked,
+            request.route,
+            caller.account,
         )
         raw = await connection.receive(request.timeout_s + _PATIENCE_S)
         answer = describe_answer(request, raw, time.monotonic())
@@ -233,6 +301,7 @@
             caller.keep(connection)
         else:
             connection.close()
+        return answer
 
 
 def _decode_lookup(body: bytes) -> tuple[list[Address], float]:
--- a/bronzesill/soak/observations.py
+++ b/bronzesill/soak/observations.py
@@ -30,6 +30,8 @@
     :param timeout_s: time in seconds that the route and the caller allow.
     :param is_kept: whether the connection had served a request before.
     :param is_chunked: whether the body was sent in chunks.
+    :param route: name of the route.
+    :param account: client account of the caller.
     """
 
     request_id: str
@@ -40,6 +42,8 @@
     timeout_s: float
     is_kept: bool = False
     is_chunked: bool = False
+    route: str = ''
+    account: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
@@ -114,6 +118,7 @@
     :param disruptions: first and last time of each unplanned disruption.
     :param broken_servers: time of the end of each killed server, by its name.
     :param fleet_returns_at_s: times at which all killed hosts were back.
+    :param bursts: first and last time of each burst of bulk requests.
     """
 
     answers_by_request: dict[Sent, Answer]
@@ -125,3 +130,4 @@
     disruptions: tuple[tuple[float, float], ...] = ()
     broken_servers: tuple[tuple[str, float], ...] = ()
     fleet_returns_at_s: tuple[float, ...] = ()
+    bursts: tuple[tuple[float, float], ...] = ()
--- a/bronzesill/soak/report.py
+++ b/bronzesill/soak/report.py
@@ -24,6 +24,7 @@
 ) -> Iterator[str]:
     """Yield the lines of the report."""
     yield from _render_ends(seen)
+    yield from _render_accounts(seen)
     yield from _render_exits(seen)
     yield from _render_phases(folder)
     for breach in breaches:
@@ -77,6 +78,22 @@
     return f'{int(sent.sent_at_s - stop.signal_at_s)} s'
 
 
+def _render_accounts(seen: Observations) -> Iterator[str]:
+    counts: Counter[tuple[str, str]] = Counter()
+    whole: Counter[tuple[str, str]] = Counter()
+    handovers = 0
+    for sent, answer in seen.answers_by_request.items():
+        row = (sent.route, sent.account)
+        counts[row] += 1
+        whole[row] += answer.is_whole
+        runs = seen.runs_by_id.get(sent.request_id, ())
+        is_stream = sent.kind is RequestKind.STREAM
+        handovers += is_stream and len({run.server for run in runs}) > 1
+    for row in sorted(counts):
+        yield f'{" ".join(row)}: {whole[row]} of {counts[row]} served'
+    yield f'{handovers} streams ran on several servers'
+
+
 def _render_exits(seen: Observations) -> Iterator[str]:
     for stop in seen.stops:
         after_s = stop.exit_at_s - stop.signal_at_s
--- a/bronzesill/soak/requests.py
+++ b/bronzesill/soak/requests.py
@@ -11,6 +11,7 @@
 from ..standins.caller_head import CallerHead
 from ..standins.worker import expected_events
 from .connection import RawAnswer
+from .load_configuration import UPLOAD_ROUTE, account_key
 from .observations import Answer, RequestKind
 from .servers import EVENTS, ROUTE_TIMEOUTS_S
 
@@ -28,14 +29,15 @@
 _SLOW_PAUSE_S = 0.8
 _STREAM_BODY_BYTES = 4000
 _CALL_BODY_BYTES = 600
-_PATHS: Mapping[RequestKind, tuple[str, str]] = types.MappingProxyType(
+_UPLOAD_BODY_BYTES = 900_000
+_ROUTES: Mapping[RequestKind, str] = types.MappingProxyType(
     {
-        RequestKind.STREAM: ('guides', 'POST'),
-        RequestKind.ORDER: ('orders', 'POST'),
-        RequestKind.CHECK: ('lookups', 'GET'),
+        RequestKind.STREAM: 'guides',
+        RequestKind.ORDER: 'orders',
+        RequestKind.CHECK: 'lookups',
     }
 )
-_SERVED = re.compile(rb'shop-\d\+* did (POST|GET) (\d+)')
+_SERVED = re.compile(rb'[a-z]+-\d\+* did (POST|GET) (\d+)')
 _NO_BODY_STATUS = 200
 
 
@@ -46,7 +48,7 @@
 
     :param request_id: id of the request.
     :param kind: kind of request.
-    :param head: request line and headers as sent.
+    :param route: name of the route.
     :param body: body of the request.
     :param parts: body as sent.
     :param pause_s: pause in seconds between two parts.
@@ -54,7 +56,7 @@
 
     request_id: str
     kind: RequestKind
-    head: bytes
+    route: str
     body: bytes
     parts: tuple[bytes, ...]
     pause_s: float
@@ -62,25 +64,49 @@
     @property
     def timeout_s(self) -> float:
         """Time in seconds that the route and the caller allow."""
-        return ROUTE_TIMEOUTS_S[_PATHS[self.kind][0]]
+        return ROUTE_TIMEOUTS_S[self.route]
 
     @property
     def is_chunked(self) -> bool:
         """Whether the body is sent in chunks."""
         return len(self.parts) > 1
 
+    def head(self, account: str) -> bytes:
+        """Return the request line and the headers that an account sends."""
+        is_stream = self.kind is RequestKind.STREAM
+        head = CallerHead(
+            'GET' if self.kind is RequestKind.CHECK else 'POST',
+            f'/{self.route}/{self.request_id}',
+            SERVICE_NAME,
+            self.request_id,
+            int(self.timeout_s * _MS_PER_S),
+            len(self.body),
+            self.is_chunked,
+            prompt_tokens=len(self.body) if is_stream else 0,
+            output_tokens=EVENTS * _TOKENS_PER_EVENT,
+            key=account_key(account),
+        )
+        return head.encode()
+
 
 def choose_request(
-    rng: random.Random, kind: RequestKind, request_id: str
+    rng: random.Random, kind: RequestKind, request_id: str, route: str = ''
 ) -> Request:
-    """Return a request of a kind with a random body, whole or in chunks."""
-    body = _make_body(rng, kind)
+    """
+    Return a request of a kind with a random body, whole or in chunks.
+
+    :param rng: source of random choices.
+    :param kind: kind of request.
+    :param request_id: id of the request.
+    :param route: name of the route, empty for the usual one of the kind.
+    """
+    body = _make_body(rng, kind, route)
     is_chunked = bool(body) and rng.random() < _CHUNKED_SHARE
     is_slow = kind is RequestKind.STREAM and rng.random() < _SLOW_SHARE
     return Request(
         request_id,
         kind,
-        _make_head(kind, request_id, len(body), is_chunked=is_chunked),
+        route or _ROUTES[kind],
         body,
         _split(rng, body) if is_chunked else (body,),
         _SLOW_PAUSE_S if is_slow else _PAUSE_S,
@@ -111,34 +137,17 @@
     return is_whole, is_whole or not body
 
 
-def _make_body(rng: random.Random, kind: RequestKind) -> bytes:
+def _make_body(rng: random.Random, kind: RequestKind, route: str) -> bytes:
     if kind is RequestKind.CHECK:
         return b''
     size = _CALL_BODY_BYTES
     if kind is RequestKind.STREAM:
         size = _STREAM_BODY_BYTES
+    if route == UPLOAD_ROUTE:
+        size = _UPLOAD_BODY_BYTES
     return rng.randbytes(size // 2).hex().encode()
 
 
-def _make_head(
-    kind: RequestKind, request_id: str, size: int, *, is_chunked: bool
-) -> bytes:
-    route, method = _PATHS[kind]
-    is_stream = kind is RequestKind.STREAM
-    head = CallerHead(
-        method,
-        f'/{route}/{request_id}',
-        SERVICE_NAME,
-        request_id,
-        int(ROUTE_TIMEOUTS_S[route] * _MS_PER_S),
-        size,
-        is_chunked,
-        prompt_tokens=size if is_stream else 0,
-        output_tokens=EVENTS * _TOKENS_PER_EVENT,
-    )
-    return head.encode()
-
-
 def _split(rng: random.Random, body: bytes) -> tuple[bytes, ...]:
     """Return the chunks of a body and its end, each as sent."""
     count = rng.randint(2, _MAX_PARTS)
--- a/bronzesill/soak/schedule.py
+++ b/bronzesill/soak/schedule.py
@@ -40,6 +40,11 @@
     SILENT_STORE = 'silent_store'
     KILL_HOST = 'kill_host'
     KILL_ALL = 'kill_all'
+    SPEEDS = 'speeds'
+    BULK_BURST = 'bulk_burst'
+    REPEAT = 'repeat'
+    EARLY_ANSWERS = 'early_answers'
+    ODD_STATUS = 'odd_status'
 
 
 #: Share of stops beside which the event happens, by kind.
@@ -54,6 +59,16 @@
     (EventKind.SILENT_STORE, 0.2),
     (EventKind.KILL_HOST, 0.2),
 )
+#: Share of soaks in which the event happens and its seconds, by kind.
+_LOAD_SHARES = (
+    (EventKind.SPEEDS, 0.5, 15.0),
+    (EventKind.BULK_BURST, 0.6, 5.0),
+    (EventKind.EARLY_ANSWERS, 0.5, 4.0),
+    (EventKind.ODD_STATUS, 0.5, 4.0),
+)
+_REPEAT_SHARE = 0.6
+#: Requests of the burst wait when the caller that repeats begins.
+_REPEAT_LAG_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -130,8 +145,24 @@
             all_hosts = tuple(range(self._plan.hosts))
             end_s = max(at_s, *self._free_at_s)
             self._events.append(Event(end_s, EventKind.KILL_ALL, all_hosts))
+        if self._plan.is_disrupted:
+            self._add_load(at_s)
         return tuple(sorted(self._events, key=lambda event: event.at_s))
 
+    def _add_load(self, end_s: float) -> None:
+        """Add load; the other events of a seed do not depend on it."""
+        rng = random.Random(f'{self._plan.seed}-load')
+        for kind, share, for_s in _LOAD_SHARES:
+            at_s = rng.uniform(_WARM_UP_S / 2, end_s)
+            if rng.random() >= share:
+                continue
+            self._events.append(Event(at_s, kind, for_s=for_s))
+            is_burst = kind is EventKind.BULK_BURST
+            if is_burst and rng.random() < _REPEAT_SHARE:
+                at_s += _REPEAT_LAG_S
+                event = Event(at_s, EventKind.REPEAT, for_s=for_s)
+                self._events.append(event)
+
     def _add_stop(self, at_s: float) -> float:
         """Add a stop and the events beside it; return its time."""
         count = 1 + (self._rng.random() < _PAIR_SHARE)
--- a/bronzesill/soak/servers.py
+++ b/bronzesill/soak/servers.py
@@ -6,6 +6,7 @@
 import contextlib
 import dataclasses
 import itertools
+import random
 import time
 import types
 from collections import defaultdict
@@ -20,6 +21,12 @@
 from ..standins.worker import WorkerPlan, WorkerStandIn
 from ..store import Mutation
 from ..utils import Address, BronzesillError
+from .load_configuration import (
+    BULK_ROUTE,
+    UPLOAD_ROUTE,
+    UPLOAD_SERVICE,
+    add_load,
+)
 from .observations import Run
 
 __all__ = ['EVENTS', 'ROUTE_TIMEOUTS_S', 'RecordedServer', 'SoakServers']
@@ -36,11 +43,23 @@
 _SERVICE_SLOTS = 24
 _SERVICE_WORK_S = 0.1
 _DOMAINS = 'abc'
+_PERCENT = 100
+#: Speeds of the engines in turn.
+_SPEEDS = (0.6, 1.0, 1.6)
+_SLOW_PERCENT = 250
+_SLOW_SHARE = 1 / 7
+_SLOW_S = 0.6
 _WRITE_INTERVAL_S = 0.3
 _STORE_DELAY_S = 30.0
 #: Timeout of each route by its name.
 ROUTE_TIMEOUTS_S: Mapping[str, float] = types.MappingProxyType(
-    {'guides': 25, 'orders': 1.5, 'lookups': 1.5}
+    {
+        'guides': 25,
+        'orders': 1.5,
+        'lookups': 1.5,
+        BULK_ROUTE: 15,
+        UPLOAD_ROUTE: 3,
+    }
 )
 
 
@@ -97,9 +116,13 @@
 
     :param engines: number of engines.
     :param services: number of plain servers.
+    :param is_loaded: whether there are routes of two priorities and uploads.
     """
 
-    def __init__(self, engines: int, services: int) -> None:
+    def __init__(
+        self, engines: int, services: int, *, is_loaded: bool = False
+    ) -> None:
+        self._is_loaded = is_loaded
         self.store = StoreStandIn(Address(_LOOPBACK, 0))
         #: All servers that ever ran, by their name.
         self.servers_by_name: dict[str, RecordedServer] = {}
@@ -111,6 +134,8 @@
             self._add(_engine_plan(number))
         for number in range(services):
             self._add(_service_plan(number))
+        if is_loaded:
+            self._add(_upload_plan())
         self._version = 0
 
     async def start(self) -> None:
@@ -132,6 +157,8 @@
         self._version += 1
         document = make_configuration(maxBodyBytes=1_000_000)
         document['version'] = self._version
+        if self._is_loaded:
+            add_load(document)
         for route in document['routes']:
             timeout_s = ROUTE_TIMEOUTS_S[route['name']]
             route['timeoutMs'] = int(timeout_s * _MS_PER_S) + self._version
@@ -166,6 +193,20 @@
         await asyncio.sleep(for_s)
         self._change_prefill((_PREFILL_S,))
 
+    async def vary_speeds(self, for_s: float, rng: random.Random) -> None:
+        """Let engines differ in speed, slow down at times and report it."""
+        until_s = time.monotonic() + for_s
+        while time.monotonic() < until_s:
+            for engine, speed in zip(
+                self._running_engines(), itertools.cycle(_SPEEDS)
+            ):
+                is_slow = rng.random() < _SLOW_SHARE
+                percent = _SLOW_PERCENT if is_slow else _PERCENT
+                _change_speed(engine, speed * _PERCENT / percent, percent)
+            await asyncio.sleep(_SLOW_S)
+        for engine in self._running_engines():
+            _change_speed(engine, 1, None)
+
     async def kill_engine(self, after_s: float) -> None:
         """Kill the busiest engine and start it again as another one."""
         engine = max(self._running_engines(), key=_running_work)
@@ -248,6 +289,17 @@
     )
 
 
+def _change_speed(
+    engine: RecordedServer, speed: float, slowdown_percent: int | None
+) -> None:
+    engine.plan = dataclasses.replace(
+        engine.plan,
+        pace_s=_PACE_S / speed,
+        prefill_s=_PREFILL_S / speed,
+        slowdown_percent=slowdown_percent,
+    )
+
+
 def _engine_plan(number: int) -> WorkerPlan:
     return WorkerPlan(
         f'engine-{number}',
@@ -269,3 +321,7 @@
         slots=_SERVICE_SLOTS,
         work_s=_SERVICE_WORK_S,
     )
+
+
+def _upload_plan() -> WorkerPlan:
+    return WorkerPlan('uploads-0', UPLOAD_SERVICE, work_s=_SERVICE_WORK_S)
--- a/bronzesill/soak/soak.py
+++ b/bronzesill/soak/soak.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 import time
 import types
 from collections.abc import Mapping
@@ -13,6 +14,8 @@
 from .bounds import RECOVERY_S
 from .callers import Traffic
 from .hosts import HostFleet, HostProcess
+from .load import BULK_RATE_PER_S, LOAD_KINDS, Load
+from .load_configuration import ACCOUNTS
 from .observations import Observations, Stop
 from .schedule import (
     Event,
@@ -54,7 +57,12 @@
         self._plan = plan
         self._replaced_by = replaced_by
         self._folder = folder
-        self._servers = SoakServers(_ENGINES, _SERVICES)
+        self._is_loaded = any(
+            event.kind in LOAD_KINDS for event in self._schedule()
+        )
+        self._servers = SoakServers(
+            _ENGINES, _SERVICES, is_loaded=self._is_loaded
+        )
         self._stops: list[Stop] = []
         self._reloads: list[tuple[int, float]] = []
         self._disruptions: list[tuple[float, float]] = []
@@ -84,10 +92,14 @@
             self._plan.seed,
             tuple(host.address('registry') for host in hosts),
             _hosts_by_address(hosts),
+            ACCOUNTS if self._is_loaded else ACCOUNTS[:1],
+        )
+        load = Load(traffic, self._servers.store.address)
+        sending = asyncio.create_task(
+            traffic.run(BULK_RATE_PER_S if self._is_loaded else 0)
         )
-        sending = asyncio.create_task(traffic.run())
         watching = asyncio.create_task(self._watch_delay())
-        await self._run_events(hosts)
+        await self._run_events(hosts, load)
         sending.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await sending
@@ -104,6 +116,7 @@
             (*self._disruptions, *self._servers.disruptions),
             self._servers.broken_servers(),
             tuple(self._returns_at_s),
+            tuple(load.bursts),
         )
 
     async def _watch_delay(self) -> None:
@@ -113,11 +126,11 @@
             delay_s = time.monotonic() - due_s
             self.longest_delay_s = max(self.longest_delay_s, delay_s)
 
-    async def _run_events(self, hosts: list[HostProcess]) -> None:
+    async def _run_events(self, hosts: list[HostProcess], load: Load) -> None:
         began_at_s = time.monotonic()
         async with asyncio.TaskGroup() as group:
             for event in self._schedule():
-                group.create_task(self._apply(event, began_at_s, hosts))
+                group.create_task(self._apply(event, began_at_s, hosts, load))
         await asyncio.sleep(_AFTER_LAST_S)
 
     def _schedule(self) -> tuple[Event, ...]:
@@ -126,7 +139,11 @@
         return make_schedule(self._plan)
 
     async def _apply(
-        self, event: Event, began_at_s: float, hosts: list[HostProcess]
+        self,
+        event: Event,
+        began_at_s: float,
+        hosts: list[HostProcess],
+        load: Load,
     ) -> None:
         due_s = began_at_s + event.at_s - time.monotonic()
         await asyncio.sleep(max(due_s, 0))
@@ -137,6 +154,8 @@
             await asyncio.gather(
                 *(self._apply_to_host(event.kind, host) for host in targets)
             )
+        elif event.kind in LOAD_KINDS:
+            await load.apply(event)
         else:
             await self._apply_to_servers(event)
 
@@ -159,6 +178,10 @@
                 await self._servers.configure()
             case EventKind.FULL_ENGINES:
                 await self._servers.fill_engines(event.for_s)
+            case EventKind.SPEEDS:
+                await self._servers.vary_speeds(
+                    event.for_s, random.Random(self._plan.seed)
+                )
             case EventKind.SILENT_ENGINES:
                 await self._servers.silence_engines(event.for_s)
             case EventKind.SILENT_STORE:
--- a/bronzesill/soak/tests/test_schedule.py
+++ b/bronzesill/soak/tests/test_schedule.py
@@ -6,6 +6,16 @@
 
 _SEEDS = range(200)
 _RETURN_S = 13.0
+_BURST_S = 5.0
+_LOAD = frozenset(
+    (
+        EventKind.SPEEDS,
+        EventKind.BULK_BURST,
+        EventKind.REPEAT,
+        EventKind.EARLY_ANSWERS,
+        EventKind.ODD_STATUS,
+    )
+)
 
 
 def _stops(plan: Plan) -> list[tuple[float, int]]:
@@ -17,6 +27,10 @@
     ]
 
 
+def _load_kinds(plan: Plan) -> frozenset[EventKind]:
+    return _LOAD & {event.kind for event in make_schedule(plan)}
+
+
 class ScheduleTest(unittest.TestCase):
     """Decisions of the scheduler, without a fleet."""
 
@@ -62,6 +76,38 @@
                 self.assertLessEqual(free_at_s.get(host, 0), at_s)
                 free_at_s[host] = at_s + _RETURN_S
 
+    # Guards against a soak that always or never has a kind of load, so that
+    # deployments without it are not soaked any more.
+    def test_load_is_there_at_times(self) -> None:
+        for kind in _LOAD:
+            with_kind = [
+                seed
+                for seed in _SEEDS
+                if kind in _load_kinds(Plan(seed, 3, 4, is_disrupted=True))
+            ]
+            self.assertGreater(len(with_kind), len(_SEEDS) / 4, kind)
+            self.assertLess(len(with_kind), len(_SEEDS) * 3 / 4, kind)
+
+    def test_soaks_without_load(self) -> None:
+        without = [
+            seed
+            for seed in _SEEDS
+            if not _load_kinds(Plan(seed, 3, 4, is_disrupted=True))
+        ]
+        self.assertGreater(len(without), 1)
+
+    # Guards against a caller that repeats while nothing is refused.
+    def test_caller_repeats_in_a_burst(self) -> None:
+        for seed in _SEEDS:
+            events = make_schedule(Plan(seed, 3, 4, is_disrupted=True))
+            at_s_by_kind = {event.kind: event.at_s for event in events}
+            if EventKind.REPEAT in at_s_by_kind:
+                lag_s = (
+                    at_s_by_kind[EventKind.REPEAT]
+                    - at_s_by_kind[EventKind.BULK_BURST]
+                )
+                self.assertTrue(0 < lag_s < _BURST_S)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/bronzesill/standins/caller_head.py
+++ b/bronzesill/standins/caller_head.py
@@ -23,6 +23,7 @@
     :param is_chunked: whether the body comes in chunks.
     :param prompt_tokens: tokens of the prompt, 0 for a plain call.
     :param output_tokens: most tokens of the answer.
+    :param key: API key of the client account.
     """
 
     method: str
@@ -34,6 +35,7 @@
     is_chunked: bool = False
     prompt_tokens: int = 0
     output_tokens: int = 0
+    key: str = HOSTED_KEY
 
     def encode(self) -> bytes:
         """Return the head as HTTP/1.1, with its empty line."""
@@ -42,7 +44,7 @@
             f'Host: {self.host}',
             f'X-Attempt-Id: {self.request_id}',
             f'X-Deadline-Ms: {self.timeout_ms}',
-            f'Authorization: Bearer {HOSTED_KEY}',
+            f'Authorization: Bearer {self.key}',
             *self._prompt_lines(),
         ]
         if self.is_chunked:
