Judge priorities and accounts in the bursts of a soak

The verdict judged each request alone and could not tell whether a burst of bulk requests displaced urgent ones or an account got nothing. For the streams sent during a burst and 5 s after it, at least 20 on each side, it is now a breach if urgent requests are served less often than bulk ones by more than three requests, or if an account is served less than half as often as the mean of the accounts; the account that repeats refused requests at once is left out. The other rules and their bounds are unchanged.

--- a/bronzesill/soak/verdict.py
+++ b/bronzesill/soak/verdict.py
@@ -7,6 +7,11 @@
 
 from .bounds import APPLY_S, CONTACT_S, GRACE_S, LOSS_SLACK_S, RECOVERY_S
 from .observations import Answer, Observations, RequestKind, Run, Sent, Stop
+from .shares import (
+    MIN_REQUESTS,
+    describe_unfair_shares,
+    describe_unserved_urgent,
+)
 
 __all__ = ['Breach', 'End', 'classify', 'find_breaches', 'stop_of']
 
@@ -24,7 +29,6 @@
 _MAX_CUT_RATIO = 3
 _MAX_KEPT_CUTS = 3
 _RECOVERED_SHARE = 0.25
-_MIN_REQUESTS = 20
 
 
 class End(enum.Enum):
@@ -152,6 +156,12 @@
         breaches.extend(_judge_request(seen, sent, answer, len(runs)))
     breaches.extend(_judge_calm_cuts(seen))
     breaches.extend(_judge_recovery(seen))
+    breaches.extend(
+        Breach('PRIORITY', '', text) for text in describe_unserved_urgent(seen)
+    )
+    breaches.extend(
+        Breach('FAIR', '', text) for text in describe_unfair_shares(seen)
+    )
     return tuple(breaches)
 
 
@@ -253,7 +263,7 @@
             if sent.sent_at_s > back_at_s + RECOVERY_S
         ]
         served = sum(late)
-        if len(late) >= _MIN_REQUESTS and served < _RECOVERED_SHARE * len(late):
+        if len(late) >= MIN_REQUESTS and served < _RECOVERED_SHARE * len(late):
             text = f'{served} of {len(late)} served'
             breaches.append(Breach('RECOVER', '', text))
     return breaches
