Send more uploads and repeated streams in a soak, and test its load

With 4 streams at a time the caller that repeats sent 4 to 9 requests in 5 s. Now it is 8 uploads a second and 8 streams.

--- a/bronzesill/soak/callers.py
+++ b/bronzesill/soak/callers.py
@@ -35,7 +35,7 @@
 #: Time beyond the deadline for which callers wait.
 _PATIENCE_S = 1.0
 _REPEAT_PAUSE_S = 0.02
-_REPEATING_STREAMS = 4
+_REPEATING_STREAMS = 8
 _REFUSALS = frozenset((429, 503))
 _RATES_PER_S = (
     (RequestKind.STREAM, 3.5),
--- a/bronzesill/soak/load.py
+++ b/bronzesill/soak/load.py
@@ -25,7 +25,7 @@
 )
 BULK_RATE_PER_S = 1.0
 _BURST_RATE_PER_S = 20.0
-_UPLOAD_RATE_PER_S = 3.0
+_UPLOAD_RATE_PER_S = 8.0
 
 
 class Load:
