--- a/bronzesill/config/document.py
+++ b/bronzesill/config/document.py
@@ -307,9 +307,10 @@
 
     @functools.cached_property
     def ranked_services(self) -> frozenset[str]:
-        """Services that are shared by routes of different priorities."""
+        """Services shared by streaming routes of different priorities."""
         priorities_by_service: dict[str, set[int]] = {}
-        for route in self.routes.values():
+        streams = (route for route in self.routes.values() if route.is_stream)
+        for route in streams:
             for service in (route.service, *route.weight_by_service):
                 known = priorities_by_service.setdefault(service, set())
                 known.add(route.priority)
--- a/bronzesill/generations/attempt_placement.py
+++ b/bronzesill/generations/attempt_placement.py
@@ -10,17 +10,15 @@
 
 from ..limits import RetryAllowance
 from ..routing import ServerTracker, ServiceRates
-from ..utils import PartLogger, ResultCode, log_unexpected
+from ..utils import PartLogger, ResultCode
 from .activity_lookup import ActivityLookup
 from .locations import LocationDirectory, LocationRecord
 from .messages import (
     Attached,
-    AttemptLost,
     ChooseServer,
     Event,
     LookedElsewhere,
     LookElsewhere,
-    LossCause,
     NoServer,
     PlacementRefused,
     ServerChosen,
@@ -39,8 +37,6 @@
 
 #: Time from a crash until a block that follows from it is known.
 _JUDGEMENT_S = 0.3
-#: Smallest gain of a handover, which also delays other streams.
-_MIN_HANDOVER_GAIN_S = 0.5
 
 PickVersion: TypeAlias = Callable[[GenerationRequest, bool], str]
 
@@ -170,51 +166,11 @@
             is_shared=is_path_suspected and self._is_silence_shared(generation),
         )
 
-    async def offer_handover(self, generation: PlacedGeneration) -> None:
-        """
-        Hand a stream over to the holder of its copy if it ends sooner there.
-
-        The holder has to accept a connection; what is known of it may be older
-        than its failure.
-
-        :param generation: generation that streams from another server.
-        """
-        try:
-            await self._offer_handover(generation)
-        except Exception as error:
-            log_unexpected(generation.request.request_id, 'a handover', error)
-
     def return_send(self, generation: PlacedGeneration) -> None:
         """Take back the retry counted for an attempt that was not sent."""
         if self.allowance is not None and generation.state.sends:
             self.allowance.return_retry(generation.request.model)
 
-    async def _offer_handover(self, generation: PlacedGeneration) -> None:
-        model = generation.request.model
-        attempt = generation.state.attempt
-        allowance = self.allowance
-        if allowance is None or not allowance.allows_optional_retry(model):
-            return
-        await self.refresh_usage()
-        state = generation.state
-        gain_s = self._servers.handover_gain_s(model, state)
-        if gain_s is None or gain_s < _MIN_HANDOVER_GAIN_S:
-            return
-        is_accepting = await self._search.accepts(state.usable_copy)
-        if not is_accepting or not generation.state.is_current(attempt):
-            return
-        _log.event(
-            'handover',
-            request=generation.request.request_id,
-            server=state.server,
-            copy_holder=state.usable_copy,
-            at_token=generation.state.accepted,
-            gain_s=round(gain_s, 2),
-        )
-        generation.mailbox.put_nowait(
-            AttemptLost(attempt, LossCause.HANDED_OVER)
-        )
-
     async def _refresh_activity(self, server: str) -> None:
         """Learn of the prompts that other hosts have sent to a server."""
         if self.activities.is_known_for(server):
--- a/bronzesill/generations/book_observer.py
+++ b/bronzesill/generations/book_observer.py
@@ -93,10 +93,6 @@
         """Count a silent run that is moved to another server."""
         self._metrics.incr(f'generations.moves.{reason.value}')
 
-    def run_handed_over(self) -> None:
-        """Count a run that is handed over to the holder of its copy."""
-        self._metrics.incr('generations.handovers')
-
     def wait_ended(self) -> None:
         """Count a silence that ended by itself after a look."""
         self._metrics.incr('generations.waits.ended')
--- a/bronzesill/generations/decisions.py
+++ b/bronzesill/generations/decisions.py
@@ -10,7 +10,6 @@
 import types
 
 from ..utils import ResultCode, chain_digest
-from .handover import may_hand_over
 from .look_messages import WaitEnded
 from .look_results import after_look, move_basis, with_activity
 from .messages import (
@@ -270,10 +269,7 @@
 def _handle_loss(
     state: GenerationState, event: AttemptLost, now_s: float
 ) -> Decision:
-    is_handover = event.cause is LossCause.HANDED_OVER
-    if not state.is_current(event.attempt) or (
-        is_handover and not may_hand_over(state)
-    ):
+    if not state.is_current(event.attempt):
         return Decision(state)
     lost = state.without_attempt(event.cause)
     evidence = state.evidence if event.cause is LossCause.SILENT else None
--- a/bronzesill/generations/messages.py
+++ b/bronzesill/generations/messages.py
@@ -58,8 +58,7 @@
     ``GAP``: tokens before the ones received are missing. ``SHORT``: the end
     marker and the accepted tokens differ in count. ``BLOCKED``: servers crash
     on such requests. ``UNREAD``: this host did not read for some time, and
-    the server broke off. ``HANDED_OVER``: the stream goes on from the copy of
-    its memory on another server, where it is expected to end sooner.
+    the server broke off.
     """
 
     BROKEN = 'broken'
@@ -73,13 +72,10 @@
     SHORT = 'short'
     BLOCKED = 'blocked'
     UNREAD = 'unread'
-    HANDED_OVER = 'handed_over'
 
 
 #: Causes that are no evidence against the server.
-_OWN_CAUSES = frozenset(
-    (LossCause.PATH, LossCause.UNREAD, LossCause.HANDED_OVER)
-)
+_OWN_CAUSES = frozenset((LossCause.PATH, LossCause.UNREAD))
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzesill/generations/observer.py
+++ b/bronzesill/generations/observer.py
@@ -104,9 +104,6 @@
     def run_moved(self, reason: MoveReason) -> None:
         """Record that a silent run is moved to another server."""
 
-    def run_handed_over(self) -> None:
-        """Record that a run is handed over to the holder of its copy."""
-
     def wait_ended(self) -> None:
         """Record that a silence ended by itself after a look."""
 
--- a/bronzesill/generations/placement.py
+++ b/bronzesill/generations/placement.py
@@ -17,7 +17,6 @@
     choose_copy_holder,
     choose_held_server,
     choose_server,
-    handover_gain_s,
 )
 from ..utils import Address
 from .messages import (
@@ -31,7 +30,6 @@
 from .shared_probes import ProbeSharingClient
 from .stall_detection import StreamActivity, is_silence_shared
 from .state import GenerationState, Phase
-from .subscription import TaskMessage
 
 __all__ = [
     'CandidateSearch',
@@ -68,7 +66,6 @@
     request: GenerationRequest
     fingerprint: int
     state: GenerationState
-    mailbox: asyncio.Queue[TaskMessage]
     #: Servers to which the connection ended before the answer began.
     unanswered_losses: int
     #: Why no server was chosen at the last choice, empty if one was.
@@ -163,32 +160,6 @@
         copy_to = self._choose_copy(views, requirements, chosen_server)
         return ServerChosen(chosen_server.name, chosen_server.fill, copy_to)
 
-    def handover_gain_s(
-        self, model: str, state: GenerationState
-    ) -> float | None:
-        """
-        Return what a stream gains on the server that copies its memory.
-
-        :param model: model of the stream.
-        :param state: state of its generation, while it streams.
-        :returns: the gain in seconds, ``None`` where speed is unknown or the
-            server takes no streams.
-        """
-        rates = self._tracker.speeds.rates(model)
-        now_s = asyncio.get_running_loop().time()
-        views_by_name = {
-            view.name: view
-            for view in self._tracker.views(now_s)
-            if view.name in {state.server, state.usable_copy}
-            and not (view.is_suspected or view.is_leaving)
-        }
-        current = views_by_name.get(state.server)
-        holder = views_by_name.get(state.usable_copy)
-        if rates is None or current is None or holder is None:
-            return None
-        events_left = max(rates.answer_events - state.accepted, 0)
-        return handover_gain_s(current, holder, rates, events_left)
-
     def is_silence_shared(
         self, states: Iterable[GenerationState], look_after_s: float
     ) -> bool:
--- a/bronzesill/generations/state.py
+++ b/bronzesill/generations/state.py
@@ -34,7 +34,6 @@
         LossCause.UNSENT,
         LossCause.PATH,
         LossCause.DEADLINE,
-        LossCause.HANDED_OVER,
     )
 )
 
@@ -97,8 +96,6 @@
     :param evidence_at_s: time of that result.
     :param activity: work of the attempt's server as last known, None if tokens
         came since or where speed is unknown.
-    :param handovers: number of attempts that were handed over to the holder
-        of a copy.
     """
 
     deadline_at_s: float
@@ -129,7 +126,6 @@
     unreachable_at_s: float = -math.inf
     refused_at_s: float = -math.inf
     activity: ServerActivity | None = None
-    handovers: int = 0
 
     @property
     def has_ended(self) -> bool:
@@ -276,7 +272,7 @@
         """Return the state after the loss of the current attempt."""
         is_unsent = cause is LossCause.UNSENT
         excluded = self.excluded
-        if cause not in {LossCause.PATH, LossCause.HANDED_OVER}:
+        if cause is not LossCause.PATH:
             excluded |= {self.server}
         is_copy_unused = is_unsent and self.uses_copy
         return dataclasses.replace(
@@ -284,7 +280,6 @@
             losses=self.losses + int(_is_counted(cause, self.accepted)),
             sends=self.sends - int(is_unsent),
             unsent=self.unsent + 1 if is_unsent else 0,
-            handovers=self.handovers + int(cause is LossCause.HANDED_OVER),
             excluded=excluded,
             copy_holder=self.server if is_copy_unused else self.usable_copy,
         )
--- a/bronzesill/generations/task.py
+++ b/bronzesill/generations/task.py
@@ -12,7 +12,6 @@
 from .attempt import AttemptRunner
 from .attempt_placement import AttemptPlacer
 from .decisions import decide
-from .handover import HandoverSchedule
 from .look_messages import WaitEnded
 from .look_results import after_look
 from .messages import (
@@ -100,7 +99,6 @@
         self.unanswered_losses = 0
         #: Why no server was chosen at the last choice, empty if one was.
         self.unplaced_reason = ''
-        self._handovers = HandoverSchedule()
         self._placer = placer
         self._observer = observer
         self._readers = AnswerReaders(
@@ -283,18 +281,6 @@
             len(action.tokens), is_first=not self.accepted_tokens
         )
         self._readers.deliver(AcceptedTokens(action.offset, action.tokens))
-        self._consider_handover()
-
-    def _consider_handover(self) -> None:
-        now_s = asyncio.get_running_loop().time()
-        is_due = self._handovers.is_due(self.state, now_s)
-        self._handovers = self._handovers.after_events(self.state, now_s)
-        # The caller of a stream without a reader here may read it through
-        # another host, from the same attempt.
-        if not is_due or self.subscribers.is_empty:
-            return
-        if self._placer.activities.is_known_for(self.state.server):
-            self._attempts.start_task(self._placer.offer_handover(self))
 
     async def _find_server(self, action: ChooseServer) -> None:
         try:
@@ -363,8 +349,6 @@
         )
         if action.basis is not None:
             self._observer.run_moved(action.basis.reason)
-        if action.cause is LossCause.HANDED_OVER:
-            self._observer.run_handed_over()
         is_disconnected = action.cause is LossCause.DISCONNECTED
         if is_disconnected and self.state.accepted:
             self._attempts.check_lost_server(action)
--- a/bronzesill/limits/allowance.py
+++ b/bronzesill/limits/allowance.py
@@ -35,9 +35,6 @@
         :param has_begun: whether the caller has a part of the answer.
         """
 
-    def allows_optional_retry(self, service: str) -> bool:
-        """Return whether a retry is allowed that only saves time."""
-
     def return_retry(self, service: str) -> None:
         """Take back a counted retry that was not sent."""
 
@@ -69,10 +66,6 @@
         """Return whether a retry is allowed, without counting one."""
         return self._budget.allows_retry
 
-    def allows_optional_retry(self, service: str) -> bool:
-        """Return ``False``; the whole budget is kept for lost attempts."""
-        return False
-
     def return_retry(self, service: str) -> None:
         """Take back a counted retry that was not sent."""
         self._budget = self._budget.without_retry()
@@ -115,11 +108,6 @@
             _now_s(), self._count_daemons(), has_begun=has_begun
         )
 
-    def allows_optional_retry(self, service: str) -> bool:
-        """Return whether a retry is allowed that only saves time."""
-        window = self._window(service)
-        return window.allows_optional(_now_s(), self._count_daemons())
-
     def return_retry(self, service: str) -> None:
         """Take back a counted retry that was not sent."""
         window = self._window(service)
--- a/bronzesill/limits/retry_window.py
+++ b/bronzesill/limits/retry_window.py
@@ -19,7 +19,6 @@
     :param margin: fraction of the bounds that is used.
     :param begun_margin: the same for retries of answers that have begun; what
         lies above ``margin`` is kept for them.
-    :param optional_margin: the same for attempts that only save time.
     """
 
     ratio: float = 0.8
@@ -27,7 +26,6 @@
     slack: float = 150
     margin: float = 0.8
     begun_margin: float = 0.9
-    optional_margin: float = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,20 +96,6 @@
         kept = (1 - bounds.begun_margin) * bounds.ratio * earlier
         return retries + 1 <= bounds.begun_margin * allowed + kept
 
-    def allows_optional(self, now_s: float, daemons: int) -> bool:
-        """
-        Return whether a retry is allowed that only saves time.
-
-        :param now_s: current time in seconds.
-        :param daemons: number of live daemons, as in ``allows_retry``.
-        """
-        recent = self._recent(now_s)
-        retries = sum(second.retries for second in recent)
-        bounds = self.bounds
-        first_attempts = _count_first_attempts(recent)
-        allowed = bounds.ratio * first_attempts + bounds.slack / max(daemons, 1)
-        return retries + 1 <= bounds.optional_margin * allowed
-
     def _counted(self, now_s: float, **counts: int) -> RetryWindow:
         recent = self._recent(now_s - self.bounds.window_s)
         number = int(now_s)
--- a/bronzesill/routing/__init__.py
+++ b/bronzesill/routing/__init__.py
@@ -15,7 +15,6 @@
     ServiceRates,
     StreamSize,
 )
-from .handover import handover_gain_s
 from .listing import ServerListing
 from .records import LoadReport, ServerRecord
 from .request_limits import (
@@ -78,7 +77,6 @@
     'choose_recipients',
     'choose_server',
     'count_free',
-    'handover_gain_s',
     'news_of',
     'pick_version',
     'summarize_services',
--- a/bronzesill/routing/expected_time.py
+++ b/bronzesill/routing/expected_time.py
@@ -17,7 +17,6 @@
     'ExpectedTime',
     'ServiceRates',
     'StreamSize',
-    'remaining_s',
     'slowed_s',
 ]
 
@@ -164,20 +163,6 @@
         return path_s + self._resume_s * min(shortage, _MAX_SHORTAGE)
 
 
-def remaining_s(
-    view: ServerView, rates: ServiceRates, events_left: int
-) -> float:
-    """
-    Return the time to the end of an answer that has begun.
-
-    :param view: server that goes on with it.
-    :param rates: typical rates of its model.
-    :param events_left: expected number of events to come.
-    """
-    work_s = events_left * rates.event_s / _decoding_part(view) / view.speed
-    return slowed_s(work_s, view.slowdown)
-
-
 def _decoding_part(view: ServerView) -> float:
     """
     Return the part of the time in which a server goes on with its streams.
