Tell engines the priority of the route only

Cause: accounts have priorities on every deployment; told to engines, they interrupted urgent kinds of streams for the bulk of urgent accounts.

Change: engines are told the priority of streaming routes that share a service; priorities of accounts order what waits at a host.

--- a/bronzesill/config/document.py
+++ b/bronzesill/config/document.py
@@ -306,18 +306,21 @@
         return priorities
 
     @functools.cached_property
-    def ranked_services(self) -> frozenset[str]:
-        """Services shared by streaming routes of different priorities."""
-        priorities_by_service: dict[str, set[int]] = {}
-        streams = (route for route in self.routes.values() if route.is_stream)
-        for route in streams:
+    def stream_priorities_by_service(self) -> dict[str, frozenset[int]]:
+        """Priorities of the streaming routes of each service."""
+        priorities: dict[str, frozenset[int]] = {}
+        for route in self.routes.values():
+            own = frozenset((route.priority,) if route.is_stream else ())
             for service in (route.service, *route.weight_by_service):
-                known = priorities_by_service.setdefault(service, set())
-                known.add(route.priority)
-        return frozenset(
-            name
-            for name, priorities in priorities_by_service.items()
-            if len(priorities) > 1
+                priorities[service] = priorities.get(service, own) | own
+        return priorities
+
+    @property
+    def are_streams_ranked(self) -> bool:
+        """Whether streaming routes of different priorities share a service."""
+        return any(
+            len(priorities) > 1
+            for priorities in self.stream_priorities_by_service.values()
         )
 
     def request_priority(self, route: Route, account: str) -> RequestPriority:
--- a/bronzesill/daemon/hosted_store_state.py
+++ b/bronzesill/daemon/hosted_store_state.py
@@ -281,8 +281,8 @@
             return
         self._configuration = _ConfigurationInForce(versioned.version, entry)
         self._state.document = versioned.document
-        self._tracker.speeds.are_requests_ranked = bool(
-            versioned.document.ranked_services
+        self._tracker.speeds.are_streams_ranked = (
+            versioned.document.are_streams_ranked
         )
         _log.info(
             'configuration of revision %s in force, version %s',
--- a/bronzesill/gateway/forwarding.py
+++ b/bronzesill/gateway/forwarding.py
@@ -272,9 +272,7 @@
             account=exchange.account,
             deadline_at_s=started_s + timeout_s,
             caller=exchange.caller,
-            priority=engine_priority(
-                exchange.document, route, exchange.account
-            ),
+            priority=engine_priority(exchange.document, route),
             priority_rank=priority_rank(
                 exchange.document, route, exchange.account
             ),
--- a/bronzesill/limits/priority.py
+++ b/bronzesill/limits/priority.py
@@ -10,26 +10,25 @@
 _DEFAULT = 5
 
 
-def engine_priority(
-    document: Document, route: Route, account: str
-) -> int | None:
+def engine_priority(document: Document, route: Route) -> int | None:
     """
     Return the priority that a backend server is told, ``None`` for none.
 
     Servers may interrupt runs for more urgent ones, so they are told only
-    where routes of different priorities share a service.
+    where streaming routes of different priorities share a service.  The
+    priorities of client accounts order the requests that wait at a host; at
+    a server they would interrupt urgent kinds of requests for bulk.
 
     :param document: configuration in force.
     :param route: route of the request, with the service that was selected.
-    :param account: client account of the caller, empty if unknown.
     :returns: 5 for the least urgent priority of the service, 0 to 4 for
         others.
     """
-    if route.service not in document.ranked_services:
+    known = document.stream_priorities_by_service.get(route.service)
+    levels = sorted(known or ())
+    if len(levels) < 2 or not route.is_stream:
         return None
-    levels = _levels(document, route, account)
-    rank = levels.index(document.request_priority(route, account))
-    return rank * _DEFAULT // (len(levels) - 1)
+    return levels.index(route.priority) * _DEFAULT // (len(levels) - 1)
 
 
 def priority_rank(document: Document, route: Route, account: str) -> int:
--- a/bronzesill/routing/server_speed.py
+++ b/bronzesill/routing/server_speed.py
@@ -64,8 +64,8 @@
         self._servers_by_name: Mapping[str, BackendServer] = {}
         self._reports_by_name: dict[str, LoadReport] = {}
         self._services: frozenset[str] = frozenset()
-        #: Whether the configuration ranks requests that share a service.
-        self.are_requests_ranked = False
+        #: Whether streaming routes of different priorities share a service.
+        self.are_streams_ranked = False
         self._paces = FleetPaces()
         self._former = FormerPaces()
         self._speeds_by_service: dict[str, dict[str, float]] = {}
@@ -254,7 +254,7 @@
         return self._samples(service).rates(self.typical_pace_s(service))
 
     def _is_used_for(self, service: str) -> bool:
-        return self.are_requests_ranked or service in self._services
+        return self.are_streams_ranked or service in self._services
 
     def _keep_former_paces(self, by_name: Mapping[str, BackendServer]) -> None:
         for key, pace in self._paces.latest().items():
