--- a/bronzesill/daemon/tests/test_program_modules.py
+++ b/bronzesill/daemon/tests/test_program_modules.py
@@ -18,11 +18,11 @@
 #: the messages of the store and the channels between hosts; what servers say of
 #: their leaving is told to other hosts by one more, and how old knowledge of
 #: the store may be is decided in one.  Decisions under load have modules
-#: of their own: nine for speeds and expected times, five for silent streams
-#: and handovers, four for connections, seven for invalid answers and memory,
+#: of their own: nine for speeds and expected times, four for silent streams,
+#: four for connections, seven for invalid answers and memory,
 #: and ten for the queue of waiting requests.
-_MAX_OWN_MODULES = 191
-_MAX_MODULES = 646
+_MAX_OWN_MODULES = 189
+_MAX_MODULES = 644
 #: Libraries and packages that only the native interface and the tool use.
 _UNUSED = frozenset(
     (
