Keep the faulty server with the other stand-ins

Cause: the soak named a header of the platform, which only the platform's package and the stand-ins do.

Change: the server is a stand-in; the soak names the two that it uses.

Measured: its unit tests pass.

--- a/bronzesill/soak/load.py
+++ b/bronzesill/soak/load.py
@@ -6,14 +6,20 @@
 import time
 from collections.abc import Coroutine
 
+from ..standins.faulty_servers import FaultyServer
 from ..utils import Address
 from .callers import Traffic
-from .faulty_servers import EARLY_UPLOAD_SERVER, ODD_STATUS_SERVER
-from .load_configuration import BULK_ROUTE, UPLOAD_ROUTE
+from .load_configuration import BULK_ROUTE, UPLOAD_ROUTE, UPLOAD_SERVICE
 from .observations import RequestKind
 from .schedule import Event, EventKind
 
-__all__ = ['BULK_RATE_PER_S', 'LOAD_KINDS', 'Load']
+__all__ = [
+    'BULK_RATE_PER_S',
+    'EARLY_UPLOAD_SERVER',
+    'LOAD_KINDS',
+    'ODD_STATUS_SERVER',
+    'Load',
+]
 
 LOAD_KINDS = frozenset(
     (
@@ -26,6 +32,11 @@
 BULK_RATE_PER_S = 1.0
 _BURST_RATE_PER_S = 20.0
 _UPLOAD_RATE_PER_S = 8.0
+#: Answers before it has read an upload, without a length.
+EARLY_UPLOAD_SERVER = FaultyServer('uploads-1', UPLOAD_SERVICE, '200')
+ODD_STATUS_SERVER = FaultyServer(
+    'shop-9', 'shop', '000', 'Content-Length: 17\r\n'
+)
 
 
 class Load:
--- a/bronzesill/soak/tests/test_faulty_servers.py
+++ b/bronzesill/soak/tests/test_faulty_servers.py
@@ -5,15 +5,12 @@
 import unittest
 from unittest import mock
 
+from ...standins import faulty_servers
+from ...standins.faulty_servers import FaultyServer
 from ...standins.worker import expected_events
 from ...utils import Address
-from .. import faulty_servers
 from ..connection import RawAnswer
-from ..faulty_servers import (
-    EARLY_UPLOAD_SERVER,
-    ODD_STATUS_SERVER,
-    FaultyServer,
-)
+from ..load import EARLY_UPLOAD_SERVER, ODD_STATUS_SERVER
 from ..load_configuration import UPLOAD_ROUTE
 from ..observations import Observations, RequestKind, Run, Sent
 from ..requests import Request, choose_request, describe_answer
--- a/bronzesill/soak/faulty_servers.py
+++ b/bronzesill/standins/faulty_servers.py
@@ -8,11 +8,10 @@
 import functools
 import re
 
-from ..standins.registration import maintain_registration
 from ..utils import Address
-from .load_configuration import UPLOAD_SERVICE
+from .registration import maintain_registration
 
-__all__ = ['EARLY_UPLOAD_SERVER', 'ODD_STATUS_SERVER', 'FaultyServer']
+__all__ = ['FaultyServer']
 
 _LOOPBACK = '127.0.0.1'
 _HEAD_END = b'\r\n\r\n'
@@ -95,10 +94,3 @@
             'coldRemainingMs': 0,
             'born': 1,
         }
-
-
-#: Answers before it has read an upload, without a length.
-EARLY_UPLOAD_SERVER = FaultyServer('uploads-1', UPLOAD_SERVICE, '200')
-ODD_STATUS_SERVER = FaultyServer(
-    'shop-9', 'shop', '000', 'Content-Length: 17\r\n'
-)
